--- /dev/null
+++ b/poplarspindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log, instance list, workers and minions."""
--- /dev/null
+++ b/poplarspindle/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of poplarspindle."""
--- /dev/null
+++ b/poplarspindle/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Side programs: stand-ins, replay, load and benchmarks."""
