--- /dev/null
+++ b/poplarspindle/metrics.py
@@ -0,0 +1,55 @@
+"""Counters of every refusal, retry and outcome."""
+
+import threading
+
+import aioprometheus
+
+COUNTERS = {
+    "poplarspindle_requests_total": "Requests by outcome.",
+    "poplarspindle_refusals_total": "Refusals by reason.",
+    "poplarspindle_retries_total": "Retries by reason.",
+    "poplarspindle_records_total": "Log records by verdict.",
+    "poplarspindle_platform_failures_total": "Failed platform calls.",
+    "poplarspindle_tasks_total": "Task transitions.",
+    "poplarspindle_ownership_total": "Ownership transitions.",
+    "poplarspindle_connections_total": "Connections closed by reason.",
+}
+
+
+class Metrics:
+    """The counters of one process; safe for use by several threads."""
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self._lock = threading.Lock()
+        self._counters = {
+            name: aioprometheus.Counter(name, doc, registry=self._registry)
+            for name, doc in COUNTERS.items()
+        }
+
+    def add(self, name: str, reason: str, amount: int = 1) -> None:
+        """Adds to a counter.
+
+        Args:
+            name: A key of COUNTERS.
+            reason: Value of the label `reason`.
+            amount: What to add.
+        """
+        with self._lock:
+            self._counters[name].add({"reason": reason}, amount)
+
+    def get(self, name: str, reason: str) -> int:
+        """Returns a counter's value, 0 where it was never added to."""
+        with self._lock:
+            try:
+                return int(self._counters[name].get({"reason": reason}) or 0)
+            except KeyError:
+                return 0
+
+    def render(self) -> bytes:
+        """Returns all counters in the Prometheus text form."""
+        with self._lock:
+            content, _ = aioprometheus.render(
+                self._registry, ["text/plain; version=0.0.4"]
+            )
+        return content
--- /dev/null
+++ b/poplarspindle/records.py
@@ -0,0 +1,371 @@
+"""Typed records of the log streams and their msgpack codec.
+
+A log append carries a batch: a msgpack array of `[kind, fields]` pairs. All
+records of a batch share the offset of their append. Every record is safe to
+read twice: the reducer ignores a second copy.
+"""
+
+import dataclasses
+
+import cattrs
+import msgpack
+
+DOCUMENT_STREAM = "document"
+CELL_STREAM_PREFIX = "cell/"
+AUDIT_STREAM_PREFIX = "audit/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SectionPublished:
+    """A proposal to replace one section of the document.
+
+    Attributes:
+        change_id: Unique id of the proposal; a second copy is ignored.
+        section: Name of the section.
+        base_version: Version that the author edited, 0 for a new section.
+        team: Team that signed the proposal.
+        author: Person who published it.
+        text: The whole section in TOML, empty to remove the section.
+        signature: HMAC-SHA256 of the other fields by the team's key, hex.
+    """
+
+    change_id: str
+    section: str
+    base_version: int
+    team: str
+    author: str
+    text: str
+    signature: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentreSet:
+    """A proposal to take a data centre out of service or back in.
+
+    Attributes:
+        change_id: Unique id of the proposal.
+        data_centre: Name of the data centre.
+        in_service: The state asked for.
+        base_version: Version of the data centre's state, 0 at first.
+        team: Team that signed the proposal.
+        author: Person who asked.
+        signature: HMAC-SHA256 of the other fields by the team's key, hex.
+    """
+
+    change_id: str
+    data_centre: str
+    in_service: bool
+    base_version: int
+    team: str
+    author: str
+    signature: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HomeMoved:
+    """Moves an exclusive task's home after its stop was confirmed.
+
+    Accepted only if `source` is the present home and `generation` matches.
+    """
+
+    task: str
+    source: str
+    target: str
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotChunk:
+    """One part of a snapshot of a stream's state.
+
+    Attributes:
+        snapshot_id: Unique id of the snapshot.
+        index: Place of this chunk, from 0.
+        count: Number of chunks of the snapshot.
+        covers: Offset up to which (inclusive) the state was reduced.
+        payload: Part of the encoded state.
+    """
+
+    snapshot_id: str
+    index: int
+    count: int
+    covers: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnershipClaimed:
+    """A claim on a data centre.
+
+    Accepted iff `term` is the present term + 1 and no renewal was read at an
+    offset greater than `seen`.
+
+    Attributes:
+        instance: Incarnation id of the claimant.
+        term: The term claimed.
+        seen: Offset of the last claim or renewal the claimant had read, -1
+            for none.
+        sequence: Number by which the claimant finds when it sent the claim.
+    """
+
+    instance: str
+    term: int
+    seen: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnershipRenewed:
+    """Renews the owner's lease of a data centre; stale terms are ignored."""
+
+    instance: str
+    term: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnershipReleased:
+    """Gives a data centre up, so that others may claim it at once."""
+
+    instance: str
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSubmitted:
+    """A batch job for one data centre.
+
+    Attributes:
+        job: Unique id of the job; a second copy is ignored.
+        team: Team whose quota the job counts against.
+        family: Job family, the key for learned sizes and slowdown.
+        priority: Higher runs first.
+        tasks: Number of tasks; task ids are `<job>/<index>`.
+        millicores: Declared processors of one task, in thousandths.
+        memory_mb: Declared memory of one task.
+        accelerators: Accelerators of one task.
+        run_ms: Declared run time of one task.
+        exclusive: Whether a task must never run in two places at once.
+        urgent: Whether it may evict work of lower priority to start.
+    """
+
+    job: str
+    team: str
+    family: str
+    priority: int
+    tasks: int
+    millicores: int
+    memory_mb: int
+    accelerators: int = 0
+    run_ms: int = 1000
+    exclusive: bool = False
+    urgent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """Cancels a job; its running tasks are stopped."""
+
+    job: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskPlaced:
+    """Reserves a worker for one attempt of a task.
+
+    Accepted iff the term is current, the task is queued at this attempt and
+    the worker has room by what is reserved there.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskRunning:
+    """The worker confirmed the start of this attempt."""
+
+    task: str
+    attempt: int
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskEvicted:
+    """Decides to stop this attempt; the reservation stays until the stop."""
+
+    task: str
+    attempt: int
+    term: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskStopped:
+    """The worker confirmed the stop, or its lease surely lapsed.
+
+    The task is queued again as attempt + 1, or ends if it was cancelled or
+    its service was removed.
+
+    Attributes:
+        checkpoint: Work done so far as the worker's checkpoint, in
+            milliseconds of run time.
+    """
+
+    task: str
+    attempt: int
+    term: int
+    checkpoint: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """The worker reported that the attempt ended by itself."""
+
+    task: str
+    attempt: int
+    term: int
+    succeeded: bool
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskMoved:
+    """Hands a queued task to another data centre; final in this one."""
+
+    task: str
+    attempt: int
+    term: int
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskReceived:
+    """Takes a task over from another data centre.
+
+    Accepted once per task and attempt; written by the source's owner until
+    it has read it back.
+    """
+
+    task: str
+    attempt: int
+    source: str
+    checkpoint: int
+    job: JobSubmitted
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveConfirmed:
+    """The target has accepted the task; the source may forget it."""
+
+    task: str
+    attempt: int
+    term: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketClaimed:
+    """Claims a caller-chosen request id; the first claim in order wins."""
+
+    request: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestTraced:
+    """Outcome of one request with its steps, for tracing complaints.
+
+    Attributes:
+        request: Request id.
+        service: Service asked for.
+        outcome: `answered`, `not-run` or `unknown`.
+        reason: Short tag.
+        steps: One text per step: time, step, peer, reason.
+        wall_ms: Wall-clock time of the outcome, milliseconds since 1970.
+    """
+
+    request: str
+    service: str
+    outcome: str
+    reason: str
+    steps: tuple[str, ...]
+    wall_ms: int
+
+
+Record = (
+    SectionPublished
+    | DataCentreSet
+    | HomeMoved
+    | SnapshotChunk
+    | OwnershipClaimed
+    | OwnershipRenewed
+    | OwnershipReleased
+    | JobSubmitted
+    | JobCancelled
+    | TaskPlaced
+    | TaskRunning
+    | TaskEvicted
+    | TaskStopped
+    | TaskEnded
+    | TaskMoved
+    | TaskReceived
+    | MoveConfirmed
+    | TicketClaimed
+    | RequestTraced
+)
+
+KINDS = {kind.__name__: kind for kind in Record.__args__}
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+class MalformedError(ValueError):
+    """A batch or record that does not decode to a known record."""
+
+
+def encode_batch(batch: tuple[Record, ...]) -> bytes:
+    """Encodes records into the payload of one append."""
+    pairs = [
+        [type(record).__name__, _converter.unstructure(record)]
+        for record in batch
+    ]
+    return msgpack.packb(pairs)
+
+
+def decode_batch(payload: bytes) -> tuple[tuple[Record, ...], int]:
+    """Decodes the payload of one append.
+
+    Args:
+        payload: Bytes as read from the log.
+
+    Returns:
+        The records that decode, and the number of those that do not.
+    """
+    try:
+        pairs = msgpack.unpackb(payload)
+    except (ValueError, msgpack.UnpackException):
+        return (), 1
+    if not isinstance(pairs, list):
+        return (), 1
+    found = []
+    malformed = 0
+    for pair in pairs:
+        try:
+            found.append(_decode(pair))
+        except MalformedError:
+            malformed += 1
+    return tuple(found), malformed
+
+
+def _decode(pair: object) -> Record:
+    """Decodes one `[kind, fields]` pair or raises MalformedError."""
+    match pair:
+        case [str(kind), dict(fields)] if kind in KINDS:
+            try:
+                return _converter.structure(fields, KINDS[kind])
+            except Exception as error:
+                raise MalformedError(kind) from error
+    raise MalformedError("unknown kind")
--- /dev/null
+++ b/poplarspindle/reducer.py
@@ -0,0 +1,177 @@
+"""The one reducer: `reduce(state, event)` returns effects.
+
+It only dispatches to the areas. State is owned by one thread and changed in
+place; the same events in the same order give the same effects.
+"""
+
+from poplarspindle import (
+    cells,
+    document,
+    drive,
+    effects,
+    events,
+    ownership,
+    records,
+    reports,
+    state,
+    tasks,
+)
+
+_DOCUMENT_AREAS = {
+    records.SectionPublished: document.apply_section,
+    records.DataCentreSet: document.apply_data_centre,
+}
+_OWNER_AREAS = {
+    records.OwnershipClaimed: ownership.apply_claim,
+    records.OwnershipRenewed: ownership.apply_renewal,
+    records.OwnershipReleased: ownership.apply_release,
+}
+_TASK_AREAS = {
+    records.JobSubmitted: tasks.apply_job,
+    records.JobCancelled: tasks.apply_cancel,
+    records.TaskPlaced: tasks.apply_placed,
+    records.TaskRunning: tasks.apply_running,
+    records.TaskEvicted: tasks.apply_evicted,
+    records.TaskStopped: tasks.apply_stopped,
+    records.TaskEnded: tasks.apply_ended,
+    records.TaskMoved: tasks.apply_moved,
+    records.TaskReceived: tasks.apply_received,
+    records.MoveConfirmed: tasks.apply_confirmed,
+}
+
+
+def reduce(own: state.State, event: events.Event) -> list[effects.Effect]:
+    """Reduces one event.
+
+    Args:
+        own: The instance's state, changed in place.
+        event: The event.
+
+    Returns:
+        What is to be done, in order.
+    """
+    return _HANDLERS[type(event)](own, event)
+
+
+def _read_record(own: state.State, event: events.RecordRead) -> list:
+    if event.stream == records.DOCUMENT_STREAM:
+        return _read_document(own, event)
+    cell = _find_cell(own, event.stream)
+    if cell is None:
+        return [effects.Count("poplarspindle_records_total", "foreign")]
+    cell.table.offset = event.offset
+    kind = type(event.record)
+    if kind in _OWNER_AREAS:
+        return _OWNER_AREAS[kind](own, cell, event)
+    if kind not in _TASK_AREAS:
+        return [effects.Count("poplarspindle_records_total", "foreign")]
+    found = list(_TASK_AREAS[kind](cell, event))
+    if kind is records.TaskMoved:
+        found += drive.hand_over(own, cell, event.record, cell)
+    return found
+
+
+def _read_document(own: state.State, event: events.RecordRead) -> list:
+    own.document.offset = event.offset
+    apply = _DOCUMENT_AREAS.get(type(event.record))
+    if apply is None:
+        return [effects.Count("poplarspindle_records_total", "foreign")]
+    found = apply(own.document, event)
+    for name in own.document.list_data_centres():
+        own.cells.setdefault(name, cells.Cell(name))
+    return found
+
+
+def _find_cell(own: state.State, stream: str) -> cells.Cell | None:
+    if not stream.startswith(records.CELL_STREAM_PREFIX):
+        return None
+    return own.cells.get(stream[len(records.CELL_STREAM_PREFIX) :])
+
+
+def _count_malformed(own: state.State, event: events.MalformedRead) -> list:
+    return [
+        effects.Count("poplarspindle_records_total", "malformed", event.count)
+    ]
+
+
+def _reach_tail(own: state.State, event: events.TailReached) -> list:
+    if event.stream == records.DOCUMENT_STREAM:
+        own.document_tail_at = event.at
+        return []
+    cell = _find_cell(own, event.stream)
+    if cell is not None:
+        cell.view.tail_at = event.at
+    return []
+
+
+def _pass_retention(own: state.State, event: events.RetentionPassed) -> list:
+    return [
+        effects.Count("poplarspindle_records_total", "retention-passed"),
+        effects.Note("log", "Records were lost to retention.", event.stream),
+    ]
+
+
+def _list_instances(own: state.State, event: events.InstancesListed) -> list:
+    own.members = {member.name: member for member in event.members}
+    own.candidates = tuple(
+        sorted(
+            member.name
+            for member in event.members
+            if member.role is reports.Role.SCHEDULER
+            and member.presence is reports.Presence.LIVE
+        )
+    )
+    for member in event.members:
+        if member.role is not reports.Role.WORKER:
+            continue
+        cell = own.cells.get(member.data_centre)
+        if cell is None:
+            continue
+        worker = cell.view.workers.get(member.name)
+        if worker is None:
+            cell.view.workers[member.name] = cells.Worker(member)
+        else:
+            worker.member = member
+    return []
+
+
+def _sync_worker(own: state.State, event: events.WorkerSynced) -> list:
+    cell = own.cells.get(event.data_centre)
+    return drive.take_report(own, cell, event) if cell else []
+
+
+def _lose_worker(own: state.State, event: events.WorkerUnreachable) -> list:
+    cell = own.cells.get(event.data_centre)
+    return drive.lose_worker(cell, event) if cell else []
+
+
+def _tick(own: state.State, event: events.Ticked) -> list:
+    if own.started_at == float("-inf"):
+        own.started_at = event.at
+    return [
+        effect
+        for cell in own.cells.values()
+        for effect in drive.tick_cell(own, cell, event)
+    ]
+
+
+def _leave(own: state.State, event: events.LeaveRequested) -> list:
+    own.leaving = True
+    return [
+        effect
+        for cell in own.cells.values()
+        for effect in ownership.release(own, cell)
+    ]
+
+
+_HANDLERS = {
+    events.RecordRead: _read_record,
+    events.MalformedRead: _count_malformed,
+    events.TailReached: _reach_tail,
+    events.RetentionPassed: _pass_retention,
+    events.InstancesListed: _list_instances,
+    events.WorkerSynced: _sync_worker,
+    events.WorkerUnreachable: _lose_worker,
+    events.Ticked: _tick,
+    events.LeaveRequested: _leave,
+}
--- a/poplarspindle/resources.py
+++ b/poplarspindle/resources.py
@@ -54,3 +54,6 @@
             (self.accelerators, total.accelerators),
         )
         return max((a / b for a, b in pairs if b > 0), default=0.0)
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/poplarspindle/scheduler.py
@@ -0,0 +1,281 @@
+"""The scheduler: follows the log, owns data centres, places tasks.
+
+One thread owns the state: it takes events from a queue, reduces them and
+hands the effects to the appender and to the threads that sync workers.
+"""
+
+import concurrent.futures
+import json
+import queue
+import random
+import signal
+import threading
+import time
+import uuid
+
+from poplarspindle import (
+    appender,
+    cells,
+    effects,
+    events,
+    follower,
+    log,
+    metrics,
+    outcomes,
+    records,
+    reducer,
+    reports,
+    serving,
+    settings,
+    state,
+)
+from poplarspindle.platform import logservice, members, transport, workers
+
+SYNC_THREADS = 8
+HTTP_THREADS = 4
+JOIN_S = 5.0
+SEED_BITS = 32
+
+logger = log.get_logger("scheduler")
+
+
+class Scheduler:
+    """One scheduler process.
+
+    Args:
+        values: Checked settings.
+    """
+
+    def __init__(self, values: settings.Values) -> None:
+        self.values = values
+        self.incarnation = values.incarnation or f"s-{uuid.uuid4().hex[:12]}"
+        self.metrics = metrics.Metrics()
+        self.state = state.State(
+            self.incarnation,
+            state.Limits(
+                values.lease_s,
+                values.task_lease_s,
+                values.hold_s,
+                values.fresh_s,
+                values.policy,
+            ),
+            values.team_secret,
+        )
+        self._rng = random.Random(self.incarnation)
+        self._calls = transport.Transport(values.platform_timeout_s)
+        service = logservice.LogService(values.log_url, self._calls)
+        self._list = members.InstanceList(values.list_url, self._calls)
+        self._events: queue.SimpleQueue = queue.SimpleQueue()
+        self._outbox: dict[tuple[str, str], list] = {}
+        self._syncing: set[tuple[str, str]] = set()
+        self._synced_at: dict[tuple[str, str], float] = {}
+        self._stopping = threading.Event()
+        self.paused = threading.Event()
+        seed = self._rng.getrandbits(SEED_BITS)
+        self.appender = appender.Appender(
+            service,
+            self.metrics,
+            values.commit_delay_ms / 1000,
+            values.commit_records,
+            values.append_rate,
+            seed,
+        )
+        self._follower = follower.Follower(
+            service, self._list_streams, self._events.put, self.metrics, seed
+        )
+        self._server = serving.Server(
+            values.address, self._handle, HTTP_THREADS
+        )
+        self._pool = concurrent.futures.ThreadPoolExecutor(SYNC_THREADS)
+        self._threads = [
+            threading.Thread(target=target, daemon=True)
+            for target in (self._run_loop, self._run_clock, self._run_list)
+        ]
+        self.address = ""
+
+    def start(self) -> None:
+        """Starts all threads and announces this instance."""
+        self.address = self._server.start()
+        self._announce(reports.Presence.LIVE)
+        self.appender.start()
+        self._follower.start()
+        for thread in self._threads:
+            thread.start()
+        logger.info("Started.", incarnation=self.incarnation)
+
+    def stop(self) -> None:
+        """Stops gracefully: gives its data centres up first."""
+        self._announce(reports.Presence.LEAVING)
+        self._events.put(events.LeaveRequested(time.monotonic()))
+        self._drain_events()
+        self.appender.close(JOIN_S)
+        self.kill()
+        logger.info("Stopped.")
+
+    def kill(self) -> None:
+        """Ends at once, as a crash does: nothing is handed back."""
+        self._stopping.set()
+        self._follower.stop()
+        self._events.put(None)
+        self._threads[0].join(JOIN_S)
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._server.stop()
+
+    def _drain_events(self) -> None:
+        """Waits until the loop has reduced all that was queued before."""
+        reached = threading.Event()
+        self._events.put(reached)
+        reached.wait(JOIN_S)
+
+    def _announce(self, presence: reports.Presence) -> None:
+        member = reports.Member(
+            self.incarnation,
+            reports.Role.SCHEDULER,
+            self.values.data_centre,
+            address=self.address,
+            presence=presence,
+        )
+        if isinstance(self._list.announce(member), outcomes.Failed):
+            logger.warning("The instance list did not answer.")
+
+    def _list_streams(self) -> list[str]:
+        names = [cells.name_stream(name) for name in list(self.state.cells)]
+        return [records.DOCUMENT_STREAM, *names]
+
+    def _run_loop(self) -> None:
+        while True:
+            event = self._events.get()
+            while self.paused.is_set() and not self._stopping.is_set():
+                self._stopping.wait(0.01)
+            if event is None or self._stopping.is_set():
+                return
+            if isinstance(event, threading.Event):
+                event.set()
+                continue
+            for effect in reducer.reduce(self.state, event):
+                self._carry_out(effect)
+            if isinstance(event, events.Ticked):
+                self._sync_due(event.at)
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.Append():
+                self.appender.add(effect.stream, effect.record)
+            case effects.Count():
+                self.metrics.add(effect.name, effect.reason, effect.amount)
+            case effects.Note():
+                log.get_logger(effect.part).info(
+                    effect.text, subject=effect.subject
+                )
+            case _:
+                key = (effect.data_centre, effect.worker)
+                self._outbox.setdefault(key, []).append(effect)
+
+    def _sync_due(self, now: float) -> None:
+        """Syncs the workers that have commands waiting or are due."""
+        for name, cell in self.state.cells.items():
+            if cell.table.owner != self.incarnation:
+                continue
+            for worker in cell.view.workers.values():
+                key = (name, worker.member.name)
+                due = now - self._synced_at.get(key, 0) >= self.values.sync_s
+                waiting = key in self._outbox
+                if key not in self._syncing and (due or waiting):
+                    self._synced_at[key] = now
+                    self._syncing.add(key)
+                    sync = workers.make_sync(
+                        self._outbox.pop(key, []), cell.table.term
+                    )
+                    self._pool.submit(self._sync, name, worker.member, sync)
+
+    def _sync(self, data_centre, member, sync) -> None:
+        sent_at = time.monotonic()
+        answer = workers.sync_worker(
+            self._calls, member.address, member.name, sync
+        )
+        now = time.monotonic()
+        self._syncing.discard((data_centre, member.name))
+        match answer:
+            case outcomes.Ok(report):
+                event = events.WorkerSynced(
+                    now, data_centre, member.name, sent_at, report
+                )
+            case outcomes.Failed():
+                event = events.WorkerUnreachable(
+                    now, data_centre, member.name, answer.reason
+                )
+        self._events.put(event)
+
+    def _run_clock(self) -> None:
+        while not self._stopping.wait(self.values.tick_s):
+            seed = self._rng.getrandbits(SEED_BITS)
+            self._events.put(events.Ticked(time.monotonic(), seed))
+
+    def _run_list(self) -> None:
+        while not self._stopping.is_set():
+            match self._list.fetch():
+                case outcomes.Ok(found):
+                    self._events.put(
+                        events.InstancesListed(time.monotonic(), found)
+                    )
+                case outcomes.Failed() as failed:
+                    self.metrics.add(
+                        "poplarspindle_platform_failures_total",
+                        f"list-{failed.reason}",
+                    )
+            self._stopping.wait(self.values.list_s)
+
+    def _handle(self, request: serving.Request) -> serving.Response:
+        match request.path:
+            case "/healthz":
+                return serving.Response(200, b"ok")
+            case "/readyz":
+                leaving = self.state.leaving
+                return serving.Response(503 if leaving else 200)
+            case "/metrics":
+                return serving.Response(200, self.metrics.render())
+            case "/v1/status":
+                body = json.dumps(self._describe()).encode()
+                return serving.Response(
+                    200, body, content_type="application/json"
+                )
+        return serving.Response(404)
+
+    def _describe(self) -> dict:
+        """Describes the data centres for `ctl status`."""
+        return {
+            "incarnation": self.incarnation,
+            "data_centres": {
+                name: {
+                    "owner": cell.table.owner,
+                    "term": cell.table.term,
+                    "in_service": self.state.document.is_in_service(name),
+                    "queued": len(cell.table.queue),
+                    "held": sum(len(h) for h in cell.table.held.values()),
+                    "workers": len(cell.view.workers),
+                }
+                for name, cell in list(self.state.cells.items())
+            },
+        }
+
+
+def run(values: settings.Values) -> int:
+    """Runs a scheduler until SIGTERM or SIGINT."""
+    log.set_up(values.log_format, values.log_level)
+    process = Scheduler(values)
+    asked = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: asked.set())
+    process.start()
+    asked.wait()
+    process.stop()
+    return 0
+
+
+def main() -> None:
+    """Runs `poplarspindle-scheduler`."""
+    settings.run_command(settings.SCHEDULER, "Places and watches tasks.", run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/poplarspindle/settings.py
@@ -0,0 +1,411 @@
+"""One table of all settings, and how programs read and check them.
+
+A value comes from the flag, else from the environment variable
+`POPLARSPINDLE_<NAME>`, else from the table.
+"""
+
+import dataclasses
+import inspect
+import os
+import sys
+from collections.abc import Callable, Mapping
+
+import defopt
+
+import poplarspindle
+from poplarspindle import outcomes
+
+ENVIRONMENT_PREFIX = "POPLARSPINDLE_"
+EXIT_USAGE = 2
+
+ENTRY = "entry"
+SCHEDULER = "scheduler"
+CTL = "ctl"
+LOAD = "load"
+STANDIN = "standin"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """One setting.
+
+    Attributes:
+        name: Name in snake case.
+        default: Default value; its type is the setting's type.
+        summary: One sentence, with the unit.
+        programs: Programs that read it.
+        low: Least value of a number.
+        high: Greatest value of a number.
+        choices: Allowed values of a text, empty for any.
+    """
+
+    name: str
+    default: str | int | float | bool
+    summary: str
+    programs: tuple[str, ...]
+    low: float = float("-inf")
+    high: float = float("inf")
+    choices: tuple[str, ...] = ()
+
+    @property
+    def variable(self) -> str:
+        """Name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+    @property
+    def allowed(self) -> str:
+        """What values are allowed, in words."""
+        if isinstance(self.default, bool):
+            return "true or false"
+        if isinstance(self.default, int | float):
+            kind = "whole number" if isinstance(self.default, int) else "number"
+            return f"a {kind} from {self.low:g} to {self.high:g}"
+        if self.choices:
+            return "one of " + ", ".join(self.choices)
+        return "text"
+
+
+_BOTH = (ENTRY, SCHEDULER)
+_ALL = (ENTRY, SCHEDULER, CTL)
+
+DEFAULT_SETTINGS = (
+    Setting(
+        "log_url",
+        "http://127.0.0.1:7000",
+        "URL of the platform's log service.",
+        _ALL,
+    ),
+    Setting(
+        "list_url",
+        "http://127.0.0.1:7000",
+        "URL of the platform's instance list.",
+        _ALL,
+    ),
+    Setting(
+        "address",
+        "127.0.0.1:0",
+        "Address and port of the HTTP interface; port 0 lets the system"
+        " choose.",
+        (*_BOTH, STANDIN),
+    ),
+    Setting(
+        "peer_address",
+        "127.0.0.1:0",
+        "Address and port for streams between our own programs.",
+        _BOTH,
+    ),
+    Setting("data_centre", "", "Data centre this instance stands in.", _BOTH),
+    Setting(
+        "incarnation",
+        "",
+        "Unique id of this process; empty makes a random one.",
+        _BOTH,
+    ),
+    Setting(
+        "team_secret",
+        "",
+        "Secret from which each team's signing key is derived.",
+        _ALL,
+    ),
+    Setting(
+        "log_format",
+        "text",
+        "Form of the log lines.",
+        (*_ALL, LOAD, STANDIN),
+        choices=("text", "json"),
+    ),
+    Setting(
+        "log_level",
+        "info",
+        "Least level of log lines written.",
+        (*_ALL, LOAD, STANDIN),
+        choices=("debug", "info", "warning", "error"),
+    ),
+    Setting(
+        "lease_s",
+        6.0,
+        "Lease of an owner on its data centre, seconds.",
+        (SCHEDULER,),
+        low=0.2,
+        high=600,
+    ),
+    Setting(
+        "task_lease_s",
+        10.0,
+        "Lease of a task at its worker, seconds.",
+        (SCHEDULER,),
+        low=0.5,
+        high=600,
+    ),
+    Setting(
+        "hold_s",
+        600.0,
+        "How long an owner goes on renewing task leases without the log,"
+        " seconds.",
+        (SCHEDULER,),
+        low=1,
+        high=86400,
+    ),
+    Setting(
+        "fresh_s",
+        2.0,
+        "Greatest age of the last read to the tail for a task start, seconds.",
+        (SCHEDULER,),
+        low=0.1,
+        high=60,
+    ),
+    Setting(
+        "sync_s",
+        1.0,
+        "Time between two syncs with a worker, seconds.",
+        (SCHEDULER,),
+        low=0.05,
+        high=60,
+    ),
+    Setting(
+        "tick_s",
+        0.1,
+        "Time between two ticks of the reducer, seconds.",
+        _BOTH,
+        low=0.01,
+        high=5,
+    ),
+    Setting(
+        "list_s",
+        1.0,
+        "Time between two reads of the instance list, seconds.",
+        _BOTH,
+        low=0.05,
+        high=60,
+    ),
+    Setting(
+        "commit_delay_ms",
+        20,
+        "Greatest time a record waits for others in one append, milliseconds.",
+        _BOTH,
+        low=0,
+        high=1000,
+    ),
+    Setting(
+        "commit_records",
+        200,
+        "Greatest number of records in one append.",
+        _BOTH,
+        low=1,
+        high=10000,
+    ),
+    Setting(
+        "append_rate",
+        30.0,
+        "Greatest number of appends a second from this process.",
+        _BOTH,
+        low=0.1,
+        high=1000,
+    ),
+    Setting(
+        "platform_timeout_s",
+        2.0,
+        "Time allowed for one call to the platform, seconds.",
+        _ALL,
+        low=0.05,
+        high=60,
+    ),
+    Setting(
+        "policy",
+        "chosen",
+        "Placement policy.",
+        (SCHEDULER,),
+        choices=("chosen", "least_loaded", "first_fit", "random"),
+    ),
+    Setting(
+        "routing",
+        "least_local",
+        "How an entry picks a minion.",
+        (ENTRY,),
+        choices=("least_local", "two_choices", "random"),
+    ),
+    Setting(
+        "entries",
+        9,
+        "Number of entry instances, overlap at replacement included.",
+        (ENTRY,),
+        low=1,
+        high=1000,
+    ),
+    Setting(
+        "threads",
+        32,
+        "Threads that serve callers.",
+        (ENTRY,),
+        low=1,
+        high=1000,
+    ),
+    Setting(
+        "deadline_ms",
+        2000,
+        "Deadline of a request that names none, milliseconds.",
+        (ENTRY,),
+        low=1,
+        high=600000,
+    ),
+    Setting(
+        "leave_s",
+        3.0,
+        "Time an entry still accepts after it was told to stop, seconds.",
+        _BOTH,
+        low=0,
+        high=600,
+    ),
+)
+
+BY_NAME = {setting.name: setting for setting in DEFAULT_SETTINGS}
+
+
+@dataclasses.dataclass(frozen=True)
+class Values:
+    """Checked values of the settings of one program.
+
+    Attributes:
+        program: Name of the program.
+        table: Value by setting name.
+    """
+
+    program: str
+    table: Mapping[str, str | int | float | bool]
+
+    def __getattr__(self, name: str) -> str | int | float | bool:
+        """Returns a setting's value by attribute access."""
+        table = self.__dict__.get("table", {})
+        if name not in table:
+            raise AttributeError(name)
+        return table[name]
+
+
+def select_settings(program: str) -> tuple[Setting, ...]:
+    """Returns the settings that a program reads."""
+    return tuple(s for s in DEFAULT_SETTINGS if program in s.programs)
+
+
+def make_values(program: str, **changes: object) -> Values:
+    """Returns the defaults of a program with some values replaced."""
+    table = {s.name: s.default for s in select_settings(program)}
+    return Values(program, {**table, **changes})
+
+
+def read_value(setting: Setting, text: str) -> object:
+    """Reads one value.
+
+    Args:
+        setting: The setting.
+        text: The value as given.
+
+    Returns:
+        The value in the setting's type.
+
+    Raises:
+        ValueError: The text is not allowed.
+    """
+    if isinstance(setting.default, bool):
+        return {"true": True, "false": False}[text.lower()]
+    if isinstance(setting.default, int | float):
+        number = type(setting.default)(text)
+        if not setting.low <= number <= setting.high:
+            raise ValueError(text)
+        return number
+    if setting.choices and text not in setting.choices:
+        raise ValueError(text)
+    return text
+
+
+def check_values(
+    program: str,
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> outcomes.Ok[Values] | outcomes.Failed:
+    """Reads all settings of a program.
+
+    Args:
+        program: Name of the program.
+        flags: Value by setting name, None where no flag was given.
+        environment: The process's environment.
+
+    Returns:
+        The values, or the first fault with setting, value and what is allowed.
+    """
+    table = {}
+    for setting in select_settings(program):
+        text = flags.get(setting.name)
+        if text is None:
+            text = environment.get(setting.variable)
+        if text is None:
+            table[setting.name] = setting.default
+            continue
+        try:
+            table[setting.name] = read_value(setting, text)
+        except (ValueError, KeyError):
+            return outcomes.Failed(
+                outcomes.Step.PARSE,
+                "",
+                "bad-setting",
+                f"{setting.name}: {text!r} is not allowed;"
+                f" give {setting.allowed}"
+                f" (--{setting.name.replace('_', '-')} or {setting.variable})",
+            )
+    return outcomes.Ok(Values(program, table))
+
+
+def make_command(
+    program: str, summary: str, run: Callable[[Values], int]
+) -> Callable[..., int]:
+    """Makes a command whose flags are the settings of a program.
+
+    Args:
+        program: Name of the program.
+        summary: First line of the help.
+        run: Called with the checked values; returns the exit code.
+
+    Returns:
+        A function for defopt.
+    """
+    chosen = select_settings(program)
+
+    def command(**flags: str | None) -> int:
+        match check_values(program, flags, os.environ):
+            case outcomes.Ok(values):
+                return run(values)
+            case outcomes.Failed() as failed:
+                print(failed.detail, file=sys.stderr)
+                return EXIT_USAGE
+
+    parameters = [
+        inspect.Parameter(
+            setting.name,
+            inspect.Parameter.KEYWORD_ONLY,
+            default=None,
+            annotation=str | None,
+        )
+        for setting in chosen
+    ]
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = {s.name: str | None for s in chosen}
+    lines = [
+        f"    {s.name}: {s.summary} Allowed: {s.allowed}."
+        f" Default: {s.default!r}. Variable: {s.variable}."
+        for s in chosen
+    ]
+    command.__doc__ = "\n".join([summary, "", "Args:", *lines])
+    command.__name__ = program
+    return command
+
+
+def run_command(
+    program: str, summary: str, run: Callable[[Values], int]
+) -> None:
+    """Runs a program's command line and exits with its code."""
+    command = make_command(program, summary, run)
+    code = defopt.run(
+        command,
+        version=f"poplarspindle-{program} {poplarspindle.__version__}",
+        show_defaults=False,
+    )
+    sys.exit(code)
--- /dev/null
+++ b/poplarspindle/state.py
@@ -0,0 +1,53 @@
+"""State of a scheduler instance: document, data centres, candidates."""
+
+import dataclasses
+
+from poplarspindle import cells, document, reports
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds that the decisions keep, in seconds.
+
+    Attributes:
+        lease_s: Lease of an owner on its data centre.
+        task_lease_s: Lease of a task at its worker.
+        hold_s: How long task leases are renewed without the log.
+        fresh_s: Greatest age of the last read to the tail for a start.
+        policy: Name of the placement policy.
+    """
+
+    lease_s: float = 6.0
+    task_lease_s: float = 10.0
+    hold_s: float = 600.0
+    fresh_s: float = 2.0
+    policy: str = "chosen"
+
+
+class State:
+    """Everything that one scheduler instance decides by.
+
+    Attributes:
+        incarnation: Unique id of this process.
+        limits: Bounds that the decisions keep.
+        document: The operators' document.
+        document_tail_at: When the document was last read to its tail.
+        cells: Cell by data centre.
+        members: The platform's list as last read, by name.
+        candidates: Incarnations that may own data centres.
+        leaving: Whether this instance was asked to stop.
+        started_at: Time of the first event.
+    """
+
+    def __init__(
+        self, incarnation: str, limits: Limits, secret: str = ""
+    ) -> None:
+        self.incarnation = incarnation
+        self.limits = limits
+        self.document = document.State(secret)
+        self.document_tail_at = float("-inf")
+        self.cells: dict[str, cells.Cell] = {}
+        self.members: dict[str, reports.Member] = {}
+        self.candidates: tuple[str, ...] = ()
+        self.leaving = False
+        self.started_at = float("-inf")
--- /dev/null
+++ b/poplarspindle/tools/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform, each with a ledger of what really happened."""
--- /dev/null
+++ b/poplarspindle/tools/fakes/members.py
@@ -0,0 +1,60 @@
+"""Stand-in of the platform's lagging instance list."""
+
+import threading
+import time
+
+import msgpack
+
+from poplarspindle import reports, serving
+from poplarspindle.platform import transport
+
+
+class FakeList:
+    """The list as it was `lag_s` ago.
+
+    Attributes:
+        lag_s: How late the list is.
+        down: Whether every call is answered with 503.
+    """
+
+    def __init__(self, lag_s: float = 0.0) -> None:
+        self._lock = threading.Lock()
+        self._history: list[tuple[float, dict[str, reports.Member]]] = []
+        self._now: dict[str, reports.Member] = {}
+        self.lag_s = lag_s
+        self.down = False
+
+    def put(self, *members: reports.Member) -> None:
+        """Adds or replaces entries."""
+        with self._lock:
+            self._now = {**self._now, **{m.name: m for m in members}}
+            self._history.append((time.monotonic(), self._now))
+
+    def remove(self, name: str) -> None:
+        """Removes an entry."""
+        with self._lock:
+            self._now = {k: v for k, v in self._now.items() if k != name}
+            self._history.append((time.monotonic(), self._now))
+
+    def fetch(self) -> tuple[reports.Member, ...]:
+        """Returns the entries as the platform shows them now."""
+        shown_at = time.monotonic() - self.lag_s
+        with self._lock:
+            shown = [table for at, table in self._history if at <= shown_at]
+            return tuple(shown[-1].values()) if shown else ()
+
+    def handle(self, request: serving.Request) -> serving.Response:
+        """Serves `/members` and `/announce`."""
+        if self.down:
+            return serving.Response(503)
+        if request.path == "/members":
+            members = [transport.converter.unstructure(m) for m in self.fetch()]
+            return serving.Response(200, msgpack.packb(members))
+        if request.path == "/announce":
+            self.put(
+                transport.converter.structure(
+                    msgpack.unpackb(request.body), reports.Member
+                )
+            )
+            return serving.Response(200, msgpack.packb(True))
+        return serving.Response(404)
--- /dev/null
+++ b/poplarspindle/tools/standin.py
@@ -0,0 +1,34 @@
+"""Runs the stand-in platform as a process of its own."""
+
+import signal
+import threading
+
+from poplarspindle import log, settings
+from poplarspindle.tools.fakes import platform
+
+logger = log.get_logger("standin")
+
+
+def run(values: settings.Values) -> int:
+    """Runs the stand-in until SIGTERM or SIGINT."""
+    log.set_up(values.log_format, values.log_level)
+    fake = platform.Platform(platform.Plan(), values.address)
+    asked = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: asked.set())
+    url = fake.start()
+    logger.info("Started.", url=url)
+    asked.wait()
+    fake.stop()
+    return 0
+
+
+def main() -> None:
+    """Runs `poplarspindle-standin`."""
+    settings.run_command(
+        settings.STANDIN, "Stands in for the platform in tests.", run
+    )
+
+
+if __name__ == "__main__":
+    main()
