--- a/poplarspindle/cells.py
+++ b/poplarspindle/cells.py
@@ -59,8 +59,9 @@
     reason: str = ""
 
 
+@dataclasses.dataclass
 class Table:
-    """What the log says of one data centre.
+    """What the log says of one data centre; snapshots carry all its fields.
 
     Attributes:
         data_centre: Its name.
@@ -75,17 +76,18 @@
         offset: Offset of the last record reduced, -1 for none.
     """
 
-    def __init__(self, data_centre: str) -> None:
-        self.data_centre = data_centre
-        self.owner = ""
-        self.term = 0
-        self.lease_offset = -1
-        self.tasks: dict[str, Task] = {}
-        self.jobs: dict[str, int] = {}
-        self.queue: dict[str, None] = {}
-        self.held: dict[str, set[str]] = {}
-        self.reserved: dict[str, resources.Resources] = {}
-        self.offset = -1
+    data_centre: str
+    owner: str = ""
+    term: int = 0
+    lease_offset: int = -1
+    tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
+    jobs: dict[str, int] = dataclasses.field(default_factory=dict)
+    queue: dict[str, None] = dataclasses.field(default_factory=dict)
+    held: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    reserved: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    offset: int = -1
 
 
 @dataclasses.dataclass(slots=True)
--- a/poplarspindle/document.py
+++ b/poplarspindle/document.py
@@ -141,23 +141,25 @@
     author: str = ""
 
 
+@dataclasses.dataclass
 class State:
-    """The document as of a log offset.
+    """The document as of a log offset; snapshots carry all but the keys.
 
     Attributes:
+        secret: Secret from which the teams' keys derive, empty for none.
         sections: Section by name.
         data_centres: State by data centre; absent means in service.
         decisions: Decision by change id, oldest dropped past VERDICTS_KEPT.
         offset: Offset of the last record reduced, -1 for none.
-        secret: Secret from which the teams' keys derive, empty for none.
     """
 
-    def __init__(self, secret: str = "") -> None:
-        self.sections: dict[str, Section] = {}
-        self.data_centres: dict[str, DataCentreState] = {}
-        self.decisions: dict[str, Decision] = {}
-        self.offset = -1
-        self.secret = secret
+    secret: str = dataclasses.field(default="", metadata={"kept": False})
+    sections: dict[str, Section] = dataclasses.field(default_factory=dict)
+    data_centres: dict[str, DataCentreState] = dataclasses.field(
+        default_factory=dict
+    )
+    decisions: dict[str, Decision] = dataclasses.field(default_factory=dict)
+    offset: int = -1
 
     def is_in_service(self, data_centre: str) -> bool:
         """Tells whether tasks may start in a data centre."""
