--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.stamp-$(shell cksum < requirements.lock | cut -d' ' -f1)
 
-.PHONY: demo test lint format bench slopes fuzz clean
+.PHONY: demo test lint format bench slopes fuzz pages clean
 
 $(STAMP):
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -29,6 +29,9 @@
 bench: $(STAMP)
 	$(PY) -m poplarspindle.tools.bench $(ARGS)
 
+pages: $(STAMP)
+	$(PY) -m poplarspindle.tools.pages
+
 slopes: $(STAMP)
 	$(PY) -m poplarspindle.tools.slopes $(ARGS)
 
--- a/poplarspindle/tools/fakes/platform.py
+++ b/poplarspindle/tools/fakes/platform.py
@@ -131,6 +131,8 @@
             self.workers.advance()
 
     def _handle(self, request: serving.Request) -> serving.Response:
+        if request.path == "/healthz":
+            return serving.Response(200, b"ok")
         if request.path in ("/append", "/read"):
             return self.log.handle(request)
         if request.path in ("/members", "/announce"):
