Give each stream its own lane of group commit

Cause: one thread flushed all streams in turn, so a stream that the log refused held up every other, and a buffered wish (claim, placement, eviction, move) could land after a long outage. Now: a thread and a lane per stream, one rate bound for the process, bounds on records and bytes, equal records coalesced while they wait, wishes dropped past their lifetime, refused batches halved to the record at fault, and a closing flush that says what was not confirmed. The clients of log and list refuse malformed answers in place of raising in their thread.

--- a/poplarspindle/appender.py
+++ b/poplarspindle/appender.py
@@ -1,31 +1,66 @@
 """Group commit: collects records and appends them in batches.
 
-A failed batch is repeated until the log confirms it, in order per stream;
-every record is safe to read twice.
+Each stream has a lane and a thread of its own, so that one stuck stream
+holds up no other. All lanes share one bound on the rate of appends.
 """
 
-import collections
-import random
+import hashlib
 import threading
 import time
+from collections.abc import Mapping
 
-from poplarspindle import metrics, outcomes, records
+from poplarspindle import (
+    lanes,
+    log,
+    metrics,
+    outcomes,
+    records,
+    settings,
+)
 from poplarspindle.platform import logservice
 
-BACKOFF_FIRST_S = 0.05
-BACKOFF_MOST_S = 2.0
-BUFFER_RECORDS = 50_000
+logger = log.get_logger("log")
+
+
+def read_bounds(values: settings.Values) -> lanes.Bounds:
+    """Returns the bounds of group commit that the settings name."""
+    return lanes.Bounds(
+        values.commit_delay_ms / 1000,
+        values.commit_records,
+        values.commit_bytes,
+        values.append_rate,
+        values.append_buffer_bytes,
+    )
+
+
+class RateBound:
+    """Spaces the appends of one process evenly.
+
+    Args:
+        rate: Greatest number of appends a second.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._gap_s = 1.0 / rate
+        self._next = float("-inf")
+        self._lock = threading.Lock()
+
+    def reserve(self, now: float) -> float:
+        """Returns how long to wait, in seconds, before the next append."""
+        with self._lock:
+            turn = max(now, self._next)
+            self._next = turn + self._gap_s
+        return turn - now
 
 
 class Appender:
-    """Appends records in batches from one thread.
+    """Appends records in batches, one thread per stream.
 
     Args:
         service: The log.
         counters: Where failures are counted.
-        delay_s: Greatest time a record waits for others.
-        most: Greatest number of records in one append.
-        rate: Greatest number of appends a second.
+        bounds: Bounds of group commit.
+        lifetimes: Greatest age by kind of record, seconds.
         seed: Seed of the back-off's jitter.
     """
 
@@ -33,79 +68,128 @@
         self,
         service: logservice.LogService,
         counters: metrics.Metrics,
-        delay_s: float,
-        most: int,
-        rate: float,
+        bounds: lanes.Bounds,
+        lifetimes: Mapping[type, float],
         seed: int,
     ) -> None:
         self._service = service
         self._counters = counters
-        self._delay_s = delay_s
-        self._most = most
-        self._gap_s = 1.0 / rate
-        self._rng = random.Random(seed)
-        self._waiting: dict[str, collections.deque] = {}
-        self._condition = threading.Condition()
-        self._closing = False
-        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._bounds = bounds
+        self._lifetimes = lifetimes
+        self._seed = seed
+        self._rate = RateBound(bounds.rate)
+        self._lanes: dict[str, lanes.Lane] = {}
+        self._conditions: dict[str, threading.Condition] = {}
+        self._threads: dict[str, threading.Thread] = {}
+        self._lock = threading.Lock()
+        self._started = False
+        self._closing = threading.Event()
+        self._ended = threading.Event()
 
     def start(self) -> None:
-        """Starts the thread."""
-        self._thread.start()
+        """Starts appending; records may be added before."""
+        with self._lock:
+            self._started = True
+            for thread in self._threads.values():
+                thread.start()
 
     def add(self, stream: str, record: records.Record) -> bool:
-        """Queues a record; returns False where the buffer is full."""
-        with self._condition:
-            queue = self._waiting.setdefault(stream, collections.deque())
-            if len(queue) >= BUFFER_RECORDS:
-                self._counters.add(
-                    "poplarspindle_refusals_total", "append-buffer-full"
-                )
-                return False
-            queue.append(record)
-            self._condition.notify()
-            return True
-
-    def close(self, wait_s: float) -> None:
-        """Flushes what is queued for at most `wait_s` and stops."""
-        with self._condition:
-            self._closing = True
-            self._condition.notify()
-        self._thread.join(wait_s)
-
-    def _run(self) -> None:
-        while self._wait_for_records():
-            time.sleep(self._delay_s)
-            for stream in list(self._waiting):
-                self._flush_stream(stream)
-
-    def _wait_for_records(self) -> bool:
-        with self._condition:
-            while not any(self._waiting.values()):
-                if self._closing:
+        """Queues a record; returns False where it will not be appended."""
+        condition = self._open_lane(stream)
+        with condition:
+            added = self._lanes[stream].add(record, time.monotonic())
+            condition.notify()
+        if added is lanes.Added.FULL:
+            self._counters.add("poplarspindle_refusals_total", added)
+            return False
+        if added is lanes.Added.COALESCED:
+            self._counters.add("poplarspindle_records_total", added)
+        return not self._ended.is_set()
+
+    def close(self, wait_s: float) -> dict[str, int]:
+        """Flushes what is queued for at most `wait_s` and stops.
+
+        Returns:
+            Number of records by stream that the log did not confirm. They
+            may have taken effect all the same.
+        """
+        deadline = time.monotonic() + wait_s
+        self._closing.set()
+        self._wake_all()
+        for thread in self._threads.values():
+            if thread.is_alive():
+                thread.join(max(0.0, deadline - time.monotonic()))
+        self._ended.set()
+        self._wake_all()
+        left = {s: len(lane) for s, lane in self._lanes.items() if len(lane)}
+        for stream, count in left.items():
+            self._counters.add(
+                "poplarspindle_refusals_total", "append-unconfirmed", count
+            )
+            logger.warning(
+                "Records were not confirmed.", stream=stream, count=count
+            )
+        return left
+
+    def _wake_all(self) -> None:
+        for condition in list(self._conditions.values()):
+            with condition:
+                condition.notify()
+
+    def _open_lane(self, stream: str) -> threading.Condition:
+        with self._lock:
+            if stream not in self._lanes:
+                self._add_lane(stream)
+            return self._conditions[stream]
+
+    def _add_lane(self, stream: str) -> None:
+        digest = hashlib.blake2b(
+            f"{self._seed}/{stream}".encode(), digest_size=8
+        ).digest()
+        self._lanes[stream] = lanes.Lane(
+            self._bounds, self._lifetimes, int.from_bytes(digest)
+        )
+        self._conditions[stream] = threading.Condition()
+        thread = threading.Thread(target=self._run, args=(stream,), daemon=True)
+        self._threads[stream] = thread
+        if self._started:
+            thread.start()
+
+    def _run(self, stream: str) -> None:
+        while self._wait_due(stream):
+            self._ended.wait(self._rate.reserve(time.monotonic()))
+            self._append_batch(stream)
+
+    def _wait_due(self, stream: str) -> bool:
+        """Waits for the next append; returns False when there is none."""
+        lane, condition = self._lanes[stream], self._conditions[stream]
+        with condition:
+            while not self._ended.is_set():
+                due = lane.find_due()
+                if due is None and self._closing.is_set():
                     return False
-                self._condition.wait()
-            return True
+                wait_s = None if due is None else due - time.monotonic()
+                if wait_s is not None and wait_s <= 0:
+                    return True
+                condition.wait(wait_s)
+        return False
 
-    def _flush_stream(self, stream: str) -> None:
-        queue = self._waiting[stream]
-        batch = tuple(queue[i] for i in range(min(len(queue), self._most)))
-        if not batch:
+    def _append_batch(self, stream: str) -> None:
+        lane, condition = self._lanes[stream], self._conditions[stream]
+        with condition:
+            payload, expired = lane.take(time.monotonic())
+        self._count("poplarspindle_refusals_total", "append-expired", expired)
+        if not payload or self._ended.is_set():
             return
-        payload = records.encode_batch(batch)
-        backoff = BACKOFF_FIRST_S
-        while True:
-            answer = self._service.append(stream, payload)
+        answer = self._service.append(stream, payload)
+        with condition:
             if isinstance(answer, outcomes.Ok):
-                break
-            self._counters.add(
-                "poplarspindle_retries_total", f"append-{answer.reason}"
-            )
-            if self._closing:
+                lane.confirm()
                 return
-            time.sleep(backoff * self._rng.uniform(0.5, 1.0))
-            backoff = min(backoff * 2, BACKOFF_MOST_S)
-        with self._condition:
-            for _ in batch:
-                queue.popleft()
-        time.sleep(self._gap_s)
+            dropped = lane.fail(answer.reason, time.monotonic())
+        self._count("poplarspindle_retries_total", f"append-{answer.reason}", 1)
+        self._count("poplarspindle_refusals_total", "append-dropped", dropped)
+
+    def _count(self, name: str, reason: str, amount: int) -> None:
+        if amount:
+            self._counters.add(name, reason, amount)
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -16,6 +16,7 @@
     effects,
     events,
     follower,
+    lanes,
     log,
     metrics,
     outcomes,
@@ -70,9 +71,10 @@
         self._appender = appender.Appender(
             service,
             self.metrics,
-            values.commit_delay_ms / 1000,
-            values.commit_records,
-            values.append_rate,
+            appender.read_bounds(values),
+            lanes.list_lifetimes(
+                values.deadline_ms / 1000, values.deadline_ms / 1000
+            ),
             seed,
         )
         self._follower = follower.Follower(
--- a/poplarspindle/platform/logservice.py
+++ b/poplarspindle/platform/logservice.py
@@ -52,7 +52,16 @@
         """
         query = urllib.parse.urlencode({"stream": stream})
         url = f"{self._url}/append?{query}"
-        return self._calls.call(outcomes.Step.APPEND, url, payload)
+        answer = self._calls.call(outcomes.Step.APPEND, url, payload)
+        if isinstance(answer, outcomes.Ok) and not _is_offset(answer.value):
+            return outcomes.Failed(
+                outcomes.Step.APPEND,
+                url,
+                "malformed",
+                "The log answered with no offset.",
+                True,
+            )
+        return answer
 
     def read(
         self, positions: dict[str, int], limit: int, wait_ms: int
@@ -73,14 +82,28 @@
         )
         if isinstance(answer, outcomes.Failed):
             return answer
-        return outcomes.Ok(
-            tuple(
-                Page(
-                    stream,
-                    page["first"],
-                    page["next"],
-                    tuple((o, p) for o, p in page["records"]),
-                )
-                for stream, page in answer.value.items()
+        try:
+            return outcomes.Ok(_read_pages(answer.value, positions))
+        except (KeyError, TypeError, ValueError) as error:
+            return outcomes.Failed(
+                outcomes.Step.READ, self._url, "malformed", repr(error)
             )
-        )
+
+
+def _is_offset(value: object) -> bool:
+    return isinstance(value, int) and value >= 0
+
+
+def _read_pages(value: dict, positions: dict[str, int]) -> tuple[Page, ...]:
+    """Reads an answer; raises where it has not the form agreed."""
+    return tuple(_read_page(stream, value[stream]) for stream in positions)
+
+
+def _read_page(stream: str, page: dict) -> Page:
+    found = tuple((offset, payload) for offset, payload in page["records"])
+    offsets = (page["first"], page["next"], *(offset for offset, _ in found))
+    if not all(map(_is_offset, offsets)):
+        raise ValueError("offsets must be whole numbers from 0")
+    if not all(isinstance(payload, bytes) for _, payload in found):
+        raise ValueError("payloads must be bytes")
+    return Page(stream, page["first"], page["next"], found)
--- a/poplarspindle/platform/members.py
+++ b/poplarspindle/platform/members.py
@@ -1,5 +1,7 @@
 """Client of the platform's instance list."""
 
+import itertools
+
 from poplarspindle import outcomes, reports
 from poplarspindle.platform import transport
 
@@ -23,10 +25,13 @@
         answer = self._calls.call(outcomes.Step.LIST, f"{self._url}/members")
         if isinstance(answer, outcomes.Failed):
             return answer
-        members = transport.converter.structure(
-            answer.value, tuple[reports.Member, ...]
+        if not isinstance(answer.value, list):
+            return outcomes.Failed(
+                outcomes.Step.LIST, self._url, "malformed", "not a list"
+            )
+        return outcomes.Ok(
+            tuple(itertools.chain.from_iterable(map(_read, answer.value)))
         )
-        return outcomes.Ok(members)
 
     def announce(
         self, member: reports.Member
@@ -37,3 +42,11 @@
             f"{self._url}/announce",
             transport.converter.unstructure(member),
         )
+
+
+def _read(entry: object) -> tuple[reports.Member, ...]:
+    """Reads one entry; one that is none of ours is passed over."""
+    try:
+        return (transport.converter.structure(entry, reports.Member),)
+    except Exception:
+        return ()
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -326,13 +326,22 @@
     """A batch or record that does not decode to a known record."""
 
 
+def encode_record(record: Record) -> bytes:
+    """Encodes one record as it stands in a batch."""
+    return msgpack.packb(
+        [type(record).__name__, _converter.unstructure(record)]
+    )
+
+
+def join_batch(encoded: tuple[bytes, ...]) -> bytes:
+    """Joins encoded records into the payload of one append."""
+    header = msgpack.Packer().pack_array_header(len(encoded))
+    return b"".join((header, *encoded))
+
+
 def encode_batch(batch: tuple[Record, ...]) -> bytes:
     """Encodes records into the payload of one append."""
-    pairs = [
-        [type(record).__name__, _converter.unstructure(record)]
-        for record in batch
-    ]
-    return msgpack.packb(pairs)
+    return join_batch(tuple(encode_record(record) for record in batch))
 
 
 def decode_batch(payload: bytes) -> tuple[tuple[Record, ...], int]:
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -19,6 +19,7 @@
     effects,
     events,
     follower,
+    lanes,
     log,
     metrics,
     outcomes,
@@ -75,9 +76,8 @@
         self.appender = appender.Appender(
             service,
             self.metrics,
-            values.commit_delay_ms / 1000,
-            values.commit_records,
-            values.append_rate,
+            appender.read_bounds(values),
+            lanes.list_lifetimes(values.lease_s, values.lease_s),
             seed,
         )
         self._follower = follower.Follower(
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -194,6 +194,22 @@
         low=1,
         high=10000,
     ),
+    Setting(
+        "commit_bytes",
+        65536,
+        "Greatest size of one append, bytes; one larger record goes alone.",
+        _BOTH,
+        low=1024,
+        high=16777216,
+    ),
+    Setting(
+        "append_buffer_bytes",
+        8388608,
+        "Greatest size of the records that wait for one stream, bytes.",
+        _BOTH,
+        low=65536,
+        high=268435456,
+    ),
     Setting(
         "append_rate",
         30.0,
--- a/poplarspindle/tools/fakes/log.py
+++ b/poplarspindle/tools/fakes/log.py
@@ -8,6 +8,8 @@
 
 from poplarspindle import serving
 
+MOST_BYTES = 1 << 20
+
 
 class FakeLog:
     """Streams of payloads in memory, with faults to switch on.
@@ -17,6 +19,12 @@
         lose_acks: How many of the next appends take effect unconfirmed.
         duplicate: How many of the next appends are stored twice.
         slow_s: Delay of each call.
+        stuck: Streams whose appends are answered with 503.
+        most_bytes: Larger payloads are answered with 413.
+        hold_late: How many of the next appends are answered with 504 and
+            take effect only at `land_late`.
+        garble: How many of the next answers are not msgpack.
+        keep: Number of records kept per stream, 0 for all.
     """
 
     def __init__(self) -> None:
@@ -27,6 +35,12 @@
         self.lose_acks = 0
         self.duplicate = 0
         self.slow_s = 0.0
+        self.stuck: set[str] = set()
+        self.most_bytes = MOST_BYTES
+        self.hold_late = 0
+        self.garble = 0
+        self.keep = 0
+        self._late: list[tuple[str, bytes]] = []
         self.appends = 0
         self.bytes = 0
 
@@ -41,6 +55,8 @@
             if self.duplicate > 0:
                 self.duplicate -= 1
                 kept.append(payload)
+            if self.keep:
+                self._trim(stream, self._count(stream) - self.keep)
             self._condition.notify_all()
             return offset
 
@@ -63,10 +79,30 @@
     def trim(self, stream: str, first: int) -> None:
         """Drops the records before an offset, as retention does."""
         with self._condition:
-            old = self._firsts.get(stream, 0)
-            cut = max(0, min(first - old, len(self._streams.get(stream, ()))))
-            self._streams.setdefault(stream, [])[:cut] = []
-            self._firsts[stream] = old + cut
+            self._trim(stream, first)
+
+    def _trim(self, stream: str, first: int) -> None:
+        old = self._firsts.get(stream, 0)
+        cut = max(0, min(first - old, len(self._streams.get(stream, ()))))
+        self._streams.setdefault(stream, [])[:cut] = []
+        self._firsts[stream] = old + cut
+
+    def land_late(self) -> None:
+        """Lets the appends that were held back take effect, in order."""
+        late, self._late = self._late, []
+        for stream, payload in late:
+            self.append(stream, payload)
+
+    def restart(self) -> None:
+        """Ends all waiting reads, as a restart of the service does."""
+        with self._condition:
+            self._condition.notify_all()
+
+    def clear(self, stream: str) -> None:
+        """Forgets a stream wholly; its offsets start again at 0."""
+        with self._condition:
+            self._streams.pop(stream, None)
+            self._firsts.pop(stream, None)
 
     def list_streams(self) -> tuple[str, ...]:
         """Returns the names of all streams."""
@@ -99,17 +135,41 @@
             time.sleep(self.slow_s)
         if self.down:
             return serving.Response(503)
-        body = msgpack.unpackb(request.body)
+        if request.path not in ("/append", "/read"):
+            return serving.Response(404)
+        try:
+            body = msgpack.unpackb(request.body)
+        except ValueError:
+            return serving.Response(400)
         if request.path == "/append":
-            query = urllib.parse.parse_qs(request.query)
-            offset = self.append(query["stream"][0], body)
-            if self.lose_acks > 0:
-                self.lose_acks -= 1
-                return serving.Response(504)
-            return serving.Response(200, msgpack.packb(offset))
-        if request.path == "/read":
-            pages = self.read(
-                body["positions"], body["limit"], body["wait_ms"] / 1000
-            )
-            return serving.Response(200, msgpack.packb(pages))
-        return serving.Response(404)
+            return self._serve_append(request, body)
+        pages = self.read(
+            body["positions"], body["limit"], body["wait_ms"] / 1000
+        )
+        if self.down:
+            return serving.Response(503)
+        return self._answer(pages)
+
+    def _serve_append(
+        self, request: serving.Request, body: bytes
+    ) -> serving.Response:
+        (stream,) = urllib.parse.parse_qs(request.query)["stream"]
+        if len(body) > self.most_bytes:
+            return serving.Response(413)
+        if stream in self.stuck:
+            return serving.Response(503)
+        if self.hold_late > 0:
+            self.hold_late -= 1
+            self._late.append((stream, body))
+            return serving.Response(504)
+        offset = self.append(stream, body)
+        if self.lose_acks > 0:
+            self.lose_acks -= 1
+            return serving.Response(504)
+        return self._answer(offset)
+
+    def _answer(self, body: object) -> serving.Response:
+        if self.garble > 0:
+            self.garble -= 1
+            return serving.Response(200, b"\xc1")
+        return serving.Response(200, msgpack.packb(body))
