--- /dev/null
+++ b/poplarspindle/tools/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module has `measure() -> dict`."""
