--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -1,7 +1,9 @@
 """Typed records of the log streams and their msgpack codec.
 
-A log append carries a batch: a msgpack array of `[kind, fields]` pairs. All
-records of a batch share the offset of their append. Every record is safe to
+A log append carries a batch: a msgpack array of `[kind, values]` pairs, the
+values in the order of the record's fields. A later version may add fields at
+the end: older readers pass them over, and new ones need a default. All records
+of a batch share the offset of their append. Every record is safe to
 read twice: the reducer ignores a second copy.
 """
 
@@ -318,6 +320,10 @@
 )
 
 KINDS = {kind.__name__: kind for kind in Record.__args__}
+_FIELDS = {
+    name: tuple(field.name for field in dataclasses.fields(kind))
+    for name, kind in KINDS.items()
+}
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
 
@@ -329,7 +335,7 @@
 def encode_record(record: Record) -> bytes:
     """Encodes one record as it stands in a batch."""
     return msgpack.packb(
-        [type(record).__name__, _converter.unstructure(record)]
+        [type(record).__name__, tuple(_converter.unstructure(record).values())]
     )
 
 
@@ -370,9 +376,10 @@
 
 
 def _decode(pair: object) -> Record:
-    """Decodes one `[kind, fields]` pair or raises MalformedError."""
+    """Decodes one `[kind, values]` pair or raises MalformedError."""
     match pair:
-        case [str(kind), dict(fields)] if kind in KINDS:
+        case [str(kind), list(values)] if kind in KINDS:
+            fields = dict(zip(_FIELDS[kind], values, strict=False))
             try:
                 return _converter.structure(fields, KINDS[kind])
             except Exception as error:
