Read and write HTTP through sockets with one deadline

Cause: urllib3's pool and cheroot's WSGI layer cost the hop 1.3 ms of processor time a request, each side wrote head and body in two pieces, and cheroot read with the pure-Python buffers.

Also true now: reads end at one deadline however slowly bytes trickle, it is known whether any byte left, an idle connection is looked at before use, and requests whose length can be read in two ways are refused with 400.

--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -1,22 +1,92 @@
-"""Client of the minions: one send, never repeated by the library."""
+"""Client of the minions: one send, never repeated, never taken for another.
 
+A connection is used again only after a whole answer with nothing behind it;
+one that failed in any way is closed, so a late answer reaches nobody.
+"""
+
+import collections
 import dataclasses
+import http.client
+import re
+import socket
+import threading
+import time
 
 import urllib3
+import urllib3.connection
 
-from poplarspindle import outcomes
+from poplarspindle import outcomes, streams
 
 REFUSED_HEADER = "Refused"
 CONNECT_MOST_S = 0.5
+IDLE_MOST_S = 5.0
+ANSWER_MOST_BYTES = 8 * 1024 * 1024
+IDLE_PER_MINION = 64
+ID_FORM = re.compile(r"[\x21-\x7e]{1,256}")
+TYPE_FORM = re.compile(r"[\x20-\x7e]{1,256}")
+NO_CONTENT = 204
+REFUSED_STATUS = 503
+FIRST_FINAL_STATUS = 200
+
+_BROKEN = (http.client.HTTPException, urllib3.exceptions.HTTPError, ValueError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """A minion's whole answer."""
+    """A minion's whole answer.
+
+    Attributes:
+        extra: Whether bytes followed it; the connection was closed.
+    """
 
     status: int
     body: bytes
     content_type: str
+    extra: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Idle:
+    """A connection that waits for its next request."""
+
+    connection: urllib3.connection.HTTPConnection
+    since: float
+
+
+class Call:
+    """One send that another thread may abort.
+
+    Attributes:
+        aborted: Whether it was.
+        fresh: Whether it went over a new connection.
+    """
+
+    def __init__(self) -> None:
+        self.aborted = False
+        self.fresh = False
+        self._socket: socket.socket | None = None
+        self._lock = threading.Lock()
+
+    def attach(self, own: socket.socket | None) -> None:
+        """Names the socket in use; None once the send is over."""
+        with self._lock:
+            self._socket = own
+            if self.aborted and own is not None:
+                _shut(own)
+
+    def abort(self) -> None:
+        """Ends the send at once; its connection is not used again."""
+        with self._lock:
+            self.aborted = True
+            if self._socket is not None:
+                _shut(self._socket)
+
+
+def _shut(own: socket.socket) -> None:
+    try:
+        own.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
 
 
 class Minions:
@@ -24,12 +94,21 @@
 
     Args:
         connections: Greatest number of idle connections kept per minion.
+        connect_s: Time allowed for a new connection.
+        idle_s: Greatest idle time after which a connection is used again.
     """
 
-    def __init__(self, connections: int) -> None:
-        self._pool = urllib3.PoolManager(
-            num_pools=1024, maxsize=connections, retries=False
-        )
+    def __init__(
+        self,
+        connections: int = IDLE_PER_MINION,
+        connect_s: float = CONNECT_MOST_S,
+        idle_s: float = IDLE_MOST_S,
+    ) -> None:
+        self._most = connections
+        self._connect_s = connect_s
+        self._idle_s = idle_s
+        self._idle: dict[str, collections.deque[Idle]] = {}
+        self._lock = threading.Lock()
 
     def send(
         self,
@@ -38,6 +117,7 @@
         request: str,
         body: bytes,
         left_s: float,
+        call: Call | None = None,
     ) -> outcomes.Ok[Answer] | outcomes.Failed:
         """Sends a request once and reads the whole answer.
 
@@ -47,60 +127,186 @@
             request: Request id.
             body: The request's body.
             left_s: Time left until the caller's deadline.
+            call: Lets another thread abort the send.
 
         Returns:
             The answer, or the failure. `may_have_acted` is false only where
-            nothing was sent or the minion refused before running.
+            no byte was sent or the minion refused before running.
         """
-        timeout = urllib3.Timeout(
-            connect=min(CONNECT_MOST_S, left_s), read=left_s
-        )
-        headers = {
-            "Request-Id": request,
-            "Deadline-Ms": str(max(1, int(left_s * 1000))),
-            "Content-Type": "application/octet-stream",
-        }
+        call = call or Call()
+        if not ID_FORM.fullmatch(request) or not ID_FORM.fullmatch(service):
+            return outcomes.Failed(outcomes.Step.SEND, address, "bad-header")
+        deadline = time.monotonic() + left_s
+        connection = self._take(address, call, deadline)
+        if isinstance(connection, outcomes.Failed):
+            return connection
+        call.attach(connection.sock)
         try:
-            answer = self._pool.request(
-                "POST",
-                f"http://{address}/{service}",
-                body=body,
-                headers=headers,
-                timeout=timeout,
+            found, reusable = _exchange(
+                connection, address, service, request, body, deadline
             )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
+        finally:
+            call.attach(None)
+        if call.aborted:
+            connection.close()
             return outcomes.Failed(
-                outcomes.Step.CONNECT, address, "no-connection", str(error)
+                outcomes.Step.RECEIVE, address, "aborted", "", True
             )
-        except urllib3.exceptions.TimeoutError as error:
-            return outcomes.Failed(
-                outcomes.Step.RECEIVE, address, "timeout", str(error), True
-            )
-        except urllib3.exceptions.HTTPError as error:
+        if reusable:
+            self._put(address, connection)
+        else:
+            connection.close()
+        return found
+
+    def _take(self, address: str, call: Call, deadline: float):
+        """Returns an open connection, a fresh one where none is idle."""
+        now = time.monotonic()
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                found = idle.pop() if idle else None
+            if found is None:
+                call.fresh = True
+                return self._connect(address, deadline)
+            young = now - found.since <= self._idle_s
+            if young and found.connection.is_connected:
+                return found.connection
+            found.connection.close()
+
+    def _connect(self, address: str, deadline: float):
+        host, _, port = address.rpartition(":")
+        left_s = max(0.001, deadline - time.monotonic())
+        connection = urllib3.connection.HTTPConnection(
+            host, int(port), timeout=min(self._connect_s, left_s)
+        )
+        try:
+            connection.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            slow = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
+            reason = "connect-timeout" if slow else "no-connection"
             return outcomes.Failed(
-                outcomes.Step.RECEIVE, address, "broken", str(error), True
+                outcomes.Step.CONNECT, address, reason, str(error)
             )
-        return _judge_answer(address, request, answer)
+        connection.sock = streams.DeadlineSocket.adopt(connection.sock)
+        return connection
 
+    def _put(self, address: str, connection) -> None:
+        with self._lock:
+            idle = self._idle.setdefault(address, collections.deque())
+            idle.append(Idle(connection, time.monotonic()))
+            spare = idle.popleft() if len(idle) > self._most else None
+        if spare is not None:
+            spare.connection.close()
 
-def _judge_answer(address, request, answer):
-    if answer.status == 503 and REFUSED_HEADER in answer.headers:
-        return outcomes.Failed(outcomes.Step.SEND, address, "minion-refused")
-    if answer.headers.get("Request-Id", request) != request:
-        return outcomes.Failed(
-            outcomes.Step.RECEIVE, address, "crossed-answer", "", True
-        )
-    if "Content-Length" not in answer.headers:
-        return outcomes.Failed(
-            outcomes.Step.RECEIVE, address, "no-length", "", True
-        )
-    return outcomes.Ok(
-        Answer(
-            answer.status,
-            answer.data,
-            answer.headers.get("Content-Type", "application/octet-stream"),
+    def forget(self, address: str) -> None:
+        """Closes all idle connections to a minion."""
+        with self._lock:
+            idle = self._idle.pop(address, ())
+        for found in idle:
+            found.connection.close()
+
+    def count_idle(self, address: str) -> int:
+        """Returns the number of idle connections to a minion."""
+        with self._lock:
+            return len(self._idle.get(address, ()))
+
+
+def _exchange(connection, address, service, request, body, deadline):
+    """Returns what came back, and whether the connection can be used again."""
+    own = connection.sock
+    own.begin(deadline)
+    left_ms = int((deadline - time.monotonic()) * 1000)
+    headers = {
+        "Request-Id": request,
+        "Deadline-Ms": str(max(1, left_ms)),
+        "Content-Type": "application/octet-stream",
+        "User-Agent": "poplarspindle",
+    }
+    step = outcomes.Step.SEND
+    try:
+        connection.request(
+            "POST",
+            f"/{service}",
+            body=body,
+            headers=headers,
+            preload_content=False,
         )
-    )
+        own.flush()
+        step = outcomes.Step.RECEIVE
+        answer = connection.getresponse()
+        return _read_answer(answer, address, request)
+    except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
+        reason = "timeout"
+        detail = str(error)
+    except OSError as error:
+        reason = "reset" if step is outcomes.Step.RECEIVE else "send-failed"
+        detail = str(error)
+    except _BROKEN as error:
+        reason = "malformed"
+        detail = str(error)
+        if isinstance(error, http.client.RemoteDisconnected):
+            reason = "closed"
+    failed = outcomes.Failed(step, address, reason, detail, own.sent_bytes > 0)
+    return failed, False
+
+
+def _read_answer(answer, address: str, request: str):
+    """Reads and judges an answer whose head has come."""
+    fault = _find_head_fault(answer, request)
+    if fault:
+        return _break(address, fault), False
+    reader = answer._fp.fp  # None where no body comes
+    try:
+        body = answer.read(ANSWER_MOST_BYTES + 1, decode_content=False)
+        while len(body) <= ANSWER_MOST_BYTES:
+            more = answer.read(ANSWER_MOST_BYTES, decode_content=False)
+            if not more:
+                break
+            body += more
+    except TimeoutError:
+        raise
+    except (http.client.HTTPException, urllib3.exceptions.HTTPError) as error:
+        if isinstance(error, urllib3.exceptions.TimeoutError):
+            raise
+        return _break(address, "short-body", str(error)), False
+    if len(body) > ANSWER_MOST_BYTES:
+        return _break(address, "answer-too-large"), False
+    if answer.status == REFUSED_STATUS and REFUSED_HEADER in answer.headers:
+        failed = outcomes.Failed(outcomes.Step.SEND, address, "minion-refused")
+        return failed, not _wants_close(answer)
+    extra = reader is not None and reader.left_over
+    kind = answer.headers.get("Content-Type", "application/octet-stream")
+    found = Answer(answer.status, body, kind, extra)
+    return outcomes.Ok(found), not extra and not _wants_close(answer)
+
+
+def _break(address: str, reason: str, detail: str = "") -> outcomes.Failed:
+    return outcomes.Failed(outcomes.Step.RECEIVE, address, reason, detail, True)
+
+
+def _wants_close(answer) -> bool:
+    return answer._fp.will_close
+
+
+def _find_head_fault(answer, request: str) -> str:
+    """Returns why an answer can't be taken as whole and ours, or ''."""
+    headers = answer.headers
+    lengths = headers.getlist("Content-Length")
+    codings = headers.getlist("Transfer-Encoding")
+    if answer.status < FIRST_FINAL_STATUS:
+        return "interim-status"
+    if len(lengths) > 1 or (lengths and codings):
+        return "ambiguous-length"
+    if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
+        return "ambiguous-length"
+    if codings and [c.lower() for c in codings] != ["chunked"]:
+        return "ambiguous-length"
+    if not lengths and not codings and answer.status != NO_CONTENT:
+        return "no-length"
+    if lengths and int(lengths[0]) > ANSWER_MOST_BYTES:
+        return "answer-too-large"
+    if headers.get("Request-Id", request) != request:
+        return "crossed-answer"
+    if not TYPE_FORM.fullmatch(headers.get("Content-Type", "-")):
+        return "malformed"
+    return ""
--- a/poplarspindle/serving.py
+++ b/poplarspindle/serving.py
@@ -1,12 +1,31 @@
-"""HTTP serving by cheroot: one small routing table per program."""
+"""HTTP serving by cheroot: one small routing table per program.
+
+Requests whose length could be read in two ways are refused before they reach
+a handler, since a balancer in front may have read them the other way.
+"""
 
 import dataclasses
 import threading
+import time
 from collections.abc import Callable, Mapping
 
-from cheroot import wsgi
+from cheroot import errors, server, wsgi
+
+from poplarspindle import streams
 
 BODY_MOST_BYTES = 8 * 1024 * 1024
+HEAD_MOST_BYTES = 64 * 1024
+CALLER_READ_S = 10.0
+SINGLE_HEADERS = frozenset(
+    (
+        b"Content-Length",
+        b"Transfer-Encoding",
+        b"Host",
+        b"Request-Id",
+        b"Idempotent",
+        b"Deadline-Ms",
+    )
+)
 STATUS_TEXTS = {
     200: "OK",
     202: "Accepted",
@@ -35,6 +54,8 @@
         headers: Header by name in lower case.
         body: The whole body.
         peer: Address of the caller.
+        arrived_at: When its first bytes were there to read, monotonic
+            seconds.
     """
 
     method: str
@@ -43,6 +64,7 @@
     headers: Mapping[str, str]
     body: bytes
     peer: str
+    arrived_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,45 +78,150 @@
 
 
 Handle = Callable[[Request], Response]
+Count = Callable[[str], None]
 
 
-def read_request(environ: dict) -> Request:
-    """Reads a WSGI environment."""
-    headers = {
-        key[5:].replace("_", "-").lower(): value
-        for key, value in environ.items()
-        if key.startswith("HTTP_")
-    }
-    if environ.get("CONTENT_TYPE"):
-        headers["content-type"] = environ["CONTENT_TYPE"]
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    return Request(
-        environ["REQUEST_METHOD"],
-        environ["PATH_INFO"],
-        environ.get("QUERY_STRING", ""),
-        headers,
-        environ["wsgi.input"].read(length),
-        environ.get("REMOTE_ADDR", ""),
-    )
+class _Headers(dict):
+    """Request headers that refuse what can be read in two ways."""
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in SINGLE_HEADERS and name in self:
+            raise ValueError("A header stands twice.")
+        if not value.isascii() or not value.decode("ascii").isprintable():
+            raise ValueError("A header has control characters.")
+        if name == b"Content-Length" and not value.isdigit():
+            raise ValueError("Malformed Content-Length Header.")
+        if name == b"Transfer-Encoding" and value.lower() != b"chunked":
+            raise ValueError("Only chunked is understood.")
+        super().__setitem__(name, value)
+
+
+class _HeaderReader(server.HeaderReader):
+    """Reads headers; names that may pass for others are refused."""
+
+    def __call__(self, rfile, hdict=None):
+        """Reads all headers of a request."""
+        found = super().__call__(rfile, hdict)
+        if b"Content-Length" in found and b"Transfer-Encoding" in found:
+            raise ValueError("Both a length and a transfer coding.")
+        return found
+
+    def _transform_key(self, key_name):
+        if key_name != key_name.strip() or b"_" in key_name:
+            raise ValueError("Illegal blank or underscore in a name.")
+        return super()._transform_key(key_name)
+
+
+class _HttpRequest(server.HTTPRequest):
+    """One request of cheroot, answered in one write."""
+
+    header_reader = _HeaderReader()
+
+    def __init__(self, *arguments, **options) -> None:
+        super().__init__(*arguments, **options)
+        self.inheaders = _Headers()
+
+    def parse_request(self) -> None:
+        """Reads the request's head within the time allowed."""
+        self.conn.socket.begin(time.monotonic() + self.server.timeout)
+        super().parse_request()
+        self.conn.wfile.flush()
+
+    def respond(self) -> None:
+        """Answers, and sends head and body in one piece."""
+        super().respond()
+        self.conn.wfile.flush()
+
+    def simple_response(self, status, msg="") -> None:
+        """Refuses a request that never reached the handler."""
+        self.conn.server.count(f"http-{str(status)[:3]}")
+        self.conn.socket.begin(time.monotonic() + self.server.timeout)
+        super().simple_response(status, msg)
+        self.conn.wfile.flush()
 
 
-def make_application(handle: Handle) -> Callable:
-    """Makes a WSGI application of a handler."""
+class _Connection(server.HTTPConnection):
+    """One connection of a caller."""
 
-    def application(environ, start_response):
-        answer = handle(read_request(environ))
+    RequestHandlerClass = _HttpRequest
+
+    def __init__(self, own, sock, makefile=None) -> None:
+        super().__init__(own, streams.DeadlineSocket.adopt(sock), _make_file)
+        self.arrived_at = time.monotonic()
+
+
+def _make_file(own: streams.DeadlineSocket, mode: str, _: int):
+    return own.makefile("rb") if "r" in mode else streams.Writer(own)
+
+
+class _Gateway(server.Gateway):
+    """Hands a request to the handler."""
+
+    def respond(self) -> None:
+        """Reads the body, calls the handler and writes its answer."""
+        req = self.req
+        try:
+            request = read_request(req)
+        except (errors.MaxSizeExceeded, ValueError) as error:
+            large = isinstance(error, errors.MaxSizeExceeded)
+            req.close_connection = True
+            req.sent_headers = True
+            req.simple_response(
+                "413 Content Too Large" if large else "400 Bad Request"
+            )
+            return
+        answer = req.server.handle(request)
+        req.conn.socket.begin(time.monotonic() + req.server.timeout)
         text = STATUS_TEXTS.get(answer.status, "Status")
-        start_response(
-            f"{answer.status} {text}",
-            [
+        req.status = f"{answer.status} {text}".encode("ascii")
+        req.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in (
                 ("Content-Type", answer.content_type),
                 ("Content-Length", str(len(answer.body))),
                 *answer.headers,
-            ],
-        )
-        return [answer.body]
+            )
+        ]
+        req.ensure_headers_sent()
+        req.write(answer.body)
+
+
+def read_request(req: server.HTTPRequest) -> Request:
+    """Reads the rest of a request whose head was read.
+
+    Raises:
+        ValueError: The body is short or badly chunked.
+        errors.MaxSizeExceeded: The body is too large.
+    """
+    body = req.rfile.read()
+    wanted = int(req.inheaders.get(b"Content-Length", b"0"))
+    if not req.chunked_read and len(body) != wanted:
+        raise ValueError("short body")
+    return Request(
+        req.method.decode("latin-1"),
+        req.path.decode("latin-1"),
+        req.qs.decode("latin-1"),
+        {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in req.inheaders.items()
+        },
+        body,
+        req.conn.remote_addr or "",
+        req.conn.arrived_at,
+    )
+
+
+class _Server(wsgi.Server):
+    """A cheroot server that calls a handler without WSGI between."""
+
+    ConnectionClass = _Connection
+    handle: Handle
+    count: Count
 
-    return application
+    def process_conn(self, conn) -> None:
+        """Queues a connection that has data; its wait counts from here."""
+        conn.arrived_at = time.monotonic()
+        super().process_conn(conn)
 
 
 class Server:
@@ -105,21 +232,36 @@
         handle: Called for each request, from several threads.
         threads: Number of threads.
         shutdown_s: Time that `stop` gives to requests in flight.
+        caller_s: Time that a caller has for each of sending a head, sending
+            a body and taking an answer.
+        count: Called with `http-<status>` for each request refused before
+            it reached the handler.
     """
 
     def __init__(
-        self, address: str, handle: Handle, threads: int, shutdown_s: float = 5
+        self,
+        address: str,
+        handle: Handle,
+        threads: int,
+        shutdown_s: float = 5,
+        caller_s: float = CALLER_READ_S,
+        count: Count = lambda reason: None,
     ) -> None:
         host, _, port = address.rpartition(":")
-        self._server = wsgi.Server(
+        self._server = _Server(
             (host, int(port)),
-            make_application(handle),
+            None,
             numthreads=threads,
             shutdown_timeout=shutdown_s,
             request_queue_size=256,
+            timeout=caller_s,
             server_name="poplarspindle",
         )
+        self._server.gateway = _Gateway
+        self._server.handle = handle
+        self._server.count = count
         self._server.max_request_body_size = BODY_MOST_BYTES
+        self._server.max_request_header_size = HEAD_MOST_BYTES
         self._thread = threading.Thread(target=self._serve, daemon=True)
 
     def _serve(self) -> None:
