--- a/poplarspindle/platform/members.py
+++ b/poplarspindle/platform/members.py
@@ -1,4 +1,8 @@
-"""Client of the platform's instance list."""
+"""Client of the platform's instance list.
+
+`POST /members` with the version known, answered with the present version and,
+where it is another, all entries.
+"""
 
 import itertools
 
@@ -17,20 +21,32 @@
     def __init__(self, url: str, calls: transport.Transport) -> None:
         self._url = url.rstrip("/")
         self._calls = calls
+        self._version: object = None
+        self._members: tuple[reports.Member, ...] = ()
 
     def fetch(
         self,
     ) -> outcomes.Ok[tuple[reports.Member, ...]] | outcomes.Failed:
-        """Reads the whole list."""
-        answer = self._calls.call(outcomes.Step.LIST, f"{self._url}/members")
+        """Reads the list; its entries are sent only after a change."""
+        answer = self._calls.call(
+            outcomes.Step.LIST,
+            f"{self._url}/members",
+            {"version": self._version},
+        )
         if isinstance(answer, outcomes.Failed):
             return answer
-        if not isinstance(answer.value, list):
-            return outcomes.Failed(
-                outcomes.Step.LIST, self._url, "malformed", "not a list"
-            )
-        return outcomes.Ok(
-            tuple(itertools.chain.from_iterable(map(_read, answer.value)))
+        match answer.value:
+            case {"version": version, "members": None} if (
+                version == self._version
+            ):
+                return outcomes.Ok(self._members)
+            case {"version": version, "members": list(entries)}:
+                read = map(_read, entries)
+                self._members = tuple(itertools.chain.from_iterable(read))
+                self._version = version
+                return outcomes.Ok(self._members)
+        return outcomes.Failed(
+            outcomes.Step.LIST, self._url, "malformed", "not a list"
         )
 
     def announce(
--- a/poplarspindle/tools/fakes/members.py
+++ b/poplarspindle/tools/fakes/members.py
@@ -38,18 +38,30 @@
 
     def fetch(self) -> tuple[reports.Member, ...]:
         """Returns the entries as the platform shows them now."""
+        return tuple(self._find_shown()[1].values())
+
+    def _find_shown(self) -> tuple[int, dict[str, reports.Member]]:
+        """Returns the version and the entries as shown now."""
         shown_at = time.monotonic() - self.lag_s
         with self._lock:
             shown = [table for at, table in self._history if at <= shown_at]
-            return tuple(shown[-1].values()) if shown else ()
+            return len(shown), shown[-1] if shown else {}
+
+    def _answer(self, known: object) -> dict:
+        version, table = self._find_shown()
+        members = [transport.converter.unstructure(m) for m in table.values()]
+        return {
+            "version": version,
+            "members": None if version == known else members,
+        }
 
     def handle(self, request: serving.Request) -> serving.Response:
         """Serves `/members` and `/announce`."""
         if self.down:
             return serving.Response(503)
         if request.path == "/members":
-            members = [transport.converter.unstructure(m) for m in self.fetch()]
-            return serving.Response(200, msgpack.packb(members))
+            known = msgpack.unpackb(request.body)["version"]
+            return serving.Response(200, msgpack.packb(self._answer(known)))
         if request.path == "/announce":
             self.put(
                 transport.converter.structure(
--- a/poplarspindle/tools/slopes.py
+++ b/poplarspindle/tools/slopes.py
@@ -201,8 +201,8 @@
     return _meter(run) / CALLS
 
 
-def measure_list_by_members(count: int) -> float:
-    """Bytes of one read of an instance list of so many members."""
+def _meter_list(count: int, reads: int) -> float:
+    """Returns the bytes of so many reads of a list of so many members."""
 
     def prepare(fake: platform.Platform) -> None:
         fake.members.put(
@@ -218,10 +218,20 @@
         client = members.InstanceList(
             f"http://{address}", transport.Transport(5.0)
         )
-        for _ in range(CALLS):
+        for _ in range(reads):
             client.fetch()
 
-    return _meter(run, prepare) / CALLS
+    return _meter(run, prepare)
+
+
+def measure_list_by_members(count: int) -> float:
+    """Bytes of one read of a list of so many members after a change."""
+    return _meter_list(count, 1)
+
+
+def measure_idle_list_by_members(count: int) -> float:
+    """Bytes of one read of a list of so many members without a change."""
+    return (_meter_list(count, 1 + CALLS) - _meter_list(count, 1)) / CALLS
 
 
 def measure_count_by_adds(adds: int) -> float:
@@ -296,10 +306,17 @@
     Slope(
         "list",
         "members",
-        "bytes a read",
+        "bytes a read after a change",
         (60, 120, 240, 480),
         measure_list_by_members,
     ),
+    Slope(
+        "idle list",
+        "members",
+        "bytes a read",
+        (60, 120, 240, 480),
+        measure_idle_list_by_members,
+    ),
     Slope(
         "counter",
         "additions",
