--- a/poplarspindle/tools/fakes/workers.py
+++ b/poplarspindle/tools/fakes/workers.py
@@ -66,9 +66,9 @@
         self._seen: set[tuple[str, int]] = set()
         self._lock = threading.Lock()
 
-    def kill(self) -> None:
-        """Ends the worker and all that runs there."""
-        now = time.monotonic()
+    def kill(self, now: float | None = None) -> None:
+        """Ends the worker and all that runs there, by default now."""
+        now = time.monotonic() if now is None else now
         with self._lock:
             self.dead = True
             for run in list(self._running.values()):
