Send every message again until its effect is seen

Cause of the stuck work: markers (started, stops_sent) said that something was sent, never that it arrived. A start, stop or record lost by a crash, a cut or a full buffer was never sent again; a placed task whose start was lost waited for ever. Starts are now tracked by their start-by time on the worker's clock and sent again, for the same attempt to the same worker, once the worker must refuse the first; records are proposed again once the stream was read to its tail past the first sending, so an outage piles up no copies. Also found by reading: a second copy of a placement dropped the reservation of the next attempt's placement (over-commit); lease renewals counted from their arrival, so one sent before a long pause prolonged a lease beyond the bound (now an absolute end on the worker's clock); a lapse counted from when the sync was sent, not answered; a move back to the first data centre was taken for a copy and lost; hand-over was sent once only.

--- a/poplarspindle/cells.py
+++ b/poplarspindle/cells.py
@@ -26,6 +26,11 @@
 
 HOLDING = frozenset({Phase.PLACED, Phase.RUNNING, Phase.STOPPING})
 ENDED = frozenset({Phase.FINISHED, Phase.FAILED, Phase.CANCELLED, Phase.MOVED})
+RESEND_S = 2.0
+ENDED_KEPT = 4_000
+TOMBSTONES_KEPT = 50_000
+JOBS_KEPT = 50_000
+MOVE_CONFIRMED = "move-confirmed"
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +49,7 @@
         cancelled: Whether it ends at its next stop.
         target: Data centre it was moved to, empty if it was not.
         reason: Why it is in this phase.
+        failures: How often it ended by a failure of its own.
     """
 
     task: str
@@ -57,6 +63,7 @@
     cancelled: bool = False
     target: str = ""
     reason: str = ""
+    failures: int = 0
 
 
 class Table:
@@ -67,9 +74,15 @@
         owner: Incarnation that holds the present term, empty for none.
         term: The present term, 0 at first.
         lease_offset: Offset of the last claim or renewal, -1 for none.
-        tasks: Task by id, ended ones included until forgotten.
+        tasks: Task by id; of those that ended, the last ENDED_KEPT.
         jobs: Ids of known jobs, mapped to their number of tasks.
+        cancelled_jobs: Ids of jobs whose cancellation was read.
+        tombstones: Last attempt of tasks that were forgotten.
         queue: Ids of queued tasks, in order of arrival.
+        placed: Ids of tasks whose start is not confirmed yet.
+        stopping: Ids of tasks that hold a worker and are to stop.
+        moving: Ids of moved tasks that the target may not have yet.
+        ended: Ids of tasks that ended here, the oldest first.
         held: Ids of tasks by the worker that holds them.
         reserved: What is reserved by worker.
         offset: Offset of the last record reduced, -1 for none.
@@ -82,7 +95,13 @@
         self.lease_offset = -1
         self.tasks: dict[str, Task] = {}
         self.jobs: dict[str, int] = {}
+        self.cancelled_jobs: dict[str, None] = {}
+        self.tombstones: dict[str, int] = {}
         self.queue: dict[str, None] = {}
+        self.placed: dict[str, None] = {}
+        self.stopping: dict[str, None] = {}
+        self.moving: dict[str, None] = {}
+        self.ended: dict[str, None] = {}
         self.held: dict[str, set[str]] = {}
         self.reserved: dict[str, resources.Resources] = {}
         self.offset = -1
@@ -97,16 +116,56 @@
         fenced_term: Highest term this instance raised there.
         report: Its last answer, None before the first.
         synced_at: When the last answered sync was sent, own clock.
+        received_at: When its last answer came, own clock.
         reached: Whether the last sync succeeded.
         renewed_at: When leases there were last renewed, own clock.
+        granted_until: When every lease there has ended, own clock; holds
+            once the term is raised there.
+        fence_sent_at: When the term was last sent there, own clock.
+        strangers: Whether it runs attempts that the log does not place
+            there.
     """
 
     member: reports.Member
     fenced_term: int = 0
     report: reports.WorkerReport | None = None
     synced_at: float = float("-inf")
+    received_at: float = float("-inf")
     reached: bool = False
     renewed_at: float = float("-inf")
+    granted_until: float = float("-inf")
+    fence_sent_at: float = float("-inf")
+    strangers: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """The last start that this instance sent for a task in its term.
+
+    Attributes:
+        attempt: Attempt started.
+        start_by_ms: Worker's clock past which the worker refuses it.
+    """
+
+    attempt: int
+    start_by_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """A placement on its way through the log.
+
+    Attributes:
+        attempt: Attempt placed.
+        worker: Worker chosen.
+        need: What it reserves.
+        sent_at: When it was sent, own clock.
+    """
+
+    attempt: int
+    worker: str
+    need: resources.Resources
+    sent_at: float
 
 
 class View:
@@ -119,11 +178,15 @@
         sequence: Number of the last own claim or renewal.
         sent: When each own claim or renewal was sent, by its number.
         claimed_at: When this instance last sent a claim.
+        released_at: When it last sent a release.
+        starts_until: When the last start sent can no longer take effect.
         tail_at: When the stream was last read to its tail.
         workers: Worker by name.
         pending: Placements sent to the log and not read back, by task.
-        started: Attempt by task that this instance told a worker to start.
-        stops_sent: Attempt by task that this instance told a worker to stop.
+        starts: Last start sent by task, in the present term.
+        proposed: When a record was last sent, by task, then by its kind.
+        commanded: When a stop was last sent, by task.
+        retry_at: When a task that failed may be placed again, by task.
         owned_since: When this instance's claim was read, own clock.
     """
 
@@ -134,31 +197,18 @@
         self.sequence = 0
         self.sent: dict[int, float] = {}
         self.claimed_at = float("-inf")
+        self.released_at = float("-inf")
+        self.starts_until = float("-inf")
         self.tail_at = float("-inf")
         self.workers: dict[str, Worker] = {}
         self.pending: dict[str, Placement] = {}
-        self.started: dict[str, int] = {}
-        self.stops_sent: dict[str, int] = {}
+        self.starts: dict[str, Start] = {}
+        self.proposed: dict[str, dict[type, float]] = {}
+        self.commanded: dict[str, float] = {}
+        self.retry_at: dict[str, float] = {}
         self.owned_since = float("-inf")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """A placement on its way through the log.
-
-    Attributes:
-        attempt: Attempt placed.
-        worker: Worker chosen.
-        need: What it reserves.
-        sent_at: When it was sent, own clock.
-    """
-
-    attempt: int
-    worker: str
-    need: resources.Resources
-    sent_at: float
-
-
 class Cell:
     """One data centre: its table and this instance's view of it."""
 
@@ -173,25 +223,72 @@
 
 
 def add_task(table: Table, task: Task) -> None:
-    """Adds a queued task."""
+    """Adds a task in any phase, with all that is kept by phase."""
     table.tasks[task.task] = task
-    table.queue[task.task] = None
+    if task.phase in HOLDING:
+        table.held.setdefault(task.worker, set()).add(task.task)
+        reserved = table.reserved.get(task.worker, resources.NOTHING)
+        table.reserved[task.worker] = reserved + task.need
+    index_task(table, task)
+
+
+def index_task(table: Table, task: Task) -> None:
+    """Files a task under its phase."""
+    name = task.task
+    phase = task.phase
+    stopping = phase is Phase.STOPPING or (task.cancelled and phase in HOLDING)
+    moving = phase is Phase.MOVED and task.reason != MOVE_CONFIRMED
+    _file(table.queue, name, phase is Phase.QUEUED)
+    _file(table.placed, name, phase is Phase.PLACED and not stopping)
+    _file(table.stopping, name, stopping)
+    _file(table.moving, name, moving)
+    _file(table.ended, name, phase in ENDED and not moving)
+    if len(table.ended) > ENDED_KEPT:
+        forget_task(table, table.tasks[next(iter(table.ended))])
+
+
+def _file(index: dict[str, None], name: str, belongs: bool) -> None:
+    if belongs:
+        index.setdefault(name)
+    else:
+        index.pop(name, None)
+
+
+def forget_task(table: Table, task: Task) -> None:
+    """Drops an ended task; a tombstone keeps it from running again."""
+    del table.ended[task.task]
+    del table.tasks[task.task]
+    table.tombstones.pop(task.task, None)
+    table.tombstones[task.task] = task.attempt
+    if len(table.tombstones) > TOMBSTONES_KEPT:
+        del table.tombstones[next(iter(table.tombstones))]
+
+
+def remember_job(table: Table, job: str, tasks: int) -> None:
+    """Keeps a job's id, so that a late copy is not taken for a new one."""
+    table.jobs.setdefault(job, tasks)
+    if len(table.jobs) <= JOBS_KEPT:
+        return
+    oldest = next(iter(table.jobs))
+    count = table.jobs.pop(oldest)
+    names = (f"{oldest}/{index}" for index in range(count))
+    if any(name in table.tasks for name in names):
+        table.jobs[oldest] = count
 
 
 def hold_task(table: Table, task: Task, worker: str, term: int) -> None:
     """Reserves a worker for a queued task."""
-    del table.queue[task.task]
     task.phase = Phase.PLACED
     task.worker = worker
     task.term = term
     table.held.setdefault(worker, set()).add(task.task)
     reserved = table.reserved.get(worker, resources.NOTHING)
     table.reserved[worker] = reserved + task.need
+    index_task(table, task)
 
 
 def release_task(table: Table, task: Task, phase: Phase) -> None:
     """Takes a task off its worker, or off the queue, into a phase."""
-    table.queue.pop(task.task, None)
     if task.phase in HOLDING:
         held = table.held[task.worker]
         held.discard(task.task)
@@ -202,12 +299,24 @@
             del table.reserved[task.worker]
     task.worker = ""
     task.phase = phase
-    if phase is Phase.QUEUED:
-        table.queue[task.task] = None
+    index_task(table, task)
+
+
+def forget_messages(cell: Cell, task: str) -> None:
+    """Forgets what was sent about a task: its phase has changed."""
+    cell.view.pending.pop(task, None)
+    cell.view.proposed.pop(task, None)
+    cell.view.commanded.pop(task, None)
+    cell.view.retry_at.pop(task, None)
 
 
 def compute_room(cell: Cell, worker: Worker) -> resources.Resources:
-    """Returns what is neither reserved nor about to be at a worker."""
+    """Returns what is neither reserved nor about to be at a worker.
+
+    Nothing is free where attempts run that the log does not place there.
+    """
+    if worker.strangers:
+        return resources.NOTHING
     name = worker.member.name
     room = worker.member.capacity - cell.table.reserved.get(
         name, resources.NOTHING
@@ -218,6 +327,25 @@
     return room
 
 
+def is_ready(cell: Cell, task: Task, at: float) -> bool:
+    """Tells whether a queued task's back-off has passed."""
+    return at >= cell.view.retry_at.get(task.task, float("-inf"))
+
+
+def propose(cell: Cell, record: records.Record, at: float) -> list:
+    """Returns the effect that appends a task record, unless it is on its way.
+
+    A record is sent again only after the stream was read to its tail
+    RESEND_S past the last sending: so a log outage piles up no copies.
+    """
+    sent = cell.view.proposed.setdefault(record.task, {})
+    last = sent.get(type(record))
+    if last is not None and cell.view.tail_at - last < RESEND_S:
+        return []
+    sent[type(record)] = at
+    return [append_record(cell, record)]
+
+
 def append_record(cell: Cell, record: records.Record) -> effects.Append:
     """Returns the effect that appends to a data centre's stream."""
     return effects.Append(name_stream(cell.table.data_centre), record)
--- a/poplarspindle/drain.py
+++ b/poplarspindle/drain.py
@@ -7,35 +7,38 @@
 MOVES_PER_TICK = 50
 
 
-def empty_cell(own: state.State, cell: cells.Cell) -> list:
+def empty_cell(own: state.State, cell: cells.Cell, at: float) -> list:
     """Evicts what runs and moves what is queued out of a data centre."""
-    found = []
-    for task in itertools.islice(
-        (
-            task
-            for name in cell.table.held
-            for task in cells.list_held(cell, name)
-            if task.phase in (cells.Phase.PLACED, cells.Phase.RUNNING)
-            and cell.view.stops_sent.get(task.task) != -task.attempt - 1
-        ),
-        MOVES_PER_TICK,
-    ):
-        cell.view.stops_sent[task.task] = -task.attempt - 1
-        record = records.TaskEvicted(
-            task.task, task.attempt, cell.table.term, "drain"
+    leaving = (
+        task
+        for name in cell.table.held
+        for task in cells.list_held(cell, name)
+        if task.phase in (cells.Phase.PLACED, cells.Phase.RUNNING)
+    )
+    found = [
+        effect
+        for task in itertools.islice(leaving, MOVES_PER_TICK)
+        for effect in cells.propose(
+            cell,
+            records.TaskEvicted(
+                task.task, task.attempt, cell.table.term, "drain"
+            ),
+            at,
         )
-        found.append(cells.append_record(cell, record))
+    ]
     target = _choose_target(own, cell)
     if target is None:
         return found
-    for name in itertools.islice(cell.table.queue, MOVES_PER_TICK):
-        task = cell.table.tasks[name]
-        found.append(
-            cells.append_record(
-                cell,
-                records.TaskMoved(name, task.attempt, cell.table.term, target),
-            )
+    queued = (
+        task
+        for name in cell.table.queue
+        if not (task := cell.table.tasks[name]).job.is_service
+    )
+    for task in itertools.islice(queued, MOVES_PER_TICK):
+        record = records.TaskMoved(
+            task.task, task.attempt, cell.table.term, target
         )
+        found += cells.propose(cell, record, at)
     return found
 
 
--- a/poplarspindle/drive.py
+++ b/poplarspindle/drive.py
@@ -1,10 +1,16 @@
-"""What an owner does at each tick and at each answer of a worker."""
+"""What an owner does at each tick and at each answer of a worker.
+
+Nothing here is sent once and for all: each message is sent again until the
+log or the worker's report shows that it took effect, so a lost message, a
+full buffer or a new owner only costs time.
+"""
 
 from poplarspindle import (
     cells,
     drain,
     effects,
     events,
+    moves,
     ownership,
     placing,
     records,
@@ -14,6 +20,7 @@
 
 LEASE_MARGIN = 1.25
 RENEWALS_PER_LEASE = 3
+FENCE_RESEND_S = 0.5
 
 
 def tick_cell(own: state.State, cell: cells.Cell, event: events.Ticked) -> list:
@@ -21,26 +28,34 @@
     found = ownership.keep_lease(own, cell, event.at)
     if not ownership.is_owner(own, cell):
         return found
-    found += _fence_workers(own, cell)
+    found += _fence_workers(cell, event.at)
     found += _renew_tasks(own, cell, event.at)
-    found += _stop_tasks(own, cell)
+    found += _stop_tasks(cell, event.at)
     found += _give_up_lapsed(own, cell, event.at)
+    found += moves.hand_over(own, cell, event.at)
     if not ownership.may_act(own, cell, event.at):
         return found
     if own.document.is_in_service(cell.table.data_centre):
         found += _start_placed(own, cell, event.at)
         found += placing.place_queued(own, cell, event)
     else:
-        found += drain.empty_cell(own, cell)
+        found += drain.empty_cell(own, cell, event.at)
     return found
 
 
-def _fence_workers(own: state.State, cell: cells.Cell) -> list:
+def _fence_workers(cell: cells.Cell, at: float) -> list:
     term = cell.table.term
-    return [
-        effects.FenceWorker(cell.table.data_centre, name, term)
+    due = [
+        (name, worker)
         for name, worker in cell.view.workers.items()
         if worker.fenced_term < term
+        and at - worker.fence_sent_at >= FENCE_RESEND_S
+    ]
+    for _, worker in due:
+        worker.fence_sent_at = at
+    return [
+        effects.FenceWorker(cell.table.data_centre, name, term)
+        for name, _ in due
     ]
 
 
@@ -50,35 +65,62 @@
         return []
     period = own.limits.task_lease_s / RENEWALS_PER_LEASE
     found = []
-    for name, worker in cell.view.workers.items():
-        held = cells.list_held(cell, name)
-        due = at - worker.renewed_at >= period
-        if not held or not due or worker.fenced_term != cell.table.term:
+    for name in cell.table.held:
+        worker = cell.view.workers.get(name)
+        if worker is None or at - worker.renewed_at < period:
             continue
-        worker.renewed_at = at
-        found.append(
-            effects.RenewTasks(
-                cell.table.data_centre,
-                name,
-                cell.table.term,
-                tuple(task.task for task in held),
-                tuple(task.attempt for task in held),
-                int(own.limits.task_lease_s * 1000),
-            )
-        )
+        if _is_in_touch(own, cell, worker, at):
+            found.append(_make_renewal(own, cell, worker, at))
     return found
 
 
-def _stop_tasks(own: state.State, cell: cells.Cell) -> list:
+def _is_in_touch(
+    own: state.State, cell: cells.Cell, worker: cells.Worker, at: float
+) -> bool:
+    """Tells whether a worker is fenced and its clock known well enough."""
+    recent = at - worker.received_at <= own.limits.task_lease_s
+    return recent and worker.fenced_term == cell.table.term
+
+
+def _make_renewal(
+    own: state.State, cell: cells.Cell, worker: cells.Worker, at: float
+) -> effects.RenewTasks:
+    until = at + own.limits.task_lease_s
+    worker.renewed_at = at
+    worker.granted_until = max(worker.granted_until, until)
+    name = worker.member.name
+    held = cells.list_held(cell, name)
+    return effects.RenewTasks(
+        cell.table.data_centre,
+        name,
+        cell.table.term,
+        tuple(task.task for task in held),
+        tuple(task.attempt for task in held),
+        _convert_time(worker, until),
+    )
+
+
+def _convert_time(worker: cells.Worker, at: float) -> int:
+    """Returns the worker's clock, in milliseconds, at an own time.
+
+    Counted from when its last answer came: the answer is older than that,
+    so the result is early rather than late.
+    """
+    return worker.report.now_ms + int((at - worker.received_at) * 1000)
+
+
+def _stop_tasks(cell: cells.Cell, at: float) -> list:
     """Tells workers to stop what was evicted or cancelled."""
-    found = []
-    for name in cell.table.held:
-        for task in cells.list_held(cell, name):
-            wanted = task.cancelled or task.phase is cells.Phase.STOPPING
-            if wanted and cell.view.stops_sent.get(task.task) != task.attempt:
-                cell.view.stops_sent[task.task] = task.attempt
-                found.append(_make_stop(cell, task.worker, task))
-    return found
+    commanded = cell.view.commanded
+    due = [
+        name
+        for name in cell.table.stopping
+        if at - commanded.get(name, float("-inf")) >= cells.RESEND_S
+    ]
+    for name in due:
+        commanded[name] = at
+    stops = (cell.table.tasks[name] for name in due)
+    return [_make_stop(cell, task.worker, task) for task in stops]
 
 
 def _make_stop(cell: cells.Cell, worker: str, task) -> effects.StopTask:
@@ -92,17 +134,13 @@
     if not ownership.may_act(own, cell, at):
         return []
     found = []
-    for name in cell.table.held:
+    for name in list(cell.table.held):
         worker = cell.view.workers.get(name)
         if worker is not None and worker.reached:
             continue
         for task in cells.list_held(cell, name):
-            if at < _find_lapse(own, cell, worker, task):
-                continue
-            if cell.view.started.get(task.task) == -task.attempt - 1:
-                continue
-            cell.view.started[task.task] = -task.attempt - 1
-            found.append(_append_stopped(cell, task, task.checkpoint, "lapsed"))
+            if at >= _find_lapse(own, cell, worker, task):
+                found += _stop_record(cell, task, task.checkpoint, "lapsed", at)
     return found
 
 
@@ -118,41 +156,53 @@
     have renewed there since. Otherwise a former owner may have gone on
     renewing for its hold time.
     """
-    lease = own.limits.task_lease_s * LEASE_MARGIN
+    lease = own.limits.task_lease_s
     if worker is not None and worker.fenced_term == cell.table.term:
-        return max(worker.renewed_at, worker.synced_at) + lease
-    if task.job.exclusive:
-        hold = own.limits.hold_s * LEASE_MARGIN
-        return cell.view.owned_since + hold + lease
-    return cell.view.owned_since + lease
-
-
-def _append_stopped(
-    cell: cells.Cell, task: cells.Task, checkpoint: int, reason: str
-) -> effects.Append:
-    return cells.append_record(
-        cell,
-        records.TaskStopped(
-            task.task, task.attempt, cell.table.term, checkpoint, reason
-        ),
+        return worker.granted_until + lease * (LEASE_MARGIN - 1)
+    hold = own.limits.hold_s if task.job.exclusive else 0.0
+    return cell.view.owned_since + (hold + lease) * LEASE_MARGIN
+
+
+def _stop_record(
+    cell: cells.Cell, task: cells.Task, checkpoint: int, reason: str, at: float
+) -> list:
+    record = records.TaskStopped(
+        task.task, task.attempt, cell.table.term, checkpoint, reason
     )
+    return cells.propose(cell, record, at)
 
 
 def _start_placed(own: state.State, cell: cells.Cell, at: float) -> list:
-    """Starts what was placed, once its worker is fenced at this term."""
+    """Starts what was placed, once its worker is fenced at this term.
+
+    A start that was lost is sent again, to the same worker for the same
+    attempt, once the worker would refuse the first one as late.
+    """
     found = []
-    for name in cell.table.held:
-        worker = cell.view.workers.get(name)
-        if worker is None or worker.fenced_term != cell.table.term:
+    for name in cell.table.placed:
+        task = cell.table.tasks[name]
+        worker = cell.view.workers.get(task.worker)
+        if worker is None or not _is_in_touch(own, cell, worker, at):
             continue
-        for task in cells.list_held(cell, name):
-            waiting = task.phase is cells.Phase.PLACED and not task.cancelled
-            if waiting and cell.view.started.get(task.task) != task.attempt:
-                cell.view.started[task.task] = task.attempt
-                found.append(_make_start(own, cell, worker, task, at))
+        if _is_surely_not_started(cell, task, worker.report):
+            found.append(_make_start(own, cell, worker, task, at))
     return found
 
 
+def _is_surely_not_started(
+    cell: cells.Cell, task: cells.Task, report: reports.WorkerReport
+) -> bool:
+    """Tells whether no start of an attempt is on its way to its worker.
+
+    Holds for a worker that is fenced at the present term: only starts of
+    this instance in this term can still take effect there.
+    """
+    start = cell.view.starts.get(task.task)
+    if start is None or start.attempt != task.attempt:
+        return True
+    return report.now_ms > start.start_by_ms
+
+
 def _make_start(
     own: state.State,
     cell: cells.Cell,
@@ -160,15 +210,21 @@
     task: cells.Task,
     at: float,
 ) -> effects.StartTask:
-    start_by_s = at - worker.synced_at + own.limits.fresh_s
+    view = cell.view
+    start_by = min(at + own.limits.fresh_s, view.lease_until)
+    until = at + own.limits.task_lease_s
+    start_by_ms = _convert_time(worker, start_by)
+    view.starts[task.task] = cells.Start(task.attempt, start_by_ms)
+    view.starts_until = max(view.starts_until, start_by)
+    worker.granted_until = max(worker.granted_until, until)
     return effects.StartTask(
         cell.table.data_centre,
         task.worker,
         cell.table.term,
         task.task,
         task.attempt,
-        int(own.limits.task_lease_s * 1000),
-        worker.report.now_ms + int(start_by_s * 1000),
+        _convert_time(worker, until),
+        start_by_ms,
         task.checkpoint,
         task.job.run_ms,
         task.need.millicores,
@@ -183,65 +239,77 @@
 ) -> list:
     """Reduces a worker's answer to a sync."""
     worker = cell.view.workers.get(event.worker)
-    if worker is None:
+    if worker is None or _is_old(worker, event.report):
         return []
     worker.report = event.report
     worker.reached = True
     worker.synced_at = event.sent_at
+    worker.received_at = event.at
     if not ownership.is_owner(own, cell):
         return []
     if event.report.highest_term != cell.table.term:
         return []
     if worker.fenced_term != cell.table.term:
         worker.fenced_term = cell.table.term
-        worker.renewed_at = event.sent_at
+        worker.granted_until = event.at + own.limits.task_lease_s
     running = {(t.task, t.attempt): t for t in event.report.running}
     ended = {(t.task, t.attempt): t for t in event.report.ended}
     found = []
     for task in cells.list_held(cell, event.worker):
-        key = (task.task, task.attempt)
-        found += _settle_held(cell, event, task, running.pop(key, None), ended)
+        here = running.pop((task.task, task.attempt), None) is not None
+        end = ended.get((task.task, task.attempt))
+        found += _settle_held(own, cell, event, task, here, end)
+    worker.strangers = bool(running)
     found += _stop_strangers(cell, event, running.values())
     found += _acknowledge(cell, event, ended.values())
     return found
 
 
-def _settle_held(cell, event, task, running, ended) -> list:
+def _is_old(worker: cells.Worker, report: reports.WorkerReport) -> bool:
+    """Tells whether a report was overtaken by a later one."""
+    return worker.report is not None and report.now_ms < worker.report.now_ms
+
+
+def _settle_held(
+    own: state.State,
+    cell: cells.Cell,
+    event: events.WorkerSynced,
+    task: cells.Task,
+    here: bool,
+    end: reports.EndedTask | None,
+) -> list:
     """Compares one reservation with what its worker says."""
-    end = ended.get((task.task, task.attempt))
     term = cell.table.term
     if end is not None:
-        return [cells.append_record(cell, _record_end(task, end, term))]
-    if running is not None:
-        if task.phase is cells.Phase.PLACED:
-            record = records.TaskRunning(task.task, task.attempt, term)
-            return [cells.append_record(cell, record)]
+        return cells.propose(cell, _record_end(own, task, end, term), event.at)
+    if here and task.phase is cells.Phase.PLACED:
+        record = records.TaskRunning(task.task, task.attempt, term)
+        return cells.propose(cell, record, event.at)
+    waiting = task.phase is cells.Phase.PLACED and not task.cancelled
+    if here or waiting:
         return []
-    if task.phase is cells.Phase.PLACED and not task.cancelled:
+    if not _is_surely_not_started(cell, task, event.report):
         return []
-    if _was_told_before(cell, event, task):
-        return [_append_stopped(cell, task, task.checkpoint, "not-there")]
-    return []
-
-
-def _was_told_before(cell, event, task) -> bool:
-    """Tells whether the report came after this term's fence."""
-    worker = cell.view.workers[event.worker]
-    return event.sent_at >= worker.renewed_at or task.phase in (
-        cells.Phase.RUNNING,
-        cells.Phase.STOPPING,
-    )
+    return _stop_record(cell, task, task.checkpoint, "not-there", event.at)
 
 
 def _record_end(
-    task: cells.Task, end: reports.EndedTask, term: int
+    own: state.State, task: cells.Task, end: reports.EndedTask, term: int
 ) -> records.Record:
-    if end.cause in ("finished", "failed"):
-        return records.TaskEnded(
-            task.task, task.attempt, term, end.cause == "finished", end.detail
+    if end.cause not in ("finished", "failed"):
+        return records.TaskStopped(
+            task.task, task.attempt, term, end.worked_ms, end.cause
         )
-    return records.TaskStopped(
-        task.task, task.attempt, term, end.worked_ms, end.cause
+    succeeded = end.cause == "finished"
+    spent = task.failures + 1 >= own.limits.attempts
+    endless = task.job.is_service
+    return records.TaskEnded(
+        task.task,
+        task.attempt,
+        term,
+        succeeded,
+        end.detail or end.cause,
+        final=not endless and (succeeded or spent),
     )
 
 
@@ -252,25 +320,23 @@
 
 def _acknowledge(cell, event, ended) -> list:
     """Acknowledges ends that the log already holds."""
-    found = []
-    for end in ended:
-        task = cell.table.tasks.get(end.task)
-        settled = (
-            task is None
-            or task.attempt != end.attempt
-            or task.phase in cells.ENDED
+    return [
+        effects.AcknowledgeEnd(
+            cell.table.data_centre,
+            event.worker,
+            cell.table.term,
+            end.task,
+            end.attempt,
         )
-        if settled:
-            found.append(
-                effects.AcknowledgeEnd(
-                    cell.table.data_centre,
-                    event.worker,
-                    cell.table.term,
-                    end.task,
-                    end.attempt,
-                )
-            )
-    return found
+        for end in ended
+        if _is_settled(cell.table.tasks.get(end.task), end.attempt)
+    ]
+
+
+def _is_settled(task: cells.Task | None, attempt: int) -> bool:
+    if task is None or task.attempt != attempt:
+        return True
+    return task.phase in cells.ENDED
 
 
 def lose_worker(cell: cells.Cell, event: events.WorkerUnreachable) -> list:
@@ -281,21 +347,3 @@
     return [
         effects.Count("poplarspindle_platform_failures_total", event.reason)
     ]
-
-
-def hand_over(own: state.State, cell: cells.Cell, record, source) -> list:
-    """After a move was read: gives the task to the target's stream."""
-    task = cell.table.tasks.get(record.task)
-    if not ownership.is_owner(own, cell) or task is None:
-        return []
-    if task.phase is not cells.Phase.MOVED or task.reason == "move-confirmed":
-        return []
-    received = records.TaskReceived(
-        task.task,
-        task.attempt,
-        cell.table.data_centre,
-        task.checkpoint,
-        task.job,
-    )
-    stream = cells.name_stream(task.target)
-    return [effects.Append(stream, received)]
--- a/poplarspindle/effects.py
+++ b/poplarspindle/effects.py
@@ -34,7 +34,8 @@
     """Tell a worker to start one attempt.
 
     Attributes:
-        lease_ms: The worker stops the task itself unless renewed in time.
+        until_ms: Time on the worker's own clock at which it stops the task
+            itself unless it was renewed.
         start_by_ms: Time on the worker's own clock past which it refuses
             the start.
         checkpoint: Work already done, milliseconds of run time.
@@ -45,7 +46,7 @@
     term: int
     task: str
     attempt: int
-    lease_ms: int
+    until_ms: int
     start_by_ms: int
     checkpoint: int
     run_ms: int
@@ -57,14 +58,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RenewTasks:
-    """Renew the leases of attempts at a worker."""
+    """Renew the leases of attempts at a worker.
+
+    Attributes:
+        until_ms: New end of the leases on the worker's own clock: a renewal
+            that arrives late grants no more than one that came in time.
+    """
 
     data_centre: str
     worker: str
     term: int
     tasks: tuple[str, ...]
     attempts: tuple[int, ...]
-    lease_ms: int
+    until_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/poplarspindle/moves.py
@@ -0,0 +1,68 @@
+"""Hand-over of tasks between data centres, each exactly once.
+
+The source's stream says that a task moved; whoever owns the source gives it
+to the target's stream, again and again, until that stream shows it. Only
+then does the source forget it. A move raises the attempt, and the target
+accepts an attempt once.
+"""
+
+import itertools
+
+from poplarspindle import cells, records, state, tasks
+
+MOVES_PER_TICK = 50
+
+
+def hand_over(own: state.State, cell: cells.Cell, at: float) -> list:
+    """Returns what the source's owner sends for tasks on their way."""
+    names = list(itertools.islice(cell.table.moving, MOVES_PER_TICK))
+    return [
+        effect
+        for name in names
+        for effect in _give_task(own, cell, cell.table.tasks[name], at)
+    ]
+
+
+def _give_task(
+    own: state.State, cell: cells.Cell, task: cells.Task, at: float
+) -> list:
+    target = own.cells.get(task.target)
+    if target is None:
+        return []
+    arrived = tasks.find_attempt(target.table, task.task) >= task.attempt
+    if not arrived:
+        return _send(cell, target, _make_received(cell, task), at)
+    job = task.job.job
+    if task.cancelled and job not in target.table.cancelled_jobs:
+        return _send(cell, target, records.JobCancelled(job), at, task.task)
+    record = records.MoveConfirmed(
+        task.task, task.attempt, cell.table.term, task.cancelled
+    )
+    return cells.propose(cell, record, at)
+
+
+def _make_received(cell: cells.Cell, task: cells.Task) -> records.TaskReceived:
+    return records.TaskReceived(
+        task.task,
+        task.attempt,
+        cell.table.data_centre,
+        task.checkpoint,
+        task.job,
+        task.failures,
+    )
+
+
+def _send(
+    cell: cells.Cell,
+    target: cells.Cell,
+    record: records.Record,
+    at: float,
+    task: str = "",
+) -> list:
+    """Appends to the target, again once its tail shows the last was lost."""
+    sent = cell.view.proposed.setdefault(task or record.task, {})
+    last = sent.get(type(record))
+    if last is not None and target.view.tail_at - last < cells.RESEND_S:
+        return []
+    sent[type(record)] = at
+    return [cells.append_record(target, record)]
--- a/poplarspindle/ownership.py
+++ b/poplarspindle/ownership.py
@@ -13,6 +13,7 @@
 LEASE_MARGIN = 1.25
 CLAIM_STAGGER_LEASES = 0.2
 RENEWALS_PER_LEASE = 3
+SENT_KEPT = 32
 
 
 def rank_candidates(
@@ -37,6 +38,7 @@
     fresh = own.limits.fresh_s
     return (
         is_owner(own, cell)
+        and not own.leaving
         and at < cell.view.lease_until
         and at - cell.view.tail_at <= fresh
         and at - own.document_tail_at <= fresh
@@ -55,9 +57,8 @@
     table.owner = claim.instance
     table.lease_offset = event.offset
     cell.view.lease_read_at = event.at
-    cell.view.pending.clear()
-    cell.view.started.clear()
-    cell.view.stops_sent.clear()
+    cell.view.released_at = float("-inf")
+    _forget_term(cell.view)
     if claim.instance != own.incarnation:
         cell.view.lease_until = float("-inf")
         return [effects.Count("poplarspindle_ownership_total", "other-claimed")]
@@ -72,6 +73,18 @@
     ]
 
 
+def _forget_term(view: cells.View) -> None:
+    """Forgets what was sent in earlier terms; none of it can act any more."""
+    for sent in (
+        view.pending,
+        view.starts,
+        view.proposed,
+        view.commanded,
+        view.retry_at,
+    ):
+        sent.clear()
+
+
 def apply_renewal(
     own: state.State, cell: cells.Cell, event: events.RecordRead
 ) -> list:
@@ -107,7 +120,7 @@
 def keep_lease(own: state.State, cell: cells.Cell, at: float) -> list:
     """Renews this instance's lease or claims a lapsed one, when due."""
     if is_owner(own, cell):
-        return _renew(own, cell, at)
+        return _release(own, cell, at) if own.leaving else _renew(own, cell, at)
     if own.leaving or at - cell.view.tail_at > own.limits.fresh_s:
         return []
     if at < _find_claim_time(own, cell):
@@ -123,8 +136,7 @@
         cell.table.lease_offset,
         cell.view.sequence,
     )
-    stream = cells.name_stream(cell.table.data_centre)
-    return [effects.Append(stream, claim)]
+    return [cells.append_record(cell, claim)]
 
 
 def _find_claim_time(own: state.State, cell: cells.Cell) -> float:
@@ -144,23 +156,29 @@
 
 
 def _renew(own: state.State, cell: cells.Cell, at: float) -> list:
+    """Renews often while the log answers, seldom while it does not."""
     view = cell.view
-    accepted_at = view.lease_until - own.limits.lease_s
+    lease = own.limits.lease_s
+    accepted_at = view.lease_until - lease
     newest = max(itertools.chain(view.sent.values(), (accepted_at,)))
-    if at - newest < own.limits.lease_s / RENEWALS_PER_LEASE:
+    answers = at - view.tail_at <= own.limits.fresh_s
+    if at - newest < (lease / RENEWALS_PER_LEASE if answers else lease):
         return []
     view.sequence += 1
     view.sent[view.sequence] = at
+    if len(view.sent) > SENT_KEPT:
+        del view.sent[next(iter(view.sent))]
     renewal = records.OwnershipRenewed(
         own.incarnation, cell.table.term, view.sequence
     )
-    stream = cells.name_stream(cell.table.data_centre)
-    return [effects.Append(stream, renewal)]
+    return [cells.append_record(cell, renewal)]
 
 
-def release(own: state.State, cell: cells.Cell) -> list:
-    """Gives a data centre up at a graceful stop."""
-    if not is_owner(own, cell):
+def _release(own: state.State, cell: cells.Cell, at: float) -> list:
+    """Gives a data centre up once no start is on its way to a worker."""
+    view = cell.view
+    if at < view.starts_until or at - view.released_at < cells.RESEND_S:
         return []
+    view.released_at = at
     record = records.OwnershipReleased(own.incarnation, cell.table.term)
-    return [effects.Append(cells.name_stream(cell.table.data_centre), record)]
+    return [cells.append_record(cell, record)]
--- a/poplarspindle/placing.py
+++ b/poplarspindle/placing.py
@@ -5,7 +5,6 @@
 from poplarspindle import cells, events, placement, records, state
 
 PLACEMENTS_PER_TICK = 50
-RESEND_S = 2.0
 
 
 def place_queued(
@@ -15,9 +14,11 @@
     rng = random.Random(event.seed)
     pick = placement.POLICIES[own.limits.policy]
     found = []
-    for task in _order_queue(cell)[:PLACEMENTS_PER_TICK]:
+    for task in _order_queue(cell, event.at)[:PLACEMENTS_PER_TICK]:
         sent = cell.view.pending.get(task.task)
-        if sent is not None and event.at - sent.sent_at < RESEND_S:
+        if sent is not None and (
+            cell.view.tail_at - sent.sent_at < cells.RESEND_S
+        ):
             continue
         if sent is not None:
             worker_name = sent.worker
@@ -37,7 +38,11 @@
     return found
 
 
-def _order_queue(cell: cells.Cell) -> list[cells.Task]:
-    """Returns the queued tasks, higher priority first, then by arrival."""
-    queued = [cell.table.tasks[name] for name in cell.table.queue]
+def _order_queue(cell: cells.Cell, at: float) -> list[cells.Task]:
+    """Returns the tasks to place, higher priority first, then by arrival."""
+    queued = [
+        task
+        for name in cell.table.queue
+        if cells.is_ready(cell, task := cell.table.tasks[name], at)
+    ]
     return sorted(queued, key=lambda task: -task.job.priority)
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -144,7 +144,7 @@
         millicores: Declared processors of one task, in thousandths.
         memory_mb: Declared memory of one task.
         accelerators: Accelerators of one task.
-        run_ms: Declared run time of one task.
+        run_ms: Declared run time of one task, 0 for one without end.
         exclusive: Whether a task must never run in two places at once.
         urgent: Whether it may evict work of lower priority to start.
     """
@@ -161,6 +161,11 @@
     exclusive: bool = False
     urgent: bool = False
 
+    @property
+    def is_service(self) -> bool:
+        """Whether it is a service's replica: it runs without end."""
+        return self.run_ms == 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobCancelled:
@@ -223,13 +228,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskEnded:
-    """The worker reported that the attempt ended by itself."""
+    """The worker reported that the attempt ended by itself.
+
+    Attributes:
+        final: Whether the task ends with it; otherwise it is tried again.
+    """
 
     task: str
     attempt: int
     term: int
     succeeded: bool
     reason: str = ""
+    final: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -248,6 +258,9 @@
 
     Accepted once per task and attempt; written by the source's owner until
     it has read it back.
+
+    Attributes:
+        failures: How often the task has ended by a failure of its own.
     """
 
     task: str
@@ -255,15 +268,21 @@
     source: str
     checkpoint: int
     job: JobSubmitted
+    failures: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MoveConfirmed:
-    """The target has accepted the task; the source may forget it."""
+    """The target has accepted the task; the source may forget it.
+
+    Attributes:
+        cancelled: Whether the target knows of the job's cancellation too.
+    """
 
     task: str
     attempt: int
     term: int
+    cancelled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/reducer.py
+++ b/poplarspindle/reducer.py
@@ -65,10 +65,7 @@
         return _OWNER_AREAS[kind](own, cell, event)
     if kind not in _TASK_AREAS:
         return [effects.Count("poplarspindle_records_total", "foreign")]
-    found = list(_TASK_AREAS[kind](cell, event))
-    if kind is records.TaskMoved:
-        found += drive.hand_over(own, cell, event.record, cell)
-    return found
+    return _TASK_AREAS[kind](own, cell, event)
 
 
 def _read_document(own: state.State, event: events.RecordRead) -> list:
@@ -160,7 +157,7 @@
     return [
         effect
         for cell in own.cells.values()
-        for effect in ownership.release(own, cell)
+        for effect in ownership.keep_lease(own, cell, event.at)
     ]
 
 
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -58,6 +58,9 @@
                 values.hold_s,
                 values.fresh_s,
                 values.policy,
+                values.attempts,
+                values.retry_s,
+                values.standbys,
             ),
             values.team_secret,
         )
@@ -108,6 +111,7 @@
         self._announce(reports.Presence.LEAVING)
         self._events.put(events.LeaveRequested(time.monotonic()))
         self._drain_events()
+        self._wait_released()
         self.appender.close(JOIN_S)
         self.kill()
         logger.info("Stopped.")
@@ -127,6 +131,18 @@
         self._events.put(reached)
         reached.wait(JOIN_S)
 
+    def _wait_released(self) -> None:
+        """Waits, at most a lease, until it owns nothing any more."""
+        deadline = time.monotonic() + self.values.lease_s
+        while self._owns_any() and time.monotonic() < deadline:
+            self._stopping.wait(self.values.tick_s)
+
+    def _owns_any(self) -> bool:
+        return any(
+            cell.table.owner == self.incarnation
+            for cell in list(self.state.cells.values())
+        )
+
     def _announce(self, presence: reports.Presence) -> None:
         member = reports.Member(
             self.incarnation,
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -217,6 +217,31 @@
         (SCHEDULER,),
         choices=("chosen", "least_loaded", "first_fit", "random"),
     ),
+    Setting(
+        "attempts",
+        4,
+        "How often a task may fail before it is given up.",
+        (SCHEDULER,),
+        low=1,
+        high=100,
+    ),
+    Setting(
+        "retry_s",
+        1.0,
+        "Wait before a failed task's second attempt, seconds; it doubles"
+        " with each.",
+        (SCHEDULER,),
+        low=0,
+        high=600,
+    ),
+    Setting(
+        "standbys",
+        0,
+        "How many instances follow a data centre beside its owner; 0 for all.",
+        (SCHEDULER,),
+        low=0,
+        high=100,
+    ),
     Setting(
         "routing",
         "least_local",
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -15,6 +15,10 @@
         hold_s: How long task leases are renewed without the log.
         fresh_s: Greatest age of the last read to the tail for a start.
         policy: Name of the placement policy.
+        attempts: How often a task may fail before it is given up.
+        retry_s: Wait before the second attempt; it doubles with each.
+        standbys: How many instances follow a data centre beside its
+            owner, 0 for all.
     """
 
     lease_s: float = 6.0
@@ -22,6 +26,9 @@
     hold_s: float = 600.0
     fresh_s: float = 2.0
     policy: str = "chosen"
+    attempts: int = 4
+    retry_s: float = 1.0
+    standbys: int = 0
 
 
 class State:
--- a/poplarspindle/tasks.py
+++ b/poplarspindle/tasks.py
@@ -1,6 +1,8 @@
 """Life of a task: what each record does to it."""
 
-from poplarspindle import cells, effects, events, records, resources
+from poplarspindle import cells, effects, events, records, resources, state
+
+BACKOFF_DOUBLED = 6
 
 IGNORED = [effects.Count("poplarspindle_records_total", "stale-task")]
 DUPLICATE = [effects.Count("poplarspindle_records_total", "duplicate")]
@@ -11,33 +13,55 @@
     return resources.Resources(job.millicores, job.memory_mb, job.accelerators)
 
 
-def apply_job(cell: cells.Cell, event: events.RecordRead) -> list:
+def apply_job(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
     """Reduces a JobSubmitted record: queues its tasks once."""
     job = event.record
     table = cell.table
     if job.job in table.jobs:
         return DUPLICATE
-    table.jobs[job.job] = job.tasks
+    cells.remember_job(table, job.job, job.tasks)
+    cancelled = job.job in table.cancelled_jobs
+    phase = cells.Phase.CANCELLED if cancelled else cells.Phase.QUEUED
     for index in range(job.tasks):
-        name = f"{job.job}/{index}"
-        cells.add_task(table, cells.Task(name, job, need_of(job)))
-    return [effects.Count("poplarspindle_tasks_total", "queued", job.tasks)]
+        task = cells.Task(f"{job.job}/{index}", job, need_of(job), phase=phase)
+        cells.add_task(table, task)
+    return [effects.Count("poplarspindle_tasks_total", phase, job.tasks)]
+
 
+def apply_cancel(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
+    """Reduces a JobCancelled record; running tasks end at their stop.
 
-def apply_cancel(cell: cells.Cell, event: events.RecordRead) -> list:
-    """Reduces a JobCancelled record; running tasks end at their stop."""
+    A job or task that comes only later is cancelled when it comes.
+    """
     table = cell.table
     job = event.record.job
+    table.cancelled_jobs[job] = None
+    if len(table.cancelled_jobs) > cells.JOBS_KEPT:
+        del table.cancelled_jobs[next(iter(table.cancelled_jobs))]
     names = (f"{job}/{i}" for i in range(table.jobs.get(job, 0)))
-    found = [table.tasks[name] for name in names if name in table.tasks]
-    for task in found:
-        if task.phase is cells.Phase.QUEUED:
-            cells.release_task(table, task, cells.Phase.CANCELLED)
-        elif task.phase in cells.HOLDING:
-            task.cancelled = True
+    for name in names:
+        if name in table.tasks:
+            _cancel_task(cell, table.tasks[name])
     return [effects.Count("poplarspindle_tasks_total", "cancel-asked")]
 
 
+def _cancel_task(cell: cells.Cell, task: cells.Task) -> None:
+    if task.phase is cells.Phase.QUEUED:
+        cells.release_task(cell.table, task, cells.Phase.CANCELLED)
+        cells.forget_messages(cell, task.task)
+    elif task.phase in cells.HOLDING:
+        task.cancelled = True
+        cells.index_task(cell.table, task)
+    elif task.phase is cells.Phase.MOVED:
+        task.cancelled = True
+        task.reason = "cancel-to-forward"
+        cells.index_task(cell.table, task)
+
+
 def _find_current(
     cell: cells.Cell, record: records.Record
 ) -> cells.Task | None:
@@ -48,27 +72,34 @@
     return task if record.attempt == task.attempt else None
 
 
-def apply_placed(cell: cells.Cell, event: events.RecordRead) -> list:
+def apply_placed(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
     """Reduces a TaskPlaced record; one placement per attempt is accepted."""
     record = event.record
-    cell.view.pending.pop(record.task, None)
     task = _find_current(cell, record)
     if task is None or task.phase is not cells.Phase.QUEUED:
         return IGNORED
+    cells.forget_messages(cell, task.task)
     cells.hold_task(cell.table, task, record.worker, record.term)
     return [effects.Count("poplarspindle_tasks_total", "placed")]
 
 
-def apply_running(cell: cells.Cell, event: events.RecordRead) -> list:
+def apply_running(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
     """Reduces a TaskRunning record."""
     task = _find_current(cell, event.record)
     if task is None or task.phase is not cells.Phase.PLACED:
         return IGNORED
     task.phase = cells.Phase.RUNNING
+    cells.index_task(cell.table, task)
     return [effects.Count("poplarspindle_tasks_total", "running")]
 
 
-def apply_evicted(cell: cells.Cell, event: events.RecordRead) -> list:
+def apply_evicted(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
     """Reduces a TaskEvicted record; the reservation stays until the stop."""
     task = _find_current(cell, event.record)
     if task is None or task.phase not in (
@@ -78,10 +109,13 @@
         return IGNORED
     task.phase = cells.Phase.STOPPING
     task.reason = event.record.reason
+    cells.index_task(cell.table, task)
     return [effects.Count("poplarspindle_tasks_total", "evicted")]
 
 
-def apply_stopped(cell: cells.Cell, event: events.RecordRead) -> list:
+def apply_stopped(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
     """Reduces a TaskStopped record: queues the next attempt, or ends."""
     record = event.record
     task = _find_current(cell, record)
@@ -89,6 +123,12 @@
         return IGNORED
     task.checkpoint = max(task.checkpoint, record.checkpoint)
     task.reason = record.reason
+    return _queue_again(cell, task)
+
+
+def _queue_again(cell: cells.Cell, task: cells.Task) -> list:
+    """Queues the next attempt, or ends a cancelled task."""
+    cells.forget_messages(cell, task.task)
     if task.cancelled:
         cells.release_task(cell.table, task, cells.Phase.CANCELLED)
         return [effects.Count("poplarspindle_tasks_total", "cancelled")]
@@ -97,54 +137,96 @@
     return [effects.Count("poplarspindle_tasks_total", "queued-again")]
 
 
-def apply_ended(cell: cells.Cell, event: events.RecordRead) -> list:
-    """Reduces a TaskEnded record."""
+def apply_ended(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
+    """Reduces a TaskEnded record; the owner said whether it is final."""
     record = event.record
     task = _find_current(cell, record)
     if task is None or task.phase not in cells.HOLDING:
         return IGNORED
-    phase = cells.Phase.FINISHED if record.succeeded else cells.Phase.FAILED
     task.reason = record.reason
-    cells.release_task(cell.table, task, phase)
-    return [effects.Count("poplarspindle_tasks_total", phase)]
-
-
-def apply_moved(cell: cells.Cell, event: events.RecordRead) -> list:
+    if record.final:
+        good = record.succeeded
+        phase = cells.Phase.FINISHED if good else cells.Phase.FAILED
+        cells.forget_messages(cell, task.task)
+        cells.release_task(cell.table, task, phase)
+        return [effects.Count("poplarspindle_tasks_total", phase)]
+    task.failures += 1
+    found = _queue_again(cell, task)
+    if task.phase is cells.Phase.QUEUED:
+        doubled = min(task.failures - 1, BACKOFF_DOUBLED)
+        cell.view.retry_at[task.task] = (
+            event.at + own.limits.retry_s * 2**doubled
+        )
+    return [*found, effects.Count("poplarspindle_retries_total", "task-failed")]
+
+
+def apply_moved(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
     """Reduces a TaskMoved record: the task never runs here again."""
     record = event.record
     task = _find_current(cell, record)
     if task is None or task.phase is not cells.Phase.QUEUED:
         return IGNORED
+    cells.forget_messages(cell, task.task)
     task.target = record.target
+    task.attempt += 1
     cells.release_task(cell.table, task, cells.Phase.MOVED)
     return [effects.Count("poplarspindle_tasks_total", "moved")]
 
 
-def apply_received(cell: cells.Cell, event: events.RecordRead) -> list:
-    """Reduces a TaskReceived record; accepted once per attempt."""
+def apply_received(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
+    """Reduces a TaskReceived record; accepted once per attempt.
+
+    A move raises the attempt, so a task may come back to where it was.
+    """
     record = event.record
     table = cell.table
-    known = table.tasks.get(record.task)
-    if known is not None and record.attempt <= known.attempt:
+    if record.attempt <= find_attempt(table, record.task):
         return DUPLICATE
+    known = table.tasks.get(record.task)
     if known is not None and known.phase is not cells.Phase.MOVED:
         return DUPLICATE
-    table.jobs.setdefault(record.job.job, record.job.tasks)
+    cells.remember_job(table, record.job.job, record.job.tasks)
+    cancelled = record.job.job in table.cancelled_jobs
     task = cells.Task(
         record.task,
         record.job,
         need_of(record.job),
         attempt=record.attempt,
+        phase=cells.Phase.CANCELLED if cancelled else cells.Phase.QUEUED,
         checkpoint=record.checkpoint,
+        failures=record.failures,
     )
+    cells.forget_messages(cell, task.task)
     cells.add_task(table, task)
     return [effects.Count("poplarspindle_tasks_total", "received")]
 
 
-def apply_confirmed(cell: cells.Cell, event: events.RecordRead) -> list:
+def find_attempt(table: cells.Table, task: str) -> int:
+    """Returns the highest attempt a data centre knows of, -1 for none."""
+    known = table.tasks.get(task)
+    attempt = known.attempt if known else -1
+    return max(attempt, table.tombstones.get(task, -1))
+
+
+def apply_confirmed(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
     """Reduces a MoveConfirmed record: the hand-over is complete."""
-    task = cell.table.tasks.get(event.record.task)
+    record = event.record
+    task = cell.table.tasks.get(record.task)
     if task is None or task.phase is not cells.Phase.MOVED:
         return IGNORED
-    task.reason = "move-confirmed"
-    return []
+    if task.attempt != record.attempt:
+        return IGNORED
+    if task.cancelled and not record.cancelled:
+        return IGNORED
+    cells.forget_messages(cell, task.task)
+    task.reason = cells.MOVE_CONFIRMED
+    cells.index_task(cell.table, task)
+    return [effects.Count("poplarspindle_tasks_total", "move-confirmed")]
--- a/poplarspindle/tools/fakes/workers.py
+++ b/poplarspindle/tools/fakes/workers.py
@@ -115,7 +115,8 @@
         for renewal in sync.renewals:
             for key in zip(renewal.tasks, renewal.attempts, strict=True):
                 if key in self._running:
-                    self._running[key].until = now + renewal.lease_ms / 1000
+                    run = self._running[key]
+                    run.until = max(run.until, renewal.until_ms / 1000)
         for stop in sync.stops:
             run = self._running.get((stop.task, stop.attempt))
             if run is not None:
@@ -152,7 +153,7 @@
             start.family,
             need,
             now,
-            now + start.lease_ms / 1000,
+            start.until_ms / 1000,
             start.checkpoint,
             start.run_ms or 10**12,
         )
