--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -19,6 +19,7 @@
     effects,
     events,
     follower,
+    lanes,
     log,
     metrics,
     outcomes,
@@ -64,6 +65,7 @@
             ),
             values.team_secret,
         )
+        self.document = self.state.document
         self._rng = random.Random(self.incarnation)
         self._calls = transport.Transport(values.platform_timeout_s)
         service = logservice.LogService(values.log_url, self._calls)
@@ -78,9 +80,8 @@
         self.appender = appender.Appender(
             service,
             self.metrics,
-            values.commit_delay_ms / 1000,
-            values.commit_records,
-            values.append_rate,
+            appender.read_bounds(values),
+            lanes.list_lifetimes(values.lease_s, values.lease_s),
             seed,
         )
         self._follower = follower.Follower(
