--- /dev/null
+++ b/poplarspindle/claims.py
@@ -0,0 +1,230 @@
+"""Claims on caller-chosen ids: the first one in the log's order wins.
+
+Streams are read only when a claim is made. Threads that claim at once share
+one append and one read: whoever holds the stream's lock does it for all.
+"""
+
+import dataclasses
+import threading
+import time
+import uuid
+import zlib
+
+from poplarspindle import metrics, outcomes, records, tickets
+from poplarspindle.platform import logservice
+
+READ_LIMIT = 500
+DOWN_S = 0.5
+POLL_S = 0.02
+CLAIMS_MOST = 50_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claimed:
+    """The first claim on an id.
+
+    Attributes:
+        incarnation: Entry that made it.
+        mine: Whether it is the very claim that was asked for.
+    """
+
+    incarnation: str
+    mine: bool
+
+
+class Shard:
+    """One stream of claims as read so far.
+
+    Attributes:
+        stream: Its name.
+        first: First claim by id, in the log's order.
+        position: Next offset to read.
+        trimmed: Whether older claims were lost to retention.
+        oldest_ms: Wall clock of the oldest claim read, 0 before the first.
+        waiting: Claims that no append has carried yet.
+        failed: Failure by nonce, of claims that no append carried.
+        down_until: Until when the log is taken to be down.
+    """
+
+    def __init__(self, stream: str) -> None:
+        self.stream = stream
+        self.first: dict[str, records.TicketClaimed] = {}
+        self.position = 0
+        self.trimmed = False
+        self.oldest_ms = 0
+        self.waiting: list[records.TicketClaimed] = []
+        self.failed: dict[str, outcomes.Failed] = {}
+        self.down_until = 0.0
+        self.lock = threading.Lock()
+
+
+def take_claim(
+    shard: Shard, claim: records.TicketClaimed, keep_ms: int
+) -> None:
+    """Takes a claim that was read; forgets those older by `keep_ms`."""
+    if shard.oldest_ms == 0:
+        shard.oldest_ms = claim.wall_ms
+    shard.first.setdefault(claim.request, claim)
+    while shard.first:
+        request, oldest = next(iter(shard.first.items()))
+        if claim.wall_ms - oldest.wall_ms <= keep_ms:
+            break
+        del shard.first[request]
+
+
+def covers(shard: Shard, chosen: tickets.Chosen, skew_s: float) -> bool:
+    """Tells whether every claim on an id is surely among those read."""
+    if not shard.trimmed:
+        return True
+    earliest_ms = (chosen.at_s - 2 * skew_s) * 1000
+    return 0 < shard.oldest_ms <= earliest_ms
+
+
+class Claims:
+    """Makes claims for the threads of one entry.
+
+    Args:
+        service: The log.
+        incarnation: The entry.
+        shards: Number of claim streams; equal on all entries.
+        window_s: Greatest age of a chosen id.
+        skew_s: Greatest difference between two wall clocks.
+        counters: Where failures are counted.
+    """
+
+    def __init__(
+        self,
+        service: logservice.LogService,
+        incarnation: str,
+        shards: int,
+        window_s: float,
+        skew_s: float,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._service = service
+        self._incarnation = incarnation
+        self._skew_s = skew_s
+        self._keep_ms = int((window_s + 2 * skew_s) * 1000)
+        self._counters = counters
+        self._shards = [
+            Shard(f"{records.CLAIM_STREAM_PREFIX}{n}") for n in range(shards)
+        ]
+
+    def settle(
+        self, request: str, chosen: tickets.Chosen, deadline: float
+    ) -> outcomes.Ok[Claimed] | outcomes.Failed:
+        """Claims an id and reads the claim back.
+
+        Args:
+            request: The id.
+            chosen: The same id, parsed.
+            deadline: Time to give up, monotonic seconds.
+
+        Returns:
+            Who has the first claim, or why that could not be read.
+        """
+        index = zlib.crc32(request.encode()) % len(self._shards)
+        shard = self._shards[index]
+        claim = records.TicketClaimed(
+            request,
+            self._incarnation,
+            uuid.uuid4().hex,
+            int(time.time() * 1000),
+        )
+        shard.waiting.append(claim)
+        while (left_s := deadline - time.monotonic()) > 0:
+            if not shard.lock.acquire(timeout=left_s):
+                break
+            try:
+                self._carry(shard)
+                answer = self._read_or_fail(shard)
+                if isinstance(answer, outcomes.Failed):
+                    return answer
+                winner = shard.first.get(request)
+                if winner is not None:
+                    if not covers(shard, chosen, self._skew_s):
+                        return _fail("claims-forgotten")
+                    mine = winner.nonce == claim.nonce
+                    return outcomes.Ok(Claimed(winner.incarnation, mine))
+                if claim.nonce in shard.failed:
+                    return shard.failed.pop(claim.nonce)
+            finally:
+                shard.lock.release()
+            time.sleep(min(POLL_S, left_s))
+        return _fail("claim-timeout")
+
+    def _carry(self, shard: Shard) -> None:
+        """Appends all claims that wait, in one append."""
+        batch = tuple(shard.waiting)
+        if not batch:
+            return
+        del shard.waiting[: len(batch)]
+        failed = self._check_open(shard)
+        if failed is None:
+            payload = records.encode_batch(batch)
+            answer = self._service.append(shard.stream, payload)
+            if isinstance(answer, outcomes.Ok):
+                return
+            failed = answer
+            self._count(failed)
+            if failed.may_have_acted:
+                return
+            shard.down_until = time.monotonic() + DOWN_S
+        if len(shard.failed) > CLAIMS_MOST:
+            shard.failed.clear()
+        shard.failed.update({claim.nonce: failed for claim in batch})
+
+    def _check_open(self, shard: Shard) -> outcomes.Failed | None:
+        if time.monotonic() < shard.down_until:
+            return _fail("log-down")
+        if len(shard.first) >= CLAIMS_MOST:
+            return _fail("too-many-claims")
+        return None
+
+    def _read_or_fail(self, shard: Shard):
+        """Reads to the tail; takes the log to be down where that fails."""
+        if time.monotonic() < shard.down_until:
+            return _fail("log-down")
+        answer = self._read(shard)
+        if isinstance(answer, outcomes.Failed):
+            self._count(answer)
+            shard.down_until = time.monotonic() + DOWN_S
+        return answer
+
+    def _read(self, shard: Shard) -> outcomes.Ok[None] | outcomes.Failed:
+        """Reads a shard to its tail."""
+        while True:
+            answer = self._service.read(
+                {shard.stream: shard.position}, READ_LIMIT, 0
+            )
+            if isinstance(answer, outcomes.Failed):
+                return answer
+            (page,) = answer.value
+            if page.first > shard.position:
+                shard.trimmed = True
+                shard.oldest_ms = 0
+                shard.position = page.first
+            for offset, payload in page.records:
+                self._take(shard, offset, payload)
+            if shard.position >= page.next or not page.records:
+                return outcomes.Ok(None)
+
+    def _take(self, shard: Shard, offset: int, payload: bytes) -> None:
+        batch, malformed = records.decode_batch(payload)
+        for record in batch:
+            if isinstance(record, records.TicketClaimed):
+                take_claim(shard, record, self._keep_ms)
+        if malformed:
+            self._counters.add(
+                "poplarspindle_records_total", "malformed", malformed
+            )
+        shard.position = offset + 1
+
+    def _count(self, failed: outcomes.Failed) -> None:
+        self._counters.add(
+            "poplarspindle_platform_failures_total", f"claim-{failed.reason}"
+        )
+
+
+def _fail(reason: str) -> outcomes.Failed:
+    return outcomes.Failed(outcomes.Step.CLAIM, "log", reason)
--- /dev/null
+++ b/poplarspindle/membership.py
@@ -0,0 +1,104 @@
+"""Decisions on the platform's lagging list of instances.
+
+A list that looks wrong is not taken over: an empty one, or one without any
+minion where there were some, would stop all service at once, while a member
+that is really gone only costs a failed connection.
+"""
+
+import dataclasses
+import enum
+
+from poplarspindle import reports
+
+
+class Reading(enum.StrEnum):
+    """How a read of the list was judged."""
+
+    TAKEN = "taken"
+    EMPTY = "empty"
+    NO_MINIONS = "no-minions"
+    SELF_MISSING = "self-missing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Judgement:
+    """What a read of the list came to.
+
+    Attributes:
+        reading: How it was judged.
+        taken: Whether it replaced the one before.
+        announce: Whether this instance must announce itself again.
+    """
+
+    reading: Reading
+    taken: bool
+    announce: bool
+
+
+class State:
+    """The list as one entry last took it over.
+
+    Attributes:
+        name: This instance's name in the list.
+        members: Member by name.
+        taken_at: When it was taken over, monotonic seconds.
+    """
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.members: dict[str, reports.Member] = {}
+        self.taken_at = now
+
+
+def take_list(
+    own: State,
+    found: tuple[reports.Member, ...],
+    presence: reports.Presence,
+    now: float,
+) -> Judgement:
+    """Takes a list over, unless it looks wrong.
+
+    Args:
+        own: The entry's state.
+        found: The list as read.
+        presence: What this instance last announced of itself.
+        now: Monotonic seconds.
+
+    Returns:
+        The judgement.
+    """
+    table = {member.name: member for member in found}
+    shown = table.get(own.name)
+    announce = shown is None or shown.presence is not presence
+    if own.members and not table:
+        return Judgement(Reading.EMPTY, False, announce)
+    if _has_minions(own.members) and not _has_minions(table):
+        return Judgement(Reading.NO_MINIONS, False, announce)
+    own.members = table
+    own.taken_at = now
+    reading = Reading.TAKEN if shown else Reading.SELF_MISSING
+    return Judgement(reading, True, announce)
+
+
+def compute_age(own: State, now: float) -> float:
+    """Returns the age of the list in use, seconds."""
+    return now - own.taken_at
+
+
+def find_peer(own: State, incarnation: str) -> str:
+    """Returns the peer address of one of our processes, empty for none."""
+    member = own.members.get(incarnation)
+    return member.peer_address if member else ""
+
+
+def list_peers(own: State, role: reports.Role) -> tuple[str, ...]:
+    """Returns the peer addresses of all others in a role, by name."""
+    return tuple(
+        member.peer_address
+        for name, member in sorted(own.members.items())
+        if member.role is role and member.peer_address and name != own.name
+    )
+
+
+def _has_minions(table: dict[str, reports.Member]) -> bool:
+    return any(m.role is reports.Role.MINION for m in table.values())
--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -13,6 +13,9 @@
     "poplarspindle_tasks_total": "Task transitions.",
     "poplarspindle_ownership_total": "Ownership transitions.",
     "poplarspindle_connections_total": "Connections closed by reason.",
+    "poplarspindle_peers_total": "Streams of our own processes, by event.",
+    "poplarspindle_traces_total": "Traces written or dropped, by reason.",
+    "poplarspindle_list_total": "Reads of the instance list, by verdict.",
 }
 
 
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -13,6 +13,8 @@
 DOCUMENT_STREAM = "document"
 CELL_STREAM_PREFIX = "cell/"
 AUDIT_STREAM_PREFIX = "audit/"
+CLAIM_STREAM_PREFIX = "claims/"
+RETIRED_STREAM = "tickets"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -268,10 +270,35 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TicketClaimed:
-    """Claims a caller-chosen request id; the first claim in order wins."""
+    """Claims a caller-chosen request id; the first claim in order wins.
+
+    Attributes:
+        request: The id.
+        incarnation: Entry that may dispatch it if the claim wins.
+        nonce: Tells this claim from others of the same entry.
+        wall_ms: Wall clock of the entry, milliseconds since 1970.
+    """
 
     request: str
     incarnation: str
+    nonce: str = ""
+    wall_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketsRetired:
+    """Last word of an entry that stopped gracefully.
+
+    Attributes:
+        incarnation: The entry.
+        unused: Ids that it handed out and that never ran, as ranges of first
+            and last number. Of all others nothing is said.
+        wall_ms: Wall clock of the entry, milliseconds since 1970.
+    """
+
+    incarnation: str
+    unused: tuple[tuple[int, int], ...]
+    wall_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -314,6 +341,7 @@
     | TaskReceived
     | MoveConfirmed
     | TicketClaimed
+    | TicketsRetired
     | RequestTraced
 )
 
--- a/poplarspindle/requests.py
+++ b/poplarspindle/requests.py
@@ -1,13 +1,17 @@
-"""Decisions on callers' requests: their ids and what callers are told.
-
-State belongs to one entry; callers hold its lock while they decide.
-"""
+"""Callers' requests: what they may carry, and what callers are told."""
 
 import dataclasses
 import enum
+import re
+from collections.abc import Mapping
 
 from poplarspindle import outcomes
 
+SERVICE_PATTERN = re.compile(r"[a-z0-9][a-z0-9_-]{0,62}")
+ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:~-]{0,127}")
+DIGITS_MOST = 9
+FLAGS = {"true": True, "false": False}
+
 
 class Outcome(enum.StrEnum):
     """What a caller is told of its request."""
@@ -34,49 +38,86 @@
     peer: str = ""
 
 
-class State:
-    """Everything that one entry decides requests by.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A checked request.
 
     Attributes:
-        incarnation: Unique id of the process; its ids start with it.
-        minted: Number of ids handed out.
-        used: Ids of non-idempotent requests dispatched, oldest first.
+        service: Service asked for.
+        name: The caller's request id, empty where it gave none.
+        body: The request's body.
+        idempotent: Whether it may run more than once.
+        first_send: Whether the caller says that it never sent the id before.
+        deadline_ms: Time that the caller waits.
     """
 
-    def __init__(self, incarnation: str) -> None:
-        self.incarnation = incarnation
-        self.minted = 0
-        self.used: dict[str, None] = {}
+    service: str
+    name: str
+    body: bytes
+    idempotent: bool
+    first_send: bool
+    deadline_ms: int
 
 
-def mint_ids(own: State, count: int) -> tuple[str, ...]:
-    """Hands out ids that no other incarnation can hand out."""
-    first = own.minted
-    own.minted += count
-    return tuple(f"{own.incarnation}.{first + i}" for i in range(count))
-
-
-def check_id(own: State, request: str, idempotent: bool) -> Verdict | None:
-    """Decides whether a request id may be dispatched here.
+def read_request(
+    service: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    default_ms: int,
+    most_ms: int,
+) -> outcomes.Ok[Request] | outcomes.Failed:
+    """Checks what a caller sent.
 
     Args:
-        own: The entry's state.
-        request: The caller's id.
-        idempotent: Whether the caller marked it so.
+        service: Service named in the path.
+        headers: Header by name in lower case.
+        body: The whole body.
+        default_ms: Deadline of a request that names none.
+        most_ms: Longest deadline allowed.
 
     Returns:
-        The refusal, or None where it may be dispatched.
+        The request, or the first fault.
     """
-    if idempotent:
-        return None
-    minter, _, number = request.rpartition(".")
-    if minter != own.incarnation or not number.isdigit():
-        return Verdict(
-            Outcome.UNKNOWN, "other-incarnation", outcomes.Step.CLAIM
+    if not SERVICE_PATTERN.fullmatch(service):
+        return _fail("bad-service", "The service's name is malformed.")
+    name = headers.get("request-id", "")
+    if name and not ID_PATTERN.fullmatch(name):
+        return _fail(
+            "bad-request-id",
+            "Request-Id must be 1 to 128 of A-Z a-z 0-9 . _ : ~ -",
+        )
+    deadline_ms = _read_deadline(headers, default_ms)
+    if not 1 <= deadline_ms <= most_ms:
+        return _fail(
+            "bad-deadline",
+            f"Deadline-Ms must be a whole number from 1 to {most_ms}.",
         )
-    if int(number) >= own.minted:
-        return Verdict(Outcome.NOT_RUN, "never-minted", outcomes.Step.CLAIM)
-    if request in own.used:
-        return Verdict(Outcome.UNKNOWN, "repeated-id", outcomes.Step.CLAIM)
-    own.used[request] = None
-    return None
+    flags = {}
+    for header in ("idempotent", "first-send"):
+        flags[header] = FLAGS.get(headers.get(header, "false").lower())
+        if flags[header] is None:
+            title = header.title()
+            return _fail(f"bad-{header}", f"{title} must be true or false.")
+    return outcomes.Ok(
+        Request(
+            service,
+            name,
+            body,
+            flags["idempotent"],
+            flags["first-send"],
+            deadline_ms,
+        )
+    )
+
+
+def _read_deadline(headers: Mapping[str, str], default_ms: int) -> int:
+    """Returns the deadline asked for, 0 for a malformed one."""
+    text = headers.get("deadline-ms")
+    if text is None:
+        return default_ms
+    plain = text.isascii() and text.isdigit() and len(text) <= DIGITS_MOST
+    return int(text) if plain else 0
+
+
+def _fail(reason: str, detail: str) -> outcomes.Failed:
+    return outcomes.Failed(outcomes.Step.PARSE, "", reason, detail)
