Run each non-idempotent id at most once: forwarding, claims, traces, jobs

Ids of other incarnations were answered unknown. An id is used up by its first dispatch for good: a copy that arrives after its caller was told not-run must not run. Ruled out: freeing the id on not-run.

--- a/poplarspindle/ctl.py
+++ b/poplarspindle/ctl.py
@@ -1,4 +1,4 @@
-"""The operators' command line: publish, out, in, show, status."""
+"""The operators' command line: publish, out, in, status, trace."""
 
 import getpass
 import json
@@ -15,6 +15,7 @@
 from poplarspindle import (
     document,
     events,
+    inquiries,
     outcomes,
     records,
     settings,
@@ -231,6 +232,22 @@
     return EXIT_OK
 
 
+def trace(name: str) -> int:
+    """Tells what happened to one request or one job.
+
+    Args:
+        name: Request id or job id.
+    """
+    match settings.check_values(settings.CTL, {}, os.environ):
+        case outcomes.Failed() as failed:
+            print(failed.detail, file=sys.stderr)
+            return settings.EXIT_USAGE
+        case outcomes.Ok(values):
+            report = inquiries.inquire(values, name)
+    print(inquiries.render(report))
+    return EXIT_OK if report.known else EXIT_UNKNOWN
+
+
 COMMANDS = {
     "publish": publish,
     "show": show,
@@ -238,6 +255,7 @@
     "out": out,
     "in": in_,
     "status": status,
+    "trace": trace,
 }
 
 
--- a/poplarspindle/dispatch.py
+++ b/poplarspindle/dispatch.py
@@ -8,12 +8,15 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 
 from poplarspindle import metrics, outcomes, reports, requests, routing
 from poplarspindle.platform import minions
 
 ATTEMPTS_MOST = 3
 
+Note = Callable[[outcomes.Step, str, str], None]
+
 
 @dataclasses.dataclass(slots=True)
 class Minion:
@@ -125,6 +128,7 @@
         body: bytes,
         idempotent: bool,
         deadline: float,
+        note: Note,
     ) -> minions.Answer | requests.Verdict:
         """Sends a request until it is answered or must not be sent again.
 
@@ -134,6 +138,7 @@
             body: The request's body.
             idempotent: Whether it may run more than once.
             deadline: End of the caller's patience, monotonic seconds.
+            note: Told of each step with peer and reason, for the trace.
 
         Returns:
             The whole answer, or what the caller is told instead.
@@ -145,10 +150,14 @@
             minion = self._take_minion(service, tried)
             if minion is None:
                 return conclude(failed, acted)
+            peer = minion.member.name
+            note(outcomes.Step.SEND, peer, "sent")
             answer = self._send(minion, service, name, body, deadline)
             if isinstance(answer, outcomes.Ok):
+                note(outcomes.Step.RECEIVE, peer, "answered")
                 return answer.value
             failed = answer
+            note(failed.step, peer, failed.reason)
             tried |= {minion.member.name}
             left_s = deadline - time.monotonic()
             if not may_retry(failed, idempotent, len(tried), left_s):
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -1,40 +1,46 @@
 """The entry: takes callers' requests and sends them to minions."""
 
-import hashlib
-import json
 import random
+import re
 import signal
 import threading
 import time
 import uuid
+from collections.abc import Callable
+from typing import TypeVar
 
 from poplarspindle import (
     appender,
-    cells,
+    claims,
     dispatch,
     document,
     effects,
     events,
     follower,
+    frontend,
+    interface,
+    jobs,
     log,
+    lookups,
+    membership,
+    messages,
     metrics,
     outcomes,
-    ownership,
+    peers,
     records,
     reports,
-    requests,
+    retired,
     serving,
     settings,
+    tickets,
+    traces,
 )
 from poplarspindle.platform import logservice, members, minions, transport
 
 JOIN_S = 5.0
-TICKETS_MOST = 1000
 SEED_BITS = 32
-OUTCOME_STATUS = {
-    requests.Outcome.NOT_RUN: 503,
-    requests.Outcome.UNKNOWN: 504,
-}
+INCARNATION_PATTERN = re.compile(r"[A-Za-z][A-Za-z0-9-]{0,62}")
+T = TypeVar("T")
 
 logger = log.get_logger("entry")
 
@@ -49,17 +55,32 @@
     def __init__(self, values: settings.Values) -> None:
         self.values = values
         self.incarnation = values.incarnation or f"e-{uuid.uuid4().hex[:12]}"
+        if not INCARNATION_PATTERN.fullmatch(self.incarnation):
+            raise ValueError("incarnation must be a letter, then A-Z 0-9 -")
         self.metrics = metrics.Metrics()
-        self.state = requests.State(self.incarnation)
         self.document = document.State(values.team_secret)
+        self.members = membership.State(self.incarnation, time.monotonic())
+        self.address = ""
+        self.peer_address = ""
+        self._presence = reports.Presence.LIVE
         self._lock = threading.Lock()
-        self._rng = random.Random(self.incarnation)
-        self._calls = transport.Transport(values.platform_timeout_s)
-        service = logservice.LogService(values.log_url, self._calls)
-        self._list = members.InstanceList(values.list_url, self._calls)
         self._stopping = threading.Event()
-        self._leaving = False
-        seed = self._rng.getrandbits(SEED_BITS)
+        self._links = peers.Links(self.metrics)
+        self._ring = traces.Ring(
+            values.trace_requests, time.monotonic, time.time
+        )
+        self._budget = traces.Budget(values.audit_bytes_s)
+        self._make_clients(random.Random(self.incarnation))
+        self._make_frontend()
+        self._make_servers()
+
+    def _make_clients(self, rng: random.Random) -> None:
+        """Makes what talks to the platform and the minions."""
+        values = self.values
+        seed = rng.getrandbits(SEED_BITS)
+        calls = transport.Transport(values.platform_timeout_s)
+        self._service = logservice.LogService(values.log_url, calls)
+        self._list = members.InstanceList(values.list_url, calls)
         self._dispatcher = dispatch.Dispatcher(
             values.entries,
             values.routing,
@@ -67,57 +88,140 @@
             self.metrics,
             seed,
         )
-        self._appender = appender.Appender(
-            service,
+        self._audit = appender.Appender(
+            self._service,
             self.metrics,
-            values.commit_delay_ms / 1000,
+            values.audit_delay_ms / 1000,
             values.commit_records,
             values.append_rate,
             seed,
         )
         self._follower = follower.Follower(
-            service,
+            self._service,
             lambda: (records.DOCUMENT_STREAM,),
             self._take_event,
             self.metrics,
             seed,
         )
+
+    def _make_frontend(self) -> None:
+        """Makes what carries requests, jobs and look-ups."""
+        values = self.values
+        limits = tickets.Limits(
+            life_s=values.ticket_life_s,
+            answer_life_s=values.answer_life_s,
+            answer_bytes=values.answer_bytes,
+        )
+        claimed = claims.Claims(
+            self._service,
+            self.incarnation,
+            values.claim_shards,
+            values.claim_window_s,
+            values.clock_skew_s,
+            self.metrics,
+        )
+        self.frontend = frontend.Frontend(
+            tickets.State(self.incarnation, limits),
+            self.members,
+            self._links,
+            claimed,
+            retired.Retired(self._service),
+            self._ring,
+            self._dispatcher.dispatch,
+            self._take_trace,
+            values.claim_window_s,
+            values.clock_skew_s,
+        )
+        self._interface = interface.Interface(
+            values,
+            self.metrics,
+            self.members,
+            self.is_live,
+            self._read_document,
+            self.frontend,
+            lookups.Lookup(
+                self._ring, self._links, self.members, self._service
+            ),
+            jobs.Jobs(
+                self._service, self._links, self.members, self._stopping.wait
+            ),
+        )
+
+    def _make_servers(self) -> None:
+        values = self.values
         self._server = serving.Server(
             values.address,
-            self._handle,
+            self._interface.handle,
             values.threads,
-            values.deadline_ms / 1000 + JOIN_S,
+            values.deadline_most_ms / 1000 + JOIN_S,
+        )
+        self._peers = peers.Server(
+            values.peer_address,
+            {
+                messages.Forward: self.frontend.take_forward,
+                messages.ResultQuery: self.frontend.take_result_query,
+                messages.TraceQuery: self._take_trace_query,
+            },
+            self.metrics,
+            values.peer_threads,
         )
-        self.address = ""
 
     def start(self) -> None:
         """Starts serving and announces this instance."""
-        self._read_list()
+        self.peer_address = self._peers.start()
         self.address = self._server.start()
-        self._announce(reports.Presence.LIVE)
-        self._appender.start()
+        self._announce()
+        self._read_list()
+        self._audit.start()
         self._follower.start()
         threading.Thread(target=self._run_list, daemon=True).start()
-        logger.info("Started.", incarnation=self.incarnation)
+        logger.info(
+            "Started.", incarnation=self.incarnation, address=self.address
+        )
 
     def stop(self) -> None:
-        """Stops gracefully: accepts for a while, then finishes all."""
-        self._leaving = True
-        self._announce(reports.Presence.LEAVING)
+        """Stops gracefully: accepts for a while, then finishes all.
+
+        Other entries' forwards are taken until callers' own requests have
+        ended; the last word is which ids never ran.
+        """
+        self._presence = reports.Presence.LEAVING
+        self._announce()
         self._stopping.wait(self.values.leave_s)
         self._server.stop()
+        self._peers.stop()
+        self._retire()
         self._stopping.set()
         self._follower.stop()
-        self._appender.close(JOIN_S)
+        self._audit.close(JOIN_S)
+        self._links.close()
         logger.info("Stopped.")
 
-    def _announce(self, presence: reports.Presence) -> None:
+    def _retire(self) -> None:
+        """Leaves word which ids were handed out and never ran."""
+        unused = self.frontend.list_unused()
+        if not unused:
+            return
+        record = records.TicketsRetired(
+            self.incarnation, unused, int(time.time() * 1000)
+        )
+        answer = self._service.append(
+            records.RETIRED_STREAM, records.encode_batch((record,))
+        )
+        if isinstance(answer, outcomes.Failed):
+            self.metrics.add(
+                "poplarspindle_platform_failures_total",
+                f"retire-{answer.reason}",
+            )
+
+    def _announce(self) -> None:
         member = reports.Member(
             self.incarnation,
             reports.Role.ENTRY,
             self.values.data_centre,
             address=self.address,
-            presence=presence,
+            peer_address=self.peer_address,
+            presence=self._presence,
         )
         if isinstance(self._list.announce(member), outcomes.Failed):
             logger.warning("The instance list did not answer.")
@@ -143,134 +247,52 @@
     def _read_list(self) -> None:
         match self._list.fetch():
             case outcomes.Ok(found):
-                self._dispatcher.take_members(found)
+                self._take_list(found)
             case outcomes.Failed() as failed:
                 self.metrics.add(
                     "poplarspindle_platform_failures_total",
                     f"list-{failed.reason}",
                 )
 
-    def _handle(self, request: serving.Request) -> serving.Response:
-        parts = request.path.strip("/").split("/")
-        match (request.method, *parts):
-            case ("POST", "v1", "services", service, "requests"):
-                return self._serve_request(request, service)
-            case ("POST", "v1", "tickets"):
-                return self._serve_tickets(request)
-            case ("POST", "v1", "jobs"):
-                return self._serve_job(request)
-            case ("GET", "healthz"):
-                return serving.Response(200, b"ok")
-            case ("GET", "readyz"):
-                return serving.Response(503 if self._leaving else 200)
-            case ("GET", "metrics"):
-                return serving.Response(200, self.metrics.render())
-        return serving.Response(404)
-
-    def _serve_tickets(self, request: serving.Request) -> serving.Response:
-        text = request.body.decode("utf-8", "replace") or "1"
-        if not text.isdigit() or not 1 <= int(text) <= TICKETS_MOST:
-            return _refuse_input(f"give a count from 1 to {TICKETS_MOST}")
-        with self._lock:
-            ids = requests.mint_ids(self.state, int(text))
-        return _answer_json(200, {"ids": ids})
-
-    def _serve_request(
-        self, request: serving.Request, service: str
-    ) -> serving.Response:
-        deadline_text = request.headers.get(
-            "deadline-ms", str(self.values.deadline_ms)
+    def _take_list(self, found: tuple[reports.Member, ...]) -> None:
+        judgement = membership.take_list(
+            self.members, found, self._presence, time.monotonic()
         )
-        if not deadline_text.isdigit() or int(deadline_text) < 1:
-            return _refuse_input("Deadline-Ms must be a whole number above 0")
-        idempotent_text = request.headers.get("idempotent", "false").lower()
-        if idempotent_text not in ("true", "false"):
-            return _refuse_input("Idempotent must be true or false")
-        deadline = time.monotonic() + int(deadline_text) / 1000
-        idempotent = idempotent_text == "true"
-        with self._lock:
-            name = request.headers.get("request-id", "")
-            if not name:
-                (name,) = requests.mint_ids(self.state, 1)
-            verdict = requests.check_id(self.state, name, idempotent)
-        if verdict is None:
-            answer = self._dispatcher.dispatch(
-                service, name, request.body, idempotent, deadline
-            )
-            if isinstance(answer, minions.Answer):
-                return self._answer_whole(name, answer)
-            verdict = answer
-        return self._answer_verdict(name, verdict)
+        self.metrics.add("poplarspindle_list_total", judgement.reading)
+        if judgement.announce:
+            self._announce()
+        if judgement.taken:
+            self._dispatcher.take_members(found)
+            addresses = (member.peer_address for member in found)
+            self._links.keep(frozenset(addresses))
 
-    def _answer_whole(self, name, answer) -> serving.Response:
-        self.metrics.add("poplarspindle_requests_total", "answered")
-        headers = (
-            ("Request-Id", name),
-            ("Outcome", requests.Outcome.ANSWERED),
-        )
-        return serving.Response(
-            answer.status, answer.body, headers, answer.content_type
-        )
-
-    def _answer_verdict(self, name, verdict) -> serving.Response:
-        self.metrics.add("poplarspindle_requests_total", verdict.outcome)
-        self.metrics.add("poplarspindle_refusals_total", verdict.reason)
-        headers = (
-            ("Request-Id", name),
-            ("Outcome", verdict.outcome),
-            ("Reason", verdict.reason),
-            ("Step", verdict.step),
-        )
-        return serving.Response(OUTCOME_STATUS[verdict.outcome], b"", headers)
-
-    def _serve_job(self, request: serving.Request) -> serving.Response:
-        """Takes a job: `{"job", "family", "tasks"}`, in JSON."""
-        try:
-            body = json.loads(request.body)
-            name, family = str(body["job"]), str(body["family"])
-            count = int(body.get("tasks", 1))
-        except (ValueError, KeyError, TypeError):
-            return _refuse_input("give job, family and tasks in JSON")
+    def _take_trace(self, trace: traces.Trace) -> None:
+        """Writes a trace that ended to the audit, within its budget."""
+        if not traces.is_worth_keeping(trace):
+            return
+        record = traces.make_record(trace)
+        size = traces.estimate_size(record)
         with self._lock:
-            found = self.document.find_family(family)
-            target = self._find_home(name, found[1]) if found else ""
-        if not found:
-            return _refuse_input(f"no section declares family {family}")
-        if not target:
-            return _answer_json(503, {"error": "no data centre in service"})
-        section, spec = found
-        job = records.JobSubmitted(
-            name,
-            section.team,
-            family,
-            spec.priority,
-            count,
-            int(spec.processors * 1000),
-            int(spec.memory_gb * 1000),
-            spec.accelerators,
-            int(spec.run_s * 1000),
-            spec.exclusive,
-            spec.urgent,
+            allowed = self._budget.take(size, time.monotonic())
+        stream = lookups.name_stream(self.values.data_centre)
+        kept = allowed and self._audit.add(stream, record)
+        self.metrics.add(
+            "poplarspindle_traces_total", "written" if kept else "dropped"
         )
-        self._appender.add(cells.name_stream(target), job)
-        return _answer_json(202, {"job": name, "data_centre": target})
-
-    def _find_home(self, job: str, spec: document.FamilySpec) -> str:
-        """Returns the data centre that a job starts in."""
-        allowed = spec.data_centres or self.document.list_data_centres()
-        able = tuple(a for a in allowed if self.document.is_in_service(a))
-        digest = hashlib.sha256(job.encode()).hexdigest()
-        return ownership.rank_candidates(digest, able)[0] if able else ""
 
+    def _take_trace_query(
+        self, question: messages.TraceQuery, deadline: float
+    ) -> messages.TraceFound:
+        return self._ring.find(question.request)
 
-def _answer_json(status: int, body: dict) -> serving.Response:
-    return serving.Response(
-        status, json.dumps(body).encode(), content_type="application/json"
-    )
-
+    def _read_document(self, read: Callable[[document.State], T]) -> T:
+        """Returns what a function reads from the document."""
+        with self._lock:
+            return read(self.document)
 
-def _refuse_input(text: str) -> serving.Response:
-    return _answer_json(400, {"error": text})
+    def is_live(self) -> bool:
+        """Tells whether it was not told to stop."""
+        return self._presence is reports.Presence.LIVE
 
 
 def run(values: settings.Values) -> int:
--- a/poplarspindle/frontend.py
+++ b/poplarspindle/frontend.py
@@ -22,6 +22,8 @@
 )
 from poplarspindle.platform import minions
 
+UNREACHED = frozenset({"incarnation-gone", "no-connection", "peer-stopping"})
+
 Send = Callable[..., minions.Answer | requests.Verdict]
 Ended = Callable[[traces.Trace], None]
 
@@ -79,9 +81,7 @@
         with self._changed:
             return tickets.list_unused(self._state, time.monotonic())
 
-    def serve(
-        self, request: requests.Request
-    ) -> tuple[str, messages.Result]:
+    def serve(self, request: requests.Request) -> tuple[str, messages.Result]:
         """Carries a request to its end.
 
         Args:
@@ -98,7 +98,7 @@
                     pass
                 case outcomes.Failed() as failed:
                     return "", conclude(failed, True)
-        self._ring.begin(name, request.service)
+        self._ring.begin(name, request.service, not request.idempotent)
         result = self._route(name, request, deadline)
         self._end(name, result)
         return name, result
@@ -230,19 +230,20 @@
         request: requests.Request,
         deadline: float,
     ) -> messages.Result:
-        _, _, number = name.rpartition(".")
-        if not membership.find_peer(self._members, incarnation):
-            if self._retired.is_unused(incarnation, int(number)):
-                return refuse(
-                    "minter-left",
-                    outcomes.Step.FORWARD,
-                    requests.Outcome.NOT_RUN,
-                )
-            return refuse("incarnation-gone", outcomes.Step.FORWARD)
         question = messages.Forward(
             name, request.service, request.body, request.first_send
         )
-        return self._ask(incarnation, question, request.first_send, deadline)
+        result = self._ask(incarnation, question, request.first_send, deadline)
+        _, _, number = name.rpartition(".")
+        if result.reason in UNREACHED and self._retired.is_unused(
+            incarnation, int(number)
+        ):
+            return refuse(
+                "minter-left",
+                outcomes.Step.FORWARD,
+                requests.Outcome.NOT_RUN,
+            )
+        return result
 
     def _ask(
         self,
@@ -255,9 +256,7 @@
         if not address:
             return refuse("incarnation-gone", outcomes.Step.FORWARD)
         self._note(question.request, outcomes.Step.FORWARD, address, "asked")
-        answer = self._links.ask(
-            address, question, deadline - time.monotonic()
-        )
+        answer = self._links.ask(address, question, deadline - time.monotonic())
         if isinstance(answer, outcomes.Failed):
             return conclude(answer, first_send)
         if not isinstance(answer.value, messages.Result):
@@ -296,9 +295,7 @@
         self, name: str, request: requests.Request, deadline: float
     ) -> messages.Result:
         if time.monotonic() >= deadline:
-            return refuse(
-                "late", outcomes.Step.ADMIT, requests.Outcome.NOT_RUN
-            )
+            return refuse("late", outcomes.Step.ADMIT, requests.Outcome.NOT_RUN)
         answer = self._send(
             request.service,
             name,
--- /dev/null
+++ b/poplarspindle/queries.py
@@ -0,0 +1,69 @@
+"""What a scheduler answers when it is asked about a job."""
+
+import collections
+import itertools
+
+from poplarspindle import cells, messages, records, state
+
+SAMPLES_MOST = 20
+
+
+def describe_job(
+    own: state.State, query: messages.JobQuery, now: float
+) -> messages.JobSeen:
+    """Describes a job as far as this instance has read.
+
+    Args:
+        own: The instance's state.
+        query: The question.
+        now: Monotonic seconds.
+
+    Returns:
+        The description; it has no data centres where the job is not known.
+    """
+    fresh = now - own.limits.fresh_s
+    complete = own.document_tail_at >= fresh and all(
+        cell.view.tail_at >= fresh for cell in own.cells.values()
+    )
+    seen = {
+        name: _list_tasks(cell, query.job) for name, cell in own.cells.items()
+    }
+    found = {name: tasks for name, tasks in seen.items() if tasks}
+    everything = [t for tasks in found.values() for t in tasks]
+    phases = collections.Counter(
+        str(task.phase)
+        for task in everything
+        if task.phase is not cells.Phase.MOVED
+    )
+    open_tasks = (
+        _describe_task(name, task)
+        for name, tasks in found.items()
+        for task in tasks
+        if task.phase not in cells.ENDED
+    )
+    return messages.JobSeen(
+        own.incarnation,
+        complete,
+        tuple(found),
+        records.encode_batch((everything[0].job,)) if everything else b"",
+        everything[0].job.tasks if everything else 0,
+        dict(phases),
+        tuple(itertools.islice(open_tasks, SAMPLES_MOST)),
+    )
+
+
+def _list_tasks(cell: cells.Cell, job: str) -> list[cells.Task]:
+    """Returns the tasks of a job in one data centre, received ones too."""
+    names = (f"{job}/{i}" for i in range(cell.table.jobs.get(job, 0)))
+    return [cell.table.tasks[n] for n in names if n in cell.table.tasks]
+
+
+def _describe_task(data_centre: str, task: cells.Task) -> messages.TaskSeen:
+    return messages.TaskSeen(
+        task.task,
+        data_centre,
+        str(task.phase),
+        task.attempt,
+        task.worker,
+        task.reason,
+    )
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import concurrent.futures
+import dataclasses
 import json
 import queue
 import random
@@ -20,8 +21,11 @@
     events,
     follower,
     log,
+    messages,
     metrics,
     outcomes,
+    peers,
+    queries,
     records,
     reducer,
     reports,
@@ -39,6 +43,16 @@
 logger = log.get_logger("scheduler")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Question:
+    """A question on a job, answered by the thread that owns the state."""
+
+    query: messages.JobQuery
+    answers: queue.SimpleQueue = dataclasses.field(
+        default_factory=queue.SimpleQueue
+    )
+
+
 class Scheduler:
     """One scheduler process.
 
@@ -87,6 +101,13 @@
         self._server = serving.Server(
             values.address, self._handle, HTTP_THREADS
         )
+        self._peers = peers.Server(
+            values.peer_address,
+            {messages.JobQuery: self._take_job_query},
+            self.metrics,
+            values.peer_threads,
+        )
+        self.peer_address = ""
         self._pool = concurrent.futures.ThreadPoolExecutor(SYNC_THREADS)
         self._threads = [
             threading.Thread(target=target, daemon=True)
@@ -97,6 +118,7 @@
     def start(self) -> None:
         """Starts all threads and announces this instance."""
         self.address = self._server.start()
+        self.peer_address = self._peers.start()
         self._announce(reports.Presence.LIVE)
         self.appender.start()
         self._follower.start()
@@ -120,6 +142,7 @@
         self._events.put(None)
         self._threads[0].join(JOIN_S)
         self._pool.shutdown(wait=False, cancel_futures=True)
+        self._peers.stop()
         self._server.stop()
 
     def _drain_events(self) -> None:
@@ -134,6 +157,7 @@
             reports.Role.SCHEDULER,
             self.values.data_centre,
             address=self.address,
+            peer_address=self.peer_address,
             presence=presence,
         )
         if isinstance(self._list.announce(member), outcomes.Failed):
@@ -153,11 +177,30 @@
             if isinstance(event, threading.Event):
                 event.set()
                 continue
+            if isinstance(event, _Question):
+                event.answers.put(
+                    queries.describe_job(
+                        self.state, event.query, time.monotonic()
+                    )
+                )
+                continue
             for effect in reducer.reduce(self.state, event):
                 self._carry_out(effect)
             if isinstance(event, events.Ticked):
                 self._sync_due(event.at)
 
+    def _take_job_query(
+        self, query: messages.JobQuery, deadline: float
+    ) -> messages.Message:
+        """Has the loop answer a question on a job."""
+        question = _Question(query)
+        self._events.put(question)
+        left_s = max(0.0, deadline - time.monotonic())
+        try:
+            return question.answers.get(timeout=left_s)
+        except queue.Empty:
+            return messages.Refused("scheduler-busy")
+
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.Append():
--- /dev/null
+++ b/poplarspindle/tests/test_tickets.py
@@ -0,0 +1,114 @@
+"""Tests of request ids: one leave to dispatch per id, bounded memory."""
+
+import pytest
+
+from poplarspindle import messages, outcomes, requests, tickets
+
+DIGEST = tickets.compute_digest("quotes", b"trek")
+ANSWERED = messages.Result("answered", "", "receive", status=200, body=b"ok")
+LIMITS = tickets.Limits(
+    life_s=10.0, windows=4, answer_life_s=5.0, answer_bytes=100
+)
+
+
+def make_state(count: int = 1) -> tickets.State:
+    own = tickets.State("e-1", LIMITS)
+    assert isinstance(tickets.mint_ids(own, count, 0.0), outcomes.Ok)
+    return own
+
+
+@pytest.mark.parametrize(
+    ("name", "kind"),
+    [
+        ("e-1.0", tickets.Minted("e-1", 0)),
+        ("e-1.17", tickets.Minted("e-1", 17)),
+        ("e-1.017", None),
+        ("1764824400-trek", tickets.Chosen(1764824400)),
+        ("1764824400-trek.5", tickets.Chosen(1764824400)),
+        ("176482440-trek", None),
+        ("e-1.5x", None),
+        (".5", None),
+        ("trek", None),
+    ],
+)
+def test_parse_id(name, kind):
+    assert tickets.parse_id(name) == kind
+
+
+def test_second_send_waits_for_the_first_and_gets_its_result():
+    own = make_state()
+    assert tickets.use_minted(own, 0, DIGEST, 0.0) == tickets.MayDispatch()
+    running = tickets.use_minted(own, 0, DIGEST, 0.1)
+    assert running.result is None
+    tickets.finish(own, "e-1.0", ANSWERED, 0.2)
+    assert running.result is ANSWERED
+    assert tickets.use_minted(own, 0, DIGEST, 0.3).result is ANSWERED
+
+
+@pytest.mark.parametrize(
+    ("number", "digest", "at", "outcome", "reason"),
+    [
+        (0, DIGEST, 6.0, "unknown", "repeated-id"),
+        (0, b"other", 1.0, "unknown", "different-content"),
+        (0, DIGEST, 10.0, "unknown", "expired-id"),
+        (1, DIGEST, 10.0, "unknown", "expired-id"),
+        (2, DIGEST, 1.0, "not-run", "never-minted"),
+    ],
+)
+def test_refusals_after_a_run(number, digest, at, outcome, reason):
+    own = make_state(2)
+    tickets.use_minted(own, 0, DIGEST, 0.0)
+    tickets.finish(own, "e-1.0", ANSWERED, 0.5)
+    verdict = tickets.use_minted(own, number, digest, at)
+    assert (verdict.outcome, verdict.reason) == (outcome, reason)
+
+
+def test_not_run_is_final_for_an_id():
+    own = make_state()
+    refused = messages.Result("not-run", "no-minion", "route")
+    tickets.use_minted(own, 0, DIGEST, 0.0)
+    tickets.finish(own, "e-1.0", refused, 0.1)
+    assert tickets.use_minted(own, 0, DIGEST, 0.2).result is refused
+    verdict = tickets.use_minted(own, 0, DIGEST, 9.0)
+    assert verdict.outcome is requests.Outcome.UNKNOWN
+
+
+def test_a_forgotten_window_is_never_opened_again():
+    own = make_state(5)
+    tickets.use_minted(own, 4, DIGEST, 0.0)
+    tickets.finish(own, "e-1.4", ANSWERED, 1.0)
+    (name,) = tickets.mint_ids(own, 1, 20.0).value
+    assert name == f"e-1.{tickets.WINDOW_IDS}"
+    assert tickets.use_minted(own, 4, DIGEST, 20.0).outcome == "unknown"
+
+
+def test_memory_is_bounded():
+    own = make_state(tickets.WINDOW_IDS * 4)
+    refused = tickets.mint_ids(own, 1, 0.0)
+    assert refused.reason == "too-many-ids"
+    for number in range(30):
+        tickets.use_minted(own, number, DIGEST, 1.0)
+        result = messages.Result("answered", "", "receive", body=b"x" * 40)
+        tickets.finish(own, f"e-1.{number}", result, 1.0)
+    assert own.kept_bytes <= LIMITS.answer_bytes
+    assert not own.running
+    assert isinstance(tickets.mint_ids(own, 1, 11.0), outcomes.Ok)
+
+
+def test_list_unused():
+    own = make_state(6)
+    for number in (0, 3):
+        tickets.use_minted(own, number, DIGEST, 0.0)
+    assert tickets.list_unused(own, 1.0) == ((1, 2), (4, 5))
+    assert tickets.list_unused(own, 10.0) == ()
+
+
+@pytest.mark.parametrize(
+    ("at_s", "refused"),
+    [(1000, False), (400, False), (399, True), (1030, False), (1031, True)],
+)
+def test_check_window(at_s, refused):
+    chosen = tickets.Chosen(at_s)
+    verdict = tickets.check_window(chosen, 1000.0, 600.0, 30.0)
+    assert (verdict is not None) == refused
+    assert verdict is None or verdict.outcome == "unknown"
--- a/poplarspindle/tickets.py
+++ b/poplarspindle/tickets.py
@@ -236,9 +236,7 @@
     return _refuse(requests.Outcome.UNKNOWN, "outside-window")
 
 
-def finish(
-    own: State, name: str, result: messages.Result, now: float
-) -> None:
+def finish(own: State, name: str, result: messages.Result, now: float) -> None:
     """Keeps the result of an id for later sends of the same."""
     kept = own.running.pop(name, None)
     if kept is None:
--- a/poplarspindle/tools/fakes/platform.py
+++ b/poplarspindle/tools/fakes/platform.py
@@ -1,5 +1,6 @@
 """The whole stand-in platform: log, list, workers and minions."""
 
+import concurrent.futures
 import dataclasses
 import threading
 
@@ -79,8 +80,9 @@
         self._stopping.set()
         for minion in self.minions:
             minion.release()
-        for server in (*self._servers, self._main):
-            server.stop()
+        servers = (*self._servers, self._main)
+        with concurrent.futures.ThreadPoolExecutor(len(servers)) as pool:
+            list(pool.map(serving.Server.stop, servers))
 
     def set_presence(self, name: str, presence: reports.Presence) -> None:
         """Changes how the list shows an instance."""
--- a/poplarspindle/traces.py
+++ b/poplarspindle/traces.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import datetime
 import threading
 from collections.abc import Callable
 
@@ -15,7 +16,6 @@
 
 STEPS_MOST = 32
 RECORD_BYTES = 80
-UNDECIDED = "in flight"
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,12 +30,14 @@
         steps: One text per step.
         outcome: What the caller was told, empty before the end.
         reason: Short tag.
+        once: Whether it must not run more than once.
     """
 
     request: str
     service: str
     wall_ms: int
     began: float
+    once: bool = True
     steps: list[str] = dataclasses.field(default_factory=list)
     outcome: str = ""
     reason: str = ""
@@ -64,14 +66,14 @@
             collections.OrderedDict()
         )
 
-    def begin(self, request: str, service: str) -> None:
+    def begin(self, request: str, service: str, once: bool = True) -> None:
         """Begins a trace; a second send of an id goes on with the first."""
         with self._lock:
             if request in self._traces:
                 return
             wall_ms = int(self._wall() * 1000)
             self._traces[request] = Trace(
-                request, service, wall_ms, self._clock()
+                request, service, wall_ms, self._clock(), once
             )
             while len(self._traces) > self._most:
                 self._traces.popitem(last=False)
@@ -168,6 +170,17 @@
     return RECORD_BYTES + sum(len(text) for text in texts)
 
 
+def is_worth_keeping(trace: Trace) -> bool:
+    """Tells whether a trace is written to the audit.
+
+    A request that was answered at its first send, with an id that may run
+    more than once, gives no cause for complaint that a trace could settle.
+    """
+    plain = trace.outcome == requests.Outcome.ANSWERED
+    sends = [s for s in trace.steps if f" ms {outcomes.Step.SEND} " in s]
+    return trace.once or not plain or len(sends) != 1
+
+
 def read_record(record: records.RequestTraced) -> messages.TraceFound:
     """Returns a record of the audit stream as a trace."""
     return messages.TraceFound(
@@ -181,6 +194,28 @@
     )
 
 
+def describe(request: str, found: messages.TraceFound, source: str) -> dict:
+    """Describes a trace for people and programs."""
+    return {
+        "request": request,
+        "sentence": explain(request, found),
+        "outcome": found.outcome,
+        "reason": found.reason,
+        "service": found.service,
+        "began": format_time(found.wall_ms),
+        "steps": found.steps,
+        "source": source,
+    }
+
+
+def format_time(wall_ms: int) -> str:
+    """Returns a wall-clock time as text, empty for none."""
+    if not wall_ms:
+        return ""
+    moment = datetime.datetime.fromtimestamp(wall_ms / 1000, datetime.UTC)
+    return moment.isoformat(timespec="milliseconds")
+
+
 def explain(request: str, found: messages.TraceFound) -> str:
     """Returns one plain sentence on what happened to a request."""
     if not found.known:
