--- a/poplarspindle/claims.py
+++ b/poplarspindle/claims.py
@@ -200,7 +200,7 @@
             if isinstance(answer, outcomes.Failed):
                 return answer
             (page,) = answer.value
-            if page.first > shard.position:
+            if page.first > shard.position or page.next < shard.position:
                 shard.trimmed = True
                 shard.oldest_ms = 0
                 shard.position = page.first
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -1,5 +1,6 @@
 """The entry: takes callers' requests and sends them to minions."""
 
+import dataclasses
 import random
 import re
 import signal
@@ -91,9 +92,11 @@
         self._audit = appender.Appender(
             self._service,
             self.metrics,
-            values.audit_delay_ms / 1000,
-            values.commit_records,
-            values.append_rate,
+            dataclasses.replace(
+                appender.read_bounds(values),
+                delay_s=values.audit_delay_ms / 1000,
+            ),
+            {},
             seed,
         )
         self._follower = follower.Follower(
