Close a stream before its failure is logged; retired tickets are facts

test_failing_handler hung when the log's stderr was closed: the logger raised before the stream was closed, and the asker waited for its whole deadline.

--- a/poplarspindle/peers.py
+++ b/poplarspindle/peers.py
@@ -172,9 +172,9 @@
             answer = handler(frame.message, deadline)
             self._send(stream, messages.Frame(frame.number, 0, answer))
         except Exception as error:
+            stream.close()
             self._counters.add(COUNTER, "handler-failed")
             logger.error("A handler failed.", error=repr(error))
-            stream.close()
         finally:
             self._room.release()
 
--- a/poplarspindle/tests/test_lanes.py
+++ b/poplarspindle/tests/test_lanes.py
@@ -141,6 +141,7 @@
         records.TaskReceived,
         records.MoveConfirmed,
         records.RequestTraced,
+        records.TicketsRetired,
         records.SectionPublished,
         records.DataCentreSet,
     }
