--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -1,7 +1,9 @@
 """Typed records of the log streams and their msgpack codec.
 
-A log append carries a batch: a msgpack array of `[kind, fields]` pairs. All
-records of a batch share the offset of their append. Every record is safe to
+A log append carries a batch: a msgpack array of `[kind, values]` pairs, the
+values in the order of the record's fields. A later version may add fields at
+the end: older readers pass them over, and new ones need a default. All records
+of a batch share the offset of their append. Every record is safe to
 read twice: the reducer ignores a second copy.
 """
 
@@ -13,6 +15,8 @@
 DOCUMENT_STREAM = "document"
 CELL_STREAM_PREFIX = "cell/"
 AUDIT_STREAM_PREFIX = "audit/"
+CLAIM_STREAM_PREFIX = "claims/"
+RETIRED_STREAM = "tickets"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -287,10 +291,35 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TicketClaimed:
-    """Claims a caller-chosen request id; the first claim in order wins."""
+    """Claims a caller-chosen request id; the first claim in order wins.
+
+    Attributes:
+        request: The id.
+        incarnation: Entry that may dispatch it if the claim wins.
+        nonce: Tells this claim from others of the same entry.
+        wall_ms: Wall clock of the entry, milliseconds since 1970.
+    """
 
     request: str
     incarnation: str
+    nonce: str = ""
+    wall_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketsRetired:
+    """Last word of an entry that stopped gracefully.
+
+    Attributes:
+        incarnation: The entry.
+        unused: Ids that it handed out and that never ran, as ranges of first
+            and last number. Of all others nothing is said.
+        wall_ms: Wall clock of the entry, milliseconds since 1970.
+    """
+
+    incarnation: str
+    unused: tuple[tuple[int, int], ...]
+    wall_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -333,10 +362,15 @@
     | TaskReceived
     | MoveConfirmed
     | TicketClaimed
+    | TicketsRetired
     | RequestTraced
 )
 
 KINDS = {kind.__name__: kind for kind in Record.__args__}
+_FIELDS = {
+    name: tuple(field.name for field in dataclasses.fields(kind))
+    for name, kind in KINDS.items()
+}
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
 
@@ -348,7 +382,7 @@
 def encode_record(record: Record) -> bytes:
     """Encodes one record as it stands in a batch."""
     return msgpack.packb(
-        [type(record).__name__, _converter.unstructure(record)]
+        [type(record).__name__, tuple(_converter.unstructure(record).values())]
     )
 
 
@@ -389,9 +423,10 @@
 
 
 def _decode(pair: object) -> Record:
-    """Decodes one `[kind, fields]` pair or raises MalformedError."""
+    """Decodes one `[kind, values]` pair or raises MalformedError."""
     match pair:
-        case [str(kind), dict(fields)] if kind in KINDS:
+        case [str(kind), list(values)] if kind in KINDS:
+            fields = dict(zip(_FIELDS[kind], values, strict=False))
             try:
                 return _converter.structure(fields, KINDS[kind])
             except Exception as error:
