Count a failed handler before its stream closes

Cause: the asker sees the closed stream and may look at the counter before it was added to; test_failing_handler_closes_the_stream failed once in a full run. Ruled out: a lost exception (the stream did close). After: the count comes first, so whoever sees the close sees the count.

--- a/poplarspindle/peers.py
+++ b/poplarspindle/peers.py
@@ -172,8 +172,8 @@
             answer = handler(frame.message, deadline)
             self._send(stream, messages.Frame(frame.number, 0, answer))
         except Exception as error:
-            stream.close()
             self._counters.add(COUNTER, "handler-failed")
+            stream.close()
             logger.error("A handler failed.", error=repr(error))
         finally:
             self._room.release()
