--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -1,7 +1,9 @@
 """Typed records of the log streams and their msgpack codec.
 
-A log append carries a batch: a msgpack array of `[kind, fields]` pairs. All
-records of a batch share the offset of their append. Every record is safe to
+A log append carries a batch: a msgpack array of `[kind, values]` pairs, the
+values in the order of the record's fields. A later version may add fields at
+the end: older readers pass them over, and new ones need a default. All records
+of a batch share the offset of their append. Every record is safe to
 read twice: the reducer ignores a second copy.
 """
 
@@ -13,6 +15,8 @@
 DOCUMENT_STREAM = "document"
 CELL_STREAM_PREFIX = "cell/"
 AUDIT_STREAM_PREFIX = "audit/"
+CLAIM_STREAM_PREFIX = "claims/"
+RETIRED_STREAM = "tickets"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,7 +148,7 @@
         millicores: Declared processors of one task, in thousandths.
         memory_mb: Declared memory of one task.
         accelerators: Accelerators of one task.
-        run_ms: Declared run time of one task.
+        run_ms: Declared run time of one task, 0 for one without end.
         exclusive: Whether a task must never run in two places at once.
         urgent: Whether it may evict work of lower priority to start.
     """
@@ -161,6 +165,11 @@
     exclusive: bool = False
     urgent: bool = False
 
+    @property
+    def is_service(self) -> bool:
+        """Whether it is a service's replica: it runs without end."""
+        return self.run_ms == 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobCancelled:
@@ -223,13 +232,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskEnded:
-    """The worker reported that the attempt ended by itself."""
+    """The worker reported that the attempt ended by itself.
+
+    Attributes:
+        final: Whether the task ends with it; otherwise it is tried again.
+    """
 
     task: str
     attempt: int
     term: int
     succeeded: bool
     reason: str = ""
+    final: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -248,6 +262,9 @@
 
     Accepted once per task and attempt; written by the source's owner until
     it has read it back.
+
+    Attributes:
+        failures: How often the task has ended by a failure of its own.
     """
 
     task: str
@@ -255,23 +272,54 @@
     source: str
     checkpoint: int
     job: JobSubmitted
+    failures: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MoveConfirmed:
-    """The target has accepted the task; the source may forget it."""
+    """The target has accepted the task; the source may forget it.
+
+    Attributes:
+        cancelled: Whether the target knows of the job's cancellation too.
+    """
 
     task: str
     attempt: int
     term: int
+    cancelled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TicketClaimed:
-    """Claims a caller-chosen request id; the first claim in order wins."""
+    """Claims a caller-chosen request id; the first claim in order wins.
+
+    Attributes:
+        request: The id.
+        incarnation: Entry that may dispatch it if the claim wins.
+        nonce: Tells this claim from others of the same entry.
+        wall_ms: Wall clock of the entry, milliseconds since 1970.
+    """
 
     request: str
     incarnation: str
+    nonce: str = ""
+    wall_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketsRetired:
+    """Last word of an entry that stopped gracefully.
+
+    Attributes:
+        incarnation: The entry.
+        unused: Ids that it handed out and that never ran, as ranges of first
+            and last number. Of all others nothing is said.
+        wall_ms: Wall clock of the entry, milliseconds since 1970.
+    """
+
+    incarnation: str
+    unused: tuple[tuple[int, int], ...]
+    wall_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -314,10 +362,15 @@
     | TaskReceived
     | MoveConfirmed
     | TicketClaimed
+    | TicketsRetired
     | RequestTraced
 )
 
 KINDS = {kind.__name__: kind for kind in Record.__args__}
+_FIELDS = {
+    name: tuple(field.name for field in dataclasses.fields(kind))
+    for name, kind in KINDS.items()
+}
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
 
@@ -329,7 +382,7 @@
 def encode_record(record: Record) -> bytes:
     """Encodes one record as it stands in a batch."""
     return msgpack.packb(
-        [type(record).__name__, _converter.unstructure(record)]
+        [type(record).__name__, tuple(_converter.unstructure(record).values())]
     )
 
 
@@ -370,9 +423,10 @@
 
 
 def _decode(pair: object) -> Record:
-    """Decodes one `[kind, fields]` pair or raises MalformedError."""
+    """Decodes one `[kind, values]` pair or raises MalformedError."""
     match pair:
-        case [str(kind), dict(fields)] if kind in KINDS:
+        case [str(kind), list(values)] if kind in KINDS:
+            fields = dict(zip(_FIELDS[kind], values, strict=False))
             try:
                 return _converter.structure(fields, KINDS[kind])
             except Exception as error:
--- a/poplarspindle/tools/fakes/machines.py
+++ b/poplarspindle/tools/fakes/machines.py
@@ -314,7 +314,7 @@
             truth,
             need,
             now,
-            now + start.lease_ms / 1000,
+            start.until_ms / 1000,
             done,
             done,
         )
@@ -331,7 +331,8 @@
     def _renew(self, renewal: effects.RenewTasks, now: float) -> None:
         for key in zip(renewal.tasks, renewal.attempts, strict=True):
             if key in self.runs:
-                self.runs[key].until = now + renewal.lease_ms / 1000
+                run = self.runs[key]
+                run.until = max(run.until, renewal.until_ms / 1000)
 
     def _stop(self, stop: effects.StopTask, now: float) -> None:
         run = self.runs.get((stop.task, stop.attempt))
