Send a worker's running set only where it changed

Cause: each sync carried all running attempts and a usage sample of each. Also: the slope measured lapsed tasks, as virtual and real time differ; its tasks now run without end.

--- a/poplarspindle/platform/workers.py
+++ b/poplarspindle/platform/workers.py
@@ -48,17 +48,43 @@
     )
 
 
-def sync_worker(
-    calls: transport.Transport, address: str, worker: str, sync: Sync
-) -> outcomes.Ok[reports.WorkerReport] | outcomes.Failed:
-    """Sends commands to a worker and returns its report."""
-    answer = calls.call(
-        outcomes.Step.SYNC,
-        f"http://{address}/sync?worker={worker}",
-        transport.converter.unstructure(sync),
-    )
-    if isinstance(answer, outcomes.Failed):
-        return answer
-    return outcomes.Ok(
-        transport.converter.structure(answer.value, reports.WorkerReport)
-    )
+class Client:
+    """Syncs with workers; remembers what each last said to be running.
+
+    A worker names the set of its running attempts by a version and sends the
+    set only where the asker knows another version.
+
+    Args:
+        calls: Transport to use.
+    """
+
+    def __init__(self, calls: transport.Transport) -> None:
+        self._calls = calls
+        self._known: dict[str, tuple[object, list]] = {}
+
+    def sync(
+        self, address: str, worker: str, sync: Sync
+    ) -> outcomes.Ok[reports.WorkerReport] | outcomes.Failed:
+        """Sends commands to a worker and returns its whole report."""
+        url = f"http://{address}/sync?worker={worker}"
+        version, running = self._known.get(worker, (None, []))
+        body = {
+            "known": version,
+            "sync": transport.converter.unstructure(sync),
+        }
+        answer = self._calls.call(outcomes.Step.SYNC, url, body)
+        if isinstance(answer, outcomes.Failed):
+            self._known.pop(worker, None)
+            return answer
+        try:
+            report = answer.value["report"]
+            if report["running"] is None and answer.value["version"] == version:
+                report["running"] = running
+            found = transport.converter.structure(report, reports.WorkerReport)
+        except Exception as error:
+            self._known.pop(worker, None)
+            return outcomes.Failed(
+                outcomes.Step.SYNC, url, "malformed", repr(error), True
+            )
+        self._known[worker] = (answer.value["version"], report["running"])
+        return outcomes.Ok(found)
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -82,6 +82,7 @@
         self.document = self.state.document
         self._rng = random.Random(self.incarnation)
         self._calls = transport.Transport(values.platform_timeout_s)
+        self._workers = workers.Client(self._calls)
         service = logservice.LogService(values.log_url, self._calls)
         self._list = members.InstanceList(values.list_url, self._calls)
         self._events: queue.SimpleQueue = queue.SimpleQueue()
@@ -250,9 +251,7 @@
 
     def _sync(self, data_centre, member, sync) -> None:
         sent_at = time.monotonic()
-        answer = workers.sync_worker(
-            self._calls, member.address, member.name, sync
-        )
+        answer = self._workers.sync(member.address, member.name, sync)
         now = time.monotonic()
         self._syncing.discard((data_centre, member.name))
         match answer:
--- a/poplarspindle/tools/fakes/workers.py
+++ b/poplarspindle/tools/fakes/workers.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's workers, with a ledger of all runs."""
 
 import dataclasses
+import hashlib
 import itertools
 import threading
 import time
@@ -11,6 +12,8 @@
 from poplarspindle import reports, resources, serving
 from poplarspindle.platform import transport, workers
 
+USAGE_PERIOD_S = 5.0
+
 
 @dataclasses.dataclass
 class Run:
@@ -198,6 +201,7 @@
     def __init__(self) -> None:
         self.ledger: list[Run] = []
         self.workers: dict[str, FakeWorker] = {}
+        self._measured_at: dict[str, float] = {}
 
     def add(self, member: reports.Member) -> FakeWorker:
         """Adds a worker."""
@@ -213,13 +217,23 @@
             return serving.Response(404)
         if worker.dead or worker.cut:
             return serving.Response(503)
-        sync = transport.converter.structure(
-            msgpack.unpackb(request.body), workers.Sync
-        )
-        report = worker.sync(sync, time.monotonic())
-        return serving.Response(
-            200, msgpack.packb(transport.converter.unstructure(report))
-        )
+        answer = self._answer(worker, msgpack.unpackb(request.body))
+        return serving.Response(200, msgpack.packb(answer))
+
+    def _answer(self, worker: FakeWorker, body: dict) -> dict:
+        """Returns a report, short where the asker knows what runs."""
+        sync = transport.converter.structure(body["sync"], workers.Sync)
+        now = time.monotonic()
+        report = transport.converter.unstructure(worker.sync(sync, now))
+        version = _find_version(report["running"])
+        name = worker.member.name
+        if now - self._measured_at.get(name, 0) >= USAGE_PERIOD_S:
+            self._measured_at[name] = now
+        else:
+            report["usage"] = []
+        if version == body["known"]:
+            report["running"] = None
+        return {"version": version, "report": report}
 
     def advance(self) -> None:
         """Ends at all workers what finished or lapsed by now."""
@@ -228,6 +242,12 @@
             worker.advance(now)
 
 
+def _find_version(running: list) -> str:
+    """Returns a name of the set of running attempts and their terms."""
+    keys = sorted((r["task"], r["attempt"], r["term"]) for r in running)
+    return hashlib.blake2b(repr(keys).encode(), digest_size=8).hexdigest()
+
+
 def find_overlaps(ledger: list[Run]) -> list[tuple[Run, Run]]:
     """Returns pairs of runs of one task that overlapped in time."""
     by_task: dict[str, list[Run]] = {}
--- a/poplarspindle/tools/slopes.py
+++ b/poplarspindle/tools/slopes.py
@@ -174,12 +174,14 @@
     """Bytes of one sync with a worker that runs so many tasks."""
     loop = _make_busy(1, max(1, tasks))
     worker = next(iter(loop.fakes.workers.values()))
+    for run in loop.fakes.ledger:
+        run.until = float("inf")
     term = loop.state.cells["dc0"].table.term
 
     def run(address: str) -> None:
-        calls = transport.Transport(5.0)
+        client = workers.Client(transport.Transport(5.0))
         for _ in range(CALLS):
-            workers.sync_worker(calls, address, "dc0-w0", workers.Sync(term))
+            client.sync(address, "dc0-w0", workers.Sync(term))
 
     def prepare(fake: platform.Platform) -> None:
         fake.workers.workers["dc0-w0"] = worker
