--- a/poplarspindle/document.py
+++ b/poplarspindle/document.py
@@ -8,13 +8,18 @@
 import enum
 import hashlib
 import hmac
-import tomllib
+import itertools
+import re
+from collections.abc import Iterator, Mapping
 
-import cattrs
+from poplarspindle import effects, events, outcomes, records, strict
 
-from poplarspindle import effects, events, outcomes, records
+HORIZON_OFFSETS = 4096
+REFUSALS_KEPT = 256
+SECTION_MOST_BYTES = 262144
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
-VERDICTS_KEPT = 4096
+Change = records.SectionPublished | records.DataCentreSet
 
 
 class Verdict(enum.StrEnum):
@@ -34,12 +39,20 @@
         winner: Author whose change stands in its place, after a conflict.
         version: Version in force after the verdict.
         reason: One sentence.
+        subject: Section or data centre that it is about.
+        team: Team that signed the change.
+        author: Person who made the change.
+        offset: Offset at which it was judged.
     """
 
     verdict: Verdict
     winner: str
     version: int
     reason: str
+    subject: str = ""
+    team: str = ""
+    author: str = ""
+    offset: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,20 +160,33 @@
 
     Attributes:
         secret: Secret from which the teams' keys derive, empty for none.
+        team_keys: Key by team where the secret is not known; a change of
+            another team can't be checked then and is taken as signed.
         sections: Section by name.
         data_centres: State by data centre; absent means in service.
-        decisions: Decision by change id, oldest dropped past VERDICTS_KEPT.
+        decisions: Decision on each signed change by id, forgotten after
+            HORIZON_OFFSETS.
+        refusals: Decision on changes with a wrong key, for their authors;
+            the oldest go first.
         offset: Offset of the last record reduced, -1 for none.
     """
 
     secret: str = dataclasses.field(default="", metadata={"kept": False})
+    team_keys: Mapping[str, bytes] | None = dataclasses.field(
+        default=None, metadata={"kept": False}
+    )
     sections: dict[str, Section] = dataclasses.field(default_factory=dict)
     data_centres: dict[str, DataCentreState] = dataclasses.field(
         default_factory=dict
     )
     decisions: dict[str, Decision] = dataclasses.field(default_factory=dict)
+    refusals: dict[str, Decision] = dataclasses.field(default_factory=dict)
     offset: int = -1
 
+    def find_decision(self, change_id: str) -> Decision | None:
+        """Returns the verdict on a change, None where there is none."""
+        return self.decisions.get(change_id) or self.refusals.get(change_id)
+
     def is_in_service(self, data_centre: str) -> bool:
         """Tells whether tasks may start in a data centre."""
         return self.data_centres.get(data_centre, DataCentreState()).in_service
@@ -192,9 +218,6 @@
         )
 
 
-_converter = cattrs.Converter(forbid_extra_keys=True)
-
-
 def parse_section(
     text: str,
 ) -> outcomes.Ok[SectionSpec] | outcomes.Failed:
@@ -204,21 +227,21 @@
         text: TOML; empty is an empty section.
 
     Returns:
-        The content, or the first fault with its key or line.
+        The content, or the faults, each with its line and key.
     """
-    try:
-        table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        return _fail_parse("bad-toml", str(error))
-    try:
-        spec = _converter.structure(table, SectionSpec)
-    except Exception as error:
+    if len(text.encode()) > SECTION_MOST_BYTES:
         return _fail_parse(
-            "bad-section", "; ".join(cattrs.transform_error(error))
+            "bad-size", f"the section must not pass {SECTION_MOST_BYTES} bytes"
         )
-    fault = next(_find_faults(spec), "")
-    if fault:
-        return _fail_parse("bad-value", fault)
+    try:
+        spec = strict.read_toml(text, SectionSpec)
+    except strict.WrongValueError as error:
+        return _fail_parse("bad-section", str(error))
+    faults = [
+        strict.describe_key(text, key, what) for key, what in _find_faults(spec)
+    ]
+    if faults:
+        return _fail_parse("bad-value", "; ".join(faults))
     return outcomes.Ok(spec)
 
 
@@ -226,24 +249,39 @@
     return outcomes.Failed(outcomes.Step.PARSE, "", reason, detail)
 
 
-def _find_faults(spec: SectionSpec):
-    """Yields a sentence per value out of range."""
+def _find_faults(spec: SectionSpec) -> Iterator[tuple[str, str]]:
+    """Yields key and fault of each value out of range."""
     for name, service in spec.services.items():
         if service.replicas < 0:
-            yield f"services.{name}.replicas must be 0 or more"
+            yield f"services.{name}.replicas", "must be 0 or more"
         if service.target_ms <= 0:
-            yield f"services.{name}.target_ms must be above 0"
-    for kind, table in (
-        ("services", spec.services),
-        ("families", spec.families),
-    ):
+            yield f"services.{name}.target_ms", "must be above 0"
+    for name, family in spec.families.items():
+        if family.run_s <= 0:
+            yield f"families.{name}.run_s", "must be above 0"
+    tables = {"services": spec.services, "families": spec.families}
+    for kind, table in tables.items():
         for name, item in table.items():
-            if item.processors <= 0:
-                yield f"{kind}.{name}.processors must be above 0"
-            if item.memory_gb <= 0:
-                yield f"{kind}.{name}.memory_gb must be above 0"
-            if item.accelerators < 0:
-                yield f"{kind}.{name}.accelerators must be 0 or more"
+            yield from _find_size_faults(f"{kind}.{name}", item)
+    named = {**tables, "data_centres": spec.data_centres}
+    for kind, table in named.items():
+        for name in table:
+            if not NAME.fullmatch(name):
+                yield (
+                    f"{kind}.{name}",
+                    "a name must be 1 to 63 letters, digits, '.', '_' or '-'",
+                )
+
+
+def _find_size_faults(
+    key: str, item: ServiceSpec | FamilySpec
+) -> Iterator[tuple[str, str]]:
+    if item.processors <= 0:
+        yield f"{key}.processors", "must be above 0"
+    if item.memory_gb <= 0:
+        yield f"{key}.memory_gb", "must be above 0"
+    if item.accelerators < 0:
+        yield f"{key}.accelerators", "must be 0 or more"
 
 
 def derive_key(secret: str, team: str) -> bytes:
@@ -251,62 +289,112 @@
     return hmac.new(secret.encode(), team.encode(), hashlib.sha256).digest()
 
 
-def sign_change(
-    change: records.SectionPublished | records.DataCentreSet, key: bytes
-) -> records.SectionPublished | records.DataCentreSet:
+def sign_change(change: Change, key: bytes) -> Change:
     """Returns the change with its signature filled in."""
     digest = hmac.new(key, _serialize_unsigned(change), hashlib.sha256)
     return dataclasses.replace(change, signature=digest.hexdigest())
 
 
-def _serialize_unsigned(change) -> bytes:
+def _serialize_unsigned(change: Change) -> bytes:
     return records.encode_batch((dataclasses.replace(change, signature=""),))
 
 
-def is_signed(change, secret: str) -> bool:
+def is_signed(state: State, change: Change) -> bool:
     """Tells whether a change carries its team's signature."""
-    signed = sign_change(change, derive_key(secret, change.team))
-    return hmac.compare_digest(signed.signature, change.signature)
+    if state.team_keys is None:
+        key = derive_key(state.secret, change.team)
+    elif change.team in state.team_keys:
+        key = state.team_keys[change.team]
+    else:
+        return True
+    signed = sign_change(change, key)
+    return hmac.compare_digest(
+        signed.signature.encode(), change.signature.encode()
+    )
 
 
 def apply_section(state: State, event: events.RecordRead) -> list:
     """Reduces a SectionPublished record."""
     change = event.record
+    current = state.sections.get(change.section)
+    version = current.version if current else 0
+    refused = _refuse_early(state, event, change.section, version)
+    if refused is not None:
+        return refused
+    verdict, winner, reason = _judge_section(state, change, current)
+    if verdict is Verdict.ACCEPTED:
+        version += 1
+        _replace_section(state, change, version)
+    return _record_decision(
+        state, event, change.section, (verdict, winner, version, reason)
+    )
+
+
+def _refuse_early(
+    state: State, event: events.RecordRead, subject: str, version: int
+) -> list | None:
+    """Ends what needs no judgement: wrong key, duplicate, too late.
+
+    A change without its team's key must not stand in the way of a signed one
+    under the same id, so its verdict is kept apart. A second copy of a change
+    finds the first one's verdict, or lands more than HORIZON_OFFSETS after
+    what its author had seen: it can never be judged anew.
+    """
+    change = event.record
+    if not is_signed(state, change):
+        return _record_refusal(state, event, subject, version, "wrong team key")
     if change.change_id in state.decisions:
         return [effects.Count("poplarspindle_records_total", "duplicate")]
-    current = state.sections.get(change.section)
-    decision = _judge_section(state, change, current)
-    if decision.verdict is Verdict.ACCEPTED:
-        _replace_section(state, change, decision.version)
-    return _record_decision(state, change.change_id, decision)
+    if not -1 <= change.seen < event.offset:
+        return _record_refusal(
+            state, event, subject, version, "seen is not an earlier offset"
+        )
+    if event.offset - change.seen > HORIZON_OFFSETS:
+        reason = "it came too late; look at the present state and try again"
+        return _record_refusal(state, event, subject, version, reason)
+    return None
 
 
 def _judge_section(
     state: State, change: records.SectionPublished, current: Section | None
-) -> Decision:
+) -> tuple[Verdict, str, str]:
     version = current.version if current else 0
-    if not is_signed(change, state.secret):
-        return Decision(Verdict.REFUSED, "", version, "wrong team key")
+    winner = current.author if current else ""
+    if not NAME.fullmatch(change.section):
+        return Verdict.REFUSED, "", "bad section name"
     if current and current.team != change.team:
-        return Decision(
-            Verdict.REFUSED,
-            current.author,
-            version,
-            f"section {change.section} belongs to team {current.team}",
-        )
+        reason = f"section {change.section} belongs to team {current.team}"
+        return Verdict.REFUSED, winner, reason
     if change.base_version != version:
-        winner = current.author if current else ""
-        return Decision(
-            Verdict.CONFLICT,
-            winner,
-            version,
+        reason = (
             f"version {version} by {winner} is in force,"
-            f" the change was made on {change.base_version}",
+            f" the change was made on {change.base_version}"
         )
+        return Verdict.CONFLICT, winner, reason
     match parse_section(change.text):
         case outcomes.Failed() as failed:
-            return Decision(Verdict.REFUSED, "", version, failed.detail)
-    return Decision(Verdict.ACCEPTED, "", version + 1, "in force")
+            return Verdict.REFUSED, "", failed.detail
+        case outcomes.Ok(spec):
+            taken = _find_taken(state, change.section, spec)
+            if taken:
+                return Verdict.REFUSED, "", taken
+    return Verdict.ACCEPTED, "", "in force"
+
+
+def _find_taken(state: State, section: str, spec: SectionSpec) -> str:
+    """Returns which name another section declares already, if any."""
+    others = [s for s in state.sections.values() if s.name != section]
+    taken = (
+        f"{kind} {name} is declared by section {other.name}"
+        for other in others
+        for kind, mine, theirs in (
+            ("service", spec.services, other.spec.services),
+            ("family", spec.families, other.spec.families),
+        )
+        for name in mine
+        if name in theirs
+    )
+    return next(taken, "")
 
 
 def _replace_section(
@@ -325,35 +413,77 @@
 def apply_data_centre(state: State, event: events.RecordRead) -> list:
     """Reduces a DataCentreSet record."""
     change = event.record
-    if change.change_id in state.decisions:
-        return [effects.Count("poplarspindle_records_total", "duplicate")]
-    current = state.data_centres.get(change.data_centre, DataCentreState())
-    decision = _judge_data_centre(state, change, current)
-    if decision.verdict is Verdict.ACCEPTED:
-        state.data_centres[change.data_centre] = DataCentreState(
-            change.in_service, decision.version, change.author
+    name = change.data_centre
+    current = state.data_centres.get(name, DataCentreState())
+    refused = _refuse_early(state, event, name, current.version)
+    if refused is not None:
+        return refused
+    verdict, winner, reason = _judge_data_centre(state, change, current)
+    version = current.version
+    if verdict is Verdict.ACCEPTED:
+        version += 1
+        state.data_centres[name] = DataCentreState(
+            change.in_service, version, change.author
         )
-    return _record_decision(state, change.change_id, decision)
+    return _record_decision(
+        state, event, name, (verdict, winner, version, reason)
+    )
 
 
 def _judge_data_centre(
     state: State, change: records.DataCentreSet, current: DataCentreState
-) -> Decision:
-    if not is_signed(change, state.secret):
-        return Decision(Verdict.REFUSED, "", current.version, "wrong team key")
+) -> tuple[Verdict, str, str]:
+    name = change.data_centre
+    if name not in state.list_data_centres() and not current.version:
+        reason = f"no section names data centre {name}"
+        return Verdict.REFUSED, "", reason
     if change.base_version != current.version:
-        return Decision(
-            Verdict.CONFLICT,
-            current.author,
-            current.version,
-            f"{current.author} set it to"
-            f" {'in' if current.in_service else 'out'} first",
-        )
-    return Decision(Verdict.ACCEPTED, "", current.version + 1, "in force")
+        stands = "in" if current.in_service else "out"
+        reason = f"{current.author} set it to {stands} first"
+        return Verdict.CONFLICT, current.author, reason
+    return Verdict.ACCEPTED, "", "in force"
+
+
+def _record_decision(
+    state: State,
+    event: events.RecordRead,
+    subject: str,
+    judged: tuple[Verdict, str, int, str],
+) -> list:
+    change = event.record
+    decision = Decision(
+        *judged, subject, change.team, change.author, event.offset
+    )
+    state.refusals.pop(change.change_id, None)
+    state.decisions[change.change_id] = decision
+    least = event.offset - HORIZON_OFFSETS
+    forgotten = itertools.takewhile(
+        lambda name: state.decisions[name].offset < least, state.decisions
+    )
+    for name in list(forgotten):
+        del state.decisions[name]
+    return [effects.Count("poplarspindle_records_total", decision.verdict)]
 
 
-def _record_decision(state: State, change_id: str, decision: Decision) -> list:
-    state.decisions[change_id] = decision
-    if len(state.decisions) > VERDICTS_KEPT:
-        del state.decisions[next(iter(state.decisions))]
-    return [effects.Count("poplarspindle_records_total", decision.verdict)]
+def _record_refusal(
+    state: State,
+    event: events.RecordRead,
+    subject: str,
+    version: int,
+    reason: str,
+) -> list:
+    change = event.record
+    if change.change_id not in state.decisions:
+        state.refusals[change.change_id] = Decision(
+            Verdict.REFUSED,
+            "",
+            version,
+            reason,
+            subject,
+            change.team,
+            change.author,
+            event.offset,
+        )
+    if len(state.refusals) > REFUSALS_KEPT:
+        del state.refusals[next(iter(state.refusals))]
+    return [effects.Count("poplarspindle_records_total", "refused")]
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -22,10 +22,12 @@
     outcomes,
     ownership,
     records,
+    replica,
     reports,
     requests,
     serving,
     settings,
+    snapshots,
 )
 from poplarspindle.platform import logservice, members, minions, transport
 
@@ -53,6 +55,7 @@
         self.metrics = metrics.Metrics()
         self.state = requests.State(self.incarnation)
         self.document = document.State(values.team_secret)
+        self._replica = replica.Replica(self.document)
         self._lock = threading.Lock()
         self._rng = random.Random(self.incarnation)
         self._calls = transport.Transport(values.platform_timeout_s)
@@ -83,6 +86,7 @@
             self._take_event,
             self.metrics,
             seed,
+            snapshots.make_opener(values.team_secret),
         )
         self._server = serving.Server(
             values.address,
@@ -125,18 +129,14 @@
             logger.warning("The instance list did not answer.")
 
     def _take_event(self, event: events.Event) -> None:
-        if not isinstance(event, events.RecordRead):
-            return
-        apply = {
-            records.SectionPublished: document.apply_section,
-            records.DataCentreSet: document.apply_data_centre,
-        }.get(type(event.record))
-        if apply is not None:
-            with self._lock:
-                found = apply(self.document, event)
-            for effect in found:
-                if isinstance(effect, effects.Count):
-                    self.metrics.add(effect.name, effect.reason)
+        with self._lock:
+            found = self._replica.take(event)
+            self.document = self._replica.state
+        for effect in found:
+            if isinstance(effect, effects.Count):
+                self.metrics.add(effect.name, effect.reason, effect.amount)
+            elif isinstance(effect, effects.Note):
+                logger.warning(effect.text, stream=effect.subject)
 
     def _run_list(self) -> None:
         while not self._stopping.wait(self.values.list_s):
@@ -233,6 +233,8 @@
             count = int(body.get("tasks", 1))
         except (ValueError, KeyError, TypeError):
             return _refuse_input("give job, family and tasks in JSON")
+        if not self._replica.is_whole:
+            return _answer_json(503, {"error": "the document is not read yet"})
         with self._lock:
             found = self.document.find_family(family)
             target = self._find_home(name, found[1]) if found else ""
--- a/poplarspindle/events.py
+++ b/poplarspindle/events.py
@@ -5,9 +5,13 @@
 """
 
 import dataclasses
+import typing
 
 from poplarspindle import records, reports
 
+if typing.TYPE_CHECKING:
+    from poplarspindle import cells, document
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordRead:
@@ -47,6 +51,42 @@
     first: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotRead:
+    """A stream's state was found in a snapshot; it replaces the present one.
+
+    Attributes:
+        offset: Offset up to which (inclusive) the state was reduced.
+        state: The state, owned by the reducer from here on.
+    """
+
+    at: float
+    stream: str
+    offset: int
+    state: "cells.Table | document.State"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotRefused:
+    """A whole snapshot did not open: wrong signature or corrupt."""
+
+    at: float
+    stream: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateLost:
+    """Records are gone and no whole snapshot covers them.
+
+    No TailReached comes for the stream until one is found.
+    """
+
+    at: float
+    stream: str
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstancesListed:
     """The platform's lagging list was read.
@@ -110,6 +150,9 @@
     | MalformedRead
     | TailReached
     | RetentionPassed
+    | SnapshotRead
+    | SnapshotRefused
+    | StateLost
     | InstancesListed
     | WorkerSynced
     | WorkerUnreachable
--- a/poplarspindle/follower.py
+++ b/poplarspindle/follower.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable, Iterable
 
-from poplarspindle import events, metrics, outcomes, records
+from poplarspindle import events, metrics, outcomes, replayer, snapshots
 from poplarspindle.platform import logservice
 
 READ_LIMIT = 500
@@ -23,6 +23,7 @@
         sink: Takes each event.
         counters: Where failures are counted.
         seed: Seed of the back-off's jitter.
+        open_snapshot: Checks and decodes a stream's snapshot.
     """
 
     def __init__(
@@ -32,13 +33,15 @@
         sink: Callable[[events.Event], None],
         counters: metrics.Metrics,
         seed: int,
+        open_snapshot: snapshots.Opener,
     ) -> None:
         self._service = service
         self._streams = streams
         self._sink = sink
         self._counters = counters
         self._rng = random.Random(seed)
-        self._positions: dict[str, int] = {}
+        self._open_snapshot = open_snapshot
+        self._replayers: dict[str, replayer.Replayer] = {}
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -65,7 +68,10 @@
         Returns:
             Whether the log answered.
         """
-        wanted = {s: self._positions.get(s, 0) for s in self._streams()}
+        wanted = {
+            stream: self._find_replayer(stream).position
+            for stream in self._streams()
+        }
         sent_at = time.monotonic()
         answer = self._service.read(wanted, READ_LIMIT, READ_WAIT_MS)
         if isinstance(answer, outcomes.Failed):
@@ -74,27 +80,15 @@
                 f"read-{answer.reason}",
             )
             return False
+        now = time.monotonic()
         for page in answer.value:
-            self._take_page(page, sent_at)
+            found = self._replayers[page.stream].take_page(page, sent_at, now)
+            for event in found:
+                self._sink(event)
         return True
 
-    def _take_page(self, page: logservice.Page, sent_at: float) -> None:
-        position = self._positions.get(page.stream, 0)
-        now = time.monotonic()
-        if position < page.first:
-            self._sink(events.RetentionPassed(now, page.stream, page.first))
-            position = page.first
-        for offset, payload in page.records:
-            if offset < position:
-                continue
-            batch, malformed = records.decode_batch(payload)
-            for record in batch:
-                self._sink(events.RecordRead(now, page.stream, offset, record))
-            if malformed:
-                self._sink(
-                    events.MalformedRead(now, page.stream, offset, malformed)
-                )
-            position = offset + 1
-        self._positions[page.stream] = position
-        if position >= page.next:
-            self._sink(events.TailReached(sent_at, page.stream, position - 1))
+    def _find_replayer(self, stream: str) -> replayer.Replayer:
+        if stream not in self._replayers:
+            made = replayer.Replayer(stream, self._open_snapshot)
+            self._replayers[stream] = made
+        return self._replayers[stream]
--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -10,6 +10,7 @@
     "poplarspindle_retries_total": "Retries by reason.",
     "poplarspindle_records_total": "Log records by verdict.",
     "poplarspindle_platform_failures_total": "Failed platform calls.",
+    "poplarspindle_snapshots_total": "Snapshots by what became of them.",
     "poplarspindle_tasks_total": "Task transitions.",
     "poplarspindle_ownership_total": "Ownership transitions.",
     "poplarspindle_connections_total": "Connections closed by reason.",
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -27,6 +27,8 @@
         author: Person who published it.
         text: The whole section in TOML, empty to remove the section.
         signature: HMAC-SHA256 of the other fields by the team's key, hex.
+        seen: Offset up to which the author had read the stream. A change
+            that lands long after it is refused.
     """
 
     change_id: str
@@ -36,6 +38,7 @@
     author: str
     text: str
     signature: str = ""
+    seen: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +53,7 @@
         team: Team that signed the proposal.
         author: Person who asked.
         signature: HMAC-SHA256 of the other fields by the team's key, hex.
+        seen: Offset up to which the author had read the stream.
     """
 
     change_id: str
@@ -59,6 +63,7 @@
     team: str
     author: str
     signature: str = ""
+    seen: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +89,7 @@
         count: Number of chunks of the snapshot.
         covers: Offset up to which (inclusive) the state was reduced.
         payload: Part of the encoded state.
+        signature: HMAC-SHA256 of covers and the whole payload, hex.
     """
 
     snapshot_id: str
@@ -91,6 +97,7 @@
     count: int
     covers: int
     payload: bytes
+    signature: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/reducer.py
+++ b/poplarspindle/reducer.py
@@ -13,6 +13,7 @@
     ownership,
     records,
     reports,
+    saving,
     state,
     tasks,
 )
@@ -61,6 +62,8 @@
         return [effects.Count("poplarspindle_records_total", "foreign")]
     cell.table.offset = event.offset
     kind = type(event.record)
+    if kind is records.SnapshotChunk:
+        return saving.note_chunk(own, event)
     if kind in _OWNER_AREAS:
         return _OWNER_AREAS[kind](own, cell, event)
     if kind not in _TASK_AREAS:
@@ -73,12 +76,24 @@
 
 def _read_document(own: state.State, event: events.RecordRead) -> list:
     own.document.offset = event.offset
+    if isinstance(event.record, records.SnapshotChunk):
+        return saving.note_chunk(own, event)
     apply = _DOCUMENT_AREAS.get(type(event.record))
     if apply is None:
         return [effects.Count("poplarspindle_records_total", "foreign")]
     found = apply(own.document, event)
+    _open_cells(own)
+    return found
+
+
+def _open_cells(own: state.State) -> None:
     for name in own.document.list_data_centres():
         own.cells.setdefault(name, cells.Cell(name))
+
+
+def _read_snapshot(own: state.State, event: events.SnapshotRead) -> list:
+    found = saving.install(own, event)
+    _open_cells(own)
     return found
 
 
@@ -97,18 +112,12 @@
 def _reach_tail(own: state.State, event: events.TailReached) -> list:
     if event.stream == records.DOCUMENT_STREAM:
         own.document_tail_at = event.at
-        return []
+        return saving.save_due(own, event)
     cell = _find_cell(own, event.stream)
-    if cell is not None:
-        cell.view.tail_at = event.at
-    return []
-
-
-def _pass_retention(own: state.State, event: events.RetentionPassed) -> list:
-    return [
-        effects.Count("poplarspindle_records_total", "retention-passed"),
-        effects.Note("log", "Records were lost to retention.", event.stream),
-    ]
+    if cell is None:
+        return []
+    cell.view.tail_at = event.at
+    return saving.save_due(own, event)
 
 
 def _list_instances(own: state.State, event: events.InstancesListed) -> list:
@@ -151,10 +160,23 @@
     return [
         effect
         for cell in own.cells.values()
+        if _is_whole(own, cell)
         for effect in drive.tick_cell(own, cell, event)
     ]
 
 
+def _is_whole(own: state.State, cell: cells.Cell) -> bool:
+    """Tells whether no lost state forbids to act in a data centre.
+
+    Without the document its owner only keeps what runs; nobody claims.
+    """
+    if cells.name_stream(cell.table.data_centre) in own.lost:
+        return False
+    return records.DOCUMENT_STREAM not in own.lost or ownership.is_owner(
+        own, cell
+    )
+
+
 def _leave(own: state.State, event: events.LeaveRequested) -> list:
     own.leaving = True
     return [
@@ -168,7 +190,10 @@
     events.RecordRead: _read_record,
     events.MalformedRead: _count_malformed,
     events.TailReached: _reach_tail,
-    events.RetentionPassed: _pass_retention,
+    events.RetentionPassed: saving.pass_retention,
+    events.SnapshotRead: _read_snapshot,
+    events.SnapshotRefused: saving.refuse_snapshot,
+    events.StateLost: saving.lose_state,
     events.InstancesListed: _list_instances,
     events.WorkerSynced: _sync_worker,
     events.WorkerUnreachable: _lose_worker,
--- /dev/null
+++ b/poplarspindle/replica.py
@@ -0,0 +1,72 @@
+"""The document as held by a program that only reads it."""
+
+from poplarspindle import document, effects, events, records
+
+_AREAS = {
+    records.SectionPublished: document.apply_section,
+    records.DataCentreSet: document.apply_data_centre,
+}
+
+
+class Replica:
+    """The document, and whether it has no holes.
+
+    Attributes:
+        state: The document as of the last event; where its state is lost,
+            as it was before.
+        is_whole: Whether it was read to the tail with nothing missing.
+        lost: Why the state is lost, empty where it is not.
+
+    Args:
+        blank: An empty document with the keys to check by.
+    """
+
+    def __init__(self, blank: document.State) -> None:
+        self.state = blank
+        self.is_whole = False
+        self.lost = ""
+
+    def take(self, event: events.Event) -> list[effects.Effect]:
+        """Reduces one event of the document's stream."""
+        match event:
+            case events.RecordRead():
+                return self._read_record(event)
+            case events.MalformedRead(count=count):
+                return [_count("malformed", count)]
+            case events.TailReached():
+                self.is_whole = True
+            case events.RetentionPassed():
+                self.is_whole = False
+                return [_count("retention-passed")]
+            case events.SnapshotRead(state=state):
+                self.state = state
+                self.lost = ""
+                return [_count_snapshot("installed")]
+            case events.SnapshotRefused(reason=reason):
+                return [_count_snapshot(reason)]
+            case events.StateLost(reason=reason):
+                self.is_whole = False
+                self.lost = reason
+                text = f"The document is lost: {reason}."
+                return [
+                    _count_snapshot("state-lost"),
+                    effects.Note("log", text, event.stream),
+                ]
+        return []
+
+    def _read_record(self, event: events.RecordRead) -> list:
+        self.state.offset = event.offset
+        apply = _AREAS.get(type(event.record))
+        if apply is not None:
+            return apply(self.state, event)
+        if isinstance(event.record, records.SnapshotChunk):
+            return []
+        return [_count("foreign")]
+
+
+def _count(reason: str, amount: int = 1) -> effects.Count:
+    return effects.Count("poplarspindle_records_total", reason, amount)
+
+
+def _count_snapshot(reason: str) -> effects.Count:
+    return effects.Count("poplarspindle_snapshots_total", reason)
--- /dev/null
+++ b/poplarspindle/saving.py
@@ -0,0 +1,171 @@
+"""When an instance writes a snapshot of a stream's state.
+
+The owner writes its data centre's, the first scheduler in rendezvous order
+the document's. Two that write at once do no harm: both snapshots are right.
+A snapshot is taken at the tail only, where no batch is half reduced.
+"""
+
+from poplarspindle import (
+    cells,
+    effects,
+    events,
+    ownership,
+    records,
+    snapshots,
+    state,
+)
+
+RESEND_S = 60.0
+STAND_IN_AGES = 0.5
+
+
+def save_due(own: state.State, event: events.TailReached) -> list:
+    """Returns the chunks of a stream's snapshot when one is due.
+
+    Args:
+        own: The instance's state.
+        event: The stream was read to its tail.
+    """
+    schedule = own.saves.setdefault(event.stream, state.Schedule())
+    schedule.tail_at = min(schedule.tail_at, event.at)
+    kept = _find_kept(own, event.stream)
+    rank = _find_rank(own, event.stream)
+    if kept is None or rank is None or kept.offset < 0:
+        return []
+    if not _is_due(own, schedule, event, rank):
+        return []
+    schedule.sent_at = event.at
+    chunks = snapshots.split_state(
+        kept,
+        f"{own.incarnation}/{event.offset}",
+        event.offset,
+        own.document.secret,
+    )
+    return [
+        *(effects.Append(event.stream, chunk) for chunk in chunks),
+        effects.Count("poplarspindle_snapshots_total", "sent"),
+    ]
+
+
+def _is_due(
+    own: state.State,
+    schedule: state.Schedule,
+    event: events.TailReached,
+    rank: int,
+) -> bool:
+    if event.at - schedule.sent_at < RESEND_S:
+        return False
+    age_s = own.limits.snapshot_age_s * (1 + rank * STAND_IN_AGES)
+    if schedule.read_at == float("-inf"):
+        return rank == 0 or event.at - schedule.tail_at >= age_s
+    if event.at - schedule.read_at >= age_s:
+        return True
+    appends = event.offset - schedule.covers
+    return rank == 0 and appends >= own.limits.snapshot_appends
+
+
+def _find_kept(own: state.State, stream: str) -> snapshots.State | None:
+    if stream == records.DOCUMENT_STREAM:
+        return own.document
+    cell = own.cells.get(stream.removeprefix(records.CELL_STREAM_PREFIX))
+    return cell.table if cell else None
+
+
+def _find_rank(own: state.State, stream: str) -> int | None:
+    """Returns how many instances should write before this one, if it may."""
+    if stream != records.DOCUMENT_STREAM:
+        cell = own.cells[stream.removeprefix(records.CELL_STREAM_PREFIX)]
+        return 0 if ownership.is_owner(own, cell) else None
+    ranked = ownership.rank_candidates(stream, own.candidates)
+    if own.incarnation not in ranked:
+        return None
+    return ranked.index(own.incarnation)
+
+
+def note_chunk(own: state.State, event: events.RecordRead) -> list:
+    """Reduces a SnapshotChunk record that was read in passing.
+
+    Only one read live, after the tail was first reached, says how old it is.
+    """
+    chunk = event.record
+    schedule = own.saves.setdefault(event.stream, state.Schedule())
+    indexes = schedule.indexes
+    if chunk.snapshot_id != schedule.reading_id:
+        schedule.reading_id = chunk.snapshot_id
+        indexes.clear()
+    indexes.add(chunk.index)
+    if indexes != set(range(chunk.count)):
+        return []
+    indexes.clear()
+    if schedule.tail_at < float("inf") and chunk.covers > schedule.covers:
+        schedule.read_at = event.at
+        schedule.covers = chunk.covers
+        schedule.sent_at = float("-inf")
+    return [effects.Count("poplarspindle_snapshots_total", "read")]
+
+
+def install(own: state.State, event: events.SnapshotRead) -> list:
+    """Replaces a stream's state by that of a snapshot."""
+    if event.stream == records.DOCUMENT_STREAM:
+        own.document = event.state
+    else:
+        _install_table(own, event)
+    own.lost.discard(event.stream)
+    return [
+        effects.Count("poplarspindle_snapshots_total", "installed"),
+        effects.Note("log", "Took state from a snapshot.", event.stream),
+    ]
+
+
+def _install_table(own: state.State, event: events.SnapshotRead) -> None:
+    cell = own.cells[event.stream.removeprefix(records.CELL_STREAM_PREFIX)]
+    cell.table = event.state
+    cell.view = _renew_view(cell.view)
+    cell.view.lease_read_at = event.at
+
+
+def pass_retention(own: state.State, event: events.RetentionPassed) -> list:
+    """Gives up a stream's state that has holes.
+
+    The document stays as it is until a newer one is found: what was accepted
+    does not revert. Nothing starts meanwhile, for it is not fresh.
+    """
+    if event.stream == records.DOCUMENT_STREAM:
+        own.document_tail_at = float("-inf")
+    else:
+        name = event.stream.removeprefix(records.CELL_STREAM_PREFIX)
+        cell = own.cells[name]
+        cell.table = cells.Table(name)
+        cell.view = _renew_view(cell.view)
+    own.lost.add(event.stream)
+    return [
+        effects.Count("poplarspindle_records_total", "retention-passed"),
+        effects.Note("log", "Records were lost to retention.", event.stream),
+    ]
+
+
+def _renew_view(view: cells.View) -> cells.View:
+    """Returns a view that knows no claim, lease, start or fence."""
+    fresh = cells.View()
+    fresh.sequence = view.sequence
+    fresh.workers = {
+        name: cells.Worker(worker.member)
+        for name, worker in view.workers.items()
+    }
+    return fresh
+
+
+def lose_state(own: state.State, event: events.StateLost) -> list:
+    """Reduces a StateLost: the stream's data centre starts nothing."""
+    if event.stream == records.DOCUMENT_STREAM:
+        own.document_tail_at = float("-inf")
+    own.lost.add(event.stream)
+    return [
+        effects.Count("poplarspindle_snapshots_total", "state-lost"),
+        effects.Note("log", f"State is lost: {event.reason}.", event.stream),
+    ]
+
+
+def refuse_snapshot(own: state.State, event: events.SnapshotRefused) -> list:
+    """Counts a snapshot that did not open."""
+    return [effects.Count("poplarspindle_snapshots_total", event.reason)]
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import concurrent.futures
+import dataclasses
 import json
 import queue
 import random
@@ -28,6 +29,7 @@
     reports,
     serving,
     settings,
+    snapshots,
     state,
 )
 from poplarspindle.platform import logservice, members, transport, workers
@@ -36,6 +38,7 @@
 HTTP_THREADS = 4
 JOIN_S = 5.0
 SEED_BITS = 32
+CHANGES_PATH = "/v1/changes/"
 
 logger = log.get_logger("scheduler")
 
@@ -59,6 +62,8 @@
                 values.hold_s,
                 values.fresh_s,
                 values.policy,
+                snapshot_appends=values.snapshot_appends,
+                snapshot_age_s=values.snapshot_age_s,
             ),
             values.team_secret,
         )
@@ -82,7 +87,12 @@
             seed,
         )
         self._follower = follower.Follower(
-            service, self._list_streams, self._events.put, self.metrics, seed
+            service,
+            self._list_streams,
+            self._events.put,
+            self.metrics,
+            seed,
+            snapshots.make_opener(values.team_secret),
         )
         self._server = serving.Server(
             values.address, self._handle, HTTP_THREADS
@@ -102,6 +112,8 @@
         self._follower.start()
         for thread in self._threads:
             thread.start()
+        if not self.values.team_secret:
+            logger.warning("No team secret is set: anybody may sign.")
         logger.info("Started.", incarnation=self.incarnation)
 
     def stop(self) -> None:
@@ -240,12 +252,27 @@
                 return serving.Response(
                     200, body, content_type="application/json"
                 )
+        if request.path.startswith(CHANGES_PATH):
+            return self._serve_decision(request.path.removeprefix(CHANGES_PATH))
         return serving.Response(404)
 
+    def _serve_decision(self, change_id: str) -> serving.Response:
+        """Serves the verdict on a change to operators without the secret."""
+        found = self.state.document.find_decision(change_id)
+        if found is None:
+            return serving.Response(404)
+        return serving.Response(
+            200,
+            json.dumps(dataclasses.asdict(found)).encode(),
+            content_type="application/json",
+        )
+
     def _describe(self) -> dict:
         """Describes the data centres for `ctl status`."""
         return {
             "incarnation": self.incarnation,
+            "lost": sorted(self.state.lost),
+            "document_offset": self.state.document.offset,
             "data_centres": {
                 name: {
                     "owner": cell.table.owner,
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -107,6 +107,21 @@
         "Secret from which each team's signing key is derived.",
         _ALL,
     ),
+    Setting(
+        "team_key",
+        "",
+        "The team's own key in hex, as `poplarspindle-ctl key` prints it, in"
+        " place of the secret.",
+        (CTL,),
+    ),
+    Setting(
+        "settle_s",
+        10.0,
+        "Time allowed to publish a change and read it back, seconds.",
+        (CTL,),
+        low=0.1,
+        high=600,
+    ),
     Setting(
         "log_format",
         "text",
@@ -218,6 +233,23 @@
         low=0.1,
         high=1000,
     ),
+    Setting(
+        "snapshot_appends",
+        2000,
+        "Appends to a stream after which its state is written as a snapshot.",
+        (SCHEDULER,),
+        low=10,
+        high=1000000,
+    ),
+    Setting(
+        "snapshot_age_s",
+        600.0,
+        "Greatest age of a stream's newest snapshot, seconds; keep it below a"
+        " quarter of the log's retention.",
+        (SCHEDULER,),
+        low=1,
+        high=86400,
+    ),
     Setting(
         "platform_timeout_s",
         2.0,
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -15,6 +15,8 @@
         hold_s: How long task leases are renewed without the log.
         fresh_s: Greatest age of the last read to the tail for a start.
         policy: Name of the placement policy.
+        snapshot_appends: Appends to a stream between two snapshots.
+        snapshot_age_s: Greatest age of a stream's newest snapshot.
     """
 
     lease_s: float = 6.0
@@ -22,6 +24,29 @@
     hold_s: float = 600.0
     fresh_s: float = 2.0
     policy: str = "chosen"
+    snapshot_appends: int = 2000
+    snapshot_age_s: float = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Schedule:
+    """What an instance knows of a stream's snapshots; times on its clock.
+
+    Attributes:
+        tail_at: When the stream was first read to its tail.
+        read_at: When the newest was read, if after that.
+        covers: Offset that it covers, -1 for none.
+        sent_at: When this instance sent one that was not read back yet.
+        reading_id: Snapshot whose chunks are being read.
+        indexes: Indexes of its chunks read so far.
+    """
+
+    tail_at: float = float("inf")
+    read_at: float = float("-inf")
+    covers: int = -1
+    sent_at: float = float("-inf")
+    reading_id: str = ""
+    indexes: set[int] = dataclasses.field(default_factory=set)
 
 
 class State:
@@ -37,6 +62,8 @@
         candidates: Incarnations that may own data centres.
         leaving: Whether this instance was asked to stop.
         started_at: Time of the first event.
+        saves: What is known of each stream's snapshots.
+        lost: Streams whose state has holes and must not be used.
     """
 
     def __init__(
@@ -51,3 +78,5 @@
         self.candidates: tuple[str, ...] = ()
         self.leaving = False
         self.started_at = float("-inf")
+        self.saves: dict[str, Schedule] = {}
+        self.lost: set[str] = set()
