Give operators diff, history, key and verdicts that are read back

With a team's key in place of the secret other teams' signatures can't be checked, so a scheduler has to confirm the verdict. Missing files, unknown sections and data centres, bad keys and a lost document have errors and exit codes of their own.

--- a/poplarspindle/ctl.py
+++ b/poplarspindle/ctl.py
@@ -1,122 +1,121 @@
-"""The operators' command line: publish, out, in, show, status."""
+"""The operators' command line.
 
+Exit codes: 0 done; 2 wrong usage; 3 conflict, another change won; 4 refused;
+5 unknown, the change may take effect or may have; 6 the log or a scheduler
+does not answer and nothing was changed.
+"""
+
+import difflib
 import getpass
 import json
 import os
 import pathlib
 import sys
-import time
 import uuid
 
 import defopt
-import urllib3
 
 import poplarspindle
-from poplarspindle import (
-    document,
-    events,
-    outcomes,
-    records,
-    settings,
-)
-from poplarspindle.platform import logservice, transport
+from poplarspindle import document, operators, outcomes, records, settings
 
 EXIT_OK = 0
 EXIT_CONFLICT = 3
 EXIT_REFUSED = 4
 EXIT_UNKNOWN = 5
-SETTLE_S = 10.0
-READ_LIMIT = 500
-READ_WAIT_MS = 500
+EXIT_UNREACHABLE = 6
 
+VERDICT_CODES = {
+    document.Verdict.ACCEPTED: EXIT_OK,
+    document.Verdict.CONFLICT: EXIT_CONFLICT,
+    document.Verdict.REFUSED: EXIT_REFUSED,
+}
 
-class Operator:
-    """The document as an operator sees it, and a way to change it.
 
-    Args:
-        values: Checked settings.
+class CommandError(Exception):
+    """A command that can't go on.
+
+    Attributes:
+        code: Exit code.
     """
 
-    def __init__(self, values: settings.Values) -> None:
-        calls = transport.Transport(values.platform_timeout_s)
-        self._service = logservice.LogService(values.log_url, calls)
-        self.document = document.State(values.team_secret)
-        self._position = 0
-
-    def read(self, wait_ms: int = 0) -> bool:
-        """Reads the document's stream once; tells whether it answered."""
-        stream = records.DOCUMENT_STREAM
-        answer = self._service.read(
-            {stream: self._position}, READ_LIMIT, wait_ms
-        )
-        if isinstance(answer, outcomes.Failed):
-            return False
-        (page,) = answer.value
-        for offset, payload in page.records:
-            self._reduce(offset, payload)
-        return True
-
-    def _reduce(self, offset: int, payload: bytes) -> None:
-        batch, _ = records.decode_batch(payload)
-        for record in batch:
-            event = events.RecordRead(
-                0.0, records.DOCUMENT_STREAM, offset, record
-            )
-            if isinstance(record, records.SectionPublished):
-                document.apply_section(self.document, event)
-            elif isinstance(record, records.DataCentreSet):
-                document.apply_data_centre(self.document, event)
-        self._position = offset + 1
-
-    def settle(self, change) -> document.Decision | None:
-        """Appends a change and reads on to its verdict.
-
-        Returns:
-            The verdict, or None where it could not be read in time.
-        """
-        payload = records.encode_batch((change,))
-        deadline = time.monotonic() + SETTLE_S
-        self._service.append(records.DOCUMENT_STREAM, payload)
-        while time.monotonic() < deadline:
-            self.read(READ_WAIT_MS)
-            decision = self.document.decisions.get(change.change_id)
-            if decision is not None:
-                return decision
-        return None
-
-
-def _open() -> Operator:
+    def __init__(self, code: int, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+def _read_values() -> settings.Values:
     match settings.check_values(settings.CTL, {}, os.environ):
         case outcomes.Failed() as failed:
-            print(failed.detail, file=sys.stderr)
-            sys.exit(settings.EXIT_USAGE)
+            raise CommandError(settings.EXIT_USAGE, failed.detail)
         case outcomes.Ok(values):
-            operator = Operator(values)
-            if not operator.read():
-                print("The log does not answer.", file=sys.stderr)
-                sys.exit(EXIT_UNKNOWN)
-            return operator, values
+            return values
 
 
-def _sign(values: settings.Values, change):
-    key = document.derive_key(values.team_secret, change.team)
-    return document.sign_change(change, key)
+def _connect(team: str = "") -> operators.Operator:
+    try:
+        return operators.Operator(_read_values(), team)
+    except ValueError as error:
+        raise CommandError(settings.EXIT_USAGE, str(error)) from error
 
 
-def _report(change, decision: document.Decision | None) -> int:
-    """Prints a verdict and returns the exit code."""
-    if decision is None:
-        print(
-            f"unknown: change {change.change_id} was not read back;"
-            f" settle it with: poplarspindle-ctl settle {change.change_id}"
+def _open(team: str = "") -> operators.Operator:
+    """Connects and reads the document to its tail."""
+    operator = _connect(team)
+    match operator.open():
+        case outcomes.Failed() as failed:
+            raise CommandError(EXIT_UNREACHABLE, failed.detail)
+    return operator
+
+
+def _warn(text: str) -> None:
+    print(f"warning: {text}", file=sys.stderr)
+
+
+def _warn_of_keys() -> None:
+    values = _read_values()
+    if not values.team_secret and not values.team_key:
+        _warn(
+            "no team secret and no team key is set:"
+            " anybody who reaches the log can sign as any team"
         )
-        return EXIT_UNKNOWN
-    print(f"{decision.verdict}: {decision.reason}")
-    return {
-        document.Verdict.ACCEPTED: EXIT_OK,
-        document.Verdict.CONFLICT: EXIT_CONFLICT,
-        document.Verdict.REFUSED: EXIT_REFUSED,
-    }[decision.verdict]
+
+
+def _read_file(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise CommandError(
+            settings.EXIT_USAGE, f"can't read {path}: {error.strerror}"
+        ) from error
+    except UnicodeDecodeError as error:
+        raise CommandError(
+            settings.EXIT_USAGE, f"{path} is not UTF-8: {error}"
+        ) from error
+
+
+def _settle(operator: operators.Operator, change: document.Change) -> int:
+    """Publishes a change, prints its verdict and returns the exit code."""
+    match operator.settle(operator.sign(change)):
+        case outcomes.Ok(decision):
+            return _report(change.change_id, decision)
+        case outcomes.Failed(may_have_acted=False):
+            raise CommandError(
+                EXIT_UNREACHABLE, "the log took nothing: nothing was changed"
+            )
+    print(
+        f"unknown: change {change.change_id} was not read back in time;"
+        f" settle it with: poplarspindle-ctl settle {change.change_id}"
+    )
+    return EXIT_UNKNOWN
+
+
+def _report(change_id: str, decision: document.Decision) -> int:
+    winner = f", won by {decision.winner}" if decision.winner else ""
+    print(
+        f"{decision.verdict}: {decision.subject} is at version"
+        f" {decision.version}{winner}: {decision.reason} (change {change_id})"
+    )
+    return VERDICT_CODES[decision.verdict]
 
 
 def publish(
@@ -128,15 +127,19 @@
         section: Name of the section.
         path: File with the section's text.
         team: Team that owns the section.
-        base: Version the text was made on; the present one by default.
+        base: Version the text was made on, as `show` prints it; the present
+            one by default, which overwrites what others did meanwhile.
     """
-    text = pathlib.Path(path).read_text(encoding="utf-8")
+    text = _read_file(path)
     match document.parse_section(text):
         case outcomes.Failed() as failed:
-            print(f"refused: {failed.detail}", file=sys.stderr)
-            return EXIT_REFUSED
-    operator, values = _open()
-    current = operator.document.sections.get(section)
+            raise CommandError(EXIT_REFUSED, f"{path}: {failed.detail}")
+        case outcomes.Ok(spec):
+            checked = spec
+    _warn_of_keys()
+    operator = _open(team)
+    _warn_of_unknown_centres(operator, checked)
+    current = operator.state.sections.get(section)
     version = current.version if current else 0
     change = records.SectionPublished(
         uuid.uuid4().hex,
@@ -145,9 +148,30 @@
         team,
         getpass.getuser(),
         text,
+        seen=operator.offset - 1,
     )
-    change = _sign(values, change)
-    return _report(change, operator.settle(change))
+    return _settle(operator, change)
+
+
+def _warn_of_unknown_centres(
+    operator: operators.Operator, spec: document.SectionSpec
+) -> None:
+    known = {*operator.state.list_data_centres(), *spec.data_centres}
+    tables = {"services": spec.services, "families": spec.families}
+    for kind, table in tables.items():
+        for name, item in table.items():
+            for unknown in sorted({*item.data_centres} - known):
+                _warn(f"{kind}.{name}: no section names {unknown} yet")
+
+
+def _find_section(operator: operators.Operator, name: str) -> document.Section:
+    found = operator.state.sections.get(name)
+    if found is None:
+        known = ", ".join(operator.state.sections) or "none"
+        raise CommandError(
+            EXIT_REFUSED, f"no section {name}; there are: {known}"
+        )
+    return found
 
 
 def show(section: str | None = None) -> int:
@@ -156,32 +180,90 @@
     Args:
         section: Name of the section.
     """
-    operator, _ = _open()
-    if section is None:
-        for item in operator.document.sections.values():
-            print(f"{item.name} version {item.version} team {item.team}")
+    operator = _open()
+    if section is not None:
+        found = _find_section(operator, section)
+        print(f"# {found.name} version {found.version} team {found.team}")
+        print(found.text.rstrip("\n"))
         return EXIT_OK
-    found = operator.document.sections.get(section)
-    if found is None:
-        print(f"no section {section}", file=sys.stderr)
-        return EXIT_REFUSED
-    print(found.text)
+    for item in operator.state.sections.values():
+        print(
+            f"{item.name} version {item.version} team {item.team}"
+            f" by {item.author}"
+        )
+    for name in operator.state.list_data_centres():
+        stands = "in" if operator.state.is_in_service(name) else "out"
+        print(f"data centre {name} {stands}")
     return EXIT_OK
 
 
-def settle(change_id: str) -> int:
+def diff(section: str, path: str) -> int:
+    """Shows what publishing a file would change in a section.
+
+    Args:
+        section: Name of the section.
+        path: File with the new text.
+    """
+    text = _read_file(path)
+    operator = _open()
+    found = operator.state.sections.get(section)
+    old = found.text if found else ""
+    version = found.version if found else 0
+    lines = difflib.unified_diff(
+        old.splitlines(),
+        text.splitlines(),
+        f"{section} version {version}",
+        path,
+        lineterm="",
+    )
+    print("\n".join(lines))
+    return EXIT_OK
+
+
+def history(subject: str | None = None) -> int:
+    """Lists the verdicts that are still known, oldest first.
+
+    Args:
+        subject: Only those on this section or data centre.
+    """
+    operator = _open()
+    decisions = {
+        **operator.state.decisions,
+        **operator.state.refusals,
+    }
+    chosen = sorted(
+        (decision.offset, change_id, decision)
+        for change_id, decision in decisions.items()
+        if subject in (None, decision.subject)
+    )
+    for offset, change_id, decision in chosen:
+        print(
+            f"{offset} {decision.subject} version {decision.version}"
+            f" {decision.verdict} team {decision.team} by {decision.author}"
+            f" change {change_id}: {decision.reason}"
+        )
+    return EXIT_OK
+
+
+def settle(change_id: str, *, team: str = "") -> int:
     """Tells what became of a change.
 
     Args:
         change_id: Id of the change, as `publish` printed it.
+        team: Team that signed it, needed with a team key only.
     """
-    operator, _ = _open()
-    decision = operator.document.decisions.get(change_id)
-    if decision is None:
-        print("not there: it may be published again")
-        return EXIT_UNKNOWN
-    print(f"{decision.verdict}: {decision.reason}")
-    return EXIT_OK
+    operator = _open(team)
+    match operator.find_decision(change_id):
+        case outcomes.Ok(decision):
+            return _report(change_id, decision)
+        case outcomes.Failed(reason="not-there"):
+            print(
+                f"not there: read to offset {operator.offset}. Publish again:"
+                " should a late copy still land, only one of both is accepted"
+            )
+            return EXIT_UNKNOWN
+        case outcomes.Failed() as failed:
+            raise CommandError(EXIT_UNREACHABLE, failed.detail)
 
 
 def out(data_centre: str, *, team: str) -> int:
@@ -205,50 +287,98 @@
 
 
 def _set_data_centre(data_centre: str, in_service: bool, team: str) -> int:
-    operator, values = _open()
-    known = operator.document.data_centres
-    current = known.get(data_centre, document.DataCentreState())
+    _warn_of_keys()
+    operator = _open(team)
+    current = operator.state.data_centres.get(data_centre)
+    known = operator.state.list_data_centres()
+    if current is None and data_centre not in known:
+        raise CommandError(
+            EXIT_REFUSED,
+            f"no section names data centre {data_centre};"
+            f" there are: {', '.join(known) or 'none'}",
+        )
+    stands = current or document.DataCentreState()
+    if stands.in_service == in_service:
+        _warn(f"{data_centre} is {'in' if in_service else 'out'} already")
     change = records.DataCentreSet(
         uuid.uuid4().hex,
         data_centre,
         in_service,
-        current.version,
+        stands.version,
         team,
         getpass.getuser(),
+        seen=operator.offset - 1,
     )
-    change = _sign(values, change)
-    return _report(change, operator.settle(change))
+    return _settle(operator, change)
 
 
-def status(address: str) -> int:
+def key(team: str) -> int:
+    """Prints the signing key of a team, to be handed to that team only.
+
+    Args:
+        team: Name of the team.
+    """
+    values = _read_values()
+    if not values.team_secret:
+        raise CommandError(
+            settings.EXIT_USAGE, "set POPLARSPINDLE_TEAM_SECRET first"
+        )
+    print(document.derive_key(values.team_secret, team).hex())
+    return EXIT_OK
+
+
+def status(address: str | None = None) -> int:
     """Shows the data centres as a scheduler sees them.
 
     Args:
-        address: The scheduler's `host:port`.
+        address: The scheduler's `host:port`; by default one that the
+            platform's instance list shows.
     """
-    answer = urllib3.request("GET", f"http://{address}/v1/status")
-    print(json.dumps(answer.json(), indent=2))
+    match _connect().ask_scheduler("/v1/status", address or ""):
+        case outcomes.Failed() as failed:
+            raise CommandError(
+                EXIT_UNREACHABLE,
+                f"no answer from {failed.peer}: {failed.detail}",
+            )
+        case outcomes.Ok(found):
+            print(json.dumps(found, indent=2))
     return EXIT_OK
 
 
 COMMANDS = {
     "publish": publish,
     "show": show,
+    "diff": diff,
+    "history": history,
     "settle": settle,
     "out": out,
     "in": in_,
+    "key": key,
     "status": status,
 }
 
 
+def run(argv: list[str] | None = None) -> int:
+    """Runs one command and returns its exit code.
+
+    Args:
+        argv: Arguments, those of the process by default.
+    """
+    try:
+        return defopt.run(
+            COMMANDS,
+            argv=argv,
+            version=f"poplarspindle-ctl {poplarspindle.__version__}",
+            show_defaults=False,
+        )
+    except CommandError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return error.code
+
+
 def main() -> None:
     """Runs `poplarspindle-ctl`."""
-    code = defopt.run(
-        COMMANDS,
-        version=f"poplarspindle-ctl {poplarspindle.__version__}",
-        show_defaults=False,
-    )
-    sys.exit(code)
+    sys.exit(run())
 
 
 if __name__ == "__main__":
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -5,7 +5,6 @@
 """
 
 import concurrent.futures
-import dataclasses
 import json
 import queue
 import random
@@ -23,6 +22,7 @@
     lanes,
     log,
     metrics,
+    operators,
     outcomes,
     records,
     reducer,
@@ -38,7 +38,6 @@
 HTTP_THREADS = 4
 JOIN_S = 5.0
 SEED_BITS = 32
-CHANGES_PATH = "/v1/changes/"
 
 logger = log.get_logger("scheduler")
 
@@ -252,8 +251,10 @@
                 return serving.Response(
                     200, body, content_type="application/json"
                 )
-        if request.path.startswith(CHANGES_PATH):
-            return self._serve_decision(request.path.removeprefix(CHANGES_PATH))
+        if request.path.startswith(operators.CHANGES_PATH):
+            return self._serve_decision(
+                request.path.removeprefix(operators.CHANGES_PATH)
+            )
         return serving.Response(404)
 
     def _serve_decision(self, change_id: str) -> serving.Response:
@@ -263,7 +264,7 @@
             return serving.Response(404)
         return serving.Response(
             200,
-            json.dumps(dataclasses.asdict(found)).encode(),
+            operators.encode_decision(found),
             content_type="application/json",
         )
 
--- a/poplarspindle/strict.py
+++ b/poplarspindle/strict.py
@@ -87,7 +87,9 @@
     try:
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        raise WrongValueError(f"not TOML: {error}") from error
+        last = f"at line {len(text.splitlines())}, the end"
+        detail = str(error).replace("at end of document", last)
+        raise WrongValueError(f"not TOML: {detail}") from error
     try:
         return _converter.structure(table, kind)
     except Exception as error:
