--- a/poplarspindle/ctl.py
+++ b/poplarspindle/ctl.py
@@ -1,4 +1,8 @@
+<<<<<<< HEAD
 """The operators' command line.
+=======
+"""The operators' command line: publish, out, in, status, trace."""
+>>>>>>> main
 
 Exit codes: 0 done; 2 wrong usage; 3 conflict, another change won; 4 refused;
 5 unknown, the change may take effect or may have; 6 the log or a scheduler
@@ -16,7 +20,19 @@
 import defopt
 
 import poplarspindle
+<<<<<<< HEAD
 from poplarspindle import document, operators, outcomes, records, settings
+=======
+from poplarspindle import (
+    document,
+    events,
+    inquiries,
+    outcomes,
+    records,
+    settings,
+)
+from poplarspindle.platform import logservice, transport
+>>>>>>> main
 
 EXIT_OK = 0
 EXIT_CONFLICT = 3
@@ -345,6 +361,22 @@
     return EXIT_OK
 
 
+def trace(name: str) -> int:
+    """Tells what happened to one request or one job.
+
+    Args:
+        name: Request id or job id.
+    """
+    match settings.check_values(settings.CTL, {}, os.environ):
+        case outcomes.Failed() as failed:
+            print(failed.detail, file=sys.stderr)
+            return settings.EXIT_USAGE
+        case outcomes.Ok(values):
+            report = inquiries.inquire(values, name)
+    print(inquiries.render(report))
+    return EXIT_OK if report.known else EXIT_UNKNOWN
+
+
 COMMANDS = {
     "publish": publish,
     "show": show,
@@ -355,6 +387,7 @@
     "in": in_,
     "key": key,
     "status": status,
+    "trace": trace,
 }
 
 
