--- a/poplarspindle/ctl.py
+++ b/poplarspindle/ctl.py
@@ -1,8 +1,4 @@
-<<<<<<< HEAD
 """The operators' command line.
-=======
-"""The operators' command line: publish, out, in, status, trace."""
->>>>>>> main
 
 Exit codes: 0 done; 2 wrong usage; 3 conflict, another change won; 4 refused;
 5 unknown, the change may take effect or may have; 6 the log or a scheduler
@@ -20,19 +16,14 @@
 import defopt
 
 import poplarspindle
-<<<<<<< HEAD
-from poplarspindle import document, operators, outcomes, records, settings
-=======
 from poplarspindle import (
     document,
-    events,
     inquiries,
+    operators,
     outcomes,
     records,
     settings,
 )
-from poplarspindle.platform import logservice, transport
->>>>>>> main
 
 EXIT_OK = 0
 EXIT_CONFLICT = 3
@@ -128,8 +119,9 @@
 def _report(change_id: str, decision: document.Decision) -> int:
     winner = f", won by {decision.winner}" if decision.winner else ""
     print(
-        f"{decision.verdict}: {decision.subject} is at version"
-        f" {decision.version}{winner}: {decision.reason} (change {change_id})"
+        f"{decision.verdict}: {decision.reason}{winner};"
+        f" {decision.subject} is at version {decision.version}"
+        f" (change {change_id})"
     )
     return VERDICT_CODES[decision.verdict]
 
--- a/poplarspindle/document.py
+++ b/poplarspindle/document.py
@@ -162,6 +162,7 @@
         secret: Secret from which the teams' keys derive, empty for none.
         team_keys: Key by team where the secret is not known; a change of
             another team can't be checked then and is taken as signed.
+        is_whole: Whether its stream was read to the tail with no hole.
         sections: Section by name.
         data_centres: State by data centre; absent means in service.
         decisions: Decision on each signed change by id, forgotten after
@@ -175,6 +176,9 @@
     team_keys: Mapping[str, bytes] | None = dataclasses.field(
         default=None, metadata={"kept": False}
     )
+    is_whole: bool = dataclasses.field(
+        default=True, compare=False, metadata={"kept": False}
+    )
     sections: dict[str, Section] = dataclasses.field(default_factory=dict)
     data_centres: dict[str, DataCentreState] = dataclasses.field(
         default_factory=dict
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -34,12 +34,9 @@
     retired,
     serving,
     settings,
-<<<<<<< HEAD
     snapshots,
-=======
     tickets,
     traces,
->>>>>>> main
 )
 from poplarspindle.platform import logservice, members, minions, transport
 
@@ -65,14 +62,11 @@
             raise ValueError("incarnation must be a letter, then A-Z 0-9 -")
         self.metrics = metrics.Metrics()
         self.document = document.State(values.team_secret)
-<<<<<<< HEAD
         self._replica = replica.Replica(self.document)
-=======
         self.members = membership.State(self.incarnation, time.monotonic())
         self.address = ""
         self.peer_address = ""
         self._presence = reports.Presence.LIVE
->>>>>>> main
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._links = peers.Links(self.metrics)
@@ -299,83 +293,9 @@
         with self._lock:
             return read(self.document)
 
-<<<<<<< HEAD
-    def _answer_whole(self, name, answer) -> serving.Response:
-        self.metrics.add("poplarspindle_requests_total", "answered")
-        headers = (
-            ("Request-Id", name),
-            ("Outcome", requests.Outcome.ANSWERED),
-        )
-        return serving.Response(
-            answer.status, answer.body, headers, answer.content_type
-        )
-
-    def _answer_verdict(self, name, verdict) -> serving.Response:
-        self.metrics.add("poplarspindle_requests_total", verdict.outcome)
-        self.metrics.add("poplarspindle_refusals_total", verdict.reason)
-        headers = (
-            ("Request-Id", name),
-            ("Outcome", verdict.outcome),
-            ("Reason", verdict.reason),
-            ("Step", verdict.step),
-        )
-        return serving.Response(OUTCOME_STATUS[verdict.outcome], b"", headers)
-
-    def _serve_job(self, request: serving.Request) -> serving.Response:
-        """Takes a job: `{"job", "family", "tasks"}`, in JSON."""
-        try:
-            body = json.loads(request.body)
-            name, family = str(body["job"]), str(body["family"])
-            count = int(body.get("tasks", 1))
-        except (ValueError, KeyError, TypeError):
-            return _refuse_input("give job, family and tasks in JSON")
-        if not self._replica.is_whole:
-            return _answer_json(503, {"error": "the document is not read yet"})
-        with self._lock:
-            found = self.document.find_family(family)
-            target = self._find_home(name, found[1]) if found else ""
-        if not found:
-            return _refuse_input(f"no section declares family {family}")
-        if not target:
-            return _answer_json(503, {"error": "no data centre in service"})
-        section, spec = found
-        job = records.JobSubmitted(
-            name,
-            section.team,
-            family,
-            spec.priority,
-            count,
-            int(spec.processors * 1000),
-            int(spec.memory_gb * 1000),
-            spec.accelerators,
-            int(spec.run_s * 1000),
-            spec.exclusive,
-            spec.urgent,
-        )
-        self._appender.add(cells.name_stream(target), job)
-        return _answer_json(202, {"job": name, "data_centre": target})
-
-    def _find_home(self, job: str, spec: document.FamilySpec) -> str:
-        """Returns the data centre that a job starts in."""
-        allowed = spec.data_centres or self.document.list_data_centres()
-        able = tuple(a for a in allowed if self.document.is_in_service(a))
-        digest = hashlib.sha256(job.encode()).hexdigest()
-        return ownership.rank_candidates(digest, able)[0] if able else ""
-
-
-def _answer_json(status: int, body: dict) -> serving.Response:
-    return serving.Response(
-        status, json.dumps(body).encode(), content_type="application/json"
-    )
-
-
-def _refuse_input(text: str) -> serving.Response:
-    return _answer_json(400, {"error": text})
-=======
     def is_live(self) -> bool:
         """Tells whether it was not told to stop."""
         return self._presence is reports.Presence.LIVE
->>>>>>> main
 
 
 def run(values: settings.Values) -> int:
--- a/poplarspindle/jobs.py
+++ b/poplarspindle/jobs.py
@@ -28,6 +28,7 @@
 )
 from poplarspindle.platform import logservice
 
+UNREAD = "document-unread"
 JOB_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 BODY_MOST_BYTES = 64 * 1024
 TASKS_MOST = 10_000
@@ -100,6 +101,8 @@
     if type(count) is not int or not 1 <= count <= TASKS_MOST:
         return _fail("bad-tasks", f"tasks must be 1 to {TASKS_MOST}.")
     found = known.find_family(family) if isinstance(family, str) else None
+    if found is None and not known.is_whole:
+        return _fail(UNREAD, "The document is not read yet; try again.")
     if found is None:
         return _fail("unknown-family", "No section declares this family.")
     section, spec = found
--- a/poplarspindle/replica.py
+++ b/poplarspindle/replica.py
@@ -14,7 +14,6 @@
     Attributes:
         state: The document as of the last event; where its state is lost,
             as it was before.
-        is_whole: Whether it was read to the tail with nothing missing.
         lost: Why the state is lost, empty where it is not.
 
     Args:
@@ -23,9 +22,14 @@
 
     def __init__(self, blank: document.State) -> None:
         self.state = blank
-        self.is_whole = False
+        self.state.is_whole = False
         self.lost = ""
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether it was read to the tail with nothing missing."""
+        return self.state.is_whole
+
     def take(self, event: events.Event) -> list[effects.Effect]:
         """Reduces one event of the document's stream."""
         match event:
@@ -34,18 +38,19 @@
             case events.MalformedRead(count=count):
                 return [_count("malformed", count)]
             case events.TailReached():
-                self.is_whole = True
+                self.state.is_whole = True
             case events.RetentionPassed():
-                self.is_whole = False
+                self.state.is_whole = False
                 return [_count("retention-passed")]
             case events.SnapshotRead(state=state):
                 self.state = state
+                self.state.is_whole = False
                 self.lost = ""
                 return [_count_snapshot("installed")]
             case events.SnapshotRefused(reason=reason):
                 return [_count_snapshot(reason)]
             case events.StateLost(reason=reason):
-                self.is_whole = False
+                self.state.is_whole = False
                 self.lost = reason
                 text = f"The document is lost: {reason}."
                 return [
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -75,12 +75,14 @@
                 values.hold_s,
                 values.fresh_s,
                 values.policy,
+                values.attempts,
+                values.retry_s,
+                values.standbys,
                 snapshot_appends=values.snapshot_appends,
                 snapshot_age_s=values.snapshot_age_s,
             ),
             values.team_secret,
         )
-        self.document = self.state.document
         self._rng = random.Random(self.incarnation)
         self._calls = transport.Transport(values.platform_timeout_s)
         service = logservice.LogService(values.log_url, self._calls)
@@ -124,6 +126,11 @@
         ]
         self.address = ""
 
+    @property
+    def document(self):
+        """The operators' document as reduced so far."""
+        return self.state.document
+
     def start(self) -> None:
         """Starts all threads and announces this instance."""
         self.address = self._server.start()
@@ -142,6 +149,7 @@
         self._announce(reports.Presence.LEAVING)
         self._events.put(events.LeaveRequested(time.monotonic()))
         self._drain_events()
+        self._wait_released()
         self.appender.close(JOIN_S)
         self.kill()
         logger.info("Stopped.")
@@ -162,6 +170,18 @@
         self._events.put(reached)
         reached.wait(JOIN_S)
 
+    def _wait_released(self) -> None:
+        """Waits, at most a lease, until it owns nothing any more."""
+        deadline = time.monotonic() + self.values.lease_s
+        while self._owns_any() and time.monotonic() < deadline:
+            self._stopping.wait(self.values.tick_s)
+
+    def _owns_any(self) -> bool:
+        return any(
+            cell.table.owner == self.incarnation
+            for cell in list(self.state.cells.values())
+        )
+
     def _announce(self, presence: reports.Presence) -> None:
         member = reports.Member(
             self.incarnation,
