--- a/poplarspindle/cells.py
+++ b/poplarspindle/cells.py
@@ -7,8 +7,9 @@
 
 import dataclasses
 import enum
+import itertools
 
-from poplarspindle import effects, records, reports, resources
+from poplarspindle import backlog, effects, records, reports, resources
 
 
 class Phase(enum.StrEnum):
@@ -87,6 +88,7 @@
         held: Ids of tasks by the worker that holds them.
         reserved: What is reserved by worker.
         offset: Offset of the last record reduced, -1 for none.
+        lanes: Queued tasks by lane, and what teams hold.
     """
 
     data_centre: str
@@ -107,6 +109,9 @@
         default_factory=dict
     )
     offset: int = -1
+    lanes: backlog.Backlog = dataclasses.field(
+        default_factory=backlog.Backlog, metadata={"kept": False}
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -170,6 +175,55 @@
     sent_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Throttle:
+    """The limit that this instance put on a task.
+
+    Attributes:
+        attempt: Attempt it holds for.
+        per_mille: Share of its processors, 1000 for no limit.
+        sent_at: When it was sent, own clock.
+    """
+
+    attempt: int
+    per_mille: int
+    sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Signal:
+    """A measurement of a service's replica.
+
+    Attributes:
+        taken_at: Not later than when it was taken, own clock.
+        log_ratio: Logarithm of its tail latency over the target.
+        load: Its load then.
+    """
+
+    taken_at: float
+    log_ratio: float
+    load: float
+
+
+class Ladder:
+    """Where the reaction to slow services on one worker stands.
+
+    Attributes:
+        stepped_at: When the last step was taken, own clock.
+        evicted_at: When the last eviction was decided, own clock.
+        released_at: When a limit was last eased, own clock.
+        signals: Last measurement by replica.
+        mixes: Shares by family from a time on, newest last.
+    """
+
+    def __init__(self) -> None:
+        self.stepped_at = float("-inf")
+        self.evicted_at = float("-inf")
+        self.released_at = float("-inf")
+        self.signals: dict[str, Signal] = {}
+        self.mixes: list[tuple[float, dict[str, float]]] = []
+
+
 class View:
     """What one instance knows of a data centre besides the log.
 
@@ -190,6 +244,13 @@
         commanded: When a stop was last sent, by task.
         retry_at: When a task that failed may be placed again, by task.
         owned_since: When this instance's claim was read, own clock.
+        in_since: When the data centre was seen back in service, own clock.
+        out_since: When it was seen out of service, None while in.
+        blocked: Why a lane of queued tasks had no placement at the last tick.
+        waiting: Since when a lane has had no placement.
+        kept: Lane for which a worker's room is kept, by worker.
+        resumed_at: When an attempt after the first was seen to run, by task.
+        throttles: Last limit sent, by task.
     """
 
     def __init__(self) -> None:
@@ -209,6 +270,14 @@
         self.commanded: dict[str, float] = {}
         self.retry_at: dict[str, float] = {}
         self.owned_since = float("-inf")
+        self.in_since = float("-inf")
+        self.out_since: float | None = None
+        self.blocked: dict[backlog.Lane, str] = {}
+        self.waiting: dict[backlog.Lane, float] = {}
+        self.kept: dict[str, backlog.Lane] = {}
+        self.resumed_at: dict[str, float] = {}
+        self.throttles: dict[str, Throttle] = {}
+        self.ladders: dict[str, Ladder] = {}
 
 
 class Cell:
@@ -241,6 +310,8 @@
     stopping = phase is Phase.STOPPING or (task.cancelled and phase in HOLDING)
     moving = phase is Phase.MOVED and task.reason != MOVE_CONFIRMED
     _file(table.queue, name, phase is Phase.QUEUED)
+    table.lanes.set_queued(task, phase is Phase.QUEUED)
+    table.lanes.set_held(task, phase in HOLDING)
     _file(table.placed, name, phase is Phase.PLACED and not stopping)
     _file(table.stopping, name, stopping)
     _file(table.moving, name, moving)
@@ -304,6 +375,28 @@
     index_task(table, task)
 
 
+def find_backlog(table: Table) -> backlog.Backlog:
+    """Returns the backlog, found again where a snapshot left it out."""
+    found = table.lanes
+    held = sum(map(len, table.held.values()))
+    if (found.queued, len(found.counted)) == (len(table.queue), held):
+        return found
+    table.lanes = backlog.Backlog()
+    for name in table.queue:
+        table.lanes.set_queued(table.tasks[name], True)
+    for name in itertools.chain.from_iterable(table.held.values()):
+        table.lanes.set_held(table.tasks[name], True)
+    return table.lanes
+
+
+def resize_task(table: Table, task: Task, need: resources.Resources) -> None:
+    """Changes what a task reserves."""
+    if task.phase in HOLDING:
+        table.reserved[task.worker] += need - task.need
+    task.need = need
+    table.lanes.set_held(task, task.phase in HOLDING)
+
+
 def forget_messages(cell: Cell, task: str) -> None:
     """Forgets what was sent about a task: its phase has changed."""
     cell.view.pending.pop(task, None)
--- /dev/null
+++ b/poplarspindle/eviction.py
@@ -0,0 +1,150 @@
+"""Which tasks are evicted to make room for a pressing one.
+
+The room is free only after the confirmed stop; until then the pressing task
+keeps its claim on it, tick by tick. No more is evicted than needed.
+"""
+
+import dataclasses
+import itertools
+
+from poplarspindle import cells, placement, records, resources
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Victims on one worker.
+
+    Attributes:
+        cost: Orders plans: highest priority hit, number, work lost.
+    """
+
+    cost: tuple
+    worker: str
+    victims: tuple[cells.Task, ...]
+
+
+def is_leaving(cell: cells.Cell, task: cells.Task) -> bool:
+    """Tells whether a task is to stop, by the log or on its way there."""
+    proposed = cell.view.proposed.get(task.task, {})
+    stopping = task.phase is cells.Phase.STOPPING or task.cancelled
+    return stopping or records.TaskEvicted in proposed
+
+
+def is_newly_resumed(
+    cell: cells.Cell, task: cells.Task, protect_s: float, at: float
+) -> bool:
+    """Tells whether a task resumed too lately to be evicted again."""
+    since = cell.view.resumed_at.get(task.task, float("-inf"))
+    return task.attempt > 0 and at - since < protect_s
+
+
+def make_room(
+    rooms: placement.Rooms,
+    task: cells.Task,
+    need: resources.Resources,
+    at: float,
+) -> list:
+    """Claims room that is coming, or evicts for a pressing task.
+
+    Args:
+        rooms: Free room; the claim is taken off it.
+        task: The pressing task.
+        need: What it is to reserve.
+        at: Own clock.
+
+    Returns:
+        Records that decide the evictions.
+    """
+    plans = [
+        plan
+        for name in rooms.room
+        if (plan := _plan_worker(rooms, name, task, need, at)) is not None
+    ]
+    if not plans:
+        return []
+    best = min(plans, key=lambda plan: (plan.cost, plan.worker))
+    rooms.claim(best.worker, need)
+    reason = "service" if task.job.is_service else "urgent"
+    return [
+        effect
+        for victim in best.victims
+        for effect in propose_eviction(rooms.cell, victim, reason, at)
+    ]
+
+
+def propose_eviction(
+    cell: cells.Cell, task: cells.Task, reason: str, at: float
+) -> list:
+    """Returns the record that decides an eviction."""
+    record = records.TaskEvicted(
+        task.task, task.attempt, cell.table.term, reason
+    )
+    return cells.propose(cell, record, at)
+
+
+def _plan_worker(rooms, name, task, need, at) -> Plan | None:
+    """Plans evictions on one worker; None where they do not suffice."""
+    cell = rooms.cell
+    if not need.fits_in(cell.view.workers[name].member.capacity):
+        return None
+    held = cells.list_held(cell, name)
+    leaving = [t for t in held if is_leaving(cell, t)]
+    room = sum((t.need for t in leaving), rooms.room[name])
+    if need.fits_in(room):
+        return Plan((-1, 0, 0), name, ())
+    protect_s = rooms.own.limits.protect_s
+    able = sorted(
+        (
+            t
+            for t in held
+            if t not in leaving
+            and not t.job.is_service
+            and t.job.priority < task.job.priority
+            and not is_newly_resumed(cell, t, protect_s, at)
+        ),
+        key=lambda t: (t.job.priority, find_lost_ms(cell, t), t.task),
+    )
+    victims = _choose_victims(able, need, room)
+    if victims is None:
+        return None
+    cost = (
+        max(t.job.priority for t in victims),
+        len(victims),
+        sum(find_lost_ms(cell, t) for t in victims),
+    )
+    return Plan(cost, name, victims)
+
+
+def _choose_victims(able, need, room) -> tuple[cells.Task, ...] | None:
+    """Takes victims in order until the need fits, then spares the rest."""
+    totals = itertools.accumulate(
+        (t.need for t in able), lambda a, b: a + b, initial=room
+    )
+    count = next(
+        (i for i, total in enumerate(totals) if need.fits_in(total)), None
+    )
+    if count is None:
+        return None
+    chosen = list(able[:count])
+    total = sum((t.need for t in chosen), room)
+    for victim in list(chosen):
+        if need.fits_in(total - victim.need):
+            chosen.remove(victim)
+            total = total - victim.need
+    return tuple(chosen)
+
+
+def find_lost_ms(cell: cells.Cell, task: cells.Task) -> int:
+    """Returns the work a task has done since its last checkpoint."""
+    worker = cell.view.workers.get(task.worker)
+    if worker is None or worker.report is None:
+        return 0
+    done = next(
+        (
+            r.worked_ms
+            for r in worker.report.running
+            if r.task == task.task and r.attempt == task.attempt
+        ),
+        task.checkpoint,
+    )
+    return max(0, done - task.checkpoint)
--- /dev/null
+++ b/poplarspindle/failures.py
@@ -0,0 +1,32 @@
+"""Holds failed tasks against their worker or their family."""
+
+from poplarspindle import cells, effects, events, ownership, quarantine, state
+
+
+def note_end(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
+    """Takes a TaskEnded record in, before it is applied to its task."""
+    record = event.record
+    task = cell.table.tasks.get(record.task)
+    current = (
+        task is not None
+        and task.attempt == record.attempt
+        and record.term == cell.table.term
+        and task.phase in cells.HOLDING
+    )
+    if not current or not ownership.is_owner(own, cell):
+        return []
+    family = task.job.family
+    if record.succeeded:
+        quarantine.note_success(own.failures, task.worker, family)
+        return []
+    closed = quarantine.note_failure(
+        own.failures, task.worker, family, event.at
+    )
+    if not closed:
+        return []
+    return [
+        effects.Count("poplarspindle_refusals_total", "worker-quarantined"),
+        effects.Note("quarantine", "Quarantined a worker.", task.worker),
+    ]
--- /dev/null
+++ b/poplarspindle/feasibility.py
@@ -0,0 +1,49 @@
+"""Whether a job can run on any worker at all, and why not."""
+
+from collections.abc import Iterable
+
+from poplarspindle import reports, resources
+
+
+def find_obstacle(
+    need: resources.Resources,
+    allowed: tuple[str, ...],
+    workers: Iterable[reports.Member],
+) -> str:
+    """Tells why no worker can ever hold a task.
+
+    Args:
+        need: What the task reserves.
+        allowed: Data centres where it may run.
+        workers: All workers of the instance list.
+
+    Returns:
+        One sentence, empty where some worker could hold it. Where the list
+        names no worker there, nothing is known and nothing refused.
+    """
+    if not allowed:
+        return "no data centre is allowed"
+    capacities = {w.capacity for w in workers if w.data_centre in allowed}
+    if not capacities or any(need.fits_in(c) for c in capacities):
+        return ""
+    most = (
+        ("processors", need.millicores / 1000, _most(capacities, "millicores")),
+        ("MB of memory", need.memory_mb, _most(capacities, "memory_mb")),
+        (
+            "accelerators",
+            need.accelerators,
+            _most(capacities, "accelerators"),
+        ),
+    )
+    for what, wanted, offered in most:
+        offered = offered / 1000 if what == "processors" else offered
+        if wanted > offered:
+            return (
+                f"needs {wanted:g} {what}, and no worker in"
+                f" {', '.join(sorted(allowed))} has more than {offered:g}"
+            )
+    return "no single worker has all the resources it needs together"
+
+
+def _most(capacities: set[resources.Resources], name: str) -> int:
+    return max(getattr(capacity, name) for capacity in capacities)
--- /dev/null
+++ b/poplarspindle/learning.py
@@ -0,0 +1,138 @@
+"""Takes late samples in: slowdown, real sizes, measurements to react to."""
+
+import math
+
+from poplarspindle import (
+    cells,
+    events,
+    interference,
+    mixes,
+    placement,
+    records,
+    reports,
+    resources,
+    sizes,
+    state,
+)
+
+MIXES_KEPT = 32
+SMOOTHING = 0.5
+
+
+def observe(
+    own: state.State, cell: cells.Cell, event: events.WorkerSynced
+) -> list:
+    """Learns from a worker's report.
+
+    Returns:
+        Records that raise reservations to what is used.
+    """
+    worker = cell.view.workers.get(event.worker)
+    if worker is None or worker.report is not event.report:
+        return []
+    ladder = cell.view.ladders.setdefault(event.worker, cells.Ladder())
+    _note_running(cell, event)
+    _note_mix(cell, worker, ladder, event)
+    return [
+        effect
+        for sample in event.report.usage
+        for effect in _take_sample(own, cell, worker, ladder, event, sample)
+    ]
+
+
+def _note_running(cell: cells.Cell, event: events.WorkerSynced) -> None:
+    """Notes since when resumed tasks run, and forgets what ended."""
+    resumed_at = cell.view.resumed_at
+    for running in event.report.running:
+        if running.attempt > 0:
+            resumed_at.setdefault(running.task, event.at)
+    for ended in event.report.ended:
+        resumed_at.pop(ended.task, None)
+        cell.view.throttles.pop(ended.task, None)
+
+
+def _note_mix(cell, worker, ladder, event) -> None:
+    """Keeps which batch work ran when: samples come later."""
+    shares: dict[str, float] = {}
+    for running in event.report.running:
+        task = cell.table.tasks.get(running.task)
+        if task is None or interference.name_service(task.job.job):
+            continue
+        family = task.job.family
+        share = mixes.find_share(cell, worker, task)
+        shares[family] = shares.get(family, 0.0) + share
+    if not ladder.mixes or ladder.mixes[-1][1] != shares:
+        ladder.mixes.append((event.at, shares))
+        del ladder.mixes[:-MIXES_KEPT]
+
+
+def _take_sample(own, cell, worker, ladder, event, sample) -> list:
+    task = cell.table.tasks.get(sample.task)
+    if task is None or task.attempt != sample.attempt:
+        return []
+    taken_at = event.sent_at - sample.age_ms / 1000
+    service = interference.name_service(task.job.job)
+    if service:
+        _take_latency(own, ladder, service, sample, taken_at)
+        return []
+    if own.limits.policy not in placement.LEARNING:
+        return []
+    if task.task not in cell.view.throttles:
+        used = (sample.millicores, sample.memory_mb)
+        family = task.job.family
+        sizes.learn(own.sizes, family, task.task, *used, task.need)
+    return _grow(cell, worker, task, sample, event.at)
+
+
+def _take_latency(
+    own: state.State,
+    ladder: cells.Ladder,
+    service: str,
+    sample: reports.UsageSample,
+    taken_at: float,
+) -> None:
+    if sample.latency_ms <= 0:
+        return
+    shares = next(
+        (shares for at, shares in reversed(ladder.mixes) if at <= taken_at),
+        None,
+    )
+    if shares is not None:
+        interference.learn(
+            own.slowdown,
+            service,
+            shares,
+            sample.load,
+            sample.latency_ms,
+            taken_at,
+        )
+    ratio = math.log(sample.latency_ms / mixes.find_target_ms(own, service))
+    before = ladder.signals.get(sample.task)
+    if before is not None and before.taken_at > ladder.stepped_at:
+        ratio = SMOOTHING * ratio + (1 - SMOOTHING) * before.log_ratio
+    ladder.signals[sample.task] = cells.Signal(taken_at, ratio, sample.load)
+
+
+def _grow(cell, worker, task, sample, at: float) -> list:
+    """Raises a reservation that is below use, as far as there is room."""
+    if task.phase is not cells.Phase.RUNNING:
+        return []
+    wanted = sizes.find_growth(task.need, sample.millicores, sample.memory_mb)
+    if wanted is None:
+        return []
+    room = cells.compute_room(cell, worker)
+    raised = resources.Resources(
+        min(wanted.millicores, task.need.millicores + room.millicores),
+        min(wanted.memory_mb, task.need.memory_mb + room.memory_mb),
+        task.need.accelerators,
+    )
+    if raised == task.need:
+        return []
+    record = records.TaskResized(
+        task.task,
+        task.attempt,
+        cell.table.term,
+        raised.millicores,
+        raised.memory_mb,
+    )
+    return cells.propose(cell, record, at)
--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -11,6 +11,7 @@
     "poplarspindle_records_total": "Log records by verdict.",
     "poplarspindle_platform_failures_total": "Failed platform calls.",
     "poplarspindle_tasks_total": "Task transitions.",
+    "poplarspindle_reactions_total": "Steps against slow services.",
     "poplarspindle_ownership_total": "Ownership transitions.",
     "poplarspindle_connections_total": "Connections closed by reason.",
 }
--- /dev/null
+++ b/poplarspindle/mixes.py
@@ -0,0 +1,157 @@
+"""What runs side by side on a worker, as the slowdown model sees it."""
+
+import dataclasses
+import math
+
+from poplarspindle import cells, interference, state
+
+FULL_PER_MILLE = 1000
+TARGET_DEFAULT_MS = 200.0
+COMFORT = 0.7
+OVER_WEIGHT = 8.0
+RATIO_MOST = 50.0
+
+
+@dataclasses.dataclass(slots=True)
+class Beside:
+    """One service on a worker.
+
+    Attributes:
+        service: Its name.
+        replicas: How many of its tasks are there.
+        factor: How strongly co-runners bear on it at its load.
+        log_ms: Logarithm of its predicted tail latency now.
+        log_target: Logarithm of its target.
+    """
+
+    service: str
+    replicas: int
+    factor: float
+    log_ms: float
+    log_target: float
+
+
+@dataclasses.dataclass(slots=True)
+class Mix:
+    """What runs on one worker.
+
+    Attributes:
+        shares: Part of the worker's processors by batch family.
+        services: Services there, by name.
+        unknown: Replicas of services that were never measured.
+    """
+
+    shares: dict[str, float]
+    services: dict[str, Beside]
+    unknown: int = 0
+
+
+def find_share(cell: cells.Cell, worker: cells.Worker, task: cells.Task):
+    """Returns a batch task's part of its worker's processors."""
+    throttle = cell.view.throttles.get(task.task)
+    limited = throttle is not None and throttle.attempt == task.attempt
+    per_mille = throttle.per_mille if limited else FULL_PER_MILLE
+    whole = max(1, worker.member.capacity.millicores)
+    return task.need.millicores / whole * per_mille / FULL_PER_MILLE
+
+
+def list_tasks(
+    cell: cells.Cell, name: str, arriving: dict[str, list[str]]
+) -> list[cells.Task]:
+    """Returns what holds a worker, with what is about to."""
+    held = cell.table.held.get(name, ())
+    return [
+        cell.table.tasks[task]
+        for task in sorted({*held, *arriving.get(name, ())})
+        if task in cell.table.tasks
+    ]
+
+
+def describe(
+    own: state.State,
+    cell: cells.Cell,
+    worker: cells.Worker,
+    tasks: list[cells.Task],
+) -> Mix:
+    """Describes the tasks of one worker."""
+    mix = Mix({}, {})
+    replicas: dict[str, int] = {}
+    for task in tasks:
+        name = interference.name_service(task.job.job)
+        if name:
+            replicas[name] = replicas.get(name, 0) + 1
+            continue
+        share = find_share(cell, worker, task)
+        family = task.job.family
+        mix.shares[family] = mix.shares.get(family, 0.0) + share
+    for name, count in replicas.items():
+        add_service(own, mix, name, count)
+    return mix
+
+
+def add_service(own: state.State, mix: Mix, name: str, count: int) -> None:
+    """Adds replicas of a service to a mix."""
+    known = own.slowdown.services.get(name)
+    if known is None:
+        mix.unknown += count
+        return
+    found = mix.services.get(name)
+    if found is not None:
+        found.replicas += count
+        return
+    load = max(known.load, known.peak)
+    latency = interference.predict(own.slowdown, name, mix.shares, load)
+    mix.services[name] = Beside(
+        name,
+        count,
+        interference.weigh_load(load),
+        math.log(latency),
+        math.log(find_target_ms(own, name)),
+    )
+
+
+def add_share(own: state.State, mix: Mix, family: str, share: float) -> None:
+    """Adds batch work of a family to a mix."""
+    mix.shares[family] = mix.shares.get(family, 0.0) + share
+    for beside in mix.services.values():
+        weight = own.slowdown.find_weight(beside.service, family).mean
+        beside.log_ms += beside.factor * weight * share
+
+
+def find_target_ms(own: state.State, service: str) -> float:
+    """Returns a service's target by the document."""
+    found = own.document.find_service(service)
+    return found[1].target_ms if found else TARGET_DEFAULT_MS
+
+
+def price(log_ratio: float) -> float:
+    """Prices a tail latency by the logarithm of its ratio to the target.
+
+    It grows with the ratio, and steeply where little comfort is left.
+    """
+    ratio = min(math.exp(min(log_ratio, 10.0)), RATIO_MOST)
+    over = max(0.0, ratio - COMFORT)
+    return ratio + OVER_WEIGHT * over * over
+
+
+def price_family(
+    own: state.State, mix: Mix, family: str, share: float
+) -> float:
+    """Prices what batch work of a family would do to the services."""
+    cost = 0.0
+    for beside in mix.services.values():
+        weight = own.slowdown.find_weight(beside.service, family).mean
+        before = beside.log_ms - beside.log_target
+        after = before + beside.factor * weight * share
+        cost += beside.replicas * (price(after) - price(before))
+    return cost
+
+
+def price_service(own: state.State, mix: Mix, name: str) -> float:
+    """Prices the tail that a replica of a service would have in a mix."""
+    known = own.slowdown.services.get(name)
+    if known is None:
+        return sum(mix.shares.values())
+    load = max(known.load, known.peak)
+    latency = interference.predict(own.slowdown, name, mix.shares, load)
+    return price(math.log(latency / find_target_ms(own, name)))
--- a/poplarspindle/placement.py
+++ b/poplarspindle/placement.py
@@ -3,48 +3,220 @@
 import random
 from collections.abc import Callable
 
-from poplarspindle import cells
+from poplarspindle import (
+    cells,
+    interference,
+    mixes,
+    quarantine,
+    reports,
+    resources,
+    state,
+)
 
-Policy = Callable[
-    [cells.Cell, cells.Task, list[cells.Worker], random.Random],
-    cells.Worker | None,
-]
+BUCKETS = 16
+CANDIDATES_MOST = 32
+BALANCE_WEIGHT = 0.1
+SAME_WORKER_COST = 1.0
+SAME_RACK_COST = 0.2
+
+
+class Rooms:
+    """Free room of a data centre's workers, found once per tick.
+
+    Reservations count, and so do placements on their way through the log.
+
+    Attributes:
+        room: Free room by worker.
+        kept: Lane for which a worker's room is kept, by worker.
+        arriving: Ids of tasks placed but not read back, by worker.
+    """
+
+    def __init__(self, own: state.State, cell: cells.Cell, at: float) -> None:
+        self.own = own
+        self.cell = cell
+        self.at = at
+        self.room: dict[str, resources.Resources] = {}
+        self.kept = dict(cell.view.kept)
+        self.arriving: dict[str, list[str]] = {}
+        self._mixes: dict[str, mixes.Mix] = {}
+        self._buckets: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
+        self._most = max(
+            (w.member.capacity.millicores for w in cell.view.workers.values()),
+            default=1,
+        )
+        self._find_rooms()
+
+    def _find_rooms(self) -> None:
+        taken: dict[str, resources.Resources] = {}
+        for task, sent in self.cell.view.pending.items():
+            before = taken.get(sent.worker, resources.NOTHING)
+            taken[sent.worker] = before + sent.need
+            self.arriving.setdefault(sent.worker, []).append(task)
+        reserved = self.cell.table.reserved
+        for name, worker in self.cell.view.workers.items():
+            if not is_usable(self.cell, worker):
+                continue
+            room = worker.member.capacity
+            if name in reserved:
+                room = room - reserved[name]
+            if name in taken:
+                room = room - taken[name]
+            self.room[name] = room
+            self._buckets[self._bucket(room)][name] = None
 
+    def _bucket(self, room: resources.Resources) -> int:
+        share = max(0, room.millicores) / max(1, self._most)
+        return min(BUCKETS - 1, int(share * BUCKETS))
 
-def list_fitting(cell: cells.Cell, task: cells.Task) -> list[cells.Worker]:
-    """Returns the reachable workers with room for a task, in name order."""
-    return [
-        worker
-        for _, worker in sorted(cell.view.workers.items())
-        if worker.reached
+    def take(self, task: cells.Task, name: str, need) -> None:
+        """Takes room at a worker for a task."""
+        self.claim(name, need)
+        self.arriving.setdefault(name, []).append(task.task)
+        mix = self._mixes.get(name)
+        if mix is None:
+            return
+        service = interference.name_service(task.job.job)
+        if service:
+            mixes.add_service(self.own, mix, service, 1)
+        else:
+            whole = self.cell.view.workers[name].member.capacity.millicores
+            share = need.millicores / max(1, whole)
+            mixes.add_share(self.own, mix, task.job.family, share)
+
+    def claim(self, name: str, need: resources.Resources) -> None:
+        """Takes room off a worker that is free only later."""
+        del self._buckets[self._bucket(self.room[name])][name]
+        self.room[name] = self.room[name] - need
+        self._buckets[self._bucket(self.room[name])][name] = None
+
+    def find_mix(self, name: str) -> mixes.Mix:
+        """Returns what runs on a worker, or is about to."""
+        if name not in self._mixes:
+            self._mixes[name] = mixes.describe(
+                self.own,
+                self.cell,
+                self.cell.view.workers[name],
+                mixes.list_tasks(self.cell, name, self.arriving),
+            )
+        return self._mixes[name]
+
+    def list_fitting(self, need, lane, most: int | None = None) -> list[str]:
+        """Returns workers with room, by buckets of free processors.
+
+        Args:
+            need: What is to be reserved.
+            lane: The task's lane; room kept for another is passed over.
+            most: How many to return at most.
+        """
+        found = []
+        standings = self.own.failures.workers
+        for bucket in reversed(self._buckets[self._bucket(need) :]):
+            for name in bucket:
+                if (
+                    need.fits_in(self.room[name])
+                    and (lane.pressing or self.kept.get(name, lane) == lane)
+                    and quarantine.is_open(standings, name, self.at)
+                ):
+                    found.append(name)
+                    if len(found) == most:
+                        return found
+        return found
+
+
+def is_usable(cell: cells.Cell, worker: cells.Worker) -> bool:
+    """Tells whether tasks may be placed on a worker at all."""
+    return (
+        worker.reached
+        and not worker.strangers
         and worker.fenced_term == cell.table.term
-        and task.need.fits_in(cells.compute_room(cell, worker))
-    ]
+        and worker.member.presence is reports.Presence.LIVE
+    )
+
 
+def weigh_reserved(rooms: Rooms, name: str) -> float:
+    """Returns the dominant share reserved of a worker."""
+    capacity = rooms.cell.view.workers[name].member.capacity
+    return (capacity - rooms.room[name]).share_of(capacity)
 
-def pick_random(cell, task, fitting, rng):
+
+Policy = Callable[
+    [Rooms, cells.Task, resources.Resources, list[str], random.Random],
+    str,
+]
+
+
+def pick_random(rooms, task, need, fitting, rng):
     """Picks any worker with room."""
-    return rng.choice(fitting) if fitting else None
+    return rng.choice(sorted(fitting))
 
 
-def pick_first_fit(cell, task, fitting, rng):
+def pick_first_fit(rooms, task, need, fitting, rng):
     """Picks the first worker with room."""
-    return fitting[0] if fitting else None
+    return min(fitting)
 
 
-def pick_least_loaded(cell, task, fitting, rng):
+def pick_least_loaded(rooms, task, need, fitting, rng):
     """Picks the worker with the least share reserved."""
+    return min(fitting, key=lambda name: (weigh_reserved(rooms, name), name))
+
+
+def pick_least_harm(rooms, task, need, fitting, rng):
+    """Picks the worker where the services' tails suffer least.
+
+    Spread over workers and racks counts for services, balance for all.
+    """
+    service = interference.name_service(task.job.job)
+    if service:
+        racks = _count_racks(rooms, service)
+
+        def weigh(name: str) -> float:
+            return _price_service(rooms, service, racks, name)
+    else:
+
+        def weigh(name: str) -> float:
+            return _price_batch(rooms, task, need, name)
+
+    return min(fitting, key=lambda name: (weigh(name), name))
+
+
+def _price_batch(rooms: Rooms, task, need, name: str) -> float:
+    whole = rooms.cell.view.workers[name].member.capacity.millicores
+    share = need.millicores / max(1, whole)
+    mix = rooms.find_mix(name)
+    harm = mixes.price_family(rooms.own, mix, task.job.family, share)
+    unknown = mix.unknown * share
+    return harm + unknown + BALANCE_WEIGHT * weigh_reserved(rooms, name)
+
+
+def _price_service(rooms: Rooms, service: str, racks, name: str) -> float:
+    mix = rooms.find_mix(name)
+    beside = mix.services.get(service)
+    same = beside.replicas if beside else 0
+    rack = rooms.cell.view.workers[name].member.rack
+    return (
+        mixes.price_service(rooms.own, mix, service)
+        + SAME_WORKER_COST * same
+        + SAME_RACK_COST * racks.get(rack, 0)
+        + BALANCE_WEIGHT * weigh_reserved(rooms, name)
+    )
 
-    def weigh(worker: cells.Worker) -> float:
-        capacity = worker.member.capacity
-        return (capacity - cells.compute_room(cell, worker)).share_of(capacity)
 
-    return min(fitting, key=weigh, default=None)
+def _count_racks(rooms: Rooms, service: str) -> dict[str, int]:
+    """Counts a service's replicas by rack."""
+    counts: dict[str, int] = {}
+    for name in rooms.room:
+        beside = rooms.find_mix(name).services.get(service)
+        if beside is not None:
+            rack = rooms.cell.view.workers[name].member.rack
+            counts[rack] = counts.get(rack, 0) + beside.replicas
+    return counts
 
 
 POLICIES: dict[str, Policy] = {
     "random": pick_random,
     "first_fit": pick_first_fit,
     "least_loaded": pick_least_loaded,
-    "chosen": pick_least_loaded,
+    "evict_first": pick_least_loaded,
+    "chosen": pick_least_harm,
 }
+LEARNING = frozenset({"chosen"})
--- a/poplarspindle/placing.py
+++ b/poplarspindle/placing.py
@@ -1,48 +1,264 @@
 """Which queued tasks are placed at a tick, and in which order."""
 
+import itertools
 import random
+from collections.abc import Iterator
 
-from poplarspindle import cells, events, placement, records, state
+from poplarspindle import (
+    backlog,
+    cells,
+    effects,
+    events,
+    eviction,
+    feasibility,
+    placement,
+    quarantine,
+    quotas,
+    records,
+    resources,
+    sizes,
+    spill,
+    state,
+)
 
 PLACEMENTS_PER_TICK = 50
+SKIPS_MOST = 200
+
+
+class Round:
+    """The placements of one tick in one data centre.
+
+    Attributes:
+        found: Effects so far.
+        blocked: Why a lane had no further turn, by lane.
+        placed: Number of placements so far.
+    """
+
+    def __init__(
+        self, own: state.State, cell: cells.Cell, event: events.Ticked
+    ) -> None:
+        self.own = own
+        self.cell = cell
+        self.at = event.at
+        self.found: list[effects.Effect] = []
+        self.blocked: dict[backlog.Lane, str] = {}
+        self.placed = 0
+        self.rooms = placement.Rooms(own, cell, event.at)
+        self.rng = random.Random(event.seed)
+        self.learns = own.limits.policy in placement.LEARNING
+        self.allowances = quotas.list_allowances(own, cell)
+        self.backlog = cells.find_backlog(cell.table)
+        self.turns = quotas.Turns(
+            self.backlog.lanes,
+            _count_held(cell, self.backlog),
+            quotas.find_capacity(cell),
+        )
+        self._queues: dict[backlog.Lane, Iterator[cells.Task]] = {}
+
+    def run(self, most: int) -> None:
+        """Gives lanes their turns until room, tasks or turns run out."""
+        self._keep_rooms()
+        while self.placed < most:
+            turn = self.turns.take()
+            if turn is None:
+                return
+            number, lane = turn
+            task = self._next_task(lane)
+            if task is not None and self._try_task(lane, task):
+                self.turns.give_back(number, lane)
+
+    def _keep_rooms(self) -> None:
+        """Drops kept room whose lane has nothing queued any more."""
+        kept = self.cell.view.kept
+        for name, lane in list(kept.items()):
+            gone = lane not in self.backlog.lanes or name not in self.rooms.room
+            if gone:
+                del kept[name]
+                self.rooms.kept.pop(name, None)
+
+    def _next_task(self, lane: backlog.Lane) -> cells.Task | None:
+        """Returns a lane's next task that is neither placed nor backing off."""
+        queue = self._queues.get(lane)
+        if queue is None:
+            names = itertools.islice(self.backlog.lanes[lane], SKIPS_MOST)
+            queue = (
+                self.cell.table.tasks[name]
+                for name in list(names)
+                if name not in self.cell.view.pending
+            )
+            self._queues[lane] = queue
+        return next(
+            (t for t in queue if cells.is_ready(self.cell, t, self.at)), None
+        )
+
+    def _try_task(self, lane: backlog.Lane, task: cells.Task) -> bool:
+        """Places a task; tells whether its lane may have a further turn."""
+        need = find_need(self.own, task)
+        obstacle = self._find_obstacle(lane, task, need)
+        if obstacle:
+            self._block(lane, obstacle)
+            return False
+        most = placement.CANDIDATES_MOST if self.learns else None
+        fitting = self.rooms.list_fitting(need, lane, most)
+        if not fitting:
+            return self._find_room(lane, task, need)
+        pick = placement.POLICIES[self.own.limits.policy]
+        name = pick(self.rooms, task, need, fitting, self.rng)
+        self._place(lane, task, need, name)
+        return True
+
+    def _find_obstacle(self, lane, task, need) -> str:
+        held = self.turns.held.get(lane.team, resources.NOTHING)
+        allowance = self.allowances.get(lane.team)
+        if not lane.pressing and not quotas.is_within(allowance, held, need):
+            return "quota"
+        families = self.own.failures.families
+        if self.learns and not quarantine.is_open(
+            families, lane.family, self.at
+        ):
+            return "family-backs-off"
+        if lane in self.blocked:
+            return self.blocked[lane]
+        return ""
+
+    def _find_room(self, lane, task, need) -> bool:
+        """Deals with a task that fits nowhere now."""
+        members = [w.member for w in self.cell.view.workers.values()]
+        here = (self.cell.table.data_centre,)
+        obstacle = feasibility.find_obstacle(need, here, members)
+        if obstacle:
+            self._block(lane, obstacle)
+            return False
+        if lane.pressing:
+            self.found += eviction.make_room(self.rooms, task, need, self.at)
+            self._block(lane, "", keep_turn=True)
+            return True
+        self._block(lane, "no-room")
+        self._keep_for_starving(lane, need)
+        return False
+
+    def _block(
+        self, lane: backlog.Lane, reason: str, keep_turn: bool = False
+    ) -> None:
+        self.cell.view.waiting.setdefault(lane, self.at)
+        if not keep_turn:
+            self.blocked[lane] = reason
+
+    def _keep_for_starving(self, lane: backlog.Lane, need) -> None:
+        """Keeps a worker's room for a lane that waited too long."""
+        view = self.cell.view
+        waited = self.at - view.waiting[lane]
+        if waited < self.own.limits.starve_s or lane in view.kept.values():
+            return
+        able = [
+            name
+            for name in self.rooms.room
+            if name not in view.kept
+            and need.fits_in(view.workers[name].member.capacity)
+        ]
+        if able:
+            best = min(
+                able, key=lambda n: placement.weigh_reserved(self.rooms, n)
+            )
+            view.kept[best] = lane
+            self.rooms.kept[best] = lane
+
+    def _place(self, lane, task, need, name: str) -> None:
+        view = self.cell.view
+        view.waiting.pop(lane, None)
+        if view.kept.get(name) == lane:
+            del view.kept[name]
+            self.rooms.kept.pop(name, None)
+        self.rooms.take(task, name, need)
+        self.placed += 1
+        if not task.job.is_service:
+            self.turns.charge(lane.team, need)
+        quarantine.note_placed(
+            self.own.failures, name, lane.family, task.task, self.at
+        )
+        self.found.append(_send_placement(self.cell, task, need, name, self.at))
+
+
+def find_need(own: state.State, task: cells.Task) -> resources.Resources:
+    """Returns what a task is to reserve when it is placed now."""
+    job = task.job
+    declared = resources.Resources(
+        job.millicores, job.memory_mb, job.accelerators
+    )
+    if own.limits.policy not in placement.LEARNING:
+        return declared
+    return sizes.correct(own.sizes, job, declared)
 
 
 def place_queued(
     own: state.State, cell: cells.Cell, event: events.Ticked
 ) -> list:
     """Places queued tasks on workers with room, in order."""
-    rng = random.Random(event.seed)
-    pick = placement.POLICIES[own.limits.policy]
-    found = []
-    for task in _order_queue(cell, event.at)[:PLACEMENTS_PER_TICK]:
-        sent = cell.view.pending.get(task.task)
-        if sent is not None and (
-            cell.view.tail_at - sent.sent_at < cells.RESEND_S
-        ):
-            continue
-        if sent is not None:
-            worker_name = sent.worker
-        else:
-            fitting = placement.list_fitting(cell, task)
-            worker = pick(cell, task, fitting, rng)
-            if worker is None:
-                continue
-            worker_name = worker.member.name
-        cell.view.pending[task.task] = cells.Placement(
-            task.attempt, worker_name, task.need, event.at
-        )
-        record = records.TaskPlaced(
-            task.task, task.attempt, worker_name, cell.table.term
-        )
-        found.append(cells.append_record(cell, record))
+    found = _send_again(cell, event.at)
+    if not cell.table.queue:
+        cell.view.blocked = {}
+        cell.view.waiting = {}
+        return found
+    turn = Round(own, cell, event)
+    turn.run(_find_most(own, cell, event.at))
+    cell.view.blocked = turn.blocked
+    cell.view.waiting = {
+        lane: since
+        for lane, since in cell.view.waiting.items()
+        if lane in turn.backlog.lanes
+    }
+    found += turn.found
+    if turn.learns:
+        found += spill.move_waiting(own, cell, event.at)
     return found
 
 
-def _order_queue(cell: cells.Cell, at: float) -> list[cells.Task]:
-    """Returns the tasks to place, higher priority first, then by arrival."""
-    queued = [
-        task
-        for name in cell.table.queue
-        if cells.is_ready(cell, task := cell.table.tasks[name], at)
+def _find_most(own: state.State, cell: cells.Cell, at: float) -> int:
+    """Returns how many may be placed: few just after a return to service."""
+    if at - cell.view.in_since >= own.limits.fill_s:
+        return PLACEMENTS_PER_TICK
+    return max(1, PLACEMENTS_PER_TICK // 10)
+
+
+def _count_held(
+    cell: cells.Cell, known: backlog.Backlog
+) -> dict[str, resources.Resources]:
+    """Returns what each team holds, placements on their way included."""
+    held = dict(known.held)
+    for name, sent in cell.view.pending.items():
+        task = cell.table.tasks.get(name)
+        if task is not None and not task.job.is_service:
+            team = task.job.team
+            held[team] = held.get(team, resources.NOTHING) + sent.need
+    return held
+
+
+def _send_again(cell: cells.Cell, at: float) -> list:
+    """Sends placements again that the log surely lost."""
+    return [
+        _send_placement(
+            cell, cell.table.tasks[name], sent.need, sent.worker, at
+        )
+        for name, sent in list(cell.view.pending.items())
+        if cell.view.tail_at - sent.sent_at >= cells.RESEND_S
+        and name in cell.table.queue
     ]
-    return sorted(queued, key=lambda task: -task.job.priority)
+
+
+def _send_placement(
+    cell: cells.Cell,
+    task: cells.Task,
+    need: resources.Resources,
+    name: str,
+    at: float,
+) -> effects.Append:
+    cell.view.pending[task.task] = cells.Placement(task.attempt, name, need, at)
+    record = records.TaskPlaced(
+        task.task,
+        task.attempt,
+        name,
+        cell.table.term,
+        need.millicores,
+        need.memory_mb,
+    )
+    return cells.append_record(cell, record)
--- /dev/null
+++ b/poplarspindle/quarantine.py
@@ -0,0 +1,130 @@
+"""Workers that fail what they start, and families that fail everywhere.
+
+A worker is quarantined once tasks of several different families failed
+there lately and none succeeded; a family is backed off once it failed on
+several different workers. A family that fails everywhere speaks against no
+worker, and a quarantined worker against no family. Both are probed with one
+task at a time, after a wait that doubles.
+"""
+
+import dataclasses
+
+FAMILIES_TO_QUARANTINE = 3
+WORKERS_TO_BACK_OFF = 3
+WINDOW_S = 120.0
+WAIT_FIRST_S = 10.0
+WAIT_MOST_S = 600.0
+PROBE_TIMEOUT_S = 60.0
+NEVER_S = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class Standing:
+    """What is held against a worker or a family.
+
+    Attributes:
+        failures: When it last failed with each counterpart.
+        closed_until: No probe before that time, own clock.
+        wait_s: How long it was closed last.
+        probe: Task that probes it, empty for none.
+        probe_at: When the probe was placed.
+    """
+
+    failures: dict[str, float] = dataclasses.field(default_factory=dict)
+    closed_until: float = NEVER_S
+    wait_s: float = 0.0
+    probe: str = ""
+    probe_at: float = NEVER_S
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether only probes go there."""
+        return self.wait_s > 0
+
+
+class Record:
+    """What one instance holds against workers and families."""
+
+    def __init__(self) -> None:
+        self.workers: dict[str, Standing] = {}
+        self.families: dict[str, Standing] = {}
+
+
+def note_success(record: Record, worker: str, family: str) -> None:
+    """Forgets what was held against a worker and a family."""
+    record.workers.pop(worker, None)
+    record.families.pop(family, None)
+
+
+def note_failure(record: Record, worker: str, family: str, at: float) -> bool:
+    """Takes in a failed task.
+
+    Args:
+        record: What is held so far; changed in place.
+        worker: Where it failed.
+        family: The task's family.
+        at: When that was read, own clock.
+
+    Returns:
+        Whether the worker was quarantined by it.
+    """
+    of_worker = record.workers.setdefault(worker, Standing())
+    of_family = record.families.setdefault(family, Standing())
+    if not of_family.is_closed:
+        of_worker.failures[family] = at
+    if not of_worker.is_closed:
+        of_family.failures[worker] = at
+    _close(of_family, WORKERS_TO_BACK_OFF, at)
+    if of_family.is_closed:
+        _acquit(record.workers, family)
+    quarantined = _close(of_worker, FAMILIES_TO_QUARANTINE, at)
+    if of_worker.is_closed:
+        _acquit(record.families, worker)
+    return quarantined
+
+
+def _acquit(standings: dict[str, Standing], cause: str) -> None:
+    """Takes back failures whose cause was found elsewhere."""
+    for standing in standings.values():
+        standing.failures.pop(cause, None)
+
+
+def _close(standing: Standing, limit: int, at: float) -> bool:
+    """Closes at the limit, or for longer after a failed probe."""
+    standing.failures = {
+        name: when
+        for name, when in standing.failures.items()
+        if at - when <= WINDOW_S
+    }
+    first = not standing.is_closed and len(standing.failures) >= limit
+    again = standing.is_closed and at >= standing.closed_until
+    if first or again:
+        standing.wait_s = min(
+            WAIT_MOST_S, max(WAIT_FIRST_S, 2 * standing.wait_s)
+        )
+        standing.closed_until = at + standing.wait_s
+        standing.probe = ""
+    return first
+
+
+def is_open(standings: dict[str, Standing], name: str, at: float) -> bool:
+    """Tells whether a task may go to a worker, or of a family anywhere."""
+    standing = standings.get(name)
+    if standing is None or not standing.is_closed:
+        return True
+    if at < standing.closed_until:
+        return False
+    return not standing.probe or at - standing.probe_at > PROBE_TIMEOUT_S
+
+
+def note_placed(
+    record: Record, worker: str, family: str, task: str, at: float
+) -> None:
+    """Remembers a task that probes a closed worker or family."""
+    for standing in (
+        record.workers.get(worker),
+        record.families.get(family),
+    ):
+        if standing is not None and standing.is_closed:
+            standing.probe = task
+            standing.probe_at = at
--- /dev/null
+++ b/poplarspindle/reaction.py
@@ -0,0 +1,320 @@
+"""Reaction to slow services on a worker: throttle, then evict, then ease.
+
+One step, then it holds until a measurement that was taken after the step.
+A step may also follow a prediction, once per arrival of batch work, where
+the pairs were measured well enough. Easing is slow and only where the
+prediction keeps a margin: so limits do not swing.
+"""
+
+import dataclasses
+import math
+from collections.abc import Callable
+
+from poplarspindle import (
+    cells,
+    effects,
+    eviction,
+    interference,
+    mixes,
+    state,
+)
+
+LEVELS_PER_MILLE = (1000, 700, 450, 250, 100)
+FLOOR_PER_MILLE = LEVELS_PER_MILLE[-1]
+SETTLE_S = 0.5
+FRESH_S = 10.0
+HOLD_MOST_S = 8.0
+EASE_GAP_S = 2.0
+EASE_AFTER_S = 4.0
+EVICT_GAP_S = 15.0
+LIMITED_MOST = 8
+OVER = math.log(0.95)
+AIM = math.log(0.8)
+EASE_BELOW = math.log(0.85)
+EVICT_ABOVE = math.log(1.3)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Level:
+    """How a service fares on a worker.
+
+    Attributes:
+        service: Its name.
+        predicted: Logarithm of predicted tail over target.
+        measured: The same as measured after the last step, None for none.
+        load: Its load.
+    """
+
+    service: str
+    predicted: float
+    measured: float | None
+    load: float
+
+    @property
+    def worst(self) -> float:
+        """The greater of both."""
+        if self.measured is None:
+            return self.predicted
+        return max(self.predicted, self.measured)
+
+
+def review(
+    own: state.State, cell: cells.Cell, name: str, at: float
+) -> list[effects.Effect]:
+    """Decides what to do on one worker after its report."""
+    if name not in cell.view.ladders:
+        return []
+    return _REACTIONS[own.limits.policy](own, cell, name, at)
+
+
+def _ignore(own, cell, name, at) -> list:
+    return []
+
+
+def _evict_first(own, cell, name: str, at: float) -> list:
+    """Evicts the largest batch task at every breach; for comparison."""
+    ladder = cell.view.ladders[name]
+    newest = max(
+        (
+            s.taken_at
+            for s in ladder.signals.values()
+            if s.log_ratio > 0 and s.taken_at > ladder.evicted_at
+        ),
+        default=None,
+    )
+    batch = _list_batch(cell, name)
+    if newest is None or not batch:
+        return []
+    ladder.evicted_at = newest
+    largest = max(batch, key=lambda t: (t.need.millicores, t.task))
+    return eviction.propose_eviction(cell, largest, "slowdown", at)
+
+
+def _climb(own, cell, name: str, at: float) -> list:
+    """Takes at most one step of the ladder."""
+    ladder = cell.view.ladders[name]
+    batch = _list_batch(cell, name)
+    found = _reset_strange(cell, batch, at)
+    if not batch:
+        return found
+    levels = _list_levels(own, cell, name, batch, at)
+    if not levels:
+        return found + _ease(own, cell, name, batch, levels, at)
+    worst = max(levels, key=lambda level: level.worst)
+    if worst.worst <= OVER:
+        return found + _ease(own, cell, name, batch, levels, at)
+    if not _may_step(own, ladder, batch, worst, at):
+        return found
+    step = _limit(own, cell, name, batch, worst, at)
+    if not step:
+        step = _evict(own, cell, name, batch, worst, at)
+    if step:
+        ladder.stepped_at = at
+    return found + step
+
+
+def _list_batch(cell: cells.Cell, name: str) -> list[cells.Task]:
+    """Returns the batch tasks that run on a worker and are to stay."""
+    return [
+        task
+        for task in cells.list_held(cell, name)
+        if task.phase in (cells.Phase.RUNNING, cells.Phase.PLACED)
+        and not interference.name_service(task.job.job)
+        and not eviction.is_leaving(cell, task)
+    ]
+
+
+def _reset_strange(cell, batch, at: float) -> list:
+    """Lifts limits that a former owner may have left on a task."""
+    return [
+        effect
+        for task in batch
+        if task.term != cell.table.term and task.task not in cell.view.throttles
+        for effect in _throttle(cell, task, LEVELS_PER_MILLE[0], at)
+    ]
+
+
+def _list_levels(own, cell, name, batch, at) -> list[Level]:
+    """Returns how each service on a worker fares."""
+    ladder = cell.view.ladders[name]
+    worker = cell.view.workers[name]
+    shares = mixes.describe(own, cell, worker, batch).shares
+    after = ladder.stepped_at + SETTLE_S
+    measured: dict[str, float | None] = {}
+    for task in sorted(cell.table.held.get(name, ())):
+        service = interference.name_service(cell.table.tasks[task].job.job)
+        if not service:
+            continue
+        measured.setdefault(service, None)
+        signal = ladder.signals.get(task)
+        if signal and signal.taken_at >= max(after, at - FRESH_S):
+            before = measured[service]
+            ratio = signal.log_ratio
+            measured[service] = ratio if before is None else max(before, ratio)
+    return [
+        level
+        for service, ratio in measured.items()
+        if (level := _find_level(own, service, shares, ratio)) is not None
+    ]
+
+
+def _find_level(own, service, shares, measured) -> Level | None:
+    known = own.slowdown.services.get(service)
+    if known is None:
+        return None
+    latency = interference.predict(own.slowdown, service, shares, known.load)
+    predicted = math.log(latency / mixes.find_target_ms(own, service))
+    return Level(service, predicted, measured, known.load)
+
+
+def _may_step(own, ladder, batch, worst: Level, at: float) -> bool:
+    """Tells whether a step may follow now, or the last one must show first."""
+    if worst.measured is not None and worst.measured > OVER:
+        return True
+    arrived = ladder.mixes and ladder.mixes[-1][0] >= ladder.stepped_at
+    waited = at - ladder.stepped_at > HOLD_MOST_S
+    trusted = any(
+        interference.is_trusted(own.slowdown, worst.service, t.job.family)
+        for t in batch
+    )
+    return worst.predicted > OVER and trusted and (arrived or waited)
+
+
+def _limit(own, cell, name, batch, worst: Level, at: float) -> list:
+    """Throttles the tasks judged guilty, as few as are predicted to do."""
+    worker = cell.view.workers[name]
+    factor = interference.weigh_load(worst.load)
+    missing = worst.worst - AIM
+    found = []
+
+    def blame(task: cells.Task) -> float:
+        model = own.slowdown
+        return model.find_weight(worst.service, task.job.family).mean
+
+    def harm(task: cells.Task) -> float:
+        return blame(task) * mixes.find_share(cell, worker, task)
+
+    for task in sorted(batch, key=lambda t: (-blame(t), -harm(t), t.task)):
+        present = _find_per_mille(cell, task)
+        lower = [level for level in LEVELS_PER_MILLE if level < present]
+        if not lower or harm(task) <= 0:
+            continue
+        eased = [factor * harm(task) * (1 - n / present) for n in lower]
+        chosen = next(
+            (
+                n
+                for n, drop in zip(lower, eased, strict=True)
+                if drop >= missing
+            ),
+            lower[-1],
+        )
+        missing -= factor * harm(task) * (1 - chosen / present)
+        found += _throttle(cell, task, chosen, at)
+        family = task.job.family
+        trusted = interference.is_trusted(own.slowdown, worst.service, family)
+        if missing <= 0 or not trusted or len(found) >= LIMITED_MOST:
+            break
+    return found
+
+
+def _find_per_mille(cell: cells.Cell, task: cells.Task) -> int:
+    throttle = cell.view.throttles.get(task.task)
+    if throttle is None or throttle.attempt != task.attempt:
+        return LEVELS_PER_MILLE[0]
+    return throttle.per_mille
+
+
+def _throttle(cell, task: cells.Task, per_mille: int, at: float) -> list:
+    cell.view.throttles[task.task] = cells.Throttle(task.attempt, per_mille, at)
+    return [
+        effects.ThrottleTask(
+            cell.table.data_centre,
+            task.worker,
+            cell.table.term,
+            task.task,
+            task.attempt,
+            per_mille,
+        ),
+        effects.Count(
+            "poplarspindle_reactions_total",
+            "eased" if per_mille == LEVELS_PER_MILLE[0] else "throttled",
+        ),
+    ]
+
+
+def _evict(own, cell, name, batch, worst: Level, at: float) -> list:
+    """Evicts the guiltiest once every limit is at its floor."""
+    ladder = cell.view.ladders[name]
+    breached = worst.measured is not None and worst.measured > EVICT_ABOVE
+    if not breached or at - ladder.evicted_at < EVICT_GAP_S:
+        return []
+    able = [
+        task
+        for task in batch
+        if not task.job.urgent
+        and not eviction.is_newly_resumed(cell, task, own.limits.protect_s, at)
+    ]
+    if not able:
+        return []
+
+    def blame(task: cells.Task) -> tuple:
+        model = own.slowdown
+        weight = model.find_weight(worst.service, task.job.family).mean
+        share = task.need.millicores
+        return (-task.job.priority, weight * share, task.task)
+
+    ladder.evicted_at = at
+    return eviction.propose_eviction(cell, max(able, key=blame), "slowdown", at)
+
+
+def _ease(own, cell, name, batch, levels, at: float) -> list:
+    """Raises one limit by one level where the prediction allows it."""
+    ladder = cell.view.ladders[name]
+    recent = (
+        at - ladder.stepped_at < EASE_AFTER_S
+        or at - ladder.released_at < EASE_GAP_S
+    )
+    limited = [
+        t for t in batch if _find_per_mille(cell, t) < LEVELS_PER_MILLE[0]
+    ]
+    if not limited or (levels and recent):
+        return []
+    if any(level.worst > EASE_BELOW for level in levels):
+        return []
+
+    def blame(task: cells.Task) -> float:
+        family = task.job.family
+        return sum(
+            own.slowdown.find_weight(level.service, family).mean
+            for level in levels
+        )
+
+    for task in sorted(limited, key=lambda t: (blame(t), t.task)):
+        higher = _raise_level(own, cell, name, task, levels)
+        if higher is not None:
+            ladder.released_at = at
+            return _throttle(cell, task, higher, at)
+    return []
+
+
+def _raise_level(own, cell, name, task, levels) -> int | None:
+    """Returns the next level up, None where a service would suffer."""
+    present = _find_per_mille(cell, task)
+    higher = min(n for n in LEVELS_PER_MILLE if n > present)
+    share = mixes.find_share(cell, cell.view.workers[name], task)
+    added = share * (higher / present - 1)
+    for level in levels:
+        weight = own.slowdown.find_weight(level.service, task.job.family).mean
+        push = interference.weigh_load(level.load) * weight * added
+        if level.worst + push > EASE_BELOW:
+            return None
+    return higher
+
+
+_REACTIONS: dict[str, Callable] = {
+    "random": _ignore,
+    "first_fit": _ignore,
+    "least_loaded": _ignore,
+    "evict_first": _evict_first,
+    "chosen": _climb,
+}
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -178,14 +178,30 @@
 class TaskPlaced:
     """Reserves a worker for one attempt of a task.
 
-    Accepted iff the term is current, the task is queued at this attempt and
-    the worker has room by what is reserved there.
+    Accepted iff the term is current and the task is queued at this attempt.
+
+    Attributes:
+        millicores: Reserved processors, 0 for as declared.
+        memory_mb: Reserved memory, 0 for as declared.
     """
 
     task: str
     attempt: int
     worker: str
     term: int
+    millicores: int = 0
+    memory_mb: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskResized:
+    """Raises what a running attempt reserves to what it uses."""
+
+    task: str
+    attempt: int
+    term: int
+    millicores: int
+    memory_mb: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -325,6 +341,7 @@
     | JobSubmitted
     | JobCancelled
     | TaskPlaced
+    | TaskResized
     | TaskRunning
     | TaskEvicted
     | TaskStopped
--- a/poplarspindle/reducer.py
+++ b/poplarspindle/reducer.py
@@ -10,7 +10,10 @@
     drive,
     effects,
     events,
+    failures,
+    learning,
     ownership,
+    reaction,
     records,
     reports,
     state,
@@ -30,6 +33,7 @@
     records.JobSubmitted: tasks.apply_job,
     records.JobCancelled: tasks.apply_cancel,
     records.TaskPlaced: tasks.apply_placed,
+    records.TaskResized: tasks.apply_resized,
     records.TaskRunning: tasks.apply_running,
     records.TaskEvicted: tasks.apply_evicted,
     records.TaskStopped: tasks.apply_stopped,
@@ -65,7 +69,11 @@
         return _OWNER_AREAS[kind](own, cell, event)
     if kind not in _TASK_AREAS:
         return [effects.Count("poplarspindle_records_total", "foreign")]
-    return _TASK_AREAS[kind](own, cell, event)
+    if kind is records.TaskEnded:
+        found = failures.note_end(own, cell, event)
+    else:
+        found = []
+    return found + _TASK_AREAS[kind](own, cell, event)
 
 
 def _read_document(own: state.State, event: events.RecordRead) -> list:
@@ -134,7 +142,13 @@
 
 def _sync_worker(own: state.State, event: events.WorkerSynced) -> list:
     cell = own.cells.get(event.data_centre)
-    return drive.take_report(own, cell, event) if cell else []
+    if cell is None:
+        return []
+    found = drive.take_report(own, cell, event)
+    if ownership.is_owner(own, cell):
+        found += learning.observe(own, cell, event)
+        found += reaction.review(own, cell, event.worker, event.at)
+    return found
 
 
 def _lose_worker(own: state.State, event: events.WorkerUnreachable) -> list:
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -231,7 +231,13 @@
         "chosen",
         "Placement policy.",
         (SCHEDULER,),
-        choices=("chosen", "least_loaded", "first_fit", "random"),
+        choices=(
+            "chosen",
+            "least_loaded",
+            "first_fit",
+            "random",
+            "evict_first",
+        ),
     ),
     Setting(
         "attempts",
--- /dev/null
+++ b/poplarspindle/spill.py
@@ -0,0 +1,119 @@
+"""Moves queued tasks to data centres that have room for them."""
+
+import itertools
+
+from poplarspindle import backlog, cells, records, resources, state
+
+SPILL_S = 5.0
+MOVES_PER_TICK = 10
+SPARE_SHARE = 0.05
+
+
+def list_allowed(own: state.State, job: records.JobSubmitted) -> tuple:
+    """Returns the data centres where a job may run, by the document."""
+    found = own.document.find_family(job.family)
+    allowed = found[1].data_centres if found else ()
+    return allowed or own.document.list_data_centres()
+
+
+def find_spare(cell: cells.Cell) -> resources.Resources:
+    """Returns what is neither reserved nor asked for in a data centre."""
+    spare = resources.NOTHING
+    for worker in cell.view.workers.values():
+        spare = spare + worker.member.capacity
+    for reserved in cell.table.reserved.values():
+        spare = spare - reserved
+    for lane, names in cells.find_backlog(cell.table).lanes.items():
+        spare = spare - _multiply(lane.need, len(names))
+    return spare
+
+
+def _multiply(need: resources.Resources, count: int) -> resources.Resources:
+    return resources.Resources(
+        need.millicores * count,
+        need.memory_mb * count,
+        need.accelerators * count,
+    )
+
+
+class Targets:
+    """Data centres that could take tasks over, with their spare room.
+
+    Args:
+        own: The instance's state.
+        source: Data centre that gives tasks away.
+    """
+
+    def __init__(self, own: state.State, source: str) -> None:
+        self.own = own
+        self.spare = {
+            name: find_spare(other)
+            for name, other in sorted(own.cells.items())
+            if name != source and own.document.is_in_service(name)
+        }
+
+    def pick(self, task: cells.Task, urgent: bool = False) -> str:
+        """Returns the allowed data centre with most room for a task.
+
+        Args:
+            task: The task.
+            urgent: Whether it goes even where it must wait.
+
+        Returns:
+            A data centre, empty for none. Its spare room is lessened.
+        """
+        allowed = list_allowed(self.own, task.job)
+        able = [
+            name
+            for name in self.spare
+            if name in allowed and self._can_hold(name, task)
+        ]
+        fitting = [n for n in able if task.need.fits_in(self.spare[n])]
+        chosen = fitting or (able if urgent else [])
+        if not chosen:
+            return ""
+        best = max(chosen, key=lambda n: (self.spare[n].millicores, n))
+        self.spare[best] = self.spare[best] - task.need
+        return best
+
+    def _can_hold(self, name: str, task: cells.Task) -> bool:
+        workers = self.own.cells[name].view.workers.values()
+        return any(task.need.fits_in(w.member.capacity) for w in workers)
+
+
+def move_waiting(own: state.State, cell: cells.Cell, at: float) -> list:
+    """Moves tasks of lanes that waited here without room."""
+    waiting = [
+        lane
+        for lane, reason in cell.view.blocked.items()
+        if reason
+        and reason not in ("quota", "family-backs-off")
+        and at - cell.view.waiting.get(lane, at) >= SPILL_S
+    ]
+    if not waiting:
+        return []
+    targets = Targets(own, cell.table.data_centre)
+    found = []
+    for task in itertools.islice(_list_tasks(cell, waiting), MOVES_PER_TICK):
+        target = targets.pick(task)
+        if target:
+            found += propose_move(cell, task, target, at)
+    return found
+
+
+def _list_tasks(cell: cells.Cell, lanes: list[backlog.Lane]):
+    """Yields queued tasks of lanes that are not on their way anywhere."""
+    known = cells.find_backlog(cell.table).lanes
+    for lane in lanes:
+        for name in itertools.islice(known.get(lane, ()), MOVES_PER_TICK):
+            task = cell.table.tasks[name]
+            if name not in cell.view.pending and not task.job.is_service:
+                yield task
+
+
+def propose_move(
+    cell: cells.Cell, task: cells.Task, target: str, at: float
+) -> list:
+    """Returns the record that hands a queued task over."""
+    record = records.TaskMoved(task.task, task.attempt, cell.table.term, target)
+    return cells.propose(cell, record, at)
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -2,7 +2,14 @@
 
 import dataclasses
 
-from poplarspindle import cells, document, reports
+from poplarspindle import (
+    cells,
+    document,
+    interference,
+    quarantine,
+    reports,
+    sizes,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,6 +24,10 @@
         policy: Name of the placement policy.
         attempts: How often a task may fail before it is given up.
         retry_s: Wait before the second attempt; it doubles with each.
+        starve_s: After how long without placement a worker's room is kept.
+        protect_s: How long a resumed task is not evicted again.
+        fill_s: How long a data centre fills slowly after its return.
+        drain_rate: Evictions a second while a data centre is emptied.
         standbys: How many instances follow a data centre beside its
             owner, 0 for all.
     """
@@ -28,6 +39,10 @@
     policy: str = "chosen"
     attempts: int = 4
     retry_s: float = 1.0
+    starve_s: float = 30.0
+    protect_s: float = 30.0
+    fill_s: float = 10.0
+    drain_rate: float = 20.0
     standbys: int = 0
 
 
@@ -44,6 +59,9 @@
         candidates: Incarnations that may own data centres.
         leaving: Whether this instance was asked to stop.
         started_at: Time of the first event.
+        slowdown: What was learned of slowdown between pairs.
+        sizes: What was learned of real sizes.
+        failures: What is held against workers and families.
     """
 
     def __init__(
@@ -58,3 +76,6 @@
         self.candidates: tuple[str, ...] = ()
         self.leaving = False
         self.started_at = float("-inf")
+        self.slowdown = interference.Model()
+        self.sizes: sizes.Sizes = {}
+        self.failures = quarantine.Record()
--- a/poplarspindle/tasks.py
+++ b/poplarspindle/tasks.py
@@ -81,10 +81,32 @@
     if task is None or task.phase is not cells.Phase.QUEUED:
         return IGNORED
     cells.forget_messages(cell, task.task)
+    declared = need_of(task.job)
+    need = resources.Resources(
+        record.millicores or declared.millicores,
+        record.memory_mb or declared.memory_mb,
+        declared.accelerators,
+    )
+    cells.resize_task(cell.table, task, need)
     cells.hold_task(cell.table, task, record.worker, record.term)
     return [effects.Count("poplarspindle_tasks_total", "placed")]
 
 
+def apply_resized(
+    own: state.State, cell: cells.Cell, event: events.RecordRead
+) -> list:
+    """Reduces a TaskResized record."""
+    record = event.record
+    task = _find_current(cell, record)
+    if task is None or task.phase not in cells.HOLDING:
+        return IGNORED
+    need = resources.Resources(
+        record.millicores, record.memory_mb, task.need.accelerators
+    )
+    cells.resize_task(cell.table, task, need)
+    return [effects.Count("poplarspindle_tasks_total", "resized")]
+
+
 def apply_running(
     own: state.State, cell: cells.Cell, event: events.RecordRead
 ) -> list:
--- a/poplarspindle/tools/fakes/machines.py
+++ b/poplarspindle/tools/fakes/machines.py
@@ -22,6 +22,7 @@
 PRESSURE_POWER = 1.6
 SLOWDOWN_MOST = 14.0
 QUEUE_LIMIT_LOAD = 3.0
+BURST = 1.2
 BASE_SHARE_OF_TARGET = 0.3
 
 
@@ -32,16 +33,16 @@
     Attributes:
         service: Name of its service, empty for batch.
         work_ms: Run time it needs when alone.
-        use: Share of the declared size it uses.
         fails: Whether it fails soon after its start.
         millicores: Processor time it would use when nothing limits it.
+        memory_mb: Memory it uses.
     """
 
     service: str = ""
     work_ms: int = 0
-    use: float = 1.0
     fails: bool = False
     millicores: int = 0
+    memory_mb: int = 0
 
 
 class World:
@@ -112,7 +113,8 @@
     @property
     def fed(self) -> float:
         """Share of its use that its reservation gives it."""
-        return min(1.0, self.need.millicores / max(1, self.truth.millicores))
+        limit = self.need.millicores * BURST
+        return min(1.0, limit / max(1, self.truth.millicores))
 
 
 class Machine:
@@ -220,21 +222,23 @@
     def _take_samples(self, now: float) -> None:
         noise = self.world.rng.gauss
         for run in self.runs.values():
-            used = run.truth.use
             latency = load = 0.0
+            cores = run.truth.millicores * run.fed * run.throttle
+            memory = run.truth.memory_mb
             if run.truth.service:
                 load = self.world.find_load(run.truth.service)
+                cores = run.need.millicores * min(1.0, load)
+                memory = run.need.memory_mb
                 median = self._find_median(run, load)
                 self._record_latencies(run, median, load)
                 spread = P99_DEVIATIONS * LATENCY_SIGMA
                 latency = median * math.exp(spread + noise(0, NOISE_SIGMA))
-            busy = run.throttle if not run.truth.service else load
             sample = reports.UsageSample(
                 run.task,
                 run.attempt,
                 0,
-                int(run.need.millicores * min(1.5, used * busy)),
-                int(run.need.memory_mb * used),
+                int(cores),
+                int(memory),
                 latency,
                 load,
                 int(run.speed * 1000),
@@ -260,7 +264,8 @@
         pressure = sum(
             self.world.find_pair(service, other.family)
             * (other.throttle**1.3)
-            * min(other.need.millicores, other.truth.millicores)
+            * other.truth.millicores
+            * other.fed
             / cores
             for other in self.runs.values()
             if not other.truth.service
@@ -314,7 +319,7 @@
             truth,
             need,
             now,
-            now + start.lease_ms / 1000,
+            start.until_ms / 1000,
             done,
             done,
         )
@@ -331,7 +336,7 @@
     def _renew(self, renewal: effects.RenewTasks, now: float) -> None:
         for key in zip(renewal.tasks, renewal.attempts, strict=True):
             if key in self.runs:
-                self.runs[key].until = now + renewal.lease_ms / 1000
+                self.runs[key].until = renewal.until_ms / 1000
 
     def _stop(self, stop: effects.StopTask, now: float) -> None:
         run = self.runs.get((stop.task, stop.attempt))
--- a/poplarspindle/tools/virtual.py
+++ b/poplarspindle/tools/virtual.py
@@ -27,7 +27,7 @@
 TICK_S = 0.1
 READ_DELAY_S = 0.1
 SYNC_S = 1.0
-LIST_S = 5.0
+LIST_S = 1.0
 SETTLE_S = 3.0
 SEED_BITS = 32
 SECRET = "replay"
@@ -153,9 +153,9 @@
         self.world.truths[line.job] = machines.Truth(
             "",
             line.work_ms,
-            line.use,
             line.fails,
             int(job.millicores * line.use),
+            int(job.memory_mb * line.use),
         )
         self.submitted[line.job] = self.now
         self.append(cells.name_stream(self._find_home(line.job, spec)), job)
