End headroom at the declared size

Headroom now ends at the declared size; slow tasks at their limit may be raised to twice the declared processors.

--- a/poplarspindle/learning.py
+++ b/poplarspindle/learning.py
@@ -78,9 +78,7 @@
     if own.limits.policy not in placement.LEARNING:
         return []
     if task.task not in cell.view.throttles:
-        used = (sample.millicores, sample.memory_mb)
-        family = task.job.family
-        sizes.learn(own.sizes, family, task.task, *used, task.need)
+        sizes.learn(own.sizes, task.job.family, sample, task.need)
     return _grow(cell, worker, task, sample, event.at)
 
 
--- a/poplarspindle/sizes.py
+++ b/poplarspindle/sizes.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from poplarspindle import records, resources
+from poplarspindle import records, reports, resources
 
 HEADROOM = 1.15
 SAMPLES_LEAST = 20
@@ -19,6 +19,8 @@
 GROWTH_LEAST = 1.05
 CUT_SHARE = 0.98
 RAISE = 1.3
+SLOW_PER_MILLE = 900
+RAISED_MOST = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,9 +46,7 @@
 def learn(
     sizes: Sizes,
     family: str,
-    task: str,
-    millicores: int,
-    memory_mb: int,
+    sample: reports.UsageSample,
     need: resources.Resources,
 ) -> None:
     """Takes in one sample of a task that is not throttled.
@@ -54,20 +54,20 @@
     Args:
         sizes: What was learned; changed in place.
         family: The task's family.
-        task: Id of the task.
-        millicores: Processors it used.
-        memory_mb: Memory it used.
-        need: What it reserves. Processor use up to that may have been cut
-            there, so the next reservation is raised to find out.
+        sample: The sample.
+        need: What the task reserves. Where it is slow and uses all of that,
+            it may want more: the next reservation is raised to find out.
     """
-    if millicores >= need.millicores * CUT_SHARE:
+    millicores = sample.millicores
+    slow = sample.progress_per_mille < SLOW_PER_MILLE
+    if slow and millicores >= need.millicores * CUT_SHARE:
         millicores = round(millicores * RAISE)
     use = sizes.setdefault(family, Use())
     use.samples += 1
     if len(use.tasks) < TASKS_COUNTED_MOST:
-        use.tasks.add(task)
+        use.tasks.add(sample.task)
     use.millicores = max(millicores, use.millicores * PEAK_DECAY)
-    use.memory_mb = max(memory_mb, use.memory_mb * PEAK_DECAY)
+    use.memory_mb = max(sample.memory_mb, use.memory_mb * PEAK_DECAY)
 
 
 def correct(
@@ -79,17 +79,33 @@
         sizes: What was learned.
         job: The task's job.
         declared: Its declared sizes, kept until enough was seen.
+
+    Returns:
+        The sizes; processors at most RAISED_MOST times those declared.
     """
     use = sizes.get(job.family)
     if job.is_service or use is None or not is_trusted(use):
         return declared
+    most = declared.millicores * RAISED_MOST
     return resources.Resources(
-        max(MILLICORES_LEAST, round(use.millicores * HEADROOM)),
-        max(MEMORY_LEAST_MB, round(use.memory_mb * HEADROOM)),
+        _fit(use.millicores, declared.millicores, MILLICORES_LEAST, most),
+        _fit(use.memory_mb, declared.memory_mb, MEMORY_LEAST_MB),
         declared.accelerators,
     )
 
 
+def _fit(
+    used: float, declared: int, least: int, most: float = float("inf")
+) -> int:
+    """Returns what to reserve for an amount used.
+
+    Headroom ends at what was declared: a task that fills whatever it is
+    given would otherwise grow without end.
+    """
+    fitted = max(used, min(declared, used * HEADROOM))
+    return max(least, round(min(fitted, most)))
+
+
 def is_trusted(use: Use) -> bool:
     """Tells whether enough tasks were seen for long enough."""
     return use.samples >= SAMPLES_LEAST and len(use.tasks) >= TASKS_LEAST
