--- a/poplarspindle/lanes.py
+++ b/poplarspindle/lanes.py
@@ -203,6 +203,7 @@
         records.OwnershipClaimed: lease_s,
         records.OwnershipRenewed: lease_s,
         records.TaskPlaced: lease_s,
+        records.TaskResized: lease_s,
         records.TaskEvicted: lease_s,
         records.TaskMoved: lease_s,
         records.SnapshotChunk: lease_s * SNAPSHOT_LEASES,
--- a/poplarspindle/tests/test_records.py
+++ b/poplarspindle/tests/test_records.py
@@ -40,5 +40,6 @@
 
 
 def test_fields_of_a_later_version_are_passed_over():
-    payload = msgpack.packb([["TaskPlaced", ["job/0", 1, "ourthe-w0", 3, 9]]])
+    ((kind, fields),) = msgpack.unpackb(records.encode_batch((PLACED,)))
+    payload = msgpack.packb([[kind, [*fields, 9]]])
     assert records.decode_batch(payload) == ((PLACED,), 0)
