--- a/poplarspindle/tests/conftest.py
+++ b/poplarspindle/tests/conftest.py
@@ -38,6 +38,7 @@
         )
         self.fake = platform.Platform(plan)
         self.url = self.fake.start()
+        self.wait_for = wait_for
         self._http = urllib3.PoolManager(maxsize=32, retries=False)
         self._entries: list[entry.Entry] = []
         self._processes: list[subprocess.Popen] = []
@@ -135,9 +136,9 @@
         self.fake.log.down = False
         self._http.clear()
         live = [made for made in self._entries if made.is_live()]
-        with concurrent.futures.ThreadPoolExecutor(9) as pool:
-            list(pool.map(lambda made: made.stop(), live))
-        self.fake.stop()
+        ends = [self.fake.stop, *(made.stop for made in live)]
+        with concurrent.futures.ThreadPoolExecutor(len(ends)) as pool:
+            list(pool.map(lambda end: end(), ends))
 
 
 def wait_for(condition) -> None:
@@ -155,6 +156,13 @@
     made.stop()
 
 
+@pytest.fixture(scope="module")
+def shared_site():
+    made = Site()
+    yield made
+    made.stop()
+
+
 @pytest.fixture
 def wait():
     return wait_for
