--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -12,6 +12,7 @@
     "poplarspindle_platform_failures_total": "Failed platform calls.",
     "poplarspindle_snapshots_total": "Snapshots by what became of them.",
     "poplarspindle_tasks_total": "Task transitions.",
+    "poplarspindle_reactions_total": "Steps against slow services.",
     "poplarspindle_ownership_total": "Ownership transitions.",
     "poplarspindle_connections_total": "Connections closed by reason.",
     "poplarspindle_peers_total": "Streams of our own processes, by event.",
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -2,7 +2,14 @@
 
 import dataclasses
 
-from poplarspindle import cells, document, reports
+from poplarspindle import (
+    cells,
+    document,
+    interference,
+    quarantine,
+    reports,
+    sizes,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,6 +24,10 @@
         policy: Name of the placement policy.
         attempts: How often a task may fail before it is given up.
         retry_s: Wait before the second attempt; it doubles with each.
+        starve_s: After how long without placement a worker's room is kept.
+        protect_s: How long a resumed task is not evicted again.
+        fill_s: How long a data centre fills slowly after its return.
+        drain_rate: Evictions a second while a data centre is emptied.
         standbys: How many instances follow a data centre beside its
             owner, 0 for all.
         snapshot_appends: Appends to a stream between two snapshots.
@@ -30,6 +41,10 @@
     policy: str = "chosen"
     attempts: int = 4
     retry_s: float = 1.0
+    starve_s: float = 30.0
+    protect_s: float = 30.0
+    fill_s: float = 10.0
+    drain_rate: float = 20.0
     standbys: int = 0
     snapshot_appends: int = 2000
     snapshot_age_s: float = 600.0
@@ -71,6 +86,9 @@
         started_at: Time of the first event.
         saves: What is known of each stream's snapshots.
         lost: Streams whose state has holes and must not be used.
+        slowdown: What was learned of slowdown between pairs.
+        sizes: What was learned of real sizes.
+        failures: What is held against workers and families.
     """
 
     def __init__(
@@ -87,3 +105,6 @@
         self.started_at = float("-inf")
         self.saves: dict[str, Schedule] = {}
         self.lost: set[str] = set()
+        self.slowdown = interference.Model()
+        self.sizes: sizes.Sizes = {}
+        self.failures = quarantine.Record()
