Run the document's services as tasks, each exclusive replica at its home

The owner of a data centre compares the document with its stream and submits or cancels one job per replica. An exclusive replica's home is state of the document; it is moved only after the home's stream shows the replica's generation closed and ended, so neither a late copy of its submission nor a late copy of a move can run it twice: both carry the generation.

Services change one replica at a time; a graceful stop releases only once no start is on its way.

--- a/poplarspindle/cells.py
+++ b/poplarspindle/cells.py
@@ -78,6 +78,8 @@
         tasks: Task by id; of those that ended, the last ENDED_KEPT.
         jobs: Ids of known jobs, mapped to their number of tasks.
         cancelled_jobs: Ids of jobs whose cancellation was read.
+        replicas: Highest generation submitted by service replica.
+        closed: Highest generation cancelled by service replica.
         tombstones: Last attempt of tasks that were forgotten.
         queue: Ids of queued tasks, in order of arrival.
         placed: Ids of tasks whose start is not confirmed yet.
@@ -96,6 +98,8 @@
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     jobs: dict[str, int] = dataclasses.field(default_factory=dict)
     cancelled_jobs: dict[str, None] = dataclasses.field(default_factory=dict)
+    replicas: dict[str, int] = dataclasses.field(default_factory=dict)
+    closed: dict[str, int] = dataclasses.field(default_factory=dict)
     tombstones: dict[str, int] = dataclasses.field(default_factory=dict)
     queue: dict[str, None] = dataclasses.field(default_factory=dict)
     placed: dict[str, None] = dataclasses.field(default_factory=dict)
@@ -186,7 +190,8 @@
         workers: Worker by name.
         pending: Placements sent to the log and not read back, by task.
         starts: Last start sent by task, in the present term.
-        proposed: When a record was last sent, by task, then by its kind.
+        proposed: Last record sent and when, by its subject, then by kind.
+        reconciled_at: When services were last compared with the document.
         commanded: When a stop was last sent, by task.
         retry_at: When a task that failed may be placed again, by task.
         owned_since: When this instance's claim was read, own clock.
@@ -205,7 +210,8 @@
         self.workers: dict[str, Worker] = {}
         self.pending: dict[str, Placement] = {}
         self.starts: dict[str, Start] = {}
-        self.proposed: dict[str, dict[type, float]] = {}
+        self.proposed: dict[str, dict[type, tuple[records.Record, float]]] = {}
+        self.reconciled_at = float("-inf")
         self.commanded: dict[str, float] = {}
         self.retry_at: dict[str, float] = {}
         self.owned_since = float("-inf")
@@ -334,18 +340,49 @@
     return at >= cell.view.retry_at.get(task.task, float("-inf"))
 
 
-def propose(cell: Cell, record: records.Record, at: float) -> list:
-    """Returns the effect that appends a task record, unless it is on its way.
+def propose(
+    cell: Cell, record: records.Record, at: float, subject: str = ""
+) -> list:
+    """Returns the effect that appends a record, unless it is on its way.
 
-    A record is sent again only after the stream was read to its tail
+    Args:
+        cell: The data centre.
+        record: The record for its stream.
+        at: Time, own clock.
+        subject: What it is about, by default its task.
+
+    Returns:
+        One effect or none.
+    """
+    return send_once(
+        cell,
+        name_stream(cell.table.data_centre),
+        record,
+        subject or record.task,
+        cell.view.tail_at,
+        at,
+    )
+
+
+def send_once(
+    cell: Cell,
+    stream: str,
+    record: records.Record,
+    subject: str,
+    tail_at: float,
+    at: float,
+) -> list:
+    """Returns the effect that appends a record, unless it is on its way.
+
+    The same record is sent again only after the stream was read to its tail
     RESEND_S past the last sending: so a log outage piles up no copies.
     """
-    sent = cell.view.proposed.setdefault(record.task, {})
-    last = sent.get(type(record))
-    if last is not None and cell.view.tail_at - last < RESEND_S:
+    sent = cell.view.proposed.setdefault(subject, {})
+    last, sent_at = sent.get(type(record), (None, 0.0))
+    if last == record and tail_at - sent_at < RESEND_S:
         return []
-    sent[type(record)] = at
-    return [append_record(cell, record)]
+    sent[type(record)] = (record, at)
+    return [effects.Append(stream, record)]
 
 
 def append_record(cell: Cell, record: records.Record) -> effects.Append:
--- a/poplarspindle/document.py
+++ b/poplarspindle/document.py
@@ -12,9 +12,10 @@
 
 import cattrs
 
-from poplarspindle import effects, events, outcomes, records
+from poplarspindle import effects, events, homes, outcomes, records
 
 VERDICTS_KEPT = 4096
+Homes = dict[str, homes.Home]
 
 
 class Verdict(enum.StrEnum):
@@ -150,6 +151,7 @@
         sections: Section by name.
         data_centres: State by data centre; absent means in service.
         decisions: Decision by change id, oldest dropped past VERDICTS_KEPT.
+        homes: Home by exclusive replica.
         offset: Offset of the last record reduced, -1 for none.
     """
 
@@ -159,6 +161,7 @@
         default_factory=dict
     )
     decisions: dict[str, Decision] = dataclasses.field(default_factory=dict)
+    homes: Homes = dataclasses.field(default_factory=dict)
     offset: int = -1
 
     def is_in_service(self, data_centre: str) -> bool:
--- a/poplarspindle/drive.py
+++ b/poplarspindle/drive.py
@@ -15,6 +15,7 @@
     placing,
     records,
     reports,
+    services,
     state,
 )
 
@@ -35,6 +36,7 @@
     found += moves.hand_over(own, cell, event.at)
     if not ownership.may_act(own, cell, event.at):
         return found
+    found += services.reconcile(own, cell, event.at)
     if own.document.is_in_service(cell.table.data_centre):
         found += _start_placed(own, cell, event.at)
         found += placing.place_queued(own, cell, event)
--- a/poplarspindle/moves.py
+++ b/poplarspindle/moves.py
@@ -59,10 +59,12 @@
     at: float,
     task: str = "",
 ) -> list:
-    """Appends to the target, again once its tail shows the last was lost."""
-    sent = cell.view.proposed.setdefault(task or record.task, {})
-    last = sent.get(type(record))
-    if last is not None and target.view.tail_at - last < cells.RESEND_S:
-        return []
-    sent[type(record)] = at
-    return [cells.append_record(target, record)]
+    """Appends to the target's stream, until that shows it."""
+    return cells.send_once(
+        cell,
+        cells.name_stream(target.table.data_centre),
+        record,
+        task or record.task,
+        target.view.tail_at,
+        at,
+    )
--- a/poplarspindle/ownership.py
+++ b/poplarspindle/ownership.py
@@ -51,7 +51,7 @@
     """Reduces an OwnershipClaimed record."""
     claim = event.record
     table = cell.table
-    if claim.term != table.term + 1 or claim.seen != table.lease_offset:
+    if not _follows(table, claim):
         return [effects.Count("poplarspindle_ownership_total", "claim-lost")]
     table.term = claim.term
     table.owner = claim.instance
@@ -73,6 +73,11 @@
     ]
 
 
+def _follows(table: cells.Table, claim: records.OwnershipClaimed) -> bool:
+    """Tells whether a claim is for the next term and saw the last renewal."""
+    return claim.term == table.term + 1 and claim.seen == table.lease_offset
+
+
 def _forget_term(view: cells.View) -> None:
     """Forgets what was sent in earlier terms; none of it can act any more."""
     for sent in (
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -15,6 +15,7 @@
 DOCUMENT_STREAM = "document"
 CELL_STREAM_PREFIX = "cell/"
 AUDIT_STREAM_PREFIX = "audit/"
+SERVICE_PREFIX = "service/"
 CLAIM_STREAM_PREFIX = "claims/"
 RETIRED_STREAM = "tickets"
 
--- a/poplarspindle/reducer.py
+++ b/poplarspindle/reducer.py
@@ -13,6 +13,7 @@
     ownership,
     records,
     reports,
+    services,
     state,
     tasks,
 )
@@ -20,6 +21,7 @@
 _DOCUMENT_AREAS = {
     records.SectionPublished: document.apply_section,
     records.DataCentreSet: document.apply_data_centre,
+    records.HomeMoved: services.apply_home,
 }
 _OWNER_AREAS = {
     records.OwnershipClaimed: ownership.apply_claim,
@@ -74,6 +76,7 @@
     if apply is None:
         return [effects.Count("poplarspindle_records_total", "foreign")]
     found = apply(own.document, event)
+    services.assign_homes(own.document)
     for name in own.document.list_data_centres():
         own.cells.setdefault(name, cells.Cell(name))
     return found
--- a/poplarspindle/tasks.py
+++ b/poplarspindle/tasks.py
@@ -19,7 +19,7 @@
     """Reduces a JobSubmitted record: queues its tasks once."""
     job = event.record
     table = cell.table
-    if job.job in table.jobs:
+    if job.job in table.jobs or _is_old_replica(table, job):
         return DUPLICATE
     cells.remember_job(table, job.job, job.tasks)
     cancelled = job.job in table.cancelled_jobs
@@ -30,6 +30,29 @@
     return [effects.Count("poplarspindle_tasks_total", phase, job.tasks)]
 
 
+def _is_old_replica(table: cells.Table, job: records.JobSubmitted) -> bool:
+    """Tells whether a job is a service replica of an earlier generation."""
+    name, generation = split_replica(job.job)
+    if generation <= 0:
+        return False
+    known = max(table.replicas.get(name, 0), table.closed.get(name, 0))
+    if generation > known:
+        table.replicas[name] = generation
+    return generation <= known
+
+
+def split_replica(job: str) -> tuple[str, int]:
+    """Splits a service job's id into replica and generation.
+
+    Returns:
+        Both, or an empty name and 0 for a job that is not a service's.
+    """
+    name, _, generation = job.rpartition("@")
+    if not name.startswith(records.SERVICE_PREFIX):
+        return "", 0
+    return (name, int(generation)) if generation.isdecimal() else ("", 0)
+
+
 def apply_cancel(
     own: state.State, cell: cells.Cell, event: events.RecordRead
 ) -> list:
@@ -42,6 +65,9 @@
     table.cancelled_jobs[job] = None
     if len(table.cancelled_jobs) > cells.JOBS_KEPT:
         del table.cancelled_jobs[next(iter(table.cancelled_jobs))]
+    replica, generation = split_replica(job)
+    if generation > table.closed.get(replica, 0):
+        table.closed[replica] = generation
     names = (f"{job}/{i}" for i in range(table.jobs.get(job, 0)))
     for name in names:
         if name in table.tasks:
