Decide limits, health, retries, hedges and admission apart from sending

The dispatcher only locks and sends; what it decides is in plain functions with time and randomness passed in. New: per-minion room under shared connections, rest after a refusal, ejection of slow, broken and silent minions with a bounded share and probes, a retry budget, hedges whose late answers reach nobody, admission by predicted wait and batch giving way.

Found on the way: urllib3's NewConnectionError is a ConnectTimeoutError, so a refused connection was taken for a slow one and never ejected its minion; test_dead_minions_are_no_black_hole fails without the fix.

--- a/poplarspindle/dispatch.py
+++ b/poplarspindle/dispatch.py
@@ -1,7 +1,7 @@
 """Sends a request to one minion after another while that is allowed.
 
-The decisions are plain functions; Dispatcher keeps the state and does the
-sending for the threads of an entry.
+The decisions are plain functions of other modules; Dispatcher holds the lock
+and does the sending for the threads of an entry.
 """
 
 import dataclasses
@@ -10,78 +10,78 @@
 import time
 from collections.abc import Callable
 
-from poplarspindle import metrics, outcomes, reports, requests, routing
+from poplarspindle import (
+    admission,
+    health,
+    hedges,
+    metrics,
+    outcomes,
+    pool,
+    reports,
+    requests,
+    retries,
+    settings,
+)
 from poplarspindle.platform import minions
 
-ATTEMPTS_MOST = 3
+PRIORITY = 100
+LEAST_S = 0.0005
 
 Note = Callable[[outcomes.Step, str, str], None]
 
 
-@dataclasses.dataclass(slots=True)
-class Minion:
-    """What an entry knows of a minion.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """What operators set of the dispatch.
 
     Attributes:
-        member: Its entry in the platform's list.
-        sent: Requests of this entry now at it.
+        threads: Threads that serve callers.
+        retry_share: Further sends earned by one request.
+        hedge_factor: Lateness at which a second send is made, in recent
+            latencies; 0 for never.
+        hedge_least_s: Lateness below which none is made.
+        batch_below: Services of a lower priority are batch.
+        ejection: When minions are ejected.
     """
 
-    member: reports.Member
-    sent: int = 0
-
-
-class State:
-    """What one entry knows of all minions.
+    threads: int = 32
+    retry_share: float = 0.1
+    hedge_factor: float = 3.0
+    hedge_least_s: float = 0.02
+    batch_below: int = 50
+    ejection: health.Rules = dataclasses.field(default_factory=health.Rules)
+
+
+def read_rules(values: settings.Values) -> Rules:
+    """Returns the rules that the settings give."""
+    return Rules(
+        threads=values.threads,
+        retry_share=values.retry_share,
+        hedge_factor=values.hedge_factor,
+        batch_below=values.batch_below,
+        ejection=health.Rules(
+            share_most=values.eject_share,
+            silent_s=values.silent_s,
+            slow_factor=values.slow_factor,
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Task:
+    """One request on its way.
 
     Attributes:
-        entries: Number of entries that share the minions.
-        minions: Minion by name.
+        deadline: End of the caller's patience, monotonic seconds.
+        note: Told of each step with peer and reason, for the trace.
     """
 
-    def __init__(self, entries: int, policy: str) -> None:
-        self.entries = entries
-        self.pick = routing.POLICIES[policy]
-        self.minions: dict[str, Minion] = {}
-
-
-def take_members(own: State, members: tuple[reports.Member, ...]) -> None:
-    """Takes the platform's list over; counts of known minions stay."""
-    found = {}
-    for member in members:
-        if member.role is reports.Role.MINION:
-            minion = own.minions.get(member.name, Minion(member))
-            minion.member = member
-            found[member.name] = minion
-    own.minions = found
-
-
-def choose_minion(
-    own: State, service: str, tried: frozenset[str], rng: random.Random
-) -> Minion | None:
-    """Picks a live minion with room under this entry's limits."""
-    able = [
-        minion
-        for minion in own.minions.values()
-        if service in minion.member.services
-        and minion.member.presence is reports.Presence.LIVE
-        and minion.member.name not in tried
-        and minion.sent < find_limit(own, minion.member)
-    ]
-    return own.pick(able, rng) if able else None
-
-
-def find_limit(own: State, member: reports.Member) -> int:
-    """Returns how many connections this entry may hold to a minion."""
-    return max(1, member.connections // own.entries)
-
-
-def may_retry(
-    failed: outcomes.Failed, idempotent: bool, tries: int, left_s: float
-) -> bool:
-    """Decides whether a failed send may be tried at another minion."""
-    safe = idempotent or not failed.may_have_acted
-    return safe and tries < ATTEMPTS_MOST and left_s > 0
+    service: str
+    name: str
+    body: bytes
+    idempotent: bool
+    deadline: float
+    note: Note
 
 
 def conclude(failed: outcomes.Failed, acted_before: bool) -> requests.Verdict:
@@ -91,6 +91,10 @@
     return requests.Verdict(outcome, failed.reason, failed.step, failed.peer)
 
 
+def skip_note(step: outcomes.Step, peer: str, reason: str) -> None:
+    """Keeps no trace."""
+
+
 class Dispatcher:
     """Sends requests to minions for the threads of one entry.
 
@@ -98,8 +102,10 @@
         entries: Number of entries that share the minions.
         policy: Name of the routing policy.
         client: Connections to the minions.
-        counters: Where retries are counted.
+        counters: Where sends, retries and refusals are counted.
         seed: Seed of the routing's random choices.
+        rules: What operators set.
+        find_priority: Returns a service's priority in the document.
     """
 
     def __init__(
@@ -109,17 +115,26 @@
         client: minions.Minions,
         counters: metrics.Metrics,
         seed: int,
+        rules: Rules | None = None,
+        find_priority: Callable[[str], int] = lambda service: PRIORITY,
     ) -> None:
-        self.state = State(entries, policy)
+        self.rules = rules or Rules()
+        self.state = pool.State(entries, policy, self.rules.ejection)
+        self.admission = admission.State(
+            admission.find_limit(self.rules.threads), self.rules.batch_below
+        )
+        self._budget = retries.Budget(self.rules.retry_share)
         self._client = client
         self._counters = counters
         self._rng = random.Random(seed)
+        self._find_priority = find_priority
+        self._timer = hedges.Timer()
         self._lock = threading.Lock()
 
     def take_members(self, members: tuple[reports.Member, ...]) -> None:
         """Takes the platform's list over."""
         with self._lock:
-            take_members(self.state, members)
+            pool.take_members(self.state, members)
 
     def dispatch(
         self,
@@ -128,7 +143,7 @@
         body: bytes,
         idempotent: bool,
         deadline: float,
-        note: Note,
+        note: Note = skip_note,
     ) -> minions.Answer | requests.Verdict:
         """Sends a request until it is answered or must not be sent again.
 
@@ -143,41 +158,205 @@
         Returns:
             The whole answer, or what the caller is told instead.
         """
+        task = Task(service, name, body, idempotent, deadline, note)
+        priority = self._find_priority(service)
+        began = time.monotonic()
+        with self._lock:
+            refused = admission.admit(
+                self.admission, began, service, deadline - began, priority
+            )
+            if not refused:
+                retries.earn(self._budget)
+        if refused:
+            note(outcomes.Step.ADMIT, "", refused)
+            return requests.Verdict(
+                requests.Outcome.NOT_RUN, refused, outcomes.Step.ADMIT
+            )
+        found = None
+        try:
+            found = self._send_allowed(task)
+        finally:
+            self._leave(task, began, found, priority)
+        return found
+
+    def _leave(self, task: Task, began: float, found, priority: int) -> None:
+        """Notes the end of a request that was let in."""
+        now = time.monotonic()
+        with self._lock:
+            admission.leave(
+                self.admission,
+                now,
+                task.service,
+                now - began,
+                says_latency(found),
+            )
+            if is_crowded(found):
+                admission.take_pressure(self.admission, priority)
+
+    def _send_allowed(self, task: Task) -> minions.Answer | requests.Verdict:
+        """Sends to one minion after another."""
         tried: frozenset[str] = frozenset()
         acted = False
-        failed = outcomes.Failed(outcomes.Step.ROUTE, "", "no-minion")
+        failed: outcomes.Failed | None = None
         while True:
-            minion = self._take_minion(service, tried)
-            if minion is None:
-                return conclude(failed, acted)
-            peer = minion.member.name
-            note(outcomes.Step.SEND, peer, "sent")
-            answer = self._send(minion, service, name, body, deadline)
+            sent = self._begin(task, tried)
+            if isinstance(sent, str):
+                last = failed or outcomes.Failed(outcomes.Step.ROUTE, "", sent)
+                return conclude(last, acted)
+            tried |= {sent.minion.member.name}
+            answer, tried, late_acted = self._race(task, sent, tried)
             if isinstance(answer, outcomes.Ok):
-                note(outcomes.Step.RECEIVE, peer, "answered")
                 return answer.value
             failed = answer
-            note(failed.step, peer, failed.reason)
-            tried |= {minion.member.name}
-            left_s = deadline - time.monotonic()
-            if not may_retry(failed, idempotent, len(tried), left_s):
+            acted |= failed.may_have_acted or late_acted
+            left_s = task.deadline - time.monotonic() - LEAST_S
+            if not retries.may_retry(
+                failed, task.idempotent, len(tried), left_s
+            ):
+                return conclude(failed, acted)
+            if not self._spend():
+                self._counters.add(
+                    "poplarspindle_retries_total", "budget-spent"
+                )
                 return conclude(failed, acted)
-            acted |= failed.may_have_acted
             self._counters.add("poplarspindle_retries_total", failed.reason)
 
-    def _take_minion(self, service, tried) -> Minion | None:
+    def _spend(self) -> bool:
         with self._lock:
-            minion = choose_minion(self.state, service, tried, self._rng)
-            if minion is not None:
-                minion.sent += 1
-            return minion
+            return retries.spend(self._budget)
 
-    def _send(self, minion, service, name, body, deadline):
-        left_s = deadline - time.monotonic()
+    def _begin(self, task: Task, tried: frozenset[str]) -> pool.Sent | str:
+        """Picks a minion and counts a send to it, or says why there's none."""
+        now = time.monotonic()
+        with self._lock:
+            ejected = pool.review(self.state, now)
+            found = pool.choose_minion(
+                self.state,
+                task.service,
+                tried,
+                task.idempotent,
+                now,
+                self._rng,
+            )
+            if not isinstance(found, str):
+                if found.condition.phase is health.Phase.EJECTED:
+                    self._counters.add("poplarspindle_ejections_total", "probe")
+                found = pool.begin_send(self.state, found, now)
+        self._close_ejected(ejected)
+        return found
+
+    def _race(self, task: Task, sent: pool.Sent, tried: frozenset[str]):
+        """Sends, and sends again elsewhere when the first is late.
+
+        Returns:
+            The result, the minions tried, and whether the second send may
+            have acted where neither was answered.
+        """
+        delay_s = self._find_delay(task)
+        if delay_s is None:
+            return self._send(task, sent, minions.Call()), tried, False
+        race = hedges.Race()
+        others = [tried]
+
+        def hedge() -> None:
+            others[0] = self._hedge(task, race, tried)
+
+        self._timer.schedule(time.monotonic() + delay_s, hedge)
+        first = self._send(task, sent, race.first)
+        found = race.end_first(first, task.deadline)
+        return found, others[0], race.acted
+
+    def _find_delay(self, task: Task) -> float | None:
+        """Returns when a second send would be worth it, None for never."""
+        estimate = self.admission.estimates.get(task.service)
+        if not task.idempotent or not self.rules.hedge_factor or not estimate:
+            return None
+        delay_s = max(
+            self.rules.hedge_least_s,
+            self.rules.hedge_factor * estimate.latency_s,
+        )
+        left_s = task.deadline - time.monotonic()
+        return delay_s if delay_s < left_s else None
+
+    def _hedge(
+        self, task: Task, race: hedges.Race, tried: frozenset[str]
+    ) -> frozenset[str]:
+        """Makes the second send of a race; returns the minions tried."""
+        if not race.start_second():
+            return tried
+        failed = outcomes.Failed(outcomes.Step.ROUTE, "", "budget-spent")
+        sent = self._begin(task, tried) if self._spend() else "budget-spent"
+        if isinstance(sent, str):
+            self._counters.add("poplarspindle_hedges_total", sent)
+            race.end_second(failed)
+            return tried
+        self._counters.add("poplarspindle_hedges_total", "sent")
+        found = self._send(task, sent, race.second)
+        if race.end_second(found):
+            self._counters.add("poplarspindle_hedges_total", "won")
+        return tried | {sent.minion.member.name}
+
+    def _send(
+        self, task: Task, sent: pool.Sent, call: minions.Call
+    ) -> outcomes.Ok[minions.Answer] | outcomes.Failed:
+        """Sends once and notes what it says of the minion."""
+        member = sent.minion.member
+        task.note(outcomes.Step.SEND, member.name, "sent")
+        self._counters.add("poplarspindle_sends_total", "sent")
+        found: outcomes.Ok | outcomes.Failed = outcomes.Failed(
+            outcomes.Step.SEND, member.address, "aborted", "", True
+        )
         try:
-            return self._client.send(
-                minion.member.address, service, name, body, left_s
+            found = self._client.send(
+                member.address,
+                task.service,
+                task.name,
+                task.body,
+                task.deadline - time.monotonic(),
+                call,
             )
         finally:
-            with self._lock:
-                minion.sent -= 1
+            self._end(sent, found, call.fresh)
+        if isinstance(found, outcomes.Ok):
+            task.note(outcomes.Step.RECEIVE, member.name, "answered")
+        else:
+            task.note(found.step, member.name, found.reason)
+        return found
+
+    def _end(self, sent: pool.Sent, found, fresh: bool) -> None:
+        failed = found if isinstance(found, outcomes.Failed) else None
+        status = 0 if failed else found.value.status
+        now = time.monotonic()
+        with self._lock:
+            ejected = pool.end_send(
+                self.state, sent, failed, status, fresh, now
+            )
+        if failed:
+            self._counters.add("poplarspindle_connections_total", failed.reason)
+            slow = now - sent.at >= self.rules.ejection.silent_s
+            if failed.reason == "timeout" and not fresh and slow:
+                self._client.forget(sent.minion.member.address)
+        elif found.value.extra:
+            self._counters.add("poplarspindle_connections_total", "extra-bytes")
+        self._close_ejected(ejected)
+
+    def _close_ejected(self, ejected: tuple[pool.Ejection, ...]) -> None:
+        for ejection in ejected:
+            self._counters.add("poplarspindle_ejections_total", ejection.reason)
+            self._client.forget(ejection.address)
+
+
+def says_latency(found: minions.Answer | requests.Verdict | None) -> bool:
+    """Tells whether a result shows how long the service takes."""
+    timed_out = (
+        isinstance(found, requests.Verdict) and found.reason == "timeout"
+    )
+    return isinstance(found, minions.Answer) or timed_out
+
+
+def is_crowded(found: minions.Answer | requests.Verdict | None) -> bool:
+    """Tells whether a request ended for want of room at the minions."""
+    return isinstance(found, requests.Verdict) and found.reason in (
+        "no-room",
+        "minion-refused",
+    )
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -85,9 +85,11 @@
         self._dispatcher = dispatch.Dispatcher(
             values.entries,
             values.routing,
-            minions.Minions(values.threads),
+            minions.Minions(values.threads, idle_s=values.idle_s),
             self.metrics,
             seed,
+            dispatch.read_rules(values),
+            self._find_priority,
         )
         self._audit = appender.Appender(
             self._service,
@@ -157,6 +159,10 @@
             self._interface.handle,
             values.threads,
             values.deadline_most_ms / 1000 + JOIN_S,
+            values.caller_s,
+            lambda reason: self.metrics.add(
+                "poplarspindle_refusals_total", reason
+            ),
         )
         self._peers = peers.Server(
             values.peer_address,
@@ -257,6 +263,12 @@
                     f"list-{failed.reason}",
                 )
 
+    def _find_priority(self, service: str) -> int:
+        """Returns a service's priority in the document."""
+        with self._lock:
+            found = self.document.find_service(service)
+        return found[1].priority if found else dispatch.PRIORITY
+
     def _take_list(self, found: tuple[reports.Member, ...]) -> None:
         judgement = membership.take_list(
             self.members, found, self._presence, time.monotonic()
--- /dev/null
+++ b/poplarspindle/health.py
@@ -0,0 +1,176 @@
+"""Which minions are ejected for a while, and how they come back.
+
+Ejected are those that fail again and again, those far slower than the rest,
+and those that went silent. A bounded share is ejected at most: past that the
+fault is more likely ours or everybody's. After its time an ejected minion
+gets one request as a probe, on a new connection.
+"""
+
+import dataclasses
+import enum
+import statistics
+
+PROBE_ANY_S = 5.0
+REVIEW_S = 0.1
+
+
+class Phase(enum.Enum):
+    """How far a minion is trusted."""
+
+    TRUSTED = "trusted"
+    EJECTED = "ejected"
+    PROBING = "probing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """When minions are ejected.
+
+    Attributes:
+        failures_most: Failures in a row.
+        slow_factor: Latency against the median of all.
+        slow_floor_s: Latency below which none counts as slow.
+        samples_least: Answers before latency or errors count.
+        errors_most: Share of error answers, where others have fewer.
+        silent_s: Time without any answer, requests outstanding.
+        silent_factor: The same, in recent latencies.
+        first_s: Length of the first ejection; doubles each time.
+        most_s: Longest ejection.
+        share_most: Greatest share of minions ejected at once.
+        weight: Weight of the newest sample in averages.
+    """
+
+    failures_most: int = 3
+    slow_factor: float = 4.0
+    slow_floor_s: float = 0.02
+    samples_least: int = 10
+    errors_most: float = 0.5
+    silent_s: float = 1.0
+    silent_factor: float = 10.0
+    first_s: float = 1.0
+    most_s: float = 30.0
+    share_most: float = 0.3
+    weight: float = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """What an entry saw of one minion.
+
+    Attributes:
+        phase: How far it is trusted.
+        until: End of the ejection, monotonic seconds.
+        ejections: Ejections in a row.
+        latency_s: Recent latency, 0 where unknown.
+        errors: Recent share of error answers.
+        samples: Answers since it was last trusted.
+        failures: Failures in a row.
+        heard_at: Last answer of any kind.
+    """
+
+    phase: Phase = Phase.TRUSTED
+    until: float = 0.0
+    ejections: int = 0
+    latency_s: float = 0.0
+    errors: float = 0.0
+    samples: int = 0
+    failures: int = 0
+    heard_at: float = 0.0
+
+
+def take_answer(
+    own: Health, rules: Rules, at: float, took_s: float, is_error: bool
+) -> bool:
+    """Notes a whole answer; returns whether it ended an ejection."""
+    own.heard_at = at
+    own.failures = 0
+    own.samples += 1
+    own.errors += rules.weight * (is_error - own.errors)
+    if not is_error:
+        weight = 1.0 if own.latency_s == 0 else rules.weight
+        own.latency_s += weight * (took_s - own.latency_s)
+    if own.phase is not Phase.PROBING:
+        return False
+    own.phase = Phase.TRUSTED
+    own.samples = 0
+    own.errors = 0.0
+    own.latency_s = 0.0 if is_error else took_s
+    return True
+
+
+def take_refusal(own: Health, at: float) -> None:
+    """Notes that a minion answered that it is full: it lives."""
+    own.heard_at = at
+    own.failures = 0
+    if own.phase is Phase.PROBING:
+        own.phase = Phase.TRUSTED
+
+
+def take_failure(own: Health, rules: Rules, at: float) -> bool:
+    """Notes a failure; returns whether the minion should be ejected."""
+    own.failures += 1
+    if own.phase is Phase.PROBING:
+        eject(own, rules, at)
+        return False
+    return own.phase is Phase.TRUSTED and own.failures >= rules.failures_most
+
+
+def take_nothing(own: Health, at: float) -> None:
+    """Notes a send that says nothing, such as one given up by us."""
+    if own.phase is Phase.PROBING:
+        own.phase = Phase.EJECTED
+        own.until = at
+
+
+def eject(own: Health, rules: Rules, at: float) -> None:
+    """Ejects a minion, longer each time."""
+    length_s = min(rules.most_s, rules.first_s * 2**own.ejections)
+    own.phase = Phase.EJECTED
+    own.until = at + length_s
+    own.ejections += 1
+    own.failures = 0
+
+
+def may_eject(all_own: list[Health], rules: Rules) -> bool:
+    """Tells whether the share of ejected minions leaves room for one more."""
+    out = sum(own.phase is not Phase.TRUSTED for own in all_own)
+    most = max(1, int(rules.share_most * len(all_own)))
+    return len(all_own) > 1 and out + 1 <= most
+
+
+def is_due(own: Health, at: float, idempotent: bool) -> bool:
+    """Tells whether a request may go to an ejected minion as a probe.
+
+    A request that must not run twice is spared for a while, since a probe
+    that fails would leave its caller without an answer.
+    """
+    patience_s = 0.0 if idempotent else PROBE_ANY_S
+    return own.phase is Phase.EJECTED and own.until + patience_s <= at
+
+
+def find_fault(
+    own: Health, rules: Rules, others: list[Health], oldest: float, at: float
+) -> str:
+    """Returns why a trusted minion should be ejected, or ''.
+
+    Args:
+        own: The minion.
+        rules: When minions are ejected.
+        others: All minions of the same service, itself included.
+        oldest: When the oldest outstanding request was sent, or `at`.
+        at: Now, monotonic seconds.
+    """
+    if own.phase is not Phase.TRUSTED:
+        return ""
+    patience_s = max(rules.silent_s, rules.silent_factor * own.latency_s)
+    if at - oldest > patience_s and own.heard_at < oldest:
+        return "silent"
+    if own.samples < rules.samples_least:
+        return ""
+    known = [o for o in others if o.samples >= rules.samples_least]
+    errors = statistics.median(o.errors for o in known)
+    if own.errors > rules.errors_most > 2 * errors:
+        return "errors"
+    middle_s = statistics.median(o.latency_s for o in known)
+    bound_s = max(rules.slow_floor_s, rules.slow_factor * middle_s)
+    return "slow" if own.latency_s > bound_s else ""
--- a/poplarspindle/interface.py
+++ b/poplarspindle/interface.py
@@ -163,7 +163,11 @@
                     requests.Outcome.NOT_RUN,
                 ),
             )
-        name, result = self._frontend.serve(checked.value)
+        waited_s = time.monotonic() - (request.arrived_at or time.monotonic())
+        left_ms = checked.value.deadline_ms - round(waited_s * 1000)
+        name, result = self._frontend.serve(
+            dataclasses.replace(checked.value, deadline_ms=left_ms)
+        )
         self._count(result.outcome, result.reason)
         return answers.answer_result(name, result)
 
--- /dev/null
+++ b/poplarspindle/limits.py
@@ -0,0 +1,52 @@
+"""How many requests one entry may have at a minion.
+
+Entries don't see each other's requests. The connections of a minion are
+split over all entries that may live at once, so their sum always fits; the
+slots are not split, since a share of one slot would leave most of them idle.
+"""
+
+import dataclasses
+
+REFUSED_FIRST_S = 0.005
+REFUSED_MOST_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class Fullness:
+    """What refusals of a minion with hard slots say of its room.
+
+    Attributes:
+        until: Until when nothing is sent, monotonic seconds.
+        refusals: Refusals in a row.
+    """
+
+    until: float = 0.0
+    refusals: int = 0
+
+
+def find_share(connections: int, entries: int) -> int:
+    """Returns how many connections one entry may hold to a minion.
+
+    Args:
+        connections: Connections that the minion accepts, 0 where unknown.
+        entries: Entries alive at once, overlap at replacement included.
+    """
+    return max(1, connections // max(1, entries))
+
+
+def has_room(own: Fullness, sent: int, share: int, at: float) -> bool:
+    """Tells whether one more request may go to a minion now."""
+    return sent < share and own.until <= at
+
+
+def take_refusal(own: Fullness, at: float) -> None:
+    """Notes that a minion refused for want of a slot; waits double."""
+    wait_s = min(REFUSED_MOST_S, REFUSED_FIRST_S * 2**own.refusals)
+    own.refusals += 1
+    own.until = at + wait_s
+
+
+def take_room(own: Fullness) -> None:
+    """Notes that a minion took a request."""
+    own.refusals = 0
+    own.until = 0.0
--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -182,8 +182,11 @@
         try:
             connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            slow = isinstance(error, urllib3.exceptions.ConnectTimeoutError)
-            reason = "connect-timeout" if slow else "no-connection"
+            # The library's refused connections are a kind of timeout.
+            refused = not isinstance(
+                error, urllib3.exceptions.ConnectTimeoutError
+            ) or isinstance(error, urllib3.exceptions.NewConnectionError)
+            reason = "no-connection" if refused else "connect-timeout"
             return outcomes.Failed(
                 outcomes.Step.CONNECT, address, reason, str(error)
             )
--- /dev/null
+++ b/poplarspindle/pool.py
@@ -0,0 +1,254 @@
+"""What one entry knows of the minions, and which it picks.
+
+Time and randomness are passed in; callers hold the entry's lock.
+"""
+
+import dataclasses
+import random
+
+from poplarspindle import health, limits, outcomes, reports, routing
+
+# Failures that say nothing of a minion's health.
+NEUTRAL = frozenset(("aborted", "bad-header"))
+# Failures that do so only when the minion was given its time.
+TIMED = frozenset(("timeout", "connect-timeout"))
+# Failures after which a minion is surely of no use, however many share it.
+SURE = frozenset(("no-connection", "connect-timeout"))
+ERROR_STATUS = 500
+
+
+@dataclasses.dataclass(slots=True)
+class Minion:
+    """What an entry knows of a minion.
+
+    Attributes:
+        member: Its entry in the platform's list.
+        outstanding: When each request now at it was sent, oldest first.
+        condition: Whether it is ejected, and why.
+        fullness: Whether it has a slot.
+    """
+
+    member: reports.Member
+    outstanding: dict[int, float] = dataclasses.field(default_factory=dict)
+    condition: health.Health = dataclasses.field(default_factory=health.Health)
+    fullness: limits.Fullness = dataclasses.field(
+        default_factory=limits.Fullness
+    )
+
+    @property
+    def sent(self) -> int:
+        """Requests of this entry now at it."""
+        return len(self.outstanding)
+
+    @property
+    def latency_s(self) -> float:
+        """Recent latency, 0 where unknown."""
+        return self.condition.latency_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """One send under way."""
+
+    number: int
+    minion: Minion
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ejection:
+    """A minion was ejected; its idle connections should be closed."""
+
+    address: str
+    reason: str
+
+
+class State:
+    """What one entry knows of all minions.
+
+    Attributes:
+        entries: Number of entries that share the minions.
+        rules: When minions are ejected.
+        minions: Minion by name.
+        reviewed_at: When slow and silent ones were last looked for.
+    """
+
+    def __init__(
+        self, entries: int, policy: str, rules: health.Rules | None = None
+    ) -> None:
+        self.entries = entries
+        self.rules = rules or health.Rules()
+        self.pick = routing.POLICIES[policy]
+        self.minions: dict[str, Minion] = {}
+        self.reviewed_at = 0.0
+        self.numbered = 0
+
+
+def take_members(own: State, members: tuple[reports.Member, ...]) -> None:
+    """Takes the platform's list over; what is known of minions stays."""
+    found = {}
+    for member in members:
+        if member.role is reports.Role.MINION:
+            minion = own.minions.get(member.name)
+            if minion is None or minion.member.address != member.address:
+                minion = Minion(member)
+            minion.member = member
+            found[member.name] = minion
+    own.minions = found
+
+
+def list_serving(own: State, service: str) -> list[Minion]:
+    """Returns the minions that answer for a service and aren't leaving."""
+    return [
+        minion
+        for minion in own.minions.values()
+        if service in minion.member.services
+        and minion.member.presence is reports.Presence.LIVE
+    ]
+
+
+def choose_minion(
+    own: State,
+    service: str,
+    tried: frozenset[str],
+    idempotent: bool,
+    at: float,
+    rng: random.Random,
+) -> Minion | str:
+    """Picks a minion for one request.
+
+    Args:
+        own: What is known of the minions.
+        service: Service asked for.
+        tried: Minions that this request was sent to before.
+        idempotent: Whether the request may run more than once.
+        at: Now, monotonic seconds.
+        rng: Randomness for ties.
+
+    Returns:
+        The minion, or why there is none: `no-minion` serves it, none that
+        serves it is trusted (`all-ejected`), has `no-room`, or is untried
+        (`all-tried`).
+    """
+    serving = list_serving(own, service)
+    if not serving:
+        return "no-minion"
+    untried = [m for m in serving if m.member.name not in tried]
+    if not untried:
+        return "all-tried"
+    due = [m for m in untried if health.is_due(m.condition, at, idempotent)]
+    if due:
+        return rng.choice(due)
+    trusted = [m for m in untried if m.condition.phase is health.Phase.TRUSTED]
+    if not trusted:
+        return "all-ejected"
+    able = [m for m in trusted if _has_room(own, m, at)]
+    return own.pick(able, rng) if able else "no-room"
+
+
+def _has_room(own: State, minion: Minion, at: float) -> bool:
+    share = limits.find_share(minion.member.connections, own.entries)
+    return limits.has_room(minion.fullness, minion.sent, share, at)
+
+
+def begin_send(own: State, minion: Minion, at: float) -> Sent:
+    """Notes that a request goes to a minion."""
+    own.numbered += 1
+    minion.outstanding[own.numbered] = at
+    if minion.condition.phase is health.Phase.EJECTED:
+        minion.condition.phase = health.Phase.PROBING
+    return Sent(own.numbered, minion, at)
+
+
+def end_send(
+    own: State,
+    sent: Sent,
+    failed: outcomes.Failed | None,
+    status: int,
+    fresh: bool,
+    at: float,
+) -> tuple[Ejection, ...]:
+    """Notes the end of a send.
+
+    Args:
+        own: What is known of the minions.
+        sent: The send.
+        failed: Its failure, None where it was answered.
+        status: Status of the answer.
+        fresh: Whether it went over a new connection.
+        at: Now, monotonic seconds.
+
+    Returns:
+        The ejection that followed, if any.
+    """
+    minion = sent.minion
+    minion.outstanding.pop(sent.number, None)
+    took_s = at - sent.at
+    if failed is None:
+        limits.take_room(minion.fullness)
+        is_error = status >= ERROR_STATUS
+        health.take_answer(minion.condition, own.rules, at, took_s, is_error)
+        return ()
+    if failed.reason == "minion-refused":
+        limits.take_refusal(minion.fullness, at)
+        health.take_refusal(minion.condition, at)
+        return ()
+    if not _counts(own, failed, took_s, fresh):
+        health.take_nothing(minion.condition, at)
+        return ()
+    if health.take_failure(minion.condition, own.rules, at):
+        sure = failed.reason in SURE
+        return _eject(own, minion, failed.reason, at, sure)
+    return ()
+
+
+def _counts(
+    own: State, failed: outcomes.Failed, took_s: float, fresh: bool
+) -> bool:
+    """Tells whether a failure speaks against the minion itself.
+
+    A timeout does only when the minion had its time, and the connection was
+    new: an old one may have gone silent by itself.
+    """
+    if failed.reason in NEUTRAL:
+        return False
+    if failed.reason in TIMED:
+        patience_s = own.rules.silent_s
+        if failed.reason == "connect-timeout":
+            patience_s /= 2
+        return fresh and took_s >= patience_s * 0.9
+    return True
+
+
+def review(own: State, at: float) -> tuple[Ejection, ...]:
+    """Ejects slow and silent minions, as far as the bounded share allows."""
+    if at - own.reviewed_at < health.REVIEW_S:
+        return ()
+    own.reviewed_at = at
+    healths = [m.condition for m in own.minions.values()]
+    found = (
+        (minion, _find_fault(own, minion, healths, at))
+        for minion in own.minions.values()
+    )
+    return tuple(
+        ejection
+        for minion, reason in list(found)
+        if reason
+        for ejection in _eject(own, minion, reason, at)
+    )
+
+
+def _find_fault(own: State, minion: Minion, healths: list, at: float) -> str:
+    oldest = next(iter(minion.outstanding.values()), at)
+    return health.find_fault(minion.condition, own.rules, healths, oldest, at)
+
+
+def _eject(
+    own: State, minion: Minion, reason: str, at: float, sure: bool = False
+) -> tuple[Ejection, ...]:
+    healths = [m.condition for m in own.minions.values()]
+    if not sure and not health.may_eject(healths, own.rules):
+        minion.condition.failures = 0
+        return ()
+    health.eject(minion.condition, own.rules, at)
+    return (Ejection(minion.member.address, reason),)
--- /dev/null
+++ b/poplarspindle/retries.py
@@ -0,0 +1,53 @@
+"""Whether a failed send may be tried again, and the budget for it.
+
+Every request earns a share of one further send. Under overload, when most
+sends fail, further sends stay that share of the requests.
+"""
+
+import dataclasses
+
+from poplarspindle import outcomes
+
+ATTEMPTS_MOST = 3
+SAVED_MOST = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """Further sends that one entry may make.
+
+    Attributes:
+        share: Further sends earned by one request.
+        saved: Further sends in hand.
+    """
+
+    share: float
+    saved: float = 0.0
+
+
+def earn(own: Budget) -> None:
+    """Notes a new request."""
+    own.saved = min(SAVED_MOST, own.saved + own.share)
+
+
+def spend(own: Budget) -> bool:
+    """Takes one further send, where there is one in hand."""
+    if own.saved < 1.0:
+        return False
+    own.saved -= 1.0
+    return True
+
+
+def may_retry(
+    failed: outcomes.Failed, idempotent: bool, tries: int, left_s: float
+) -> bool:
+    """Decides whether a failed send is safe to try at another minion.
+
+    Args:
+        failed: The failure.
+        idempotent: Whether the request may run more than once.
+        tries: Sends so far.
+        left_s: Time left until the caller's deadline.
+    """
+    safe = idempotent or not failed.may_have_acted
+    return safe and tries < ATTEMPTS_MOST and left_s > 0
--- a/poplarspindle/routing.py
+++ b/poplarspindle/routing.py
@@ -1,6 +1,11 @@
-"""Which minion a request goes to. Policies are plain functions."""
+"""Which minion a request goes to. Policies are plain functions.
+
+Each takes the minions with room, with `sent` (requests of this entry at it)
+and `latency_s` (its recent latency, 0 where unknown), and picks one.
+"""
 
 import random
+import statistics
 
 
 def pick_random(able: list, rng: random.Random):
@@ -20,8 +25,25 @@
     return rng.choice([m for m in able if m.sent == least])
 
 
+def pick_least_expected(able: list, rng: random.Random):
+    """Picks the one whose requests of this entry end soonest.
+
+    A request is expected to take the recent latency times the requests in
+    front of it; minions within a tenth of the best are drawn from at random,
+    so that entries with the same picture don't all pick the same one.
+    """
+    known = [m.latency_s for m in able if m.latency_s > 0]
+    middle_s = statistics.median(known) if known else 1.0
+    costs = [(m.sent + 1) * (m.latency_s or middle_s) for m in able]
+    bound = min(costs) * 1.1
+    return rng.choice(
+        [m for m, cost in zip(able, costs, strict=True) if cost <= bound]
+    )
+
+
 POLICIES = {
     "random": pick_random,
     "two_choices": pick_two_choices,
     "least_local": pick_least_local,
+    "least_expected": pick_least_expected,
 }
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -263,7 +263,76 @@
         "least_local",
         "How an entry picks a minion.",
         (ENTRY,),
-        choices=("least_local", "two_choices", "random"),
+        choices=("least_local", "least_expected", "two_choices", "random"),
+    ),
+    Setting(
+        "caller_s",
+        10.0,
+        "Time a caller has for sending a request's head and body, and idle"
+        " time after which its connection is closed, seconds.",
+        (ENTRY,),
+        low=0.05,
+        high=600,
+    ),
+    Setting(
+        "retry_share",
+        0.1,
+        "Further sends to minions (retries, hedges) per request.",
+        (ENTRY,),
+        low=0,
+        high=1,
+    ),
+    Setting(
+        "hedge_factor",
+        3.0,
+        "Lateness of an idempotent request at which a second minion is asked"
+        " too, in recent latencies; 0 for never.",
+        (ENTRY,),
+        low=0,
+        high=100,
+    ),
+    Setting(
+        "eject_share",
+        0.3,
+        "Greatest share of minions ejected at once for being slow or broken.",
+        (ENTRY,),
+        low=0,
+        high=1,
+    ),
+    Setting(
+        "slow_factor",
+        4.0,
+        "Latency against the median of all at which a minion is ejected.",
+        (ENTRY,),
+        low=1.1,
+        high=1000,
+    ),
+    Setting(
+        "silent_s",
+        1.0,
+        "Time without any answer after which a minion with requests"
+        " outstanding counts as silent, seconds.",
+        (ENTRY,),
+        low=0.05,
+        high=600,
+    ),
+    Setting(
+        "idle_s",
+        5.0,
+        "Longest idle time after which a connection to a minion is used"
+        " again, seconds; keep it below the minions' own.",
+        (ENTRY,),
+        low=0,
+        high=600,
+    ),
+    Setting(
+        "batch_below",
+        50,
+        "Requests to services of a priority below this are batch: they give"
+        " way when room is short.",
+        (ENTRY,),
+        low=0,
+        high=1000000,
     ),
     Setting(
         "entries",
--- /dev/null
+++ b/poplarspindle/tests/test_dispatch.py
@@ -0,0 +1,190 @@
+"""Tests of dispatch: what runs where, what callers are told, what it costs."""
+
+import threading
+import time
+
+import pytest
+
+from poplarspindle import (
+    dispatch,
+    health,
+    metrics,
+    reports,
+    requests,
+    serving,
+)
+from poplarspindle.platform import minions
+from poplarspindle.tools.fakes import minions as fakes
+
+WAIT_S = 5.0
+
+
+class Fleet:
+    """A few stand-in minions behind one dispatcher."""
+
+    def __init__(self, count: int, **rules) -> None:
+        self.ledger = []
+        self.fakes = [
+            fakes.FakeMinion(f"m{i}", self.ledger, service_s=0.0, seed=i)
+            for i in range(count)
+        ]
+        self.servers = [
+            serving.Server("127.0.0.1:0", fake.handle, 8) for fake in self.fakes
+        ]
+        self.members = tuple(
+            reports.Member(
+                fake.name,
+                reports.Role.MINION,
+                "ourthe",
+                address=server.start(),
+                services=("quotes",),
+                slots=8,
+                connections=64,
+            )
+            for fake, server in zip(self.fakes, self.servers, strict=True)
+        )
+        self.metrics = metrics.Metrics()
+        self.dispatcher = dispatch.Dispatcher(
+            1,
+            "least_local",
+            minions.Minions(),
+            self.metrics,
+            0,
+            dispatch.Rules(**rules),
+        )
+        self.dispatcher.take_members(self.members)
+
+    def send(self, name="r", idempotent=True, left_s=WAIT_S):
+        """Sends one request."""
+        return self.dispatcher.dispatch(
+            "quotes", name, b"x", idempotent, time.monotonic() + left_s
+        )
+
+    def count(self, name, reason):
+        """Returns a counter."""
+        return self.metrics.get(f"poplarspindle_{name}_total", reason)
+
+    def stop(self):
+        """Ends all minions."""
+        for fake in self.fakes:
+            fake.release()
+        for server in self.servers:
+            server.stop()
+
+
+@pytest.fixture
+def make_fleet():
+    made = []
+
+    def make(count=3, **rules):
+        made.append(Fleet(count, **rules))
+        return made[-1]
+
+    yield make
+    for fleet in made:
+        fleet.stop()
+
+
+def test_refused_request_is_tried_elsewhere_and_runs_once(make_fleet):
+    fleet = make_fleet(hedge_factor=0.0, retry_share=1.0)
+    fleet.fakes[0].failing = True
+    for index in range(20):
+        answer = fleet.send(f"r{index}", idempotent=False)
+        assert isinstance(answer, minions.Answer)
+    ran = [line.request for line in fleet.ledger]
+    assert sorted(ran) == sorted({f"r{i}" for i in range(20)})
+    assert fleet.count("retries", "minion-refused") >= 1
+
+
+def test_silent_minion_leaves_non_idempotent_unknown_at_deadline(make_fleet):
+    fleet = make_fleet(count=1)
+    fleet.fakes[0].silent = True
+    answer = fleet.send("r", idempotent=False, left_s=0.2)
+    assert answer.outcome is requests.Outcome.UNKNOWN
+    assert answer.reason == "timeout"
+    assert [line.request for line in fleet.ledger] == ["r"]
+    assert fleet.send("s", left_s=-1.0).reason == "late"
+
+
+def test_silent_minion_is_ejected_before_the_deadline(make_fleet):
+    """Requests stuck at it neither fill the entry nor draw others there."""
+    fleet = make_fleet(
+        hedge_factor=0.0, ejection=health.Rules(silent_s=0.05, first_s=60.0)
+    )
+    fleet.fakes[0].silent = True
+    stuck = [
+        threading.Thread(target=fleet.send, args=(f"s{i}", False, 2.0))
+        for i in range(3)
+    ]
+    for thread in stuck:
+        thread.start()
+    ends = time.monotonic() + WAIT_S
+    while not fleet.count("ejections", "silent") and time.monotonic() < ends:
+        fleet.send("probe", left_s=0.5)
+    assert fleet.count("ejections", "silent") == 1
+    before = len([e for e in fleet.ledger if e.minion == "m0"])
+    for index in range(20):
+        fleet.send(f"a{index}", idempotent=False)
+    assert len([e for e in fleet.ledger if e.minion == "m0"]) == before
+    for thread in stuck:
+        thread.join()
+
+
+def test_retries_stay_in_budget_when_all_refuse(make_fleet):
+    fleet = make_fleet()
+    for fake in fleet.fakes:
+        fake.failing = True
+    for index in range(200):
+        answer = fleet.send(f"r{index}")
+        assert answer.outcome is requests.Outcome.NOT_RUN
+    assert fleet.count("sends", "sent") <= 1.1 * 200
+    assert not fleet.ledger
+
+
+def test_late_answer_of_a_hedge_reaches_nobody(make_fleet):
+    fleet = make_fleet(count=2, hedge_factor=1.0, retry_share=1.0)
+    for index in range(4):
+        fleet.send(f"w{index}")
+    fleet.fakes[0].silent = True
+    answers = [fleet.send(f"r{i}", left_s=3.0) for i in range(12)]
+    for index, answer in enumerate(answers):
+        assert answer.body == fakes.compute_answer(f"r{index}", b"x")
+    assert fleet.count("hedges", "won") >= 1
+    fleet.fakes[0].release()
+    fleet.fakes[0].silent = False
+    for index in range(8):
+        answer = fleet.send(f"t{index}")
+        assert answer.body == fakes.compute_answer(f"t{index}", b"x")
+
+
+def test_leaving_minion_gets_nothing_new(make_fleet):
+    fleet = make_fleet(count=2)
+    leaving = fleet.members[0]
+    fleet.dispatcher.take_members(
+        (
+            reports.Member(
+                leaving.name,
+                leaving.role,
+                leaving.data_centre,
+                address=leaving.address,
+                services=leaving.services,
+                connections=64,
+                presence=reports.Presence.LEAVING,
+            ),
+            fleet.members[1],
+        )
+    )
+    for index in range(10):
+        fleet.send(f"r{index}")
+    assert {line.minion for line in fleet.ledger} == {"m1"}
+
+
+def test_dead_minions_are_no_black_hole(make_fleet):
+    """Two of three refuse connections; the third takes all that follows."""
+    fleet = make_fleet(retry_share=1.0)
+    for server in fleet.servers[:2]:
+        server.stop()
+    answers = [fleet.send(f"r{i}", idempotent=False) for i in range(30)]
+    assert all(isinstance(a, minions.Answer) for a in answers[-10:])
+    assert fleet.count("ejections", "no-connection") == 2
+    assert fleet.count("sends", "sent") <= 30 + 2 * 3 + 2
--- /dev/null
+++ b/poplarspindle/tests/test_pool.py
@@ -0,0 +1,219 @@
+"""Tests of the decisions on minions: limits, health, routing, budgets."""
+
+import random
+
+import pytest
+
+from poplarspindle import (
+    admission,
+    health,
+    limits,
+    outcomes,
+    pool,
+    reports,
+    retries,
+)
+
+RULES = health.Rules()
+SILENT = outcomes.Failed(outcomes.Step.RECEIVE, "a", "timeout", "", True)
+BROKEN = outcomes.Failed(outcomes.Step.RECEIVE, "a", "reset", "", True)
+GONE = outcomes.Failed(outcomes.Step.CONNECT, "a", "no-connection")
+
+
+def make_state(count=10, policy="least_local", entries=9):
+    own = pool.State(entries, policy)
+    pool.take_members(
+        own,
+        tuple(
+            reports.Member(
+                f"m{i}",
+                reports.Role.MINION,
+                "ourthe",
+                address=f"10.0.0.{i}:80",
+                services=("quotes",),
+                slots=8,
+                connections=64,
+            )
+            for i in range(count)
+        ),
+    )
+    return own
+
+
+def choose(own, at=1.0, idempotent=True, tried=frozenset()):
+    return pool.choose_minion(
+        own, "quotes", tried, idempotent, at, random.Random(0)
+    )
+
+
+def run_one(own, minion, at, took_s=0.02, failed=None, status=200, fresh=True):
+    sent = pool.begin_send(own, minion, at)
+    return pool.end_send(own, sent, failed, status, fresh, at + took_s)
+
+
+def test_connections_of_all_entries_fit():
+    """Nine entries that all fill up stay within a minion's 64."""
+    states = [make_state(count=1) for _ in range(9)]
+    total = 0
+    for own in states:
+        while not isinstance(found := choose(own), str):
+            pool.begin_send(own, found, 1.0)
+            total += 1
+        assert found == "no-room"
+    assert 9 <= total <= 64
+    assert limits.find_share(0, 9) == 1
+
+
+@pytest.mark.parametrize("policy", ["least_local", "least_expected"])
+def test_fresh_entry_spreads_evenly(policy):
+    own = make_state(policy=policy)
+    rng = random.Random(1)
+    for _ in range(20):
+        found = pool.choose_minion(own, "quotes", frozenset(), True, 1.0, rng)
+        pool.begin_send(own, found, 1.0)
+    assert max(m.sent for m in own.minions.values()) <= 3
+
+
+def test_refusing_minion_rests_longer_each_time():
+    full = limits.Fullness()
+    rests = []
+    for _ in range(3):
+        limits.take_refusal(full, 10.0)
+        rests.append(full.until - 10.0)
+    assert rests == sorted(set(rests))
+    assert not limits.has_room(full, 0, 7, 10.0)
+    limits.take_room(full)
+    assert limits.has_room(full, 0, 7, 10.0)
+
+
+def warm_up(own, slow=(), factor=10.0, status=200):
+    for minion in own.minions.values():
+        for turn in range(20):
+            bad = minion.member.name in slow
+            run_one(
+                own,
+                minion,
+                turn * 0.01,
+                0.02 * (factor if bad else 1.0),
+                status=status if bad else 200,
+            )
+
+
+def test_slow_minion_is_ejected_probed_and_trusted_again():
+    own = make_state()
+    warm_up(own, ("m3",))
+    (ejection,) = pool.review(own, 5.0)
+    assert ejection == pool.Ejection("10.0.0.3:80", "slow")
+    slow = own.minions["m3"]
+    assert all(choose(own, 5.0) is not slow for _ in range(50))
+    assert choose(own, 6.1, idempotent=False) is not slow
+    assert choose(own, 6.1) is slow
+    sent = pool.begin_send(own, slow, 6.1)
+    assert choose(own, 6.2) is not slow
+    pool.end_send(own, sent, None, 200, True, 6.12)
+    assert slow.condition.phase is health.Phase.TRUSTED
+
+
+def test_failed_probe_doubles_the_ejection():
+    own = make_state()
+    minion = own.minions["m0"]
+    for _ in range(RULES.failures_most):
+        run_one(own, minion, 1.0, failed=GONE)
+    assert minion.condition.until == pytest.approx(1.02 + RULES.first_s)
+    run_one(own, minion, 3.0, failed=GONE)
+    assert minion.condition.until == pytest.approx(3.02 + 2 * RULES.first_s)
+
+
+@pytest.mark.parametrize(
+    ("failed", "took_s", "fresh", "ejected"),
+    [
+        (GONE, 0.0, True, 10),
+        (BROKEN, 0.01, False, 3),
+        (SILENT, 1.5, True, 3),
+        (SILENT, 1.5, False, 0),
+        (SILENT, 0.05, True, 0),
+    ],
+    ids=["dead", "broken", "silent", "silent-connection", "impatient-caller"],
+)
+def test_ejected_share_is_bounded_unless_sure(failed, took_s, fresh, ejected):
+    own = make_state()
+    for minion in own.minions.values():
+        for turn in range(5):
+            run_one(own, minion, turn * 0.01, took_s, failed, fresh=fresh)
+    phases = [m.condition.phase for m in own.minions.values()]
+    assert phases.count(health.Phase.EJECTED) == ejected
+
+
+def test_minion_of_error_answers_is_ejected_unless_all_are():
+    own = make_state()
+    warm_up(own, ("m1",), factor=0.1, status=500)
+    assert [e.reason for e in pool.review(own, 5.0)] == ["errors"]
+    own = make_state()
+    warm_up(own, tuple(own.minions), status=500)
+    assert not pool.review(own, 5.0)
+
+
+def test_silent_minion_is_found_while_requests_hang():
+    own = make_state()
+    pool.begin_send(own, own.minions["m2"], 1.0)
+    assert not pool.review(own, 1.5)
+    assert [e.reason for e in pool.review(own, 2.5)] == ["silent"]
+
+
+def test_never_the_same_minion_twice():
+    own = make_state(count=2)
+    assert choose(own, tried=frozenset(("m0",))).member.name == "m1"
+    assert choose(own, tried=frozenset(("m0", "m1"))) == "all-tried"
+
+
+@pytest.mark.parametrize(
+    ("failed", "idempotent", "tries", "left_s", "allowed"),
+    [
+        (GONE, False, 1, 1.0, True),
+        (BROKEN, False, 1, 1.0, False),
+        (BROKEN, True, 1, 1.0, True),
+        (BROKEN, True, 3, 1.0, False),
+        (GONE, True, 1, 0.0, False),
+    ],
+)
+def test_may_retry(failed, idempotent, tries, left_s, allowed):
+    assert retries.may_retry(failed, idempotent, tries, left_s) is allowed
+
+
+def test_budget_bounds_further_sends():
+    budget = retries.Budget(0.1)
+    sends = 0
+    for _ in range(1000):
+        retries.earn(budget)
+        sends += 1
+        while retries.spend(budget):
+            sends += 1
+    assert sends <= 1100
+
+
+def make_admission(limit=10):
+    return admission.State(limit, 50)
+
+
+def test_admission_refuses_what_cannot_end_in_time_and_recovers():
+    own = make_admission()
+    for turn in range(20):
+        assert not admission.admit(own, turn * 0.1, "quotes", 5.0, 100)
+        admission.leave(own, turn * 0.1, "quotes", 0.4, True)
+    assert admission.admit(own, 2.0, "quotes", 0.1, 100) == "predicted-wait"
+    assert not admission.admit(own, 2.0, "quotes", 1.0, 100)
+    assert not admission.admit(own, 6.0, "quotes", 0.1, 100)
+    assert admission.admit(own, 6.0, "quotes", 0.0, 100) == "late"
+
+
+def test_batch_gives_way_and_comes_back():
+    own = make_admission()
+    for _ in range(10):
+        assert not admission.admit(own, 0.0, "quotes", 1.0, 100)
+    for _ in range(3):
+        assert admission.admit(own, 0.0, "quotes", 1.0, 100) == "overloaded"
+    for _ in range(5):
+        admission.leave(own, 0.0, "quotes", 0.02, True)
+    assert admission.admit(own, 0.0, "rosters", 1.0, 10) == "batch-shed"
+    assert not admission.admit(own, 0.0, "quotes", 1.0, 100)
+    assert not admission.admit(own, 60.0, "rosters", 1.0, 10)
