--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -11,6 +11,7 @@
     "poplarspindle_records_total": "Log records by verdict.",
     "poplarspindle_platform_failures_total": "Failed platform calls.",
     "poplarspindle_tasks_total": "Task transitions.",
+    "poplarspindle_reactions_total": "Steps against slow services.",
     "poplarspindle_ownership_total": "Ownership transitions.",
     "poplarspindle_sends_total": "Requests sent to minions, retries included.",
     "poplarspindle_hedges_total": "Second sends of late requests.",
