--- a/poplarspindle/document.py
+++ b/poplarspindle/document.py
@@ -12,7 +12,7 @@
 import re
 from collections.abc import Iterator, Mapping
 
-from poplarspindle import effects, events, outcomes, records, strict
+from poplarspindle import effects, events, homes, outcomes, records, strict
 
 HORIZON_OFFSETS = 4096
 REFUSALS_KEPT = 256
@@ -20,6 +20,7 @@
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 Change = records.SectionPublished | records.DataCentreSet
+Homes = dict[str, homes.Home]
 
 
 class Verdict(enum.StrEnum):
@@ -169,6 +170,7 @@
             HORIZON_OFFSETS.
         refusals: Decision on changes with a wrong key, for their authors;
             the oldest go first.
+        homes: Home by exclusive replica.
         offset: Offset of the last record reduced, -1 for none.
     """
 
@@ -185,6 +187,7 @@
     )
     decisions: dict[str, Decision] = dataclasses.field(default_factory=dict)
     refusals: dict[str, Decision] = dataclasses.field(default_factory=dict)
+    homes: Homes = dataclasses.field(default_factory=dict)
     offset: int = -1
 
     def find_decision(self, change_id: str) -> Decision | None:
--- a/poplarspindle/reducer.py
+++ b/poplarspindle/reducer.py
@@ -17,6 +17,7 @@
     records,
     reports,
     saving,
+    services,
     state,
     tasks,
 )
@@ -24,6 +25,7 @@
 _DOCUMENT_AREAS = {
     records.SectionPublished: document.apply_section,
     records.DataCentreSet: document.apply_data_centre,
+    records.HomeMoved: services.apply_home,
 }
 _OWNER_AREAS = {
     records.OwnershipClaimed: ownership.apply_claim,
@@ -87,6 +89,7 @@
     if apply is None:
         return [effects.Count("poplarspindle_records_total", "foreign")]
     found = apply(own.document, event)
+    services.assign_homes(own.document)
     _open_cells(own)
     return found
 
--- a/poplarspindle/replica.py
+++ b/poplarspindle/replica.py
@@ -6,6 +6,7 @@
     records.SectionPublished: document.apply_section,
     records.DataCentreSet: document.apply_data_centre,
 }
+_PASSED_OVER = records.SnapshotChunk | records.HomeMoved
 
 
 class Replica:
@@ -64,7 +65,7 @@
         apply = _AREAS.get(type(event.record))
         if apply is not None:
             return apply(self.state, event)
-        if isinstance(event.record, records.SnapshotChunk):
+        if isinstance(event.record, _PASSED_OVER):
             return []
         return [_count("foreign")]
 
