--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -2,7 +2,14 @@
 
 import dataclasses
 
-from poplarspindle import cells, document, reports
+from poplarspindle import (
+    cells,
+    document,
+    interference,
+    quarantine,
+    reports,
+    sizes,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,8 +24,14 @@
         policy: Name of the placement policy.
         attempts: How often a task may fail before it is given up.
         retry_s: Wait before the second attempt; it doubles with each.
+        starve_s: After how long without placement a worker's room is kept.
+        protect_s: How long a resumed task is not evicted again.
+        fill_s: How long a data centre fills slowly after its return.
+        drain_rate: Evictions a second while a data centre is emptied.
         standbys: How many instances follow a data centre beside its
             owner, 0 for all.
+        snapshot_appends: Appends to a stream between two snapshots.
+        snapshot_age_s: Greatest age of a stream's newest snapshot.
     """
 
     lease_s: float = 6.0
@@ -28,7 +41,34 @@
     policy: str = "chosen"
     attempts: int = 4
     retry_s: float = 1.0
+    starve_s: float = 30.0
+    protect_s: float = 30.0
+    fill_s: float = 10.0
+    drain_rate: float = 20.0
     standbys: int = 0
+    snapshot_appends: int = 2000
+    snapshot_age_s: float = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Schedule:
+    """What an instance knows of a stream's snapshots; times on its clock.
+
+    Attributes:
+        tail_at: When the stream was first read to its tail.
+        read_at: When the newest was read, if after that.
+        covers: Offset that it covers, -1 for none.
+        sent_at: When this instance sent one that was not read back yet.
+        reading_id: Snapshot whose chunks are being read.
+        indexes: Indexes of its chunks read so far.
+    """
+
+    tail_at: float = float("inf")
+    read_at: float = float("-inf")
+    covers: int = -1
+    sent_at: float = float("-inf")
+    reading_id: str = ""
+    indexes: set[int] = dataclasses.field(default_factory=set)
 
 
 class State:
@@ -44,6 +84,11 @@
         candidates: Incarnations that may own data centres.
         leaving: Whether this instance was asked to stop.
         started_at: Time of the first event.
+        saves: What is known of each stream's snapshots.
+        lost: Streams whose state has holes and must not be used.
+        slowdown: What was learned of slowdown between pairs.
+        sizes: What was learned of real sizes.
+        failures: What is held against workers and families.
     """
 
     def __init__(
@@ -58,3 +103,8 @@
         self.candidates: tuple[str, ...] = ()
         self.leaving = False
         self.started_at = float("-inf")
+        self.saves: dict[str, Schedule] = {}
+        self.lost: set[str] = set()
+        self.slowdown = interference.Model()
+        self.sizes: sizes.Sizes = {}
+        self.failures = quarantine.Record()
