--- a/poplarspindle/platform/workers.py
+++ b/poplarspindle/platform/workers.py
@@ -77,7 +77,7 @@
             self._known.pop(worker, None)
             return answer
         try:
-            report = answer.value["report"]
+            report = dict(answer.value["report"])
             if report["running"] is None and answer.value["version"] == version:
                 report["running"] = running
             found = transport.converter.structure(report, reports.WorkerReport)
--- a/poplarspindle/tests/test_syncs.py
+++ b/poplarspindle/tests/test_syncs.py
@@ -16,6 +16,7 @@
         self.known = []
 
     def call(self, step, url, body):
+        """Answers one call."""
         self.known.append(body["known"])
         return self.answers.pop(0)
 
