Find the data centres once per listing of replicas

Cause: a slope that was flat had bent: a change among 200 sections took 9.2 ms, as the data centres of all sections were gathered once per service. Before: 464, 1560, 3297, 9179 us at 10, 50, 100, 200 sections. After: 329, 792, 1937, 2546 us. Ruled out: parsing (one section a change). Conclusion: a line again; each change still lists all replicas.

--- a/poplarspindle/services.py
+++ b/poplarspindle/services.py
@@ -46,9 +46,10 @@
 
 def list_replicas(own: document.State) -> Iterator[Replica]:
     """Yields all replicas that the document wants, each with its place."""
+    everywhere = own.list_data_centres()
     for section in own.sections.values():
         for service, spec in section.spec.services.items():
-            allowed = spec.data_centres or own.list_data_centres()
+            allowed = spec.data_centres or everywhere
             ranked = ownership.rank_candidates(service, allowed)
             for index in range(spec.replicas):
                 turn = index % len(ranked) if ranked else 0
