--- a/poplarspindle/answers.py
+++ b/poplarspindle/answers.py
@@ -45,8 +45,9 @@
 
 def refuse_input(failed: outcomes.Failed, status: int = 400):
     """Returns the answer to input that is not allowed."""
+    wait = (("Retry-After", RETRY_AFTER_S),) if status == 429 else ()
     return answer_json(
-        status, {"error": failed.detail, "reason": failed.reason}
+        status, {"error": failed.detail, "reason": failed.reason}, wait
     )
 
 
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -12,6 +12,7 @@
 
 from poplarspindle import (
     appender,
+    bulkheads,
     claims,
     dispatch,
     document,
@@ -40,6 +41,7 @@
 
 JOIN_S = 5.0
 SEED_BITS = 32
+WAITING_SHARE = 2
 INCARNATION_PATTERN = re.compile(r"[A-Za-z][A-Za-z0-9-]{0,62}")
 T = TypeVar("T")
 
@@ -134,6 +136,7 @@
             self._take_trace,
             values.claim_window_s,
             values.clock_skew_s,
+            bulkheads.Bulkhead(values.threads // WAITING_SHARE),
         )
         self._interface = interface.Interface(
             values,
--- a/poplarspindle/frontend.py
+++ b/poplarspindle/frontend.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from poplarspindle import (
+    bulkheads,
     claims,
     membership,
     messages,
@@ -42,6 +43,8 @@
         ended: Called with each trace that ended.
         window_s: Greatest age of a chosen id.
         skew_s: Greatest difference between two wall clocks.
+        waiting: Room for threads that wait for a peer, the log or the end
+            of an id's first send.
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         ended: Ended,
         window_s: float,
         skew_s: float,
+        waiting: bulkheads.Bulkhead,
     ) -> None:
+        self._waiting = waiting
         self._state = state
         self._members = members
         self._links = links
@@ -209,7 +214,12 @@
 
     def _claim(self, name, chosen, digest, request, deadline):
         """Claims a chosen id, then runs it or asks the one who runs it."""
-        answer = self._claims.settle(name, chosen, deadline)
+        with self._waiting.enter() as taken:
+            answer = (
+                self._claims.settle(name, chosen, deadline)
+                if taken
+                else fail_full(outcomes.Step.CLAIM)
+            )
         if isinstance(answer, outcomes.Failed):
             return conclude(answer, request.first_send)
         claimed = answer.value
@@ -256,7 +266,11 @@
         if not address:
             return refuse("incarnation-gone", outcomes.Step.FORWARD)
         self._note(question.request, outcomes.Step.FORWARD, address, "asked")
-        answer = self._links.ask(address, question, deadline - time.monotonic())
+        with self._waiting.enter() as taken:
+            if not taken:
+                return conclude(fail_full(outcomes.Step.FORWARD), first_send)
+            left_s = deadline - time.monotonic()
+            answer = self._links.ask(address, question, left_s)
         if isinstance(answer, outcomes.Failed):
             return conclude(answer, first_send)
         if not isinstance(answer.value, messages.Result):
@@ -282,10 +296,10 @@
         """Returns the result of an id's first send, waiting for its end."""
         if isinstance(known, requests.Verdict):
             return make_result(known)
-        with self._changed:
+        with self._waiting.enter() as taken, self._changed:
+            left_s = deadline - time.monotonic() if taken else 0.0
             ended = self._changed.wait_for(
-                lambda: known.result is not None,
-                max(0.0, deadline - time.monotonic()),
+                lambda: known.result is not None, max(0.0, left_s)
             )
         if not ended:
             return refuse("still-running", outcomes.Step.CLAIM)
@@ -329,6 +343,11 @@
     return messages.Result(outcome, failed.reason, failed.step, failed.peer)
 
 
+def fail_full(step: outcomes.Step) -> outcomes.Failed:
+    """Returns the failure where too many threads wait already."""
+    return outcomes.Failed(step, "", "too-many-waiting")
+
+
 def make_result(verdict: requests.Verdict) -> messages.Result:
     """Returns a verdict as a result."""
     return messages.Result(
--- a/poplarspindle/inquiries.py
+++ b/poplarspindle/inquiries.py
@@ -11,6 +11,12 @@
 ASK_S = 8.0
 CONNECT_S = 1.0
 PATHS = ("requests", "jobs")
+SOURCES = {
+    lookups.Source.HERE: "from an entry's memory",
+    lookups.Source.PEER: "from an entry's memory",
+    lookups.Source.AUDIT: "from the audit stream",
+    lookups.Source.NOWHERE: "",
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,7 +28,7 @@
         sentence: One plain sentence.
         began: Wall-clock time of the first step, empty where unknown.
         lines: One line per step, or per open task of a job.
-        source: Who told it.
+        source: Who told it, empty where nobody could.
     """
 
     known: bool
@@ -59,7 +65,8 @@
     centres = (member.data_centre for member in listed.value)
     service = logservice.LogService(values.log_url, calls)
     found = lookups.find_audit(service, centres, name)
-    return _read_body(traces.describe(name, found, "audit"), found.known)
+    source = lookups.Source.AUDIT if found.known else lookups.Source.NOWHERE
+    return _read_body(traces.describe(name, found, source), found.known)
 
 
 def ask_entry(
@@ -82,7 +89,7 @@
 
 def render(report: Report) -> str:
     """Returns a report as text for a terminal."""
-    told = f"(told by {report.source})" if report.source else ""
+    told = f"({report.source})" if report.source else ""
     began = f"first step at {report.began}" if report.began else ""
     head = " ".join(filter(None, (report.sentence, told)))
     steps = (f"  {line}" for line in report.lines)
@@ -100,5 +107,5 @@
         body.get("sentence") or body.get("error", ""),
         body.get("began", ""),
         (*body.get("steps", ()), *tasks),
-        body.get("source") or body.get("told_by", ""),
+        SOURCES.get(body.get("source"), body.get("told_by", "")),
     )
--- a/poplarspindle/interface.py
+++ b/poplarspindle/interface.py
@@ -7,6 +7,7 @@
 
 from poplarspindle import (
     answers,
+    bulkheads,
     document,
     frontend,
     jobs,
@@ -21,6 +22,7 @@
 )
 
 TICKETS_MOST = 1000
+INQUIRY_SHARE = 4
 ALLOWED_METHODS = (
     (re.compile(r"/v1/services/[^/]+/requests"), "POST"),
     (re.compile(r"/v1/tickets"), "POST"),
@@ -64,6 +66,7 @@
         self._frontend = served
         self._lookup = lookup
         self._jobs = batch
+        self._inquiries = bulkheads.Bulkhead(values.threads // INQUIRY_SHARE)
 
     def handle(self, request: serving.Request) -> serving.Response:
         """Answers one request."""
@@ -81,13 +84,13 @@
             case ("POST", "v1", "tickets"):
                 return self._serve_tickets(request)
             case ("GET", "v1", "requests", name):
-                return self._serve_trace(name)
+                return self._bound(self._serve_trace, name)
             case ("POST", "v1", "jobs"):
-                return self._submit_job(request.body)
+                return self._bound(self._submit_job, request.body)
             case ("GET", "v1", "jobs", name):
-                return self._jobs.show(name)
+                return self._bound(self._jobs.show, name)
             case ("DELETE", "v1", "jobs", name):
-                return self._jobs.cancel(name)
+                return self._bound(self._jobs.cancel, name)
             case ("GET", "healthz"):
                 return serving.Response(200, b"ok")
             case ("GET", "readyz"):
@@ -96,6 +99,22 @@
                 return serving.Response(200, self._counters.render())
         return _refuse_path(request)
 
+    def _bound(
+        self, serve: Callable[..., serving.Response], argument: str | bytes
+    ) -> serving.Response:
+        """Serves what asks other processes, a few at a time."""
+        with self._inquiries.enter() as taken:
+            if taken:
+                return serve(argument)
+        self._counters.add("poplarspindle_refusals_total", "too-many-asking")
+        failed = outcomes.Failed(
+            outcomes.Step.ADMIT,
+            "",
+            "too-many-asking",
+            "Too many look-ups and jobs at once; nothing was done.",
+        )
+        return answers.refuse_input(failed, 429)
+
     def _submit_job(self, body: bytes) -> serving.Response:
         checked = self._read_document(
             lambda known: jobs.read_submission(body, known)
--- a/poplarspindle/tests/test_frontend.py
+++ b/poplarspindle/tests/test_frontend.py
@@ -1,5 +1,6 @@
 """Faults on the way of one request; the minions' ledger decides."""
 
+import collections
 import concurrent.futures
 import itertools
 import signal
@@ -231,6 +232,30 @@
     held.set()
 
 
+def test_paused_minter_leaves_threads_for_others(site):
+    process = site.start_process("minter")
+    other = site.start_entry("other", threads=4, audit_bytes_s=0.0)
+    site.wait_for(lambda: "minter" in other.members.members)
+    names = site.mint(site.find_address("minter"), 8)
+    paused(site, process)
+
+    def ask(name):
+        return site.send(other.address, Request_Id=name, Deadline_Ms="3000")
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        sent = [pool.submit(ask, name) for name in names]
+        concurrent.futures.wait(sent, timeout=4, return_when="FIRST_COMPLETED")
+        told = site.send(other.address)
+        waiting = [one for one in sent if not one.done()]
+        process.send_signal(signal.SIGKILL)
+        found = [one.result() for one in sent]
+    assert told.outcome == "answered"
+    assert len(waiting) == 2
+    assert {answer.outcome for answer in found} == {"unknown"}
+    reasons = collections.Counter(answer.reason for answer in found)
+    assert reasons["too-many-waiting"] == 6
+
+
 def test_minter_that_stopped_says_what_never_ran(site, own_pair):
     pair = own_pair
     used, unused = site.mint(pair[0].address, 2)
--- a/poplarspindle/tests/test_interface.py
+++ b/poplarspindle/tests/test_interface.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from poplarspindle import document, records, settings
+from poplarspindle import bulkheads, document, records, settings
 from poplarspindle.platform import logservice, transport
 
 SERVICE = "/v1/services/quotes/requests"
@@ -81,6 +81,16 @@
     )
 
 
+def test_look_ups_are_bounded(site, only, monkeypatch):
+    full = bulkheads.Bulkhead(1)
+    monkeypatch.setattr(only._interface, "_inquiries", full)
+    with full.enter():
+        told = site.call(only.address, "/v1/requests/a", method="GET")
+    assert told.status == 429
+    told = site.call(only.address, "/v1/requests/a", method="GET")
+    assert told.status == 404
+
+
 def test_answers_carry_all_headers(site, only):
     answer = site._http.request("POST", f"http://{only.address}{SERVICE}")
     names = ("Request-Id", "Outcome", "Reason", "Step")
--- a/poplarspindle/traces.py
+++ b/poplarspindle/traces.py
@@ -16,6 +16,21 @@
 
 STEPS_MOST = 32
 RECORD_BYTES = 80
+REASONS = {
+    "timeout": "it was sent to a minion, and no whole answer came in time",
+    "broken": "it was sent to a minion, and the connection broke",
+    "minion-refused": "the minions tried refused it before running it",
+    "no-minion": "no minion had room for it or serves it",
+    "no-connection": "no connection could be made",
+    "unknown-service": "the document declares no such service",
+    "incarnation-gone": "the entry that handed its id out is gone",
+    "minter-left": "the entry that handed its id out stopped before it ran",
+    "peer-timeout": "the entry that handed its id out did not answer in time",
+    "repeated-id": "the id was sent before and its result is kept no more",
+    "expired-id": "the id is too old to tell whether it ran",
+    "claim-timeout": "the claim on its id could not be read back in time",
+    "log-down": "the log did not answer, so its id could not be claimed",
+}
 
 
 @dataclasses.dataclass(slots=True)
@@ -226,12 +241,12 @@
         )
     if not found.ended:
         return f"{request} for {found.service} has not ended yet."
+    because = REASONS.get(found.reason, found.reason)
     ended = {
         requests.Outcome.ANSWERED: "ran, and its whole answer was passed on",
-        requests.Outcome.NOT_RUN: f"did not run, because: {found.reason}",
+        requests.Outcome.NOT_RUN: f"did not run, because {because}",
         requests.Outcome.UNKNOWN: (
-            "may or may not have run; it can't be known here, because:"
-            f" {found.reason}"
+            f"may or may not have run; it can't be known, because {because}"
         ),
     }
     return f"{request} for {found.service} {ended[found.outcome]}."
