--- a/poplarspindle/ownership.py
+++ b/poplarspindle/ownership.py
@@ -28,6 +28,32 @@
     return tuple(sorted(candidates, key=weigh, reverse=True))
 
 
+def list_followed(own: state.State) -> list[str]:
+    """Returns the data centres whose streams this instance follows.
+
+    With a number of standbys set these are the ones it owns, the ones it
+    ranks among the first for, and those that its tasks are moving to.
+    """
+    found = list(own.cells.items())
+    most = own.limits.standbys
+    if not most:
+        return [name for name, _ in found]
+    owned = [cell for _, cell in found if is_owner(own, cell)]
+    targets = {
+        task.target
+        for cell in owned
+        for name in list(cell.table.moving)
+        if (task := cell.table.tasks.get(name)) is not None
+    }
+    return [
+        name
+        for name, cell in found
+        if is_owner(own, cell)
+        or name in targets
+        or own.incarnation in rank_candidates(name, own.candidates)[:most]
+    ]
+
+
 def is_owner(own: state.State, cell: cells.Cell) -> bool:
     """Tells whether this instance holds the present term by the log."""
     return cell.table.owner == own.incarnation
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -25,6 +25,7 @@
     messages,
     metrics,
     outcomes,
+    ownership,
     peers,
     queries,
     records,
@@ -180,8 +181,9 @@
             logger.warning("The instance list did not answer.")
 
     def _list_streams(self) -> list[str]:
-        names = [cells.name_stream(name) for name in list(self.state.cells)]
-        return [records.DOCUMENT_STREAM, *names]
+        names = ownership.list_followed(self.state)
+        streams = [cells.name_stream(name) for name in names]
+        return [records.DOCUMENT_STREAM, *streams]
 
     def _run_loop(self) -> None:
         while True:
--- a/poplarspindle/services.py
+++ b/poplarspindle/services.py
@@ -82,7 +82,7 @@
     if at - cell.view.reconciled_at < RECONCILE_S:
         return []
     cell.view.reconciled_at = at
-    wanted = {replica.name: replica for replica in list_replicas(own.document)}
+    wanted = _find_wanted(own)
     here = cell.table.data_centre
     found = []
     for replica in wanted.values():
@@ -100,6 +100,14 @@
     return found
 
 
+def _find_wanted(own: state.State) -> dict[str, Replica]:
+    """Returns the replicas by name; worked out once per document record."""
+    if own.wanted_offset != own.document.offset:
+        own.wanted = {r.name: r for r in list_replicas(own.document)}
+        own.wanted_offset = own.document.offset
+    return own.wanted
+
+
 def _keep_shared(own, cell, replica, wanted, at) -> list:
     generation = cell.table.replicas.get(replica.name, 0)
     live = _find_live(cell, replica.name)
@@ -203,10 +211,10 @@
 
 
 def _is_running(own: state.State, replica: Replica) -> bool:
-    """Tells whether any data centre's stream shows a replica running.
-
-    One of a lower index that has the old sizes still goes first.
-    """
+    """Tells whether a replica runs, as far as this instance follows it."""
+    place = own.cells.get(replica.place)
+    if place is not None and place.table.offset < 0:
+        return True
     tasks = (_find_live(cell, replica.name) for cell in own.cells.values())
     return any(
         task.phase is cells.Phase.RUNNING and not task.cancelled
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -57,6 +57,8 @@
         cells: Cell by data centre.
         members: The platform's list as last read, by name.
         candidates: Incarnations that may own data centres.
+        wanted: Replicas that the document wants, by name.
+        wanted_offset: Offset of the document that `wanted` was made from.
         leaving: Whether this instance was asked to stop.
         started_at: Time of the first event.
         slowdown: What was learned of slowdown between pairs.
@@ -74,6 +76,8 @@
         self.cells: dict[str, cells.Cell] = {}
         self.members: dict[str, reports.Member] = {}
         self.candidates: tuple[str, ...] = ()
+        self.wanted: dict[str, object] = {}
+        self.wanted_offset = -2
         self.leaving = False
         self.started_at = float("-inf")
         self.slowdown = interference.Model()
