--- /dev/null
+++ b/poplarspindle/tests/test_tasks.py
@@ -0,0 +1,131 @@
+"""What each record does to a task, in each of its phases."""
+
+import pytest
+
+from poplarspindle import cells, events, records, reducer, state
+
+CENTRE, TASK = "ourthe", "job/0"
+JOB = records.JobSubmitted("job", "team", "family", 1, 1, 1000, 1000)
+PHASE = cells.Phase
+
+
+class Bench:
+    """One instance that reads records of one data centre."""
+
+    def __init__(self):
+        self.own = state.State("me", state.Limits())
+        self.cell = self.own.cells.setdefault(CENTRE, cells.Cell(CENTRE))
+        self.offset = -1
+
+    def read(self, *batch):
+        """Reduces records and returns the task."""
+        for record in batch:
+            self.offset += 1
+            event = events.RecordRead(
+                1.0, cells.name_stream(CENTRE), self.offset, record
+            )
+            reducer.reduce(self.own, event)
+        return self.cell.table.tasks.get(TASK)
+
+
+CLAIM = records.OwnershipClaimed("me", 1, -1, 1)
+PLACED = records.TaskPlaced(TASK, 0, "w", 1)
+RUNNING = records.TaskRunning(TASK, 0, 1)
+EVICTED = records.TaskEvicted(TASK, 0, 1, "room")
+MOVED = records.TaskMoved(TASK, 0, 1, "lesse")
+STOPPED = records.TaskStopped(TASK, 0, 1, 700, "stopped")
+CANCEL = records.JobCancelled("job")
+REACH = {
+    PHASE.QUEUED: (JOB,),
+    PHASE.PLACED: (JOB, PLACED),
+    PHASE.RUNNING: (JOB, PLACED, RUNNING),
+    PHASE.STOPPING: (JOB, PLACED, RUNNING, EVICTED),
+    PHASE.MOVED: (JOB, MOVED),
+}
+
+
+@pytest.mark.parametrize("phase", [*REACH, None])
+def test_cancel_ends_in_every_phase(phase):
+    bench = Bench()
+    bench.read(CLAIM, *REACH.get(phase, ()), CANCEL)
+    if phase is None:
+        task = bench.read(JOB)
+    elif phase in cells.HOLDING:
+        task = bench.read(STOPPED)
+    else:
+        task = bench.read()
+    assert task.cancelled or task.phase is PHASE.CANCELLED
+    assert not bench.cell.table.queue
+    assert not bench.cell.table.held
+
+
+@pytest.mark.parametrize("phase", REACH)
+def test_records_of_another_term_or_attempt_are_ignored(phase):
+    for term, attempt in ((0, 0), (2, 0), (1, 1)):
+        bench = Bench()
+        bench.read(CLAIM, *REACH[phase])
+        task = bench.read(
+            records.TaskPlaced(TASK, attempt, "other", term),
+            records.TaskRunning(TASK, attempt, term),
+            records.TaskEvicted(TASK, attempt, term, "room"),
+            records.TaskStopped(TASK, attempt, term, 900, "stopped"),
+            records.TaskEnded(TASK, attempt, term, True),
+            records.TaskMoved(TASK, attempt, term, "semois"),
+        )
+        assert task.phase is phase
+        assert task.worker in ("", "w")
+        assert task.checkpoint == 0
+
+
+@pytest.mark.parametrize("copies", [1, 2])
+def test_stop_queues_one_further_attempt(copies):
+    bench = Bench()
+    task = bench.read(
+        CLAIM, *REACH[PHASE.STOPPING], *[STOPPED] * copies, JOB, PLACED
+    )
+    assert (task.phase, task.attempt) == (PHASE.QUEUED, 1)
+    assert task.checkpoint == 700
+
+
+@pytest.mark.parametrize(
+    ("succeeded", "final", "phase", "attempt"),
+    [
+        (True, True, PHASE.FINISHED, 0),
+        (False, True, PHASE.FAILED, 0),
+        (False, False, PHASE.QUEUED, 1),
+    ],
+)
+def test_end_is_as_the_owner_said(succeeded, final, phase, attempt):
+    bench = Bench()
+    end = records.TaskEnded(TASK, 0, 1, succeeded, "why", final)
+    task = bench.read(CLAIM, *REACH[PHASE.RUNNING], end)
+    assert (task.phase, task.attempt, task.reason) == (phase, attempt, "why")
+    assert cells.is_ready(bench.cell, task, 1.0) is (phase is not PHASE.QUEUED)
+
+
+def test_task_may_come_back_but_no_copy_of_it():
+    bench = Bench()
+    bench.read(CLAIM, *REACH[PHASE.MOVED])
+    back = records.TaskReceived(TASK, 2, "lesse", 500, JOB)
+    old = records.TaskReceived(TASK, 1, "lesse", 0, JOB)
+    assert bench.read(old).phase is PHASE.MOVED
+    task = bench.read(back, back)
+    assert (task.phase, task.attempt) == (PHASE.QUEUED, 2)
+
+
+def test_forgotten_task_never_runs_again(monkeypatch):
+    monkeypatch.setattr(cells, "ENDED_KEPT", 0)
+    bench = Bench()
+    end = records.TaskEnded(TASK, 0, 1, True)
+    assert bench.read(CLAIM, *REACH[PHASE.RUNNING], end) is None
+    received = records.TaskReceived(TASK, 0, "lesse", 0, JOB)
+    assert bench.read(JOB, received, PLACED) is None
+
+
+def test_confirmation_of_an_earlier_move_is_ignored():
+    bench = Bench()
+    bench.read(CLAIM, *REACH[PHASE.MOVED])
+    bench.read(records.MoveConfirmed(TASK, 0, 1))
+    assert TASK in bench.cell.table.moving
+    bench.read(records.MoveConfirmed(TASK, 1, 1))
+    assert TASK not in bench.cell.table.moving
