--- a/poplarspindle/cells.py
+++ b/poplarspindle/cells.py
@@ -114,7 +114,9 @@
     )
     offset: int = -1
     lanes: backlog.Backlog = dataclasses.field(
-        default_factory=backlog.Backlog, metadata={"kept": False}
+        default_factory=backlog.Backlog,
+        compare=False,
+        metadata={"kept": False},
     )
 
 
--- a/poplarspindle/interface.py
+++ b/poplarspindle/interface.py
@@ -101,7 +101,8 @@
             lambda known: jobs.read_submission(body, known)
         )
         if isinstance(checked, outcomes.Failed):
-            return answers.refuse_input(checked)
+            status = 503 if checked.reason == jobs.UNREAD else 400
+            return answers.refuse_input(checked, status)
         return self._jobs.submit(checked.value)
 
     def _serve_readiness(self) -> serving.Response:
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -32,6 +32,8 @@
         author: Person who published it.
         text: The whole section in TOML, empty to remove the section.
         signature: HMAC-SHA256 of the other fields by the team's key, hex.
+        seen: Offset up to which the author had read the stream. A change
+            that lands long after it is refused.
     """
 
     change_id: str
@@ -41,6 +43,7 @@
     author: str
     text: str
     signature: str = ""
+    seen: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +58,7 @@
         team: Team that signed the proposal.
         author: Person who asked.
         signature: HMAC-SHA256 of the other fields by the team's key, hex.
+        seen: Offset up to which the author had read the stream.
     """
 
     change_id: str
@@ -64,6 +68,7 @@
     team: str
     author: str
     signature: str = ""
+    seen: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +94,7 @@
         count: Number of chunks of the snapshot.
         covers: Offset up to which (inclusive) the state was reduced.
         payload: Part of the encoded state.
+        signature: HMAC-SHA256 of covers and the whole payload, hex.
     """
 
     snapshot_id: str
@@ -96,6 +102,7 @@
     count: int
     covers: int
     payload: bytes
+    signature: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -24,6 +24,7 @@
     log,
     messages,
     metrics,
+    operators,
     outcomes,
     ownership,
     peers,
@@ -33,6 +34,7 @@
     reports,
     serving,
     settings,
+    snapshots,
     state,
 )
 from poplarspindle.platform import logservice, members, transport, workers
@@ -77,10 +79,11 @@
                 values.attempts,
                 values.retry_s,
                 values.standbys,
+                snapshot_appends=values.snapshot_appends,
+                snapshot_age_s=values.snapshot_age_s,
             ),
             values.team_secret,
         )
-        self.document = self.state.document
         self._rng = random.Random(self.incarnation)
         self._calls = transport.Transport(values.platform_timeout_s)
         service = logservice.LogService(values.log_url, self._calls)
@@ -100,7 +103,12 @@
             seed,
         )
         self._follower = follower.Follower(
-            service, self._list_streams, self._events.put, self.metrics, seed
+            service,
+            self._list_streams,
+            self._events.put,
+            self.metrics,
+            seed,
+            snapshots.make_opener(values.team_secret),
         )
         self._server = serving.Server(
             values.address, self._handle, HTTP_THREADS
@@ -119,6 +127,11 @@
         ]
         self.address = ""
 
+    @property
+    def document(self):
+        """The operators' document as reduced so far."""
+        return self.state.document
+
     def start(self) -> None:
         """Starts all threads and announces this instance."""
         self.address = self._server.start()
@@ -128,6 +141,8 @@
         self._follower.start()
         for thread in self._threads:
             thread.start()
+        if not self.values.team_secret:
+            logger.warning("No team secret is set: anybody may sign.")
         logger.info("Started.", incarnation=self.incarnation)
 
     def stop(self) -> None:
@@ -301,12 +316,29 @@
                 return serving.Response(
                     200, body, content_type="application/json"
                 )
+        if request.path.startswith(operators.CHANGES_PATH):
+            return self._serve_decision(
+                request.path.removeprefix(operators.CHANGES_PATH)
+            )
         return serving.Response(404)
 
+    def _serve_decision(self, change_id: str) -> serving.Response:
+        """Serves the verdict on a change to operators without the secret."""
+        found = self.state.document.find_decision(change_id)
+        if found is None:
+            return serving.Response(404)
+        return serving.Response(
+            200,
+            operators.encode_decision(found),
+            content_type="application/json",
+        )
+
     def _describe(self) -> dict:
         """Describes the data centres for `ctl status`."""
         return {
             "incarnation": self.incarnation,
+            "lost": sorted(self.state.lost),
+            "document_offset": self.state.document.offset,
             "data_centres": {
                 name: {
                     "owner": cell.table.owner,
