--- /dev/null
+++ b/poplarspindle/tests/test_saving.py
@@ -0,0 +1,131 @@
+"""Tests of when snapshots are written and of what lost state forbids."""
+
+import pytest
+
+from poplarspindle import (
+    cells,
+    document,
+    effects,
+    events,
+    records,
+    reducer,
+    reports,
+    state,
+)
+
+DOCUMENT = records.DOCUMENT_STREAM
+CELL = "cell/ourthe"
+LIMITS = state.Limits(snapshot_appends=100, snapshot_age_s=60.0)
+
+
+def make_state(owner="", others=()):
+    own = state.State("me", LIMITS, "secret")
+    own.document.sections["s"] = document.Section(
+        "s", 1, "t", "a", "", document.SectionSpec()
+    )
+    own.document.offset = 9
+    own.cells["ourthe"] = cells.Cell("ourthe")
+    own.cells["ourthe"].table.owner = owner
+    own.cells["ourthe"].table.offset = 9
+    listed = tuple(
+        reports.Member(name, reports.Role.SCHEDULER, "") for name in others
+    )
+    reducer.reduce(own, events.InstancesListed(0.0, listed))
+    return own
+
+
+def reach_tail(own, stream, at=1.0, offset=9):
+    """Returns the chunks that are written at a tail."""
+    found = reducer.reduce(own, events.TailReached(at, stream, offset))
+    return [
+        effect.record
+        for effect in found
+        if isinstance(effect, effects.Append)
+        and isinstance(effect.record, records.SnapshotChunk)
+    ]
+
+
+def read_back(own, stream, chunks, at, offset):
+    for chunk in chunks:
+        reducer.reduce(own, events.RecordRead(at, stream, offset, chunk))
+
+
+@pytest.mark.parametrize(
+    ("stream", "owner", "others", "writes"),
+    [
+        (CELL, "me", (), True),
+        (CELL, "other", (), False),
+        (CELL, "", (), False),
+        (DOCUMENT, "", ("me",), True),
+        (DOCUMENT, "", ("other",), False),
+    ],
+)
+def test_who_writes(stream, owner, others, writes):
+    own = make_state(owner, others)
+    assert bool(reach_tail(own, stream)) is writes
+
+
+@pytest.mark.parametrize(
+    ("at", "offset", "writes"),
+    [
+        (10.0, 12, False),
+        (10.0, 108, False),
+        (10.0, 109, True),
+        (62.0, 12, True),
+    ],
+)
+def test_next_is_due_by_appends_or_age(at, offset, writes):
+    own = make_state("me")
+    chunks = reach_tail(own, CELL)
+    read_back(own, CELL, chunks, 1.5, 10)
+    assert bool(reach_tail(own, CELL, at, offset)) is writes
+
+
+def test_one_that_is_not_read_back_is_written_again():
+    own = make_state("me")
+    assert reach_tail(own, CELL, 1.0)
+    assert not reach_tail(own, CELL, 30.0)
+    assert reach_tail(own, CELL, 62.0)
+
+
+def test_second_in_order_writes_when_the_first_does_not():
+    names = ("me", "other", "third")
+    own = make_state(others=names)
+    waits = [at for at in range(1, 200) if reach_tail(own, DOCUMENT, float(at))]
+    assert waits
+    assert waits[0] in (1, 91, 121)
+
+
+@pytest.mark.parametrize("stream", [CELL, DOCUMENT])
+@pytest.mark.parametrize("event", [events.RetentionPassed, events.StateLost])
+def test_lost_state_claims_nothing_until_it_is_found(stream, event):
+    own = make_state(others=("me",))
+    detail = 5 if event is events.RetentionPassed else "gone"
+    reducer.reduce(own, event(1.0, stream, detail))
+
+    def list_claims(first):
+        found = []
+        for at in range(first, first + 40):
+            for tail in {CELL, DOCUMENT} - own.lost:
+                reach_tail(own, tail, float(at))
+            found += reducer.reduce(own, events.Ticked(float(at), 1))
+        return [e for e in found if isinstance(e, effects.Append)]
+
+    assert list_claims(2) == []
+    found = (
+        own.document
+        if stream == DOCUMENT
+        else cells.Table("ourthe", term=7, offset=9)
+    )
+    reducer.reduce(own, events.SnapshotRead(50.0, stream, 9, found))
+    claims = list_claims(50)
+    assert claims
+    if stream == CELL:
+        assert claims[0].record.term == 8
+
+
+def test_passed_retention_ends_ownership():
+    own = make_state("me", ("me",))
+    reducer.reduce(own, events.RetentionPassed(1.0, CELL, 5))
+    assert own.cells["ourthe"].table.owner == ""
+    assert reducer.reduce(own, events.Ticked(2.0, 1)) == []
