--- a/poplarspindle/tests/test_replayer.py
+++ b/poplarspindle/tests/test_replayer.py
@@ -74,6 +74,7 @@
         self.replayer = replayer.Replayer(STREAM, snapshots.make_opener(SECRET))
         self.replica = replica.Replica(document.State(SECRET))
         self.events = []
+        self.least = 0
 
     def read(self, limit=3, rounds=60):
         """Reads pages and returns the replica as it is then."""
@@ -83,6 +84,11 @@
             ).value
             for event in self.replayer.take_page(page, 1.0, 2.0):
                 self.events.append(type(event).__name__)
+                if isinstance(event, events.SnapshotRead | events.RecordRead):
+                    assert event.offset >= self.least
+                    self.least = event.offset
+                if isinstance(event, events.SnapshotRead):
+                    self.least = event.offset + 1
                 self.replica.take(event)
         return self.replica
 
--- a/poplarspindle/tests/test_saving.py
+++ b/poplarspindle/tests/test_saving.py
@@ -124,8 +124,11 @@
         assert claims[0].record.term == 8
 
 
-def test_passed_retention_ends_ownership():
+@pytest.mark.parametrize("event", [events.RetentionPassed, events.StateLost])
+def test_owner_that_lost_its_state_renews_nothing(event):
     own = make_state("me", ("me",))
-    reducer.reduce(own, events.RetentionPassed(1.0, CELL, 5))
-    assert own.cells["ourthe"].table.owner == ""
-    assert reducer.reduce(own, events.Ticked(2.0, 1)) == []
+    reducer.reduce(own, events.TailReached(0.9, CELL, 9))
+    assert reducer.reduce(own, events.Ticked(1.0, 1)) != []
+    detail = 5 if event is events.RetentionPassed else "gone"
+    reducer.reduce(own, event(1.0, CELL, detail))
+    assert reducer.reduce(own, events.Ticked(9.0, 1)) == []
