--- a/poplarspindle/ctl.py
+++ b/poplarspindle/ctl.py
@@ -117,9 +117,8 @@
 
 
 def _report(change_id: str, decision: document.Decision) -> int:
-    winner = f", won by {decision.winner}" if decision.winner else ""
     print(
-        f"{decision.verdict}: {decision.reason}{winner};"
+        f"{decision.verdict}: {decision.reason};"
         f" {decision.subject} is at version {decision.version}"
         f" (change {change_id})"
     )
