--- a/poplarspindle/tools/bench.py
+++ b/poplarspindle/tools/bench.py
@@ -1,15 +1,21 @@
-"""Runs named measurements and prints their figures."""
+"""Runs named measurements and prints their figures.
+
+A measurement is the function `measure` of a module in `benches`.
+"""
 
 import importlib
 import json
+import pkgutil
 import sys
 
 import defopt
 
 import poplarspindle
+from poplarspindle.tools import benches
 
-MEASUREMENTS = ("changes", "commits", "hop", "recovery")
-PACKAGE = "poplarspindle.tools.benches"
+MEASUREMENTS = tuple(
+    sorted(module.name for module in pkgutil.iter_modules(benches.__path__))
+)
 
 
 def run_bench(*names: str, as_json: bool = False) -> int:
@@ -28,7 +34,7 @@
         )
         return 2
     figures = {
-        name: importlib.import_module(f"{PACKAGE}.{name}").measure()
+        name: importlib.import_module(f"{benches.__name__}.{name}").measure()
         for name in names or MEASUREMENTS
     }
     if as_json:
