--- a/poplarspindle/health.py
+++ b/poplarspindle/health.py
@@ -43,7 +43,7 @@
     failures_most: int = 3
     slow_factor: float = 4.0
     slow_floor_s: float = 0.02
-    samples_least: int = 10
+    samples_least: int = 5
     errors_most: float = 0.5
     silent_s: float = 1.0
     silent_factor: float = 10.0
--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -236,14 +236,15 @@
     except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
         reason = "timeout"
         detail = str(error)
+    except http.client.RemoteDisconnected as error:
+        reason = "closed"
+        detail = str(error)
     except OSError as error:
         reason = "reset" if step is outcomes.Step.RECEIVE else "send-failed"
         detail = str(error)
     except _BROKEN as error:
         reason = "malformed"
         detail = str(error)
-        if isinstance(error, http.client.RemoteDisconnected):
-            reason = "closed"
     failed = outcomes.Failed(step, address, reason, detail, own.sent_bytes > 0)
     return failed, False
 
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -266,7 +266,7 @@
     ),
     Setting(
         "routing",
-        "least_local",
+        "least_expected",
         "How an entry picks a minion.",
         (ENTRY,),
         choices=("least_local", "least_expected", "two_choices", "random"),
