Let the estimate of an unheard minion fade

Cause: least_expected never picks a minion again after one bad sample (here the slow start of the process), as its estimate gets no newer while it isn't picked. The estimate now halves each second without an answer, and the first samples count as a mean.

--- a/poplarspindle/health.py
+++ b/poplarspindle/health.py
@@ -12,6 +12,7 @@
 
 PROBE_ANY_S = 5.0
 REVIEW_S = 0.1
+STALE_S = 1.0
 
 
 class Phase(enum.Enum):
@@ -87,7 +88,7 @@
     own.samples += 1
     own.errors += rules.weight * (is_error - own.errors)
     if not is_error:
-        weight = 1.0 if own.latency_s == 0 else rules.weight
+        weight = max(rules.weight, 1 / own.samples)
         own.latency_s += weight * (took_s - own.latency_s)
     if own.phase is not Phase.PROBING:
         return False
@@ -98,6 +99,16 @@
     return True
 
 
+def predict_latency(own: Health, at: float) -> float:
+    """Returns the latency to expect, 0 where unknown.
+
+    It halves with each STALE_S without an answer: a minion that is picked no
+    more for one bad sample must be picked again some time.
+    """
+    age_s = max(0.0, at - own.heard_at)
+    return own.latency_s * 0.5 ** (age_s / STALE_S)
+
+
 def take_refusal(own: Health, at: float) -> None:
     """Notes that a minion answered that it is full: it lives."""
     own.heard_at = at
--- a/poplarspindle/pool.py
+++ b/poplarspindle/pool.py
@@ -26,6 +26,7 @@
         outstanding: When each request now at it was sent, oldest first.
         condition: Whether it is ejected, and why.
         fullness: Whether it has a slot.
+        latency_s: Latency to expect, as of the last choice; 0 where unknown.
     """
 
     member: reports.Member
@@ -34,17 +35,13 @@
     fullness: limits.Fullness = dataclasses.field(
         default_factory=limits.Fullness
     )
+    latency_s: float = 0.0
 
     @property
     def sent(self) -> int:
         """Requests of this entry now at it."""
         return len(self.outstanding)
 
-    @property
-    def latency_s(self) -> float:
-        """Recent latency, 0 where unknown."""
-        return self.condition.latency_s
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
@@ -143,6 +140,8 @@
     if not trusted:
         return "all-ejected"
     able = [m for m in trusted if _has_room(own, m, at)]
+    for minion in able:
+        minion.latency_s = health.predict_latency(minion.condition, at)
     return own.pick(able, rng) if able else "no-room"
 
 
--- a/poplarspindle/tests/test_pool.py
+++ b/poplarspindle/tests/test_pool.py
@@ -99,6 +99,20 @@
             )
 
 
+def test_minion_with_one_bad_sample_is_picked_again():
+    """Its estimate gets no newer while it isn't picked."""
+    own = make_state(count=3, policy="least_expected")
+    for minion in own.minions.values():
+        bad = minion.member.name == "m0"
+        run_one(own, minion, 0.0, 0.3 if bad else 0.02)
+    picked = set()
+    for turn in range(500):
+        found = choose(own, 0.5 + turn * 0.02)
+        picked.add(found.member.name)
+        run_one(own, found, 0.5 + turn * 0.02, 0.02)
+    assert "m0" in picked
+
+
 def test_slow_minion_is_ejected_probed_and_trusted_again():
     own = make_state()
     warm_up(own, ("m3",))
--- a/poplarspindle/tools/benches/routing.py
+++ b/poplarspindle/tools/benches/routing.py
@@ -59,6 +59,7 @@
     ),
     "80 %, one 10x slow": Case(0.8, 10.0, requests=LONG),
     "200 %": Case(2.0),
+    "200 %, hard slots": Case(2.0, hard=True),
 }
 
 
