--- a/poplarspindle/interface.py
+++ b/poplarspindle/interface.py
@@ -142,6 +142,8 @@
         self, request: serving.Request, service: str
     ) -> serving.Response:
         name = request.headers.get("request-id", "")
+        if request.waited_s * 1000 > self._values.queue_ms:
+            return self._refuse(name, "queued")
         checked = requests.read_request(
             service,
             request.headers,
@@ -154,15 +156,7 @@
             shown = name if requests.ID_PATTERN.fullmatch(name) else ""
             return answers.refuse_request(checked, shown)
         if not self._is_declared(service):
-            self._count(requests.Outcome.NOT_RUN, "unknown-service")
-            return answers.answer_result(
-                name,
-                frontend.refuse(
-                    "unknown-service",
-                    outcomes.Step.ADMIT,
-                    requests.Outcome.NOT_RUN,
-                ),
-            )
+            return self._refuse(name, "unknown-service")
         waited_s = time.monotonic() - (request.arrived_at or time.monotonic())
         left_ms = checked.value.deadline_ms - round(waited_s * 1000)
         name, result = self._frontend.serve(
@@ -171,6 +165,15 @@
         self._count(result.outcome, result.reason)
         return answers.answer_result(name, result)
 
+    def _refuse(self, name: str, reason: str) -> serving.Response:
+        """Answers a request that nothing was done for."""
+        self._count(requests.Outcome.NOT_RUN, reason)
+        shown = name if requests.ID_PATTERN.fullmatch(name) else ""
+        result = frontend.refuse(
+            reason, outcomes.Step.ADMIT, requests.Outcome.NOT_RUN
+        )
+        return answers.answer_result(shown, result)
+
     def _is_declared(self, service: str) -> bool:
         """Tells whether a service is known; all are until a document is."""
         return self._read_document(
--- a/poplarspindle/serving.py
+++ b/poplarspindle/serving.py
@@ -56,6 +56,7 @@
         peer: Address of the caller.
         arrived_at: When its first bytes were there to read, monotonic
             seconds.
+        waited_s: How long it then waited for a thread.
     """
 
     method: str
@@ -65,6 +66,7 @@
     body: bytes
     peer: str
     arrived_at: float = 0.0
+    waited_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,7 +125,9 @@
 
     def parse_request(self) -> None:
         """Reads the request's head within the time allowed."""
-        self.conn.socket.begin(time.monotonic() + self.server.timeout)
+        now = time.monotonic()
+        self.conn.waited_s = now - self.conn.arrived_at
+        self.conn.socket.begin(now + self.server.timeout)
         super().parse_request()
         self.conn.wfile.flush()
 
@@ -148,6 +152,7 @@
     def __init__(self, own, sock, makefile=None) -> None:
         super().__init__(own, streams.DeadlineSocket.adopt(sock), _make_file)
         self.arrived_at = time.monotonic()
+        self.waited_s = 0.0
 
 
 def _make_file(own: streams.DeadlineSocket, mode: str, _: int):
@@ -208,6 +213,7 @@
         body,
         req.conn.remote_addr or "",
         req.conn.arrived_at,
+        req.conn.waited_s,
     )
 
 
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -280,6 +280,30 @@
         low=0.05,
         high=600,
     ),
+    Setting(
+        "service_ms",
+        5.0,
+        "Median service time of the stand-in's minions, milliseconds.",
+        (STANDIN,),
+        low=0,
+        high=60000,
+    ),
+    Setting(
+        "hard_slots",
+        True,
+        "Whether the stand-in's minions refuse a request that finds no slot,"
+        " in place of queueing it.",
+        (STANDIN,),
+    ),
+    Setting(
+        "queue_ms",
+        100,
+        "Longest wait for a thread after which a request is still served,"
+        " milliseconds.",
+        (ENTRY,),
+        low=1,
+        high=600000,
+    ),
     Setting(
         "retry_share",
         0.1,
--- a/poplarspindle/tests/test_serving.py
+++ b/poplarspindle/tests/test_serving.py
@@ -2,6 +2,8 @@
 
 import collections
 import socket
+import threading
+import time
 
 import pytest
 
@@ -150,3 +152,33 @@
     assert call(server, data, ends=False).startswith(b"HTTP/1.1 408 ")
     assert not server.seen
     assert server.counted == {"http-408": 1}
+
+
+def test_wait_for_a_thread_is_seen():
+    seen, release = [], threading.Event()
+
+    def handle(request):
+        seen.append(request)
+        if len(seen) == 1:
+            release.wait(WAIT_S)
+        return serving.Response(200)
+
+    own = serving.Server("127.0.0.1:0", handle, 1)
+    own.address = own.start()
+    calls = [
+        threading.Thread(target=call, args=(own, START + b"\r\n"))
+        for _ in range(2)
+    ]
+    for thread in calls:
+        thread.start()
+    ends = time.monotonic() + WAIT_S
+    while own._server.requests._queue.empty() and time.monotonic() < ends:
+        time.sleep(0)
+    queued = time.monotonic()
+    release.set()
+    for thread in calls:
+        thread.join()
+    own.stop()
+    assert seen[1].waited_s > 0
+    assert seen[1].arrived_at <= queued
+    assert seen[1].arrived_at + seen[1].waited_s >= queued
--- a/poplarspindle/tools/benches/hop.py
+++ b/poplarspindle/tools/benches/hop.py
@@ -85,14 +85,19 @@
     raise TimeoutError("the entry did not come up")
 
 
-def start_load(targets: list[load.Target], rate: float, seconds: float):
+def start_load(
+    targets: list[load.Target],
+    rate: float,
+    seconds: float,
+    callers: int = CALLERS,
+):
     """Starts a load process; its figures come on its standard output."""
     return subprocess.Popen(
         [
             *(sys.executable, "-m", "poplarspindle.tools.load"),
             *("--target", *(f"{t.kind}:{t.address}" for t in targets)),
             *("--rate", str(rate), "--seconds", str(seconds)),
-            *("--callers", str(CALLERS), "--seed", str(SEED)),
+            *("--callers", str(callers), "--seed", str(SEED)),
             *("--json", "--quiet"),
         ],
         stdout=subprocess.PIPE,
--- a/poplarspindle/tools/fakes/minions.py
+++ b/poplarspindle/tools/fakes/minions.py
@@ -37,6 +37,8 @@
         executes_twice: Whether it runs every request twice, as a planted
             break.
         slow_factor: Factor on its service time.
+        hard_slots: Whether it refuses a request that finds no slot, in place
+            of queueing it.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.failing = False
         self.executes_twice = False
         self.slow_factor = 1.0
+        self.hard_slots = True
         self._ledger = ledger
         self._slots = threading.BoundedSemaphore(slots)
         self._service_s = service_s
@@ -65,7 +68,9 @@
     def handle(self, request: serving.Request) -> serving.Response:
         """Runs a request, or refuses it before running."""
         name = request.headers.get("request-id", "")
-        if self.failing or not self._slots.acquire(blocking=False):
+        if self.failing or not self._slots.acquire(
+            blocking=not self.hard_slots
+        ):
             return serving.Response(503, headers=(("Refused", "slots"),))
         try:
             return self._run(name, request.body)
--- a/poplarspindle/tools/fakes/platform.py
+++ b/poplarspindle/tools/fakes/platform.py
@@ -27,6 +27,7 @@
         slots: Requests a minion runs at once.
         connections: Connections a minion accepts.
         service_s: Median service time of a minion.
+        hard_slots: Whether minions refuse a request that finds no slot.
         list_lag_s: How late the instance list is.
         seed: Seed of the minions' service times.
     """
@@ -40,6 +41,7 @@
     slots: int = 8
     connections: int = 64
     service_s: float = 0.005
+    hard_slots: bool = True
     list_lag_s: float = 0.3
     seed: int = 0
 
@@ -112,6 +114,7 @@
             self.plan.service_s,
             self.plan.seed + index,
         )
+        minion.hard_slots = self.plan.hard_slots
         server = serving.Server("127.0.0.1:0", minion.handle, MINION_THREADS)
         address = server.start()
         centres = self.plan.data_centres
--- a/poplarspindle/tools/standin.py
+++ b/poplarspindle/tools/standin.py
@@ -12,7 +12,10 @@
 def run(values: settings.Values) -> int:
     """Runs the stand-in until SIGTERM or SIGINT."""
     log.set_up(values.log_format, values.log_level)
-    fake = platform.Platform(platform.Plan(), values.address)
+    plan = platform.Plan(
+        service_s=values.service_ms / 1000, hard_slots=values.hard_slots
+    )
+    fake = platform.Platform(plan, values.address)
     asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: asked.set())
