--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -29,10 +29,12 @@
     outcomes,
     peers,
     records,
+    replica,
     reports,
     retired,
     serving,
     settings,
+    snapshots,
     tickets,
     traces,
 )
@@ -60,6 +62,7 @@
             raise ValueError("incarnation must be a letter, then A-Z 0-9 -")
         self.metrics = metrics.Metrics()
         self.document = document.State(values.team_secret)
+        self._replica = replica.Replica(self.document)
         self.members = membership.State(self.incarnation, time.monotonic())
         self.address = ""
         self.peer_address = ""
@@ -107,6 +110,7 @@
             self._take_event,
             self.metrics,
             seed,
+            snapshots.make_opener(values.team_secret),
         )
 
     def _make_frontend(self) -> None:
@@ -236,18 +240,14 @@
             logger.warning("The instance list did not answer.")
 
     def _take_event(self, event: events.Event) -> None:
-        if not isinstance(event, events.RecordRead):
-            return
-        apply = {
-            records.SectionPublished: document.apply_section,
-            records.DataCentreSet: document.apply_data_centre,
-        }.get(type(event.record))
-        if apply is not None:
-            with self._lock:
-                found = apply(self.document, event)
-            for effect in found:
-                if isinstance(effect, effects.Count):
-                    self.metrics.add(effect.name, effect.reason)
+        with self._lock:
+            found = self._replica.take(event)
+            self.document = self._replica.state
+        for effect in found:
+            if isinstance(effect, effects.Count):
+                self.metrics.add(effect.name, effect.reason, effect.amount)
+            elif isinstance(effect, effects.Note):
+                logger.warning(effect.text, stream=effect.subject)
 
     def _run_list(self) -> None:
         while not self._stopping.wait(self.values.list_s):
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -30,6 +30,8 @@
         drain_rate: Evictions a second while a data centre is emptied.
         standbys: How many instances follow a data centre beside its
             owner, 0 for all.
+        snapshot_appends: Appends to a stream between two snapshots.
+        snapshot_age_s: Greatest age of a stream's newest snapshot.
     """
 
     lease_s: float = 6.0
@@ -44,6 +46,29 @@
     fill_s: float = 10.0
     drain_rate: float = 20.0
     standbys: int = 0
+    snapshot_appends: int = 2000
+    snapshot_age_s: float = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Schedule:
+    """What an instance knows of a stream's snapshots; times on its clock.
+
+    Attributes:
+        tail_at: When the stream was first read to its tail.
+        read_at: When the newest was read, if after that.
+        covers: Offset that it covers, -1 for none.
+        sent_at: When this instance sent one that was not read back yet.
+        reading_id: Snapshot whose chunks are being read.
+        indexes: Indexes of its chunks read so far.
+    """
+
+    tail_at: float = float("inf")
+    read_at: float = float("-inf")
+    covers: int = -1
+    sent_at: float = float("-inf")
+    reading_id: str = ""
+    indexes: set[int] = dataclasses.field(default_factory=set)
 
 
 class State:
@@ -57,8 +82,12 @@
         cells: Cell by data centre.
         members: The platform's list as last read, by name.
         candidates: Incarnations that may own data centres.
+        wanted: Replicas that the document wants, by name.
+        wanted_offset: Offset of the document that `wanted` was made from.
         leaving: Whether this instance was asked to stop.
         started_at: Time of the first event.
+        saves: What is known of each stream's snapshots.
+        lost: Streams whose state has holes and must not be used.
         slowdown: What was learned of slowdown between pairs.
         sizes: What was learned of real sizes.
         failures: What is held against workers and families.
@@ -74,8 +103,12 @@
         self.cells: dict[str, cells.Cell] = {}
         self.members: dict[str, reports.Member] = {}
         self.candidates: tuple[str, ...] = ()
+        self.wanted: dict[str, object] = {}
+        self.wanted_offset = -2
         self.leaving = False
         self.started_at = float("-inf")
+        self.saves: dict[str, Schedule] = {}
+        self.lost: set[str] = set()
         self.slowdown = interference.Model()
         self.sizes: sizes.Sizes = {}
         self.failures = quarantine.Record()
--- a/poplarspindle/tools/world.py
+++ b/poplarspindle/tools/world.py
@@ -273,6 +273,10 @@
 
     def _carry_out(self, instance: Instance, effect) -> None:
         match effect:
+            case effects.Append(record=records.SnapshotChunk()):
+                # Draws nothing, so that the walks stay as they are whenever
+                # snapshots are written at other times.
+                self.store(effect.stream, (effect.record,))
             case effects.Append():
                 queue = instance.appends.setdefault(
                     effect.stream, collections.deque()
