--- a/poplarspindle/health.py
+++ b/poplarspindle/health.py
@@ -23,6 +23,9 @@
     PROBING = "probing"
 
 
+TRUSTED = Phase.TRUSTED
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
     """When minions are ejected.
@@ -105,8 +108,7 @@
     It halves with each STALE_S without an answer: a minion that is picked no
     more for one bad sample must be picked again some time.
     """
-    age_s = max(0.0, at - own.heard_at)
-    return own.latency_s * 0.5 ** (age_s / STALE_S)
+    return own.latency_s * 0.5 ** ((at - own.heard_at) / STALE_S)
 
 
 def take_refusal(own: Health, at: float) -> None:
--- a/poplarspindle/pool.py
+++ b/poplarspindle/pool.py
@@ -27,6 +27,7 @@
         condition: Whether it is ejected, and why.
         fullness: Whether it has a slot.
         latency_s: Latency to expect, as of the last choice; 0 where unknown.
+        share: Connections that this entry may hold to it.
     """
 
     member: reports.Member
@@ -36,6 +37,7 @@
         default_factory=limits.Fullness
     )
     latency_s: float = 0.0
+    share: int = 1
 
     @property
     def sent(self) -> int:
@@ -67,6 +69,7 @@
         entries: Number of entries that share the minions.
         rules: When minions are ejected.
         minions: Minion by name.
+        serving: Minions that answer for a service and aren't leaving.
         reviewed_at: When slow and silent ones were last looked for.
     """
 
@@ -77,6 +80,7 @@
         self.rules = rules or health.Rules()
         self.pick = routing.POLICIES[policy]
         self.minions: dict[str, Minion] = {}
+        self.serving: dict[str, list[Minion]] = {}
         self.reviewed_at = 0.0
         self.numbered = 0
 
@@ -90,18 +94,14 @@
             if minion is None or minion.member.address != member.address:
                 minion = Minion(member)
             minion.member = member
+            minion.share = limits.find_share(member.connections, own.entries)
             found[member.name] = minion
     own.minions = found
-
-
-def list_serving(own: State, service: str) -> list[Minion]:
-    """Returns the minions that answer for a service and aren't leaving."""
-    return [
-        minion
-        for minion in own.minions.values()
-        if service in minion.member.services
-        and minion.member.presence is reports.Presence.LIVE
-    ]
+    own.serving = {}
+    for minion in found.values():
+        if minion.member.presence is reports.Presence.LIVE:
+            for service in minion.member.services:
+                own.serving.setdefault(service, []).append(minion)
 
 
 def choose_minion(
@@ -127,27 +127,29 @@
         serves it is trusted (`all-ejected`), has `no-room`, or is untried
         (`all-tried`).
     """
-    serving = list_serving(own, service)
+    serving = own.serving.get(service)
     if not serving:
         return "no-minion"
     untried = [m for m in serving if m.member.name not in tried]
     if not untried:
         return "all-tried"
-    due = [m for m in untried if health.is_due(m.condition, at, idempotent)]
-    if due:
-        return rng.choice(due)
-    trusted = [m for m in untried if m.condition.phase is health.Phase.TRUSTED]
+    trusted = [m for m in untried if m.condition.phase is health.TRUSTED]
+    if len(trusted) < len(untried):
+        due = [m for m in untried if health.is_due(m.condition, at, idempotent)]
+        if due:
+            return rng.choice(due)
     if not trusted:
         return "all-ejected"
-    able = [m for m in trusted if _has_room(own, m, at)]
+    able = [
+        m
+        for m in trusted
+        if limits.has_room(m.fullness, len(m.outstanding), m.share, at)
+    ]
+    if not able:
+        return "no-room"
     for minion in able:
         minion.latency_s = health.predict_latency(minion.condition, at)
-    return own.pick(able, rng) if able else "no-room"
-
-
-def _has_room(own: State, minion: Minion, at: float) -> bool:
-    share = limits.find_share(minion.member.connections, own.entries)
-    return limits.has_room(minion.fullness, minion.sent, share, at)
+    return own.pick(able, rng)
 
 
 def begin_send(own: State, minion: Minion, at: float) -> Sent:
--- a/poplarspindle/tests/test_serving.py
+++ b/poplarspindle/tests/test_serving.py
@@ -169,9 +169,11 @@
         threading.Thread(target=call, args=(own, START + b"\r\n"))
         for _ in range(2)
     ]
-    for thread in calls:
-        thread.start()
     ends = time.monotonic() + WAIT_S
+    calls[0].start()
+    while not seen and time.monotonic() < ends:
+        time.sleep(0)
+    calls[1].start()
     while own._server.requests._queue.empty() and time.monotonic() < ends:
         time.sleep(0)
     queued = time.monotonic()
