--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -1,5 +1,6 @@
 """Counters of every refusal, retry and outcome."""
 
+import collections
 import threading
 
 import aioprometheus
@@ -30,6 +31,9 @@
     def __init__(self) -> None:
         self._registry = aioprometheus.Registry()
         self._lock = threading.Lock()
+        self._values: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._counters = {
             name: aioprometheus.Counter(name, doc, registry=self._registry)
             for name, doc in COUNTERS.items()
@@ -42,21 +46,25 @@
             name: A key of COUNTERS.
             reason: Value of the label `reason`.
             amount: What to add.
+
+        Raises:
+            KeyError: The name is not in COUNTERS.
         """
+        if name not in self._counters:
+            raise KeyError(name)
         with self._lock:
-            self._counters[name].add({"reason": reason}, amount)
+            self._values[name, reason] += amount
 
     def get(self, name: str, reason: str) -> int:
         """Returns a counter's value, 0 where it was never added to."""
         with self._lock:
-            try:
-                return int(self._counters[name].get({"reason": reason}) or 0)
-            except KeyError:
-                return 0
+            return self._values[name, reason]
 
     def render(self) -> bytes:
         """Returns all counters in the Prometheus text form."""
         with self._lock:
+            for (name, reason), value in self._values.items():
+                self._counters[name].set({"reason": reason}, value)
             content, _ = aioprometheus.render(
                 self._registry, ["text/plain; version=0.0.4"]
             )
