Ask the system for less around each read and write

Cause: the time left was set anew before each read and write, and a reader was asked for more by a read that can't wait: eight system calls a request, each giving up the interpreter. The time is set again after 2 ms at the earliest; whether data is left is seen in the buffer alone. One caller, one server, least of 8 x 400 calls, in turns on a busy machine: client 295-310 us before, 240 after; server 388-394 before, 303-319 after.

--- a/poplarspindle/streams.py
+++ b/poplarspindle/streams.py
@@ -1,9 +1,14 @@
 """Sockets that keep one deadline over many reads and write in one piece."""
 
+import errno
 import io
+import math
 import socket
 import time
 
+REARM_S = 0.002
+NEVER = -math.inf
+
 
 class DeadlineSocket(socket.socket):
     """A socket whose reads and writes end at a deadline.
@@ -26,29 +31,33 @@
         own = cls(plain.family, plain.type, plain.proto, fileno=plain.detach())
         own._held = bytearray()
         own._probing = False
+        own._armed_at = NEVER
         return own
 
     def begin(self, deadline: float | None) -> None:
         """Starts a new exchange that ends at a deadline."""
         self.deadline = deadline
         self.sent_bytes = 0
+        self._armed_at = NEVER
         self._held.clear()
 
     def _arm(self) -> None:
+        """Sets the time left, but not again within REARM_S: it's a call."""
         if self.deadline is None:
             self.settimeout(None)
             return
-        left_s = self.deadline - time.monotonic()
-        if left_s <= 0:
+        now = time.monotonic()
+        if now >= self.deadline:
             raise TimeoutError("timed out")
-        self.settimeout(left_s)
+        if not 0 <= now - self._armed_at < REARM_S:
+            self._armed_at = now
+            self.settimeout(self.deadline - now)
 
     def recv_into(self, *arguments) -> int:
         """Reads what is there, waiting until the deadline at most."""
         if self._probing:
-            self.settimeout(0)
-        else:
-            self._arm()
+            raise BlockingIOError(errno.EAGAIN, "only what is buffered")
+        self._arm()
         return super().recv_into(*arguments)
 
     def sendall(self, data, *_) -> None:
@@ -73,11 +82,11 @@
         return Reader(super().makefile("rb").detach(), self)
 
     def look(self, reader: "Reader") -> bool:
-        """Tells whether a reader has data at hand, without waiting."""
+        """Tells whether a reader has data in its buffer."""
         self._probing = True
         try:
             return bool(reader.peek(1))
-        except OSError:
+        except OSError:  # It timed out before.
             return False
         finally:
             self._probing = False
@@ -88,7 +97,7 @@
 
     Attributes:
         bytes_read: Kept for cheroot, which adds it up; not counted.
-        left_over: Whether data was left when it was closed.
+        left_over: Whether data was left in its buffer when it was closed.
     """
 
     bytes_read = 0
@@ -99,7 +108,7 @@
         self._owner = owner
 
     def has_data(self) -> bool:
-        """Tells whether data is at hand, without waiting."""
+        """Tells whether data is in the buffer."""
         return self._owner.look(self)
 
     def close(self) -> None:
