Wake the hedge timer only for races still open

Cause: each idempotent request woke the timer's thread and one of its pool when its time had come, though it was answered long before. Trial with one entry on a busy machine, 16 callers: no gain that stands out of the noise (528 to 690 requests/s over all trials), but two thread switches fewer.

--- a/poplarspindle/dispatch.py
+++ b/poplarspindle/dispatch.py
@@ -261,7 +261,7 @@
         def hedge() -> None:
             others[0] = self._hedge(task, race, tried)
 
-        self._timer.schedule(time.monotonic() + delay_s, hedge)
+        self._timer.schedule(time.monotonic() + delay_s, race, hedge)
         first = self._send(task, sent, race.first)
         found = race.end_first(first, task.deadline)
         return found, others[0], race.acted
--- a/poplarspindle/hedges.py
+++ b/poplarspindle/hedges.py
@@ -24,6 +24,7 @@
         first: Lets the first send be aborted.
         second: The same of the second send.
         acted: Whether the second send may have acted and failed.
+        is_over: Whether it has its result.
     """
 
     def __init__(self) -> None:
@@ -31,23 +32,23 @@
         self.second = minions.Call()
         self.acted = False
         self._changed = threading.Condition()
-        self._over = False
+        self.is_over = False
         self._running = False
         self._answer: outcomes.Ok | None = None
 
     def start_second(self) -> bool:
         """Claims the second send; false where the race is over."""
         with self._changed:
-            self._running = not self._over
+            self._running = not self.is_over
             return self._running
 
     def end_second(self, found: outcomes.Ok | outcomes.Failed) -> bool:
         """Notes the end of the second send; returns whether it won."""
         with self._changed:
             self._running = False
-            won = isinstance(found, outcomes.Ok) and not self._over
+            won = isinstance(found, outcomes.Ok) and not self.is_over
             if won:
-                self._over = True
+                self.is_over = True
                 self._answer = found
             elif isinstance(found, outcomes.Failed):
                 self.acted |= found.may_have_acted
@@ -66,7 +67,7 @@
                     lambda: not self._running,
                     max(0.0, deadline - time.monotonic()),
                 )
-            self._over = True
+            self.is_over = True
             answer = self._answer or found
         if answer is not self._answer:
             self.second.abort()
@@ -84,15 +85,21 @@
             THREADS, thread_name_prefix="hedge"
         )
         self._room = threading.BoundedSemaphore(THREADS)
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._heap: list[tuple[float, int, Race, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._changed = threading.Condition()
         self._thread: threading.Thread | None = None
 
-    def schedule(self, at: float, run: Callable[[], None]) -> None:
-        """Runs a function at a time, monotonic seconds."""
+    def schedule(self, at: float, race: Race, run: Callable[[], None]) -> None:
+        """Runs a function at a time unless its race is over by then.
+
+        Args:
+            at: When to run it, monotonic seconds.
+            race: The race that it is for.
+            run: The function.
+        """
         with self._changed:
-            heapq.heappush(self._heap, (at, next(self._numbers), run))
+            heapq.heappush(self._heap, (at, next(self._numbers), race, run))
             if self._thread is None:
                 self._thread = threading.Thread(target=self._turn, daemon=True)
                 self._thread.start()
@@ -101,18 +108,24 @@
 
     def _turn(self) -> None:
         while True:
-            with self._changed:
-                while not self._heap or self._heap[0][0] > time.monotonic():
-                    left_s = (
-                        self._heap[0][0] - time.monotonic()
-                        if self._heap
-                        else None
-                    )
-                    self._changed.wait(left_s)
-                _, _, run = heapq.heappop(self._heap)
+            run = self._take()
             if self._room.acquire(blocking=False):
                 self._pool.submit(self._run, run)
 
+    def _take(self) -> Callable[[], None]:
+        """Waits for the next function whose race is not over."""
+        with self._changed:
+            while True:
+                while self._heap and self._heap[0][2].is_over:
+                    heapq.heappop(self._heap)
+                if not self._heap:
+                    self._changed.wait()
+                    continue
+                left_s = self._heap[0][0] - time.monotonic()
+                if left_s <= 0:
+                    return heapq.heappop(self._heap)[3]
+                self._changed.wait(left_s)
+
     def _run(self, run: Callable[[], None]) -> None:
         try:
             run()
