Never call a resent id not-run for having waited

A request refused as queued was told not-run before its id was looked at; had an earlier send of the same id run, that was untrue. A request that is not idempotent and carries an id now goes on to whoever owns the id.

--- a/poplarspindle/interface.py
+++ b/poplarspindle/interface.py
@@ -143,7 +143,10 @@
         self, request: serving.Request, service: str
     ) -> serving.Response:
         name = request.headers.get("request-id", "")
-        if request.waited_s * 1000 > self._values.queue_ms:
+        idempotent = request.headers.get("idempotent", "").lower() == "true"
+        # A resent id may have run before: only its owner can say.
+        is_first = not name or idempotent
+        if is_first and request.waited_s * 1000 > self._values.queue_ms:
             return self._refuse(name, "queued")
         checked = requests.read_request(
             service,
