--- a/poplarspindle/interference.py
+++ b/poplarspindle/interference.py
@@ -17,7 +17,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
-SERVICE_PREFIX = "service/"
+from poplarspindle import records
+
 BASE = 0.3
 LOAD_MOST = 2.5
 NOISE_VARIANCE = 0.03
@@ -36,9 +37,9 @@
 
 def name_service(job: str) -> str:
     """Returns the service of a job, empty for a batch job."""
-    if not job.startswith(SERVICE_PREFIX):
+    if not job.startswith(records.SERVICE_PREFIX):
         return ""
-    return job.removeprefix(SERVICE_PREFIX).partition("/")[0]
+    return job.removeprefix(records.SERVICE_PREFIX).partition("/")[0]
 
 
 @dataclasses.dataclass(slots=True)
--- a/poplarspindle/mixes.py
+++ b/poplarspindle/mixes.py
@@ -38,12 +38,21 @@
     Attributes:
         shares: Part of the worker's processors by batch family.
         services: Services there, by name.
-        unknown: Replicas of services that were never measured.
+        replicas: Number of replicas by service, measured or not.
     """
 
     shares: dict[str, float]
     services: dict[str, Beside]
-    unknown: int = 0
+    replicas: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    @property
+    def unknown(self) -> int:
+        """Replicas of services that were never measured."""
+        return sum(
+            count
+            for name, count in self.replicas.items()
+            if name not in self.services
+        )
 
 
 def find_share(cell: cells.Cell, worker: cells.Worker, task: cells.Task):
@@ -91,9 +100,9 @@
 
 def add_service(own: state.State, mix: Mix, name: str, count: int) -> None:
     """Adds replicas of a service to a mix."""
+    mix.replicas[name] = mix.replicas.get(name, 0) + count
     known = own.slowdown.services.get(name)
     if known is None:
-        mix.unknown += count
         return
     found = mix.services.get(name)
     if found is not None:
--- a/poplarspindle/placement.py
+++ b/poplarspindle/placement.py
@@ -18,6 +18,7 @@
 BALANCE_WEIGHT = 0.1
 SAME_WORKER_COST = 1.0
 SAME_RACK_COST = 0.2
+FIRST_SERVICE_COST = 0.6
 
 
 class Rooms:
@@ -163,7 +164,8 @@
 def pick_least_harm(rooms, task, need, fitting, rng):
     """Picks the worker where the services' tails suffer least.
 
-    Spread over workers and racks counts for services, balance for all.
+    Replicas of a service are spread over workers and racks, but services
+    share workers: so more workers are left where batch work disturbs none.
     """
     service = interference.name_service(task.job.job)
     if service:
@@ -190,11 +192,12 @@
 
 def _price_service(rooms: Rooms, service: str, racks, name: str) -> float:
     mix = rooms.find_mix(name)
-    beside = mix.services.get(service)
-    same = beside.replicas if beside else 0
+    same = mix.replicas.get(service, 0)
     rack = rooms.cell.view.workers[name].member.rack
+    first = not mix.replicas
     return (
         mixes.price_service(rooms.own, mix, service)
+        + FIRST_SERVICE_COST * first
         + SAME_WORKER_COST * same
         + SAME_RACK_COST * racks.get(rack, 0)
         + BALANCE_WEIGHT * weigh_reserved(rooms, name)
@@ -205,10 +208,10 @@
     """Counts a service's replicas by rack."""
     counts: dict[str, int] = {}
     for name in rooms.room:
-        beside = rooms.find_mix(name).services.get(service)
-        if beside is not None:
+        replicas = rooms.find_mix(name).replicas.get(service, 0)
+        if replicas:
             rack = rooms.cell.view.workers[name].member.rack
-            counts[rack] = counts.get(rack, 0) + beside.replicas
+            counts[rack] = counts.get(rack, 0) + replicas
     return counts
 
 
--- a/poplarspindle/tools/fakes/machines.py
+++ b/poplarspindle/tools/fakes/machines.py
@@ -9,7 +9,7 @@
 import math
 import random
 
-from poplarspindle import effects, interference, reports, resources
+from poplarspindle import effects, interference, records, reports, resources
 
 NEVER_S = float("inf")
 SAMPLE_LAG_S = 3.0
@@ -66,7 +66,7 @@
     def find_truth(self, task: str) -> Truth:
         """Returns the truth of a task by its job."""
         job, _, _ = task.rpartition("/")
-        if job.startswith(interference.SERVICE_PREFIX):
+        if job.startswith(records.SERVICE_PREFIX):
             return Truth(interference.name_service(job))
         return self.truths[job]
 
--- a/poplarspindle/tools/virtual.py
+++ b/poplarspindle/tools/virtual.py
@@ -13,7 +13,6 @@
     document,
     effects,
     events,
-    interference,
     ownership,
     records,
     reducer,
@@ -107,27 +106,6 @@
         for name, service in spec.services.items():
             self.world.replicas[name] = service.replicas
             self.world.targets_ms[name] = service.target_ms
-            self._submit_replicas(line.team, name, service)
-
-    def _submit_replicas(
-        self, team: str, name: str, spec: document.ServiceSpec
-    ) -> None:
-        centres = self.own.document.list_data_centres()
-        for index in range(spec.replicas):
-            job = records.JobSubmitted(
-                f"{interference.SERVICE_PREFIX}{name}/{index}@1",
-                team,
-                name,
-                spec.priority,
-                1,
-                int(spec.processors * 1000),
-                int(spec.memory_gb * 1000),
-                spec.accelerators,
-                0,
-                spec.exclusive,
-            )
-            centre = centres[index % len(centres)]
-            self.append(cells.name_stream(centre), job)
 
     def _append_signed(self, change) -> None:
         key = document.derive_key(SECRET, change.team)
