--- a/poplarspindle/mixes.py
+++ b/poplarspindle/mixes.py
@@ -149,13 +149,21 @@
     """Prices what batch work of a family would do to the services."""
     cost = 0.0
     for beside in mix.services.values():
-        weight = own.slowdown.find_weight(beside.service, family).mean
         before = beside.log_ms - beside.log_target
-        after = before + beside.factor * weight * share
+        after = find_ratio_after(own, beside, family, share)
         cost += beside.replicas * (price(after) - price(before))
     return cost
 
 
+def find_ratio_after(
+    own: state.State, beside: Beside, family: str, share: float
+) -> float:
+    """Returns the logarithm of tail over target with more work beside."""
+    weight = own.slowdown.find_weight(beside.service, family).mean
+    ratio = beside.log_ms - beside.log_target
+    return ratio + beside.factor * weight * share
+
+
 def price_service(own: state.State, mix: Mix, name: str) -> float:
     """Prices the tail that a replica of a service would have in a mix."""
     known = own.slowdown.services.get(name)
--- a/poplarspindle/placement.py
+++ b/poplarspindle/placement.py
@@ -19,6 +19,7 @@
 SAME_WORKER_COST = 1.0
 SAME_RACK_COST = 0.2
 FIRST_SERVICE_COST = 0.6
+CLEAN_COST = 2.0
 
 
 class Rooms:
@@ -182,12 +183,31 @@
 
 
 def _price_batch(rooms: Rooms, task, need, name: str) -> float:
+    """Prices a worker for batch work.
+
+    Room beside no service has its price too: work that disturbs none leaves
+    it to work that does.
+    """
     whole = rooms.cell.view.workers[name].member.capacity.millicores
     share = need.millicores / max(1, whole)
     mix = rooms.find_mix(name)
     harm = mixes.price_family(rooms.own, mix, task.job.family, share)
     unknown = mix.unknown * share
-    return harm + unknown + BALANCE_WEIGHT * weigh_reserved(rooms, name)
+    clean = 0.0 if mix.replicas else CLEAN_COST * share
+    balance = BALANCE_WEIGHT * weigh_reserved(rooms, name)
+    return harm + unknown + clean + balance
+
+
+def is_harmful(rooms: Rooms, family: str, need, name: str) -> bool:
+    """Tells whether work would surely push a service over its target."""
+    whole = rooms.cell.view.workers[name].member.capacity.millicores
+    share = need.millicores / max(1, whole)
+    mix = rooms.find_mix(name)
+    return any(
+        interference.is_trusted(rooms.own.slowdown, beside.service, family)
+        and mixes.find_ratio_after(rooms.own, beside, family, share) > 0
+        for beside in mix.services.values()
+    )
 
 
 def _price_service(rooms: Rooms, service: str, racks, name: str) -> float:
--- a/poplarspindle/placing.py
+++ b/poplarspindle/placing.py
@@ -104,9 +104,25 @@
             return self._find_room(lane, task, need)
         pick = placement.POLICIES[self.own.limits.policy]
         name = pick(self.rooms, task, need, fitting, self.rng)
+        if self._should_wait(lane, need, name):
+            self._block(lane, "disturbs-services")
+            return False
         self._place(lane, task, need, name)
         return True
 
+    def _should_wait(self, lane: backlog.Lane, need, name: str) -> bool:
+        """Tells whether batch work waits for a worker it disturbs less.
+
+        Where even the best worker would have to limit it at once, it would
+        hold room for long and do little. The wait is bounded.
+        """
+        if lane.pressing or not self.learns:
+            return False
+        since = self.cell.view.waiting.get(lane, self.at)
+        if self.at - since >= self.own.limits.patience_s:
+            return False
+        return placement.is_harmful(self.rooms, lane.family, need, name)
+
     def _find_obstacle(self, lane, task, need) -> str:
         held = self.turns.held.get(lane.team, resources.NOTHING)
         allowance = self.allowances.get(lane.team)
--- a/poplarspindle/reaction.py
+++ b/poplarspindle/reaction.py
@@ -28,9 +28,9 @@
 EASE_AFTER_S = 4.0
 EVICT_GAP_S = 15.0
 LIMITED_MOST = 8
-OVER = math.log(0.95)
-AIM = math.log(0.8)
-EASE_BELOW = math.log(0.85)
+OVER = 0.0
+AIM = math.log(0.9)
+EASE_BELOW = math.log(0.95)
 EVICT_ABOVE = math.log(1.3)
 
 
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -26,6 +26,8 @@
         retry_s: Wait before the second attempt; it doubles with each.
         starve_s: After how long without placement a worker's room is kept.
         protect_s: How long a resumed task is not evicted again.
+        patience_s: How long batch work waits for a worker whose services
+            it does not push over their target.
         fill_s: How long a data centre fills slowly after its return.
         drain_rate: Evictions a second while a data centre is emptied.
         standbys: How many instances follow a data centre beside its
@@ -41,6 +43,7 @@
     retry_s: float = 1.0
     starve_s: float = 30.0
     protect_s: float = 30.0
+    patience_s: float = 20.0
     fill_s: float = 10.0
     drain_rate: float = 20.0
     standbys: int = 0
