--- a/poplarspindle/cells.py
+++ b/poplarspindle/cells.py
@@ -251,6 +251,7 @@
         owned_since: When this instance's claim was read, own clock.
         in_since: When the data centre was seen back in service, own clock.
         out_since: When it was seen out of service, None while in.
+        drained: Evictions decided since it went out.
         blocked: Why a lane of queued tasks had no placement at the last tick.
         waiting: Since when a lane has had no placement.
         kept: Lane for which a worker's room is kept, by worker.
@@ -278,6 +279,7 @@
         self.owned_since = float("-inf")
         self.in_since = float("-inf")
         self.out_since: float | None = None
+        self.drained = 0
         self.blocked: dict[backlog.Lane, str] = {}
         self.waiting: dict[backlog.Lane, float] = {}
         self.kept: dict[str, backlog.Lane] = {}
--- a/poplarspindle/drain.py
+++ b/poplarspindle/drain.py
@@ -1,53 +1,136 @@
-"""How a data centre is emptied after operators took it out."""
+"""How a data centre is emptied after operators took it out.
 
+Services leave by the reconciliation of the document; here batch work goes.
+Exclusive tasks go first, then by priority. A task is evicted only once some
+other data centre has room for it, so work goes on while the rest is full;
+after the grace time all are evicted, and wait elsewhere with a checkpoint.
+"""
+
+import dataclasses
 import itertools
+from collections.abc import Iterator
 
-from poplarspindle import cells, records, state
+from poplarspindle import cells, eviction, spill, state
 
 MOVES_PER_TICK = 50
+REASON = "drain"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """What becomes of one task when its data centre is taken out.
+
+    Attributes:
+        target: Data centre it goes to, empty if it stays behind.
+        reason: Why it stays behind, empty if it does not.
+    """
+
+    task: str
+    target: str
+    reason: str = ""
 
 
 def empty_cell(own: state.State, cell: cells.Cell, at: float) -> list:
     """Evicts what runs and moves what is queued out of a data centre."""
-    leaving = (
-        task
-        for name in cell.table.held
-        for task in cells.list_held(cell, name)
-        if task.phase in (cells.Phase.PLACED, cells.Phase.RUNNING)
-    )
-    found = [
+    view = cell.view
+    if view.out_since is None:
+        view.out_since = at
+        view.drained = 0
+    targets = spill.Targets(own, cell.table.data_centre)
+    found = _withdraw_placed(cell, at)
+    found += _move_queued(cell, targets, at)
+    _count_coming(cell, targets)
+    budget = int((at - view.out_since) * own.limits.drain_rate) - view.drained
+    grace_over = at - view.out_since >= own.limits.drain_grace_s
+    for task in _order_running(cell):
+        if budget <= 0:
+            break
+        if not targets.pick(task, urgent=grace_over or task.job.exclusive):
+            continue
+        sent = eviction.propose_eviction(cell, task, REASON, at)
+        view.drained += len(sent)
+        budget -= len(sent)
+        found += sent
+    return found
+
+
+def note_return(cell: cells.Cell, at: float) -> None:
+    """Notes that a data centre is in service again."""
+    if cell.view.out_since is not None:
+        cell.view.out_since = None
+        cell.view.in_since = at
+
+
+def _withdraw_placed(cell: cells.Cell, at: float) -> list:
+    """Takes back placements that have not started: no work is lost."""
+    return [
         effect
-        for task in itertools.islice(leaving, MOVES_PER_TICK)
-        for effect in cells.propose(
-            cell,
-            records.TaskEvicted(
-                task.task, task.attempt, cell.table.term, "drain"
-            ),
-            at,
-        )
+        for name in list(cell.table.placed)
+        if not eviction.is_leaving(cell, task := cell.table.tasks[name])
+        for effect in eviction.propose_eviction(cell, task, REASON, at)
     ]
-    target = _choose_target(own, cell)
-    if target is None:
-        return found
+
+
+def _move_queued(cell: cells.Cell, targets: spill.Targets, at: float) -> list:
     queued = (
         task
         for name in cell.table.queue
         if not (task := cell.table.tasks[name]).job.is_service
     )
+    found = []
     for task in itertools.islice(queued, MOVES_PER_TICK):
-        record = records.TaskMoved(
-            task.task, task.attempt, cell.table.term, target
-        )
-        found += cells.propose(cell, record, at)
+        target = targets.pick(task, urgent=True)
+        if target:
+            found += spill.propose_move(cell, task, target, at)
     return found
 
 
-def _choose_target(own: state.State, cell: cells.Cell) -> str | None:
-    """Returns the data centre in service with the shortest queue."""
-    others = (
-        other
-        for name, other in sorted(own.cells.items())
-        if name != cell.table.data_centre and own.document.is_in_service(name)
+def _count_coming(cell: cells.Cell, targets: spill.Targets) -> None:
+    """Takes off the targets' room what is already on its way there."""
+    on_way = itertools.chain(cell.table.stopping, cell.table.moving)
+    for name in list(on_way):
+        targets.pick(cell.table.tasks[name], urgent=True)
+
+
+def _order_running(cell: cells.Cell) -> Iterator[cells.Task]:
+    """Returns the batch tasks that run here, exclusive ones first."""
+    running = [
+        task
+        for names in cell.table.held.values()
+        for name in names
+        if (task := cell.table.tasks[name]).phase is cells.Phase.RUNNING
+        and not task.job.is_service
+        and not eviction.is_leaving(cell, task)
+    ]
+    return iter(
+        sorted(
+            running,
+            key=lambda t: (not t.job.exclusive, -t.job.priority, t.task),
+        )
+    )
+
+
+def plan(own: state.State, data_centre: str) -> list[Leaving]:
+    """Returns what becomes of each batch task of a data centre taken out.
+
+    Holds before the data centre is taken out, and while it is emptied.
+    """
+    cell = own.cells[data_centre]
+    targets = spill.Targets(own, data_centre)
+    queued = [cell.table.tasks[name] for name in cell.table.queue]
+    tasks = itertools.chain(
+        _order_running(cell), (t for t in queued if not t.job.is_service)
+    )
+    return [_plan_task(targets, task) for task in tasks]
+
+
+def _plan_task(targets: spill.Targets, task: cells.Task) -> Leaving:
+    target = targets.pick(task)
+    if target:
+        return Leaving(task.task, target)
+    waits_at = targets.pick(task, urgent=True)
+    if waits_at:
+        return Leaving(task.task, "", f"no room now; would wait at {waits_at}")
+    return Leaving(
+        task.task, "", "no allowed data centre in service can hold it"
     )
-    best = min(others, key=lambda c: len(c.table.queue), default=None)
-    return best.table.data_centre if best else None
--- a/poplarspindle/drive.py
+++ b/poplarspindle/drive.py
@@ -38,6 +38,7 @@
         return found
     found += services.reconcile(own, cell, event.at)
     if own.document.is_in_service(cell.table.data_centre):
+        drain.note_return(cell, event.at)
         found += _start_placed(own, cell, event.at)
         found += placing.place_queued(own, cell, event)
     else:
--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -30,6 +30,8 @@
             it does not push over their target.
         fill_s: How long a data centre fills slowly after its return.
         drain_rate: Evictions a second while a data centre is emptied.
+        drain_grace_s: How long work that has no room elsewhere runs on
+            in a data centre that is out of service.
         standbys: How many instances follow a data centre beside its
             owner, 0 for all.
     """
@@ -46,6 +48,7 @@
     patience_s: float = 20.0
     fill_s: float = 10.0
     drain_rate: float = 20.0
+    drain_grace_s: float = 60.0
     standbys: int = 0
 
 
