--- a/poplarspindle/ctl.py
+++ b/poplarspindle/ctl.py
@@ -232,6 +232,26 @@
     return EXIT_OK
 
 
+def explain(subject: str) -> int:
+    """Tells why a task, job, worker or data centre is as it is.
+
+    Of a data centre it also tells what would move where, and what would be
+    left behind, if it were taken out now.
+
+    Args:
+        subject: Its id or name.
+    """
+    match settings.check_values(settings.CTL, {}, os.environ):
+        case outcomes.Failed() as failed:
+            print(failed.detail, file=sys.stderr)
+            return settings.EXIT_USAGE
+        case outcomes.Ok(values):
+            pass
+    found = inquiries.explain(values, subject)
+    print("\n".join(found.lines or (found.sentence,)))
+    return EXIT_OK if found.known else EXIT_UNKNOWN
+
+
 def trace(name: str) -> int:
     """Tells what happened to one request or one job.
 
@@ -256,6 +276,7 @@
     "in": in_,
     "status": status,
     "trace": trace,
+    "explain": explain,
 }
 
 
--- a/poplarspindle/inquiries.py
+++ b/poplarspindle/inquiries.py
@@ -32,6 +32,51 @@
     source: str = ""
 
 
+def explain(values: settings.Values, subject: str) -> Report:
+    """Asks the live schedulers why a subject is as it is.
+
+    Args:
+        values: Settings of the operators' command line.
+        subject: Id or name of a task, job, worker or data centre.
+
+    Returns:
+        The longest answer: the owner of its data centre knows most.
+    """
+    calls = transport.Transport(values.platform_timeout_s)
+    listed = members.InstanceList(values.list_url, calls).fetch()
+    if isinstance(listed, outcomes.Failed):
+        return Report(False, "The instance list does not answer.")
+    pool = urllib3.PoolManager(
+        retries=False,
+        timeout=urllib3.Timeout(connect=CONNECT_S, read=ASK_S),
+    )
+    found = [
+        report
+        for member in listed.value
+        if member.role is reports.Role.SCHEDULER and member.address
+        if (report := _ask_scheduler(pool, member.address, subject))
+    ]
+    if not found:
+        return Report(False, "No scheduler answers.")
+    return max(found, key=lambda r: (r.known, sum(map(len, r.lines))))
+
+
+def _ask_scheduler(
+    pool: urllib3.PoolManager, address: str, subject: str
+) -> Report | None:
+    """Returns a scheduler's answer, None where it gives none."""
+    query = urllib.parse.urlencode({"subject": subject})
+    url = f"http://{address}/v1/explain?{query}"
+    try:
+        answer = pool.request("GET", url)
+        fields = answer.json()
+        return Report(
+            fields["found"], "", "", tuple(fields["sentences"]), address
+        )
+    except (urllib3.exceptions.HTTPError, ValueError, KeyError):
+        return None
+
+
 def inquire(values: settings.Values, name: str) -> Report:
     """Asks the live entries, else reads the audit stream itself.
 
--- a/poplarspindle/jobs.py
+++ b/poplarspindle/jobs.py
@@ -17,6 +17,7 @@
     answers,
     cells,
     document,
+    feasibility,
     membership,
     messages,
     outcomes,
@@ -24,6 +25,7 @@
     peers,
     records,
     reports,
+    resources,
     serving,
 )
 from poplarspindle.platform import logservice
@@ -43,10 +45,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Submission:
-    """A checked job and the data centre whose stream takes it."""
+    """A checked job, the data centre whose stream takes it, and all allowed."""
 
     job: records.JobSubmitted
     home: str
+    allowed: tuple[str, ...] = ()
 
 
 def check_placeable(
@@ -120,7 +123,8 @@
         spec.exclusive,
         spec.urgent,
     )
-    return outcomes.Ok(Submission(job, choose_home(known, name, spec)))
+    home = choose_home(known, name, spec)
+    return outcomes.Ok(Submission(job, home, list_homes(known, spec)))
 
 
 def choose_home(
@@ -173,6 +177,9 @@
         for seen in before:
             if seen.content:
                 return _answer_known(job, seen)
+        obstacle = self._find_obstacle(submission)
+        if obstacle:
+            return answers.refuse_input(_fail("never-fits", obstacle))
         payload = records.encode_batch((job,))
         answer = self._service.append(cells.name_stream(home), payload)
         appended = isinstance(answer, outcomes.Ok)
@@ -193,6 +200,20 @@
             return answers.answer_json(202, body)
         return _answer_unknown(job.job)
 
+    def _find_obstacle(self, submission: Submission) -> str:
+        """Tells why no worker of the instance list can ever hold a job."""
+        job = submission.job
+        need = resources.Resources(
+            job.millicores, job.memory_mb, job.accelerators
+        )
+        workers = [
+            member
+            for member in self._members.members.values()
+            if member.role is reports.Role.WORKER
+        ]
+        found = feasibility.find_obstacle(need, submission.allowed, workers)
+        return f"The job can never run: a task {found}." if found else ""
+
     def show(self, job: str) -> serving.Response:
         """Tells where a job is, and why."""
         found = self._ask_all(job)
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -12,13 +12,16 @@
 import signal
 import threading
 import time
+import urllib.parse
 import uuid
+from collections.abc import Callable
 
 from poplarspindle import (
     appender,
     cells,
     effects,
     events,
+    explain,
     follower,
     lanes,
     log,
@@ -39,6 +42,7 @@
 SYNC_THREADS = 8
 HTTP_THREADS = 4
 JOIN_S = 5.0
+ASK_S = 2.0
 SEED_BITS = 32
 
 logger = log.get_logger("scheduler")
@@ -46,9 +50,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Question:
-    """A question on a job, answered by the thread that owns the state."""
+    """A question, answered by the thread that owns the state.
 
-    query: messages.JobQuery
+    Attributes:
+        ask: Makes the answer of the state and the time.
+        answers: Takes the answer.
+    """
+
+    ask: Callable[[state.State, float], object]
     answers: queue.SimpleQueue = dataclasses.field(
         default_factory=queue.SimpleQueue
     )
@@ -75,7 +84,13 @@
                 values.policy,
                 values.attempts,
                 values.retry_s,
-                values.standbys,
+                standbys=values.standbys,
+                starve_s=values.starve_s,
+                protect_s=values.protect_s,
+                patience_s=values.patience_s,
+                fill_s=values.fill_s,
+                drain_rate=values.drain_rate,
+                drain_grace_s=values.drain_grace_s,
             ),
             values.team_secret,
         )
@@ -194,11 +209,7 @@
                 event.set()
                 continue
             if isinstance(event, _Question):
-                event.answers.put(
-                    queries.describe_job(
-                        self.state, event.query, time.monotonic()
-                    )
-                )
+                event.answers.put(event.ask(self.state, time.monotonic()))
                 continue
             for effect in reducer.reduce(self.state, event):
                 self._carry_out(effect)
@@ -209,13 +220,20 @@
         self, query: messages.JobQuery, deadline: float
     ) -> messages.Message:
         """Has the loop answer a question on a job."""
-        question = _Question(query)
+        found = self._ask_loop(
+            lambda own, at: queries.describe_job(own, query, at),
+            max(0.0, deadline - time.monotonic()),
+        )
+        return found or messages.Refused("scheduler-busy")
+
+    def _ask_loop(self, ask: Callable, wait_s: float) -> object | None:
+        """Has the loop answer a question; None where it is too busy."""
+        question = _Question(ask)
         self._events.put(question)
-        left_s = max(0.0, deadline - time.monotonic())
         try:
-            return question.answers.get(timeout=left_s)
+            return question.answers.get(timeout=wait_s)
         except queue.Empty:
-            return messages.Refused("scheduler-busy")
+            return None
 
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
@@ -299,8 +317,24 @@
                 return serving.Response(
                     200, body, content_type="application/json"
                 )
+            case "/v1/explain":
+                return self._explain(request)
         return serving.Response(404)
 
+    def _explain(self, request: serving.Request) -> serving.Response:
+        """Answers `?subject=NAME` with sentences."""
+        query = urllib.parse.parse_qs(request.query)
+        subject = query.get("subject", [""])[0]
+        found = self._ask_loop(
+            lambda own, at: explain.explain(own, subject, at), ASK_S
+        )
+        if found is None:
+            return serving.Response(503)
+        body = json.dumps(dataclasses.asdict(found)).encode()
+        return serving.Response(
+            200 if found.found else 404, body, content_type="application/json"
+        )
+
     def _describe(self) -> dict:
         """Describes the data centres for `ctl status`."""
         return {
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -256,6 +256,57 @@
         low=0,
         high=600,
     ),
+    Setting(
+        "starve_s",
+        30.0,
+        "After how long without placement a worker's room is kept for a"
+        " family's next task, seconds.",
+        (SCHEDULER,),
+        low=1,
+        high=86400,
+    ),
+    Setting(
+        "protect_s",
+        30.0,
+        "How long a resumed task is not evicted again, seconds.",
+        (SCHEDULER,),
+        low=0,
+        high=86400,
+    ),
+    Setting(
+        "patience_s",
+        20.0,
+        "How long batch work waits for a worker whose services it does not"
+        " push over their target, seconds.",
+        (SCHEDULER,),
+        low=0,
+        high=86400,
+    ),
+    Setting(
+        "fill_s",
+        10.0,
+        "How long a data centre fills slowly after its return, seconds.",
+        (SCHEDULER,),
+        low=0,
+        high=3600,
+    ),
+    Setting(
+        "drain_rate",
+        20.0,
+        "Greatest number of evictions a second while a data centre is emptied.",
+        (SCHEDULER,),
+        low=0.1,
+        high=1000,
+    ),
+    Setting(
+        "drain_grace_s",
+        60.0,
+        "How long work that has no room elsewhere runs on in a data centre"
+        " that is out of service, seconds.",
+        (SCHEDULER,),
+        low=0,
+        high=86400,
+    ),
     Setting(
         "standbys",
         0,
