--- /dev/null
+++ b/poplarspindle/tests/test_policy.py
@@ -0,0 +1,218 @@
+"""Tests of the policy on small traces, by what it must bring about."""
+
+import pytest
+
+from poplarspindle import cells, drain, explain
+from poplarspindle.tools import measures, traces, virtual
+
+URGENT_S = 2.3
+
+
+def make_lines(workers, families, quotas=(), duration_s=40.0, centres=("a",)):
+    """Workers of 16 processors in turn over the data centres."""
+    text = "".join(f"[data_centres.{name}]\n" for name in centres)
+    yield traces.Head("small", duration_s)
+    for index in range(workers):
+        centre = centres[index % len(centres)]
+        yield traces.Worker(f"w{index}", centre, "r0", 16_000, 64_000)
+    yield traces.Section("platform", "operations", text)
+    for team, body in families:
+        yield traces.Section(f"batch-{team}", team, body)
+    for team, processors in quotas:
+        body = f"[quota]\nprocessors = {processors}\nmemory_gb = 1000\n"
+        yield traces.Section(f"quota-{team}", team, body)
+
+
+def declare(name, processors, **more):
+    extra = "".join(f"{key} = {value}\n" for key, value in more.items())
+    return (
+        f"[families.{name}]\nprocessors = {processors}\nmemory_gb = 1.0\n"
+        + extra
+    )
+
+
+def run(lines, watch=lambda loop: None):
+    loop = virtual.Loop(traces.make_trace(lines), "chosen", 1)
+    sight = measures.Watch(loop.trace)
+
+    def look(present):
+        sight(present)
+        watch(present)
+
+    loop.run(look)
+    assert not any(measures.count_violations(loop, sight).values())
+    return loop
+
+
+def list_running(loop, family):
+    return [
+        run
+        for machine in loop.machines.values()
+        for run in machine.runs.values()
+        if run.family == family
+    ]
+
+
+def list_starts(loop, job):
+    return sorted(
+        interval[2]
+        for machine in loop.machines.values()
+        for interval in machine.intervals
+        if interval[0].startswith(job)
+    )
+
+
+def test_quota_holds_and_is_explained():
+    most = []
+    lines = [
+        *make_lines(2, [("t", declare("f", 2.0))], [("t", 6.0)]),
+        traces.Job(8.0, "j", "f", 12, 60_000),
+    ]
+    loop = run(lines, lambda loop: most.append(len(list_running(loop, "f"))))
+    assert max(most) == 3
+    told = explain.explain(loop.own, "j/11", loop.now)
+    assert "quota" in told.sentences[0]
+
+
+def test_teams_share_by_dominant_share():
+    lines = [
+        *make_lines(2, [("t", declare("f", 1.0)), ("u", declare("g", 2.0))]),
+        traces.Job(8.0, "many", "f", 200, 60_000),
+        traces.Job(8.0, "few", "g", 20, 60_000),
+    ]
+    loop = run(lines)
+    held = {
+        team: need.millicores
+        for team, need in loop.own.cells["a"].table.lanes.held.items()
+    }
+    assert abs(held["t"] - held["u"]) <= 2000
+
+
+def test_large_task_does_not_starve_among_small_ones():
+    small = [
+        traces.Job(8.0 + i / 5, f"s{i}", "small", 1, 5_000) for i in range(500)
+    ]
+    lines = [
+        *make_lines(
+            1,
+            [("t", declare("small", 1.0)), ("u", declare("large", 16.0))],
+            duration_s=70.0,
+        ),
+        *small,
+        traces.Job(12.0, "large", "large", 1, 1_000),
+    ]
+    loop = run(lines)
+    bound = 12.0 + loop.own.limits.starve_s + 5.0 + URGENT_S
+    assert list_starts(loop, "large")[0] <= bound
+
+
+@pytest.mark.parametrize(
+    ("processors", "evicted"), [(2.0, 1), (4.0, 2), (16.0, 8)]
+)
+def test_urgent_work_starts_in_time_by_least_eviction(processors, evicted):
+    urgent = declare("now", processors, priority=50, urgent="true")
+    lines = [
+        *make_lines(2, [("t", declare("f", 2.0)), ("u", urgent)]),
+        traces.Job(8.0, "full", "f", 16, 20_000),
+        traces.Job(15.0, "now", "now", 1, 2_000),
+    ]
+    loop = run(lines)
+    assert list_starts(loop, "now")[0] <= 15.0 + URGENT_S
+    assert loop.evictions["urgent"] == evicted
+    assert loop.counts["finished"] == 17
+
+
+def test_impossible_job_blocks_nothing_and_says_why():
+    lines = [
+        *make_lines(1, [("t", declare("f", 1.0) + declare("giant", 64.0))]),
+        traces.Job(8.0, "giant", "giant", 1, 1_000),
+        traces.Job(9.0, "j", "f", 4, 1_000),
+    ]
+    loop = run(lines)
+    assert loop.counts["finished"] == 4
+    told = explain.explain(loop.own, "giant/0", loop.now)
+    assert (
+        "needs 64 processors, and no worker in a has more than 16"
+        in (told.sentences[0])
+    )
+
+
+CENTRES = ("a", "b", "c")
+
+
+@pytest.mark.parametrize(
+    "switches",
+    [
+        [(15.0, "a", False)],
+        [(15.0, "a", False), (15.5, "b", False)],
+        [(15.0, "a", False), (17.0, "a", True), (19.0, "a", False)],
+        [(15.0, "a", False), (16.0, "b", False), (20.0, "a", True)],
+    ],
+)
+def test_data_centres_out_and_in(switches):
+    body = declare("f", 2.0) + declare("once", 1.0, exclusive="true")
+    lines = [
+        *make_lines(6, [("t", body)], duration_s=60.0, centres=CENTRES),
+        *(traces.Job(8.0, f"j{i}", "f", 1, 25_000) for i in range(20)),
+        *(traces.Job(8.0, f"x{i}", "once", 1, 25_000) for i in range(5)),
+        *(traces.DataCentre(*switch) for switch in switches),
+    ]
+    loop = run(lines)
+    assert loop.counts["finished"] == 25
+
+
+def test_what_has_no_room_elsewhere_is_named_and_works_on():
+    lines = [
+        *make_lines(
+            2,
+            [("t", declare("f", 4.0))],
+            duration_s=25.0,
+            centres=("a", "b"),
+        ),
+        *(traces.Job(8.0, f"j{i}", "f", 1, 60_000) for i in range(8)),
+        traces.DataCentre(15.0, "a", False),
+    ]
+    plans = []
+
+    def plan(loop):
+        if abs(loop.now - 14.0) < 0.01:
+            plans.extend(drain.plan(loop.own, "a"))
+
+    loop = run(lines, plan)
+    assert plans
+    assert all("no room now" in item.reason for item in plans)
+    assert len(list_running(loop, "f")) == 8
+    told = " ".join(explain.explain(loop.own, "a", loop.now).sentences)
+    assert "is left behind: no room now; would wait at b" in told
+
+
+def test_bad_worker_is_quarantined_and_probed():
+    body = "".join(declare(f"f{i}", 1.0) for i in range(6))
+    lines = [
+        *make_lines(3, [("t", body)], duration_s=140.0),
+        traces.WorkerFault(5.0, "w1", "failing"),
+        *(
+            traces.Job(8.0 + i / 4, f"j{i}", f"f{i % 6}", 1, 5_000)
+            for i in range(500)
+        ),
+        traces.WorkerFault(45.0, "w1", "ok"),
+    ]
+    loop = run(lines)
+    bad = [i for i in loop.machines["w1"].intervals if i[4] == "failed"]
+    assert len(bad) <= 25
+    assert loop.counts["failed"] == 0
+    assert any(i[2] > 45.0 for i in loop.machines["w1"].intervals)
+    assert not loop.own.failures.workers
+
+
+def test_cancelled_wave_leaves_nothing_behind():
+    lines = [
+        *make_lines(2, [("t", declare("f", 1.0))], duration_s=20.0),
+        *(traces.Job(8.0, f"j{i}", "f", 1, 60_000) for i in range(600)),
+        *(traces.Cancel(12.0, f"j{i}") for i in range(600)),
+    ]
+    loop = run(lines)
+    table = loop.own.cells["a"].table
+    assert not table.queue
+    assert not table.held
+    assert not cells.find_backlog(table).lanes
