--- a/poplarspindle/quotas.py
+++ b/poplarspindle/quotas.py
@@ -35,18 +35,23 @@
 ) -> dict[str, resources.Resources]:
     """Returns by team what it may reserve in a data centre.
 
-    A team without a quota in the document is not limited. A part is at least
-    what the whole quota allows of one task, see `is_within`.
+    A team without a quota in the document is not limited.
     """
+    declared = {
+        section.team: quota
+        for section in own.document.sections.values()
+        if (quota := section.spec.quota) is not None
+    }
+    if not declared:
+        return {}
     share = find_share(own, cell)
     return {
-        section.team: resources.Resources(
+        team: resources.Resources(
             int(quota.processors * 1000 * share),
             int(quota.memory_gb * 1000 * share),
             int(quota.accelerators * share),
         )
-        for section in own.document.sections.values()
-        if (quota := section.spec.quota) is not None
+        for team, quota in declared.items()
     }
 
 
