--- a/poplarspindle/cells.py
+++ b/poplarspindle/cells.py
@@ -411,6 +411,8 @@
     cell.view.proposed.pop(task, None)
     cell.view.commanded.pop(task, None)
     cell.view.retry_at.pop(task, None)
+    cell.view.throttles.pop(task, None)
+    cell.view.resumed_at.pop(task, None)
 
 
 def compute_room(cell: Cell, worker: Worker) -> resources.Resources:
--- a/poplarspindle/learning.py
+++ b/poplarspindle/learning.py
@@ -54,6 +54,9 @@
 def _note_mix(cell, worker, ladder, event) -> None:
     """Keeps which batch work ran when: samples come later."""
     shares: dict[str, float] = {}
+    here = {running.task for running in event.report.running}
+    for gone in ladder.signals.keys() - here:
+        del ladder.signals[gone]
     for running in event.report.running:
         task = cell.table.tasks.get(running.task)
         if task is None or interference.name_service(task.job.job):
--- a/poplarspindle/ownership.py
+++ b/poplarspindle/ownership.py
@@ -86,6 +86,11 @@
         view.proposed,
         view.commanded,
         view.retry_at,
+        view.throttles,
+        view.ladders,
+        view.kept,
+        view.waiting,
+        view.blocked,
     ):
         sent.clear()
 
