--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -27,7 +27,9 @@
     log,
     messages,
     metrics,
+    operators,
     outcomes,
+    ownership,
     peers,
     queries,
     records,
@@ -35,6 +37,7 @@
     reports,
     serving,
     settings,
+    snapshots,
     state,
 )
 from poplarspindle.platform import logservice, members, transport, workers
@@ -91,10 +94,11 @@
                 fill_s=values.fill_s,
                 drain_rate=values.drain_rate,
                 drain_grace_s=values.drain_grace_s,
+                snapshot_appends=values.snapshot_appends,
+                snapshot_age_s=values.snapshot_age_s,
             ),
             values.team_secret,
         )
-        self.document = self.state.document
         self._rng = random.Random(self.incarnation)
         self._calls = transport.Transport(values.platform_timeout_s)
         service = logservice.LogService(values.log_url, self._calls)
@@ -114,7 +118,12 @@
             seed,
         )
         self._follower = follower.Follower(
-            service, self._list_streams, self._events.put, self.metrics, seed
+            service,
+            self._list_streams,
+            self._events.put,
+            self.metrics,
+            seed,
+            snapshots.make_opener(values.team_secret),
         )
         self._server = serving.Server(
             values.address, self._handle, HTTP_THREADS
@@ -133,6 +142,11 @@
         ]
         self.address = ""
 
+    @property
+    def document(self):
+        """The operators' document as reduced so far."""
+        return self.state.document
+
     def start(self) -> None:
         """Starts all threads and announces this instance."""
         self.address = self._server.start()
@@ -142,6 +156,8 @@
         self._follower.start()
         for thread in self._threads:
             thread.start()
+        if not self.values.team_secret:
+            logger.warning("No team secret is set: anybody may sign.")
         logger.info("Started.", incarnation=self.incarnation)
 
     def stop(self) -> None:
@@ -195,8 +211,9 @@
             logger.warning("The instance list did not answer.")
 
     def _list_streams(self) -> list[str]:
-        names = [cells.name_stream(name) for name in list(self.state.cells)]
-        return [records.DOCUMENT_STREAM, *names]
+        names = ownership.list_followed(self.state)
+        streams = [cells.name_stream(name) for name in names]
+        return [records.DOCUMENT_STREAM, *streams]
 
     def _run_loop(self) -> None:
         while True:
@@ -319,6 +336,10 @@
                 )
             case "/v1/explain":
                 return self._explain(request)
+        if request.path.startswith(operators.CHANGES_PATH):
+            return self._serve_decision(
+                request.path.removeprefix(operators.CHANGES_PATH)
+            )
         return serving.Response(404)
 
     def _explain(self, request: serving.Request) -> serving.Response:
@@ -335,10 +356,23 @@
             200 if found.found else 404, body, content_type="application/json"
         )
 
+    def _serve_decision(self, change_id: str) -> serving.Response:
+        """Serves the verdict on a change to operators without the secret."""
+        found = self.state.document.find_decision(change_id)
+        if found is None:
+            return serving.Response(404)
+        return serving.Response(
+            200,
+            operators.encode_decision(found),
+            content_type="application/json",
+        )
+
     def _describe(self) -> dict:
         """Describes the data centres for `ctl status`."""
         return {
             "incarnation": self.incarnation,
+            "lost": sorted(self.state.lost),
+            "document_offset": self.state.document.offset,
             "data_centres": {
                 name: {
                     "owner": cell.table.owner,
