--- a/poplarspindle/tests/test_jobs.py
+++ b/poplarspindle/tests/test_jobs.py
@@ -4,12 +4,22 @@
 
 import pytest
 
-from poplarspindle import document, jobs, records, scheduler, settings
+from poplarspindle import (
+    document,
+    inquiries,
+    jobs,
+    records,
+    reports,
+    resources,
+    scheduler,
+    settings,
+)
 from poplarspindle.platform import logservice, transport
 
 TEXT = (
     "[data_centres.ourthe]\n[data_centres.semois]\n"
     "[families.rosters]\nprocessors = 1\n"
+    "[families.giant]\nprocessors = 500\n"
     '[families.lost]\nprocessors = 1\ndata_centres = ["nowhere"]\n'
 )
 
@@ -117,6 +127,48 @@
     made.kill()
 
 
+def add_worker(batch) -> None:
+    """Lists a worker of 16 processors that does not answer."""
+    member = reports.Member(
+        "ourthe-w0",
+        reports.Role.WORKER,
+        "ourthe",
+        address="127.0.0.1:9",
+        capacity=resources.Resources(16_000, 60_000),
+    )
+    batch.site.fake.members.put(member)
+
+
+def test_job_that_no_worker_can_hold_is_refused(batch, wait):
+    add_worker(batch)
+    wait(lambda: "ourthe-w0" in batch.entry.members.members)
+    fields = {"job": "b", "family": "giant"}
+    status, body = batch.call("POST", "", json.dumps(fields).encode())
+    assert (status, body["reason"]) == (400, "never-fits")
+    assert "needs 500 processors, and no worker in ourthe," in body["error"]
+
+
+@pytest.mark.parametrize(
+    ("subject", "known", "said"),
+    [
+        ("ourthe", True, "ourthe is in service, owned by"),
+        ("ourthe-w0", True, "ourthe-w0 in ourthe, rack"),
+        ("none", False, "No task, job, worker or data centre none"),
+    ],
+)
+def test_schedulers_explain(batch, wait, subject, known, said):
+    add_worker(batch)
+    made = batch.start_scheduler()
+    values = settings.make_values(
+        settings.CTL, log_url=batch.site.url, list_url=batch.site.url
+    )
+    wait(lambda: inquiries.explain(values, "ourthe-w0").known)
+    found = inquiries.explain(values, subject)
+    assert found.known is known
+    assert said in found.lines[0]
+    made.kill()
+
+
 def test_without_schedulers_the_log_decides(batch):
     status, body = batch.submit()
     assert (status, body["state"]) == (202, "in the log")
