--- a/poplarspindle/tests/test_policy.py
+++ b/poplarspindle/tests/test_policy.py
@@ -216,3 +216,32 @@
     assert not table.queue
     assert not table.held
     assert not cells.find_backlog(table).lanes
+
+
+def test_task_too_large_for_its_data_centre_moves_to_one_that_holds_it():
+    lines = [
+        *make_lines(1, [("t", declare("f", 8.0))], centres=("a",)),
+        traces.Section("more", "operations", "[data_centres.b]\n"),
+        traces.Worker("small", "b", "r0", 4_000, 64_000),
+        *(traces.Job(8.0, f"j{i}", "f", 1, 1_000) for i in range(6)),
+    ]
+    loop = run(lines)
+    moved = [t for t in loop.own.cells["b"].table.tasks.values() if t.target]
+    assert moved
+    assert loop.counts["finished"] == 6
+
+
+def test_plan_keeps_to_the_families_data_centres():
+    body = declare("free", 1.0) + declare("bound", 1.0, data_centres='["a"]')
+    lines = [
+        *make_lines(4, [("t", body)], duration_s=14.0, centres=("a", "b")),
+        *(traces.Job(8.0, f"b{i}", "bound", 1, 60_000) for i in range(3)),
+        *(traces.Job(8.0, f"f{i}", "free", 1, 60_000) for i in range(9)),
+    ]
+    loop = run(lines)
+    plans = drain.plan(loop.own, "a")
+    stays = {item.task for item in plans if not item.target}
+    goes = {item.task for item in plans if item.target == "b"}
+    assert stays == {"b0/0", "b1/0", "b2/0"}
+    assert goes
+    assert all("no allowed data centre" in i.reason for i in plans if i.reason)
