--- a/poplarspindle/state.py
+++ b/poplarspindle/state.py
@@ -26,8 +26,12 @@
         retry_s: Wait before the second attempt; it doubles with each.
         starve_s: After how long without placement a worker's room is kept.
         protect_s: How long a resumed task is not evicted again.
+        patience_s: How long batch work waits for a worker whose services
+            it does not push over their target.
         fill_s: How long a data centre fills slowly after its return.
         drain_rate: Evictions a second while a data centre is emptied.
+        drain_grace_s: How long work that has no room elsewhere runs on
+            in a data centre that is out of service.
         standbys: How many instances follow a data centre beside its
             owner, 0 for all.
         snapshot_appends: Appends to a stream between two snapshots.
@@ -43,8 +47,10 @@
     retry_s: float = 1.0
     starve_s: float = 30.0
     protect_s: float = 30.0
+    patience_s: float = 20.0
     fill_s: float = 10.0
     drain_rate: float = 20.0
+    drain_grace_s: float = 60.0
     standbys: int = 0
     snapshot_appends: int = 2000
     snapshot_age_s: float = 600.0
