--- a/poplarspindle/placement.py
+++ b/poplarspindle/placement.py
@@ -18,6 +18,8 @@
 BALANCE_WEIGHT = 0.1
 SAME_WORKER_COST = 1.0
 SAME_RACK_COST = 0.2
+FIRST_SERVICE_COST = 0.6
+CLEAN_COST = 2.0
 
 
 class Rooms:
@@ -163,7 +165,8 @@
 def pick_least_harm(rooms, task, need, fitting, rng):
     """Picks the worker where the services' tails suffer least.
 
-    Spread over workers and racks counts for services, balance for all.
+    Replicas of a service are spread over workers and racks, but services
+    share workers: so more workers are left where batch work disturbs none.
     """
     service = interference.name_service(task.job.job)
     if service:
@@ -180,21 +183,41 @@
 
 
 def _price_batch(rooms: Rooms, task, need, name: str) -> float:
+    """Prices a worker for batch work.
+
+    Room beside no service has its price too: work that disturbs none leaves
+    it to work that does.
+    """
     whole = rooms.cell.view.workers[name].member.capacity.millicores
     share = need.millicores / max(1, whole)
     mix = rooms.find_mix(name)
     harm = mixes.price_family(rooms.own, mix, task.job.family, share)
     unknown = mix.unknown * share
-    return harm + unknown + BALANCE_WEIGHT * weigh_reserved(rooms, name)
+    clean = 0.0 if mix.replicas else CLEAN_COST * share
+    balance = BALANCE_WEIGHT * weigh_reserved(rooms, name)
+    return harm + unknown + clean + balance
+
+
+def is_harmful(rooms: Rooms, family: str, need, name: str) -> bool:
+    """Tells whether work would surely push a service over its target."""
+    whole = rooms.cell.view.workers[name].member.capacity.millicores
+    share = need.millicores / max(1, whole)
+    mix = rooms.find_mix(name)
+    return any(
+        interference.is_trusted(rooms.own.slowdown, beside.service, family)
+        and mixes.find_ratio_after(rooms.own, beside, family, share) > 0
+        for beside in mix.services.values()
+    )
 
 
 def _price_service(rooms: Rooms, service: str, racks, name: str) -> float:
     mix = rooms.find_mix(name)
-    beside = mix.services.get(service)
-    same = beside.replicas if beside else 0
+    same = mix.replicas.get(service, 0)
     rack = rooms.cell.view.workers[name].member.rack
+    first = not mix.replicas
     return (
         mixes.price_service(rooms.own, mix, service)
+        + FIRST_SERVICE_COST * first
         + SAME_WORKER_COST * same
         + SAME_RACK_COST * racks.get(rack, 0)
         + BALANCE_WEIGHT * weigh_reserved(rooms, name)
@@ -205,10 +228,10 @@
     """Counts a service's replicas by rack."""
     counts: dict[str, int] = {}
     for name in rooms.room:
-        beside = rooms.find_mix(name).services.get(service)
-        if beside is not None:
+        replicas = rooms.find_mix(name).replicas.get(service, 0)
+        if replicas:
             rack = rooms.cell.view.workers[name].member.rack
-            counts[rack] = counts.get(rack, 0) + beside.replicas
+            counts[rack] = counts.get(rack, 0) + replicas
     return counts
 
 
