--- a/poplarspindle/tools/benches/tasks.py
+++ b/poplarspindle/tools/benches/tasks.py
@@ -12,6 +12,7 @@
     resources,
     state,
 )
+from poplarspindle.tools import world
 
 CENTRES = 11
 WORKERS = 480
@@ -24,6 +25,9 @@
 SECONDS = 10
 CAPACITY = resources.Resources(64_000, 256_000, 8)
 NAME = "bench"
+TAKEOVERS = 20
+SETTLE_STEPS = 100
+TAKEOVER_STEPS = 400
 
 
 class Bench:
@@ -152,13 +156,53 @@
     return time.perf_counter() - began
 
 
+def _measure_silence() -> list[float]:
+    """Returns how long data centres went without an owner after a crash.
+
+    Virtual seconds at the default limits, from the crash to the first tick
+    at which the next owner has raised its term at every worker.
+    """
+    found = []
+    for seed in range(TAKEOVERS):
+        scene = world.World(seed, limits=state.Limits())
+        for _ in range(SETTLE_STEPS):
+            scene.step()
+        cell = scene.instances[0].own.cells[world.DATA_CENTRES[0]]
+        owner = cell.table.owner
+        scene.crash(next(i for i in scene.instances if i.name == owner))
+        began = scene.now
+        term = cell.table.term
+        for _ in range(TAKEOVER_STEPS):
+            if _is_taken_over(scene, term):
+                break
+            scene.step()
+        found.append(scene.now - began)
+    return sorted(found)
+
+
+def _is_taken_over(scene: world.World, term: int) -> bool:
+    seen = (
+        (instance, instance.own.cells[world.DATA_CENTRES[0]])
+        for instance in scene.instances
+    )
+    return any(
+        cell.table.owner == instance.name
+        and cell.table.term > term
+        and all(
+            worker.fenced_term == cell.table.term
+            for worker in cell.view.workers.values()
+        )
+        for instance, cell in seen
+    )
+
+
 def measure() -> dict[str, float]:
     """Measures the reducer at the size to design for.
 
     Returns:
         Events a second with all data centres owned by one instance, the
-        processor share of an owner of all and of one, and the time to reduce
-        a takeover of one.
+        processor share of an owner of all and of one, virtual seconds
+        without an owner after a crash, and the time to reduce a takeover.
     """
     whole_share, whole_rate = _measure_second(
         Bench(CENTRES, WORKERS, TASKS), STARTS_PER_S * CENTRES
@@ -166,10 +210,13 @@
     one_share, one_rate = _measure_second(
         Bench(1, WORKERS_OF_ONE, TASKS_OF_ONE), STARTS_PER_S
     )
+    silence = _measure_silence()
     return {
         "reducer_events_per_s_480_workers_12000_tasks": round(whole_rate),
         "owner_of_all_share_of_core_percent": round(whole_share * 100, 2),
         "reducer_events_per_s_44_workers_1100_tasks": round(one_rate),
         "owner_of_one_share_of_core_percent": round(one_share * 100, 2),
+        "takeover_silence_median_s": silence[len(silence) // 2],
+        "takeover_silence_most_s": silence[-1],
         "takeover_reduce_ms": round(_measure_takeover() * 1000, 2),
     }
