--- a/poplarspindle/reducer.py
+++ b/poplarspindle/reducer.py
@@ -149,9 +149,24 @@
             cell.view.workers[member.name] = cells.Worker(member)
         else:
             worker.member = member
+    for cell in own.cells.values():
+        _forget_workers(own, cell)
     return []
 
 
+def _forget_workers(own: state.State, cell: cells.Cell) -> None:
+    """Forgets workers that left the list, answer nobody and hold nothing."""
+    gone = [
+        name
+        for name, worker in cell.view.workers.items()
+        if name not in own.members
+        and not worker.reached
+        and name not in cell.table.held
+    ]
+    for name in gone:
+        del cell.view.workers[name]
+
+
 def _sync_worker(own: state.State, event: events.WorkerSynced) -> list:
     cell = own.cells.get(event.data_centre)
     if cell is None:
--- a/poplarspindle/tests/test_services.py
+++ b/poplarspindle/tests/test_services.py
@@ -87,3 +87,17 @@
     stayed = {n: p for n, p in before.items() if p != "lesse"}
     assert stayed.items() <= after.items()
     assert "lesse" not in after.values()
+
+
+@pytest.mark.parametrize(("dead", "known"), [(False, True), (True, False)])
+def test_replaced_worker_is_forgotten_once_it_answers_nobody(dead, known):
+    scene = start()
+    name = "lesse-0"
+    if dead:
+        scene.fakes.workers[name].kill(scene.now)
+    scene.members = [m for m in scene.members if m.name != name]
+    for _ in range(120):
+        scene.step()
+    owner = scene.instances[0].own.cells["lesse"].table.owner
+    (own,) = (i.own for i in scene.instances if i.name == owner)
+    assert (name in own.cells["lesse"].view.workers) is known
