--- a/poplarspindle/health.py
+++ b/poplarspindle/health.py
@@ -12,6 +12,7 @@
 
 PROBE_ANY_S = 5.0
 REVIEW_S = 0.1
+STALE_S = 1.0
 
 
 class Phase(enum.Enum):
@@ -22,6 +23,9 @@
     PROBING = "probing"
 
 
+TRUSTED = Phase.TRUSTED
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
     """When minions are ejected.
@@ -43,7 +47,7 @@
     failures_most: int = 3
     slow_factor: float = 4.0
     slow_floor_s: float = 0.02
-    samples_least: int = 10
+    samples_least: int = 5
     errors_most: float = 0.5
     silent_s: float = 1.0
     silent_factor: float = 10.0
@@ -87,7 +91,7 @@
     own.samples += 1
     own.errors += rules.weight * (is_error - own.errors)
     if not is_error:
-        weight = 1.0 if own.latency_s == 0 else rules.weight
+        weight = max(rules.weight, 1 / own.samples)
         own.latency_s += weight * (took_s - own.latency_s)
     if own.phase is not Phase.PROBING:
         return False
@@ -98,6 +102,15 @@
     return True
 
 
+def predict_latency(own: Health, at: float) -> float:
+    """Returns the latency to expect, 0 where unknown.
+
+    It halves with each STALE_S without an answer: a minion that is picked no
+    more for one bad sample must be picked again some time.
+    """
+    return own.latency_s * 0.5 ** ((at - own.heard_at) / STALE_S)
+
+
 def take_refusal(own: Health, at: float) -> None:
     """Notes that a minion answered that it is full: it lives."""
     own.heard_at = at
--- a/poplarspindle/inquiries.py
+++ b/poplarspindle/inquiries.py
@@ -11,6 +11,12 @@
 ASK_S = 8.0
 CONNECT_S = 1.0
 PATHS = ("requests", "jobs")
+SOURCES = {
+    lookups.Source.HERE: "from an entry's memory",
+    lookups.Source.PEER: "from an entry's memory",
+    lookups.Source.AUDIT: "from the audit stream",
+    lookups.Source.NOWHERE: "",
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,7 +28,7 @@
         sentence: One plain sentence.
         began: Wall-clock time of the first step, empty where unknown.
         lines: One line per step, or per open task of a job.
-        source: Who told it.
+        source: Who told it, empty where nobody could.
     """
 
     known: bool
@@ -32,6 +38,51 @@
     source: str = ""
 
 
+def explain(values: settings.Values, subject: str) -> Report:
+    """Asks the live schedulers why a subject is as it is.
+
+    Args:
+        values: Settings of the operators' command line.
+        subject: Id or name of a task, job, worker or data centre.
+
+    Returns:
+        The longest answer: the owner of its data centre knows most.
+    """
+    calls = transport.Transport(values.platform_timeout_s)
+    listed = members.InstanceList(values.list_url, calls).fetch()
+    if isinstance(listed, outcomes.Failed):
+        return Report(False, "The instance list does not answer.")
+    pool = urllib3.PoolManager(
+        retries=False,
+        timeout=urllib3.Timeout(connect=CONNECT_S, read=ASK_S),
+    )
+    found = [
+        report
+        for member in listed.value
+        if member.role is reports.Role.SCHEDULER and member.address
+        if (report := _ask_scheduler(pool, member.address, subject))
+    ]
+    if not found:
+        return Report(False, "No scheduler answers.")
+    return max(found, key=lambda r: (r.known, sum(map(len, r.lines))))
+
+
+def _ask_scheduler(
+    pool: urllib3.PoolManager, address: str, subject: str
+) -> Report | None:
+    """Returns a scheduler's answer, None where it gives none."""
+    query = urllib.parse.urlencode({"subject": subject})
+    url = f"http://{address}/v1/explain?{query}"
+    try:
+        answer = pool.request("GET", url)
+        fields = answer.json()
+        return Report(
+            fields["found"], "", "", tuple(fields["sentences"]), address
+        )
+    except (urllib3.exceptions.HTTPError, ValueError, KeyError):
+        return None
+
+
 def inquire(values: settings.Values, name: str) -> Report:
     """Asks the live entries, else reads the audit stream itself.
 
@@ -59,7 +110,8 @@
     centres = (member.data_centre for member in listed.value)
     service = logservice.LogService(values.log_url, calls)
     found = lookups.find_audit(service, centres, name)
-    return _read_body(traces.describe(name, found, "audit"), found.known)
+    source = lookups.Source.AUDIT if found.known else lookups.Source.NOWHERE
+    return _read_body(traces.describe(name, found, source), found.known)
 
 
 def ask_entry(
@@ -82,7 +134,7 @@
 
 def render(report: Report) -> str:
     """Returns a report as text for a terminal."""
-    told = f"(told by {report.source})" if report.source else ""
+    told = f"({report.source})" if report.source else ""
     began = f"first step at {report.began}" if report.began else ""
     head = " ".join(filter(None, (report.sentence, told)))
     steps = (f"  {line}" for line in report.lines)
@@ -100,5 +152,5 @@
         body.get("sentence") or body.get("error", ""),
         body.get("began", ""),
         (*body.get("steps", ()), *tasks),
-        body.get("source") or body.get("told_by", ""),
+        SOURCES.get(body.get("source"), body.get("told_by", "")),
     )
--- a/poplarspindle/interface.py
+++ b/poplarspindle/interface.py
@@ -7,6 +7,7 @@
 
 from poplarspindle import (
     answers,
+    bulkheads,
     document,
     frontend,
     jobs,
@@ -21,6 +22,7 @@
 )
 
 TICKETS_MOST = 1000
+INQUIRY_SHARE = 4
 ALLOWED_METHODS = (
     (re.compile(r"/v1/services/[^/]+/requests"), "POST"),
     (re.compile(r"/v1/tickets"), "POST"),
@@ -64,6 +66,7 @@
         self._frontend = served
         self._lookup = lookup
         self._jobs = batch
+        self._inquiries = bulkheads.Bulkhead(values.threads // INQUIRY_SHARE)
 
     def handle(self, request: serving.Request) -> serving.Response:
         """Answers one request."""
@@ -81,13 +84,13 @@
             case ("POST", "v1", "tickets"):
                 return self._serve_tickets(request)
             case ("GET", "v1", "requests", name):
-                return self._serve_trace(name)
+                return self._bound(self._serve_trace, name)
             case ("POST", "v1", "jobs"):
-                return self._submit_job(request.body)
+                return self._bound(self._submit_job, request.body)
             case ("GET", "v1", "jobs", name):
-                return self._jobs.show(name)
+                return self._bound(self._jobs.show, name)
             case ("DELETE", "v1", "jobs", name):
-                return self._jobs.cancel(name)
+                return self._bound(self._jobs.cancel, name)
             case ("GET", "healthz"):
                 return serving.Response(200, b"ok")
             case ("GET", "readyz"):
@@ -96,6 +99,22 @@
                 return serving.Response(200, self._counters.render())
         return _refuse_path(request)
 
+    def _bound(
+        self, serve: Callable[..., serving.Response], argument: str | bytes
+    ) -> serving.Response:
+        """Serves what asks other processes, a few at a time."""
+        with self._inquiries.enter() as taken:
+            if taken:
+                return serve(argument)
+        self._counters.add("poplarspindle_refusals_total", "too-many-asking")
+        failed = outcomes.Failed(
+            outcomes.Step.ADMIT,
+            "",
+            "too-many-asking",
+            "Too many look-ups and jobs at once; nothing was done.",
+        )
+        return answers.refuse_input(failed, 429)
+
     def _submit_job(self, body: bytes) -> serving.Response:
         checked = self._read_document(
             lambda known: jobs.read_submission(body, known)
@@ -143,6 +162,11 @@
         self, request: serving.Request, service: str
     ) -> serving.Response:
         name = request.headers.get("request-id", "")
+        idempotent = request.headers.get("idempotent", "").lower() == "true"
+        # A resent id may have run before: only its owner can say.
+        is_first = not name or idempotent
+        if is_first and request.waited_s * 1000 > self._values.queue_ms:
+            return self._refuse(name, "queued")
         checked = requests.read_request(
             service,
             request.headers,
@@ -155,15 +179,7 @@
             shown = name if requests.ID_PATTERN.fullmatch(name) else ""
             return answers.refuse_request(checked, shown)
         if not self._is_declared(service):
-            self._count(requests.Outcome.NOT_RUN, "unknown-service")
-            return answers.answer_result(
-                name,
-                frontend.refuse(
-                    "unknown-service",
-                    outcomes.Step.ADMIT,
-                    requests.Outcome.NOT_RUN,
-                ),
-            )
+            return self._refuse(name, "unknown-service")
         waited_s = time.monotonic() - (request.arrived_at or time.monotonic())
         left_ms = checked.value.deadline_ms - round(waited_s * 1000)
         name, result = self._frontend.serve(
@@ -172,6 +188,15 @@
         self._count(result.outcome, result.reason)
         return answers.answer_result(name, result)
 
+    def _refuse(self, name: str, reason: str) -> serving.Response:
+        """Answers a request that nothing was done for."""
+        self._count(requests.Outcome.NOT_RUN, reason)
+        shown = name if requests.ID_PATTERN.fullmatch(name) else ""
+        result = frontend.refuse(
+            reason, outcomes.Step.ADMIT, requests.Outcome.NOT_RUN
+        )
+        return answers.answer_result(shown, result)
+
     def _is_declared(self, service: str) -> bool:
         """Tells whether a service is known; all are until a document is."""
         return self._read_document(
