--- a/poplarspindle/interface.py
+++ b/poplarspindle/interface.py
@@ -125,7 +125,7 @@
         return self._jobs.submit(checked.value)
 
     def _serve_readiness(self) -> serving.Response:
-        live = self._is_live()
+        live = self._is_live() and self._members.ready
         age_s = membership.compute_age(self._members, time.monotonic())
         body = {"ready": live, "list_age_s": round(age_s, 1)}
         return answers.answer_json(200 if live else 503, body)
--- a/poplarspindle/membership.py
+++ b/poplarspindle/membership.py
@@ -42,12 +42,14 @@
         name: This instance's name in the list.
         members: Member by name.
         taken_at: When it was taken over, monotonic seconds.
+        ready: Whether a list was ever taken over.
     """
 
     def __init__(self, name: str, now: float) -> None:
         self.name = name
         self.members: dict[str, reports.Member] = {}
         self.taken_at = now
+        self.ready = False
 
 
 def take_list(
@@ -76,6 +78,7 @@
         return Judgement(Reading.NO_MINIONS, False, announce)
     own.members = table
     own.taken_at = now
+    own.ready = True
     reading = Reading.TAKEN if shown else Reading.SELF_MISSING
     return Judgement(reading, True, announce)
 
