Give each start of a program an id of its own

Cause: an incarnation set by hand survived a restart: an entry would have minted its old ids again, and a scheduler renewed the lease of its former self, which may still be paused. After: the setting is a prefix, the rest is random; tests find processes by prefix. Conclusion: at-most-once no longer hangs on an operator's care.

--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -186,8 +186,8 @@
         """Starts serving and announces this instance."""
         self.peer_address = self._peers.start()
         self.address = self._server.start()
-        self._announce()
         self._read_list()
+        self._announce()
         self._audit.start()
         self._follower.start()
         threading.Thread(target=self._run_list, daemon=True).start()
@@ -277,12 +277,12 @@
             self.members, found, self._presence, time.monotonic()
         )
         self.metrics.add("poplarspindle_list_total", judgement.reading)
-        if judgement.announce:
-            self._announce()
         if judgement.taken:
             self._dispatcher.take_members(found)
             addresses = (member.peer_address for member in found)
             self._links.keep(frozenset(addresses))
+        if judgement.announce:
+            self._announce()
 
     def _take_trace(self, trace: traces.Trace) -> None:
         """Writes a trace that ended to the audit, within its budget."""
@@ -316,7 +316,7 @@
 def run(values: settings.Values) -> int:
     """Runs an entry until SIGTERM or SIGINT."""
     log.set_up(values.log_format, values.log_level)
-    process = Entry(values)
+    process = Entry(settings.name_incarnation(values, "entry"))
     asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: asked.set())
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -389,7 +389,7 @@
 def run(values: settings.Values) -> int:
     """Runs a scheduler until SIGTERM or SIGINT."""
     log.set_up(values.log_format, values.log_level)
-    process = Scheduler(values)
+    process = Scheduler(settings.name_incarnation(values, "scheduler"))
     asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: asked.set())
--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -8,6 +8,7 @@
 import inspect
 import os
 import sys
+import uuid
 from collections.abc import Callable, Mapping
 
 import defopt
@@ -17,6 +18,7 @@
 
 ENVIRONMENT_PREFIX = "POPLARSPINDLE_"
 EXIT_USAGE = 2
+INCARNATION_DIGITS = 12
 
 ENTRY = "entry"
 SCHEDULER = "scheduler"
@@ -98,7 +100,8 @@
     Setting(
         "incarnation",
         "",
-        "Unique id of this process; empty makes a random one.",
+        "Name that this process's id starts with; the rest is random at each"
+        " start.",
         _BOTH,
     ),
     Setting(
@@ -608,6 +611,21 @@
     return Values(program, {**table, **changes})
 
 
+def name_incarnation(values: Values, role: str) -> Values:
+    """Gives a process an id that no other start of it ever had.
+
+    Args:
+        values: Checked settings; `incarnation` is taken as a prefix.
+        role: Prefix where none is set.
+
+    Returns:
+        The settings with the whole id.
+    """
+    prefix = values.incarnation or role
+    name = f"{prefix}-{uuid.uuid4().hex[:INCARNATION_DIGITS]}"
+    return Values(values.program, {**values.table, "incarnation": name})
+
+
 def read_value(setting: Setting, text: str) -> object:
     """Reads one value.
 
--- a/poplarspindle/tests/conftest.py
+++ b/poplarspindle/tests/conftest.py
@@ -81,8 +81,13 @@
 
     def find_address(self, name: str) -> str:
         """Returns a listed entry's address, empty for none."""
-        listed = {m.name: m for m in self.fake.members.fetch()}
-        return listed[name].address if name in listed else ""
+        listed = self.fake.members.fetch()
+        named = (m for m in listed if is_named(m.name, name))
+        return next((member.address for member in named), "")
+
+    def is_known(self, name: str, other: entry.Entry) -> bool:
+        """Tells whether another entry lists an entry."""
+        return any(is_named(known, name) for known in other.members.members)
 
     def call(self, address, path, body=b"", method="POST", **headers) -> Answer:
         """Makes one HTTP call."""
@@ -123,7 +128,9 @@
 
     def drop(self, name: str) -> None:
         """Removes an instance from the list."""
-        self.fake.members.remove(name)
+        for member in self.fake.members.fetch():
+            if is_named(member.name, name):
+                self.fake.members.remove(member.name)
 
     def stop(self) -> None:
         """Ends all processes and threads."""
@@ -141,6 +148,11 @@
             list(pool.map(lambda end: end(), ends))
 
 
+def is_named(incarnation: str, name: str) -> bool:
+    """Tells whether an incarnation is one of a name."""
+    return f"{incarnation}-".startswith(f"{name}-")
+
+
 def wait_for(condition) -> None:
     """Waits until a condition holds, or fails the test."""
     deadline = time.monotonic() + WAIT_S
--- a/poplarspindle/tests/test_frontend.py
+++ b/poplarspindle/tests/test_frontend.py
@@ -206,11 +206,11 @@
 def test_ticket_whose_minter_fails(site, fault, first_send, outcome, runs):
     process = site.start_process("minter")
     other = site.start_entry("other")
-    site.wait_for(lambda: "minter" in other.members.members)
+    site.wait_for(lambda: site.is_known("minter", other))
     site.tickets = site.mint(site.find_address("minter"), 1)
     fault(site, process)
     if "gone" in fault.__name__ or fault is sent_before:
-        site.wait_for(lambda: "minter" not in other.members.members)
+        site.wait_for(lambda: not site.is_known("minter", other))
     name = site.tickets[0]
     told = site.send(
         other.address, Request_Id=name, First_Send=first_send, **DEADLINE
@@ -235,7 +235,7 @@
 def test_paused_minter_leaves_threads_for_others(site):
     process = site.start_process("minter")
     other = site.start_entry("other", threads=4, audit_bytes_s=0.0)
-    site.wait_for(lambda: "minter" in other.members.members)
+    site.wait_for(lambda: site.is_known("minter", other))
     names = site.mint(site.find_address("minter"), 8)
     paused(site, process)
 
--- a/poplarspindle/tests/test_replacement.py
+++ b/poplarspindle/tests/test_replacement.py
@@ -51,3 +51,12 @@
     assert told.outcome == "answered"
     assert told.body == minions.compute_answer(told.request, b"trek")
     assert process.wait(10) == 0
+
+
+def test_entry_is_not_ready_before_it_knows_the_minions(site, wait):
+    site.fake.members.down = True
+    made = site.start_entry("early")
+    assert site.call(made.address, "/readyz", method="GET").status == 503
+    site.fake.members.down = False
+    wait(lambda: site.call(made.address, "/readyz", method="GET").status == 200)
+    assert site.send(made.address).outcome == "answered"
--- a/poplarspindle/tools/benches/replacement.py
+++ b/poplarspindle/tools/benches/replacement.py
@@ -178,7 +178,7 @@
             _wait(lambda: len(balancer.ready) == entries + 1)
             leaving.send_signal(signal.SIGTERM)
             leaving.wait(WAIT_S)
-            fake.members.remove(f"old-{index}")
+            _drop_member(fake, f"old-{index}-")
         took_s = time.monotonic() - began
         load.stop()
         return _report(fake, load, balancer, old, took_s)
@@ -192,6 +192,13 @@
         fake.stop()
 
 
+def _drop_member(fake: platform.Platform, prefix: str) -> None:
+    """Removes the entry whose id starts with a prefix from the list."""
+    for member in fake.members.fetch():
+        if member.name.startswith(prefix):
+            fake.members.remove(member.name)
+
+
 def _wait(condition) -> None:
     deadline = time.monotonic() + WAIT_S
     while not condition():
