--- a/poplarspindle/settings.py
+++ b/poplarspindle/settings.py
@@ -149,7 +149,7 @@
     ),
     Setting(
         "task_lease_s",
-        10.0,
+        20.0,
         "Lease of a task at its worker, seconds.",
         (SCHEDULER,),
         low=0.5,
--- a/poplarspindle/tools/load.py
+++ b/poplarspindle/tools/load.py
@@ -381,7 +381,7 @@
     an answer was broken, crossed or without an outcome; 2: bad arguments.
 
     Args:
-        target: Targets, each [entry:|minion:]host:port.
+        target: Targets, each host:port, after "entry:" or "minion:".
         compare: Targets measured in the same run, at the same rate.
         rate: Arrivals a second to each group of targets.
         seconds: Length of the run.
