--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -3,7 +3,6 @@
 import dataclasses
 import random
 import re
-import signal
 import threading
 import time
 import uuid
@@ -29,6 +28,7 @@
     metrics,
     outcomes,
     peers,
+    programs,
     records,
     replica,
     reports,
@@ -317,13 +317,7 @@
     """Runs an entry until SIGTERM or SIGINT."""
     log.set_up(values.log_format, values.log_level)
     process = Entry(settings.name_incarnation(values, "entry"))
-    asked = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: asked.set())
-    process.start()
-    asked.wait()
-    process.stop()
-    return 0
+    return programs.run_until_stopped(process.start, process.stop)
 
 
 def main() -> None:
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -9,7 +9,6 @@
 import json
 import queue
 import random
-import signal
 import threading
 import time
 import urllib.parse
@@ -31,6 +30,7 @@
     outcomes,
     ownership,
     peers,
+    programs,
     queries,
     records,
     reducer,
@@ -390,13 +390,7 @@
     """Runs a scheduler until SIGTERM or SIGINT."""
     log.set_up(values.log_format, values.log_level)
     process = Scheduler(settings.name_incarnation(values, "scheduler"))
-    asked = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: asked.set())
-    process.start()
-    asked.wait()
-    process.stop()
-    return 0
+    return programs.run_until_stopped(process.start, process.stop)
 
 
 def main() -> None:
--- a/poplarspindle/tools/pages.py
+++ b/poplarspindle/tools/pages.py
@@ -16,7 +16,7 @@
 A value comes from the flag, else from the environment variable, else from
 the table. A value that is not allowed ends the program with exit code 2 and
 names the setting, the value and what is allowed. `make pages` writes this
-page from `poplarspindle/settings.py`.
+page from `poplarspindle/defaults.py`.
 """
 
 COUNTERS_HEAD = """\
--- a/poplarspindle/tools/standin.py
+++ b/poplarspindle/tools/standin.py
@@ -1,9 +1,6 @@
 """Runs the stand-in platform as a process of its own."""
 
-import signal
-import threading
-
-from poplarspindle import log, settings
+from poplarspindle import log, programs, settings
 from poplarspindle.tools.fakes import platform
 
 logger = log.get_logger("standin")
@@ -16,14 +13,11 @@
         service_s=values.service_ms / 1000, hard_slots=values.hard_slots
     )
     fake = platform.Platform(plan, values.address)
-    asked = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: asked.set())
-    url = fake.start()
-    logger.info("Started.", url=url)
-    asked.wait()
-    fake.stop()
-    return 0
+
+    def start() -> None:
+        logger.info("Started.", url=fake.start())
+
+    return programs.run_until_stopped(start, fake.stop)
 
 
 def main() -> None:
