--- a/poplarspindle/appender.py
+++ b/poplarspindle/appender.py
@@ -17,7 +17,7 @@
     records,
     settings,
 )
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 logger = log.get_logger("log")
 
--- a/poplarspindle/claims.py
+++ b/poplarspindle/claims.py
@@ -11,7 +11,7 @@
 import zlib
 
 from poplarspindle import metrics, outcomes, records, tickets
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 READ_LIMIT = 500
 DOWN_S = 0.5
--- a/poplarspindle/platform/logservice.py
+++ b/poplarspindle/clients/logservice.py
@@ -9,7 +9,7 @@
 import urllib.parse
 
 from poplarspindle import outcomes
-from poplarspindle.platform import transport
+from poplarspindle.clients import transport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/platform/members.py
+++ b/poplarspindle/clients/members.py
@@ -7,7 +7,7 @@
 import itertools
 
 from poplarspindle import outcomes, reports
-from poplarspindle.platform import transport
+from poplarspindle.clients import transport
 
 
 class InstanceList:
--- a/poplarspindle/platform/workers.py
+++ b/poplarspindle/clients/workers.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from poplarspindle import effects, outcomes, reports
-from poplarspindle.platform import transport
+from poplarspindle.clients import transport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/dispatch.py
+++ b/poplarspindle/dispatch.py
@@ -22,7 +22,7 @@
     retries,
     settings,
 )
-from poplarspindle.platform import minions
+from poplarspindle.clients import minions
 
 PRIORITY = 100
 LEAST_S = 0.0005
--- a/poplarspindle/entry.py
+++ b/poplarspindle/entry.py
@@ -39,7 +39,7 @@
     tickets,
     traces,
 )
-from poplarspindle.platform import logservice, members, minions, transport
+from poplarspindle.clients import logservice, members, minions, transport
 
 JOIN_S = 5.0
 SEED_BITS = 32
--- a/poplarspindle/follower.py
+++ b/poplarspindle/follower.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from poplarspindle import events, metrics, outcomes, replayer, snapshots
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 READ_LIMIT = 500
 READ_WAIT_MS = 500
--- a/poplarspindle/frontend.py
+++ b/poplarspindle/frontend.py
@@ -21,7 +21,7 @@
     tickets,
     traces,
 )
-from poplarspindle.platform import minions
+from poplarspindle.clients import minions
 
 UNREACHED = frozenset({"incarnation-gone", "no-connection", "peer-stopping"})
 
--- a/poplarspindle/hedges.py
+++ b/poplarspindle/hedges.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from poplarspindle import outcomes
-from poplarspindle.platform import minions
+from poplarspindle.clients import minions
 
 THREADS = 8
 
--- a/poplarspindle/inquiries.py
+++ b/poplarspindle/inquiries.py
@@ -6,7 +6,7 @@
 import urllib3
 
 from poplarspindle import lookups, outcomes, reports, settings, traces
-from poplarspindle.platform import logservice, members, transport
+from poplarspindle.clients import logservice, members, transport
 
 ASK_S = 8.0
 CONNECT_S = 1.0
--- a/poplarspindle/jobs.py
+++ b/poplarspindle/jobs.py
@@ -28,7 +28,7 @@
     resources,
     serving,
 )
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 UNREAD = "document-unread"
 JOB_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
--- a/poplarspindle/lookups.py
+++ b/poplarspindle/lookups.py
@@ -15,7 +15,7 @@
     tickets,
     traces,
 )
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 ASK_S = 1.0
 AUDIT_READ_S = 3.0
--- a/poplarspindle/operators.py
+++ b/poplarspindle/operators.py
@@ -18,7 +18,7 @@
     settings,
     snapshots,
 )
-from poplarspindle.platform import logservice, members, transport
+from poplarspindle.clients import logservice, members, transport
 
 READ_LIMIT = 500
 READ_WAIT_MS = 200
--- a/poplarspindle/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform: log, instance list, workers and minions."""
--- a/poplarspindle/replayer.py
+++ b/poplarspindle/replayer.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 
 from poplarspindle import events, outcomes, records, snapshots
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 SEARCH_SPAN = 5000
 KEPT_BYTES_MOST = 64 * 1024 * 1024
--- a/poplarspindle/retired.py
+++ b/poplarspindle/retired.py
@@ -6,7 +6,7 @@
 import threading
 
 from poplarspindle import outcomes, records
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 READ_LIMIT = 500
 REMEMBERED = 1000
--- a/poplarspindle/scheduler.py
+++ b/poplarspindle/scheduler.py
@@ -40,7 +40,7 @@
     snapshots,
     state,
 )
-from poplarspindle.platform import logservice, members, transport, workers
+from poplarspindle.clients import logservice, members, transport, workers
 
 SYNC_THREADS = 8
 HTTP_THREADS = 4
--- a/poplarspindle/tests/test_appender.py
+++ b/poplarspindle/tests/test_appender.py
@@ -6,7 +6,7 @@
 import pytest
 
 from poplarspindle import appender, lanes, metrics, records
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 from poplarspindle.tools.fakes import direct, log
 
 WAIT_S = 10.0
--- a/poplarspindle/tests/test_changes.py
+++ b/poplarspindle/tests/test_changes.py
@@ -11,7 +11,7 @@
 
 from poplarspindle import document, outcomes, records, replayer, replica
 from poplarspindle import snapshots as snapshot_codec
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 from poplarspindle.tools.fakes import direct, log
 
 STREAM = records.DOCUMENT_STREAM
--- a/poplarspindle/tests/test_ctl.py
+++ b/poplarspindle/tests/test_ctl.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarspindle import ctl, document, operators, records, reports, serving
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 from poplarspindle.tools.fakes import direct, log, members
 
 SECRET = "ctl-secret"
--- a/poplarspindle/tests/test_dispatch.py
+++ b/poplarspindle/tests/test_dispatch.py
@@ -13,7 +13,7 @@
     requests,
     serving,
 )
-from poplarspindle.platform import minions
+from poplarspindle.clients import minions
 from poplarspindle.tools.fakes import minions as fakes
 
 WAIT_S = 5.0
--- a/poplarspindle/tests/test_interface.py
+++ b/poplarspindle/tests/test_interface.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarspindle import bulkheads, document, records, settings
-from poplarspindle.platform import logservice, transport
+from poplarspindle.clients import logservice, transport
 
 SERVICE = "/v1/services/quotes/requests"
 BAD_REQUESTS = [
--- a/poplarspindle/tests/test_jobs.py
+++ b/poplarspindle/tests/test_jobs.py
@@ -14,7 +14,7 @@
     scheduler,
     settings,
 )
-from poplarspindle.platform import logservice, transport
+from poplarspindle.clients import logservice, transport
 
 TEXT = (
     "[data_centres.ourthe]\n[data_centres.semois]\n"
--- a/poplarspindle/tests/test_minion_contract.py
+++ b/poplarspindle/tests/test_minion_contract.py
@@ -6,7 +6,7 @@
 import pytest_bdd
 
 from poplarspindle import dispatch, metrics, reports
-from poplarspindle.platform import minions
+from poplarspindle.clients import minions
 from poplarspindle.tools.fakes import rawpeer
 
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
--- a/poplarspindle/tests/test_minions.py
+++ b/poplarspindle/tests/test_minions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from poplarspindle import outcomes
-from poplarspindle.platform import minions
+from poplarspindle.clients import minions
 from poplarspindle.tools.fakes import minions as fakes
 from poplarspindle.tools.fakes import rawpeer
 
--- a/poplarspindle/tests/test_platform.py
+++ b/poplarspindle/tests/test_platform.py
@@ -5,7 +5,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from poplarspindle import outcomes, reports, serving
-from poplarspindle.platform import logservice, members, transport
+from poplarspindle.clients import logservice, members, transport
 from poplarspindle.tools.fakes import log
 from poplarspindle.tools.fakes import members as fake_members
 
--- a/poplarspindle/tests/test_replayer.py
+++ b/poplarspindle/tests/test_replayer.py
@@ -11,7 +11,7 @@
     replica,
     snapshots,
 )
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 from poplarspindle.tools.fakes import direct, log
 
 STREAM = records.DOCUMENT_STREAM
--- a/poplarspindle/tests/test_syncs.py
+++ b/poplarspindle/tests/test_syncs.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarspindle import outcomes, reports
-from poplarspindle.platform import workers
+from poplarspindle.clients import workers
 
 TASK = {"task": "a/0", "attempt": 0, "term": 1, "worked_ms": 5}
 
--- a/poplarspindle/tests/test_workers.py
+++ b/poplarspindle/tests/test_workers.py
@@ -7,7 +7,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from poplarspindle import effects, reports, resources
-from poplarspindle.platform import transport, workers
+from poplarspindle.clients import transport, workers
 from poplarspindle.tools.fakes import workers as fakes
 
 scenarios("features/workers.feature")
--- a/poplarspindle/tools/benches/changes.py
+++ b/poplarspindle/tools/benches/changes.py
@@ -14,7 +14,7 @@
     serving,
     snapshots,
 )
-from poplarspindle.platform import logservice, transport
+from poplarspindle.clients import logservice, transport
 from poplarspindle.tools.fakes import log
 
 FOLLOWERS = 9
--- a/poplarspindle/tools/benches/commits.py
+++ b/poplarspindle/tools/benches/commits.py
@@ -5,7 +5,7 @@
 import time
 
 from poplarspindle import appender, lanes, metrics, records
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 from poplarspindle.tools.fakes import direct, log
 
 STARTS_PER_S = 140
--- a/poplarspindle/tools/benches/hop.py
+++ b/poplarspindle/tools/benches/hop.py
@@ -13,7 +13,7 @@
 import time
 
 from poplarspindle import outcomes, reports
-from poplarspindle.platform import members, transport
+from poplarspindle.clients import members, transport
 from poplarspindle.tools import load
 from poplarspindle.tools.fakes import minions
 
--- a/poplarspindle/tools/benches/recovery.py
+++ b/poplarspindle/tools/benches/recovery.py
@@ -3,7 +3,7 @@
 import time
 
 from poplarspindle import cells, events, records, replayer, resources, snapshots
-from poplarspindle.platform import logservice
+from poplarspindle.clients import logservice
 
 TASKS = 10_000
 TASKS_PER_JOB = 10
--- a/poplarspindle/tools/demo.py
+++ b/poplarspindle/tools/demo.py
@@ -27,7 +27,7 @@
     scheduler,
     settings,
 )
-from poplarspindle.platform import logservice, transport
+from poplarspindle.clients import logservice, transport
 from poplarspindle.tools import promises
 from poplarspindle.tools.fakes import minions, platform
 
--- a/poplarspindle/tools/fakes/members.py
+++ b/poplarspindle/tools/fakes/members.py
@@ -6,7 +6,7 @@
 import msgpack
 
 from poplarspindle import reports, serving
-from poplarspindle.platform import transport
+from poplarspindle.clients import transport
 
 
 class FakeList:
--- a/poplarspindle/tools/fakes/workers.py
+++ b/poplarspindle/tools/fakes/workers.py
@@ -10,7 +10,7 @@
 import msgpack
 
 from poplarspindle import reports, resources, serving
-from poplarspindle.platform import transport, workers
+from poplarspindle.clients import transport, workers
 
 USAGE_PERIOD_S = 5.0
 
--- a/poplarspindle/tools/loops.py
+++ b/poplarspindle/tools/loops.py
@@ -17,7 +17,7 @@
     resources,
     state,
 )
-from poplarspindle.platform import workers as clients
+from poplarspindle.clients import workers as clients
 from poplarspindle.tools.fakes import workers
 
 SECRET = "loop"
--- a/poplarspindle/tools/slopes.py
+++ b/poplarspindle/tools/slopes.py
@@ -13,7 +13,7 @@
 
 import poplarspindle
 from poplarspindle import events, log, metrics, records, reducer, reports
-from poplarspindle.platform import logservice, members, transport, workers
+from poplarspindle.clients import logservice, members, transport, workers
 from poplarspindle.tools import loops, meters
 from poplarspindle.tools.fakes import platform
 
--- a/poplarspindle/tools/world.py
+++ b/poplarspindle/tools/world.py
@@ -23,7 +23,7 @@
     resources,
     state,
 )
-from poplarspindle.platform import workers as worker_client
+from poplarspindle.clients import workers as worker_client
 from poplarspindle.tools.fakes import workers
 
 STEP_S = 0.25
