--- /dev/null
+++ b/poplarspindle/fleet/book.py
@@ -0,0 +1,178 @@
+"""State of all jobs, as recorded; equal on every node that read as far."""
+
+import enum
+
+from poplarspindle.fleet import work
+
+
+class Phase(enum.IntEnum):
+    """Where a task is in its life."""
+
+    QUEUED = 0
+    DONE = 1
+    PLACED = 2
+    STOPPING = 3
+
+
+class State(enum.StrEnum):
+    """Where a job is in its life."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+ENDED = frozenset({State.COMPLETED, State.FAILED, State.CANCELLED})
+
+
+class Task:
+    """One task.
+
+    Attributes:
+        phase: Where it is in its life.
+        attempt: Number of its present or last run, 0 for none.
+        failures: Runs that ended failed.
+        worker: Worker of the present run.
+        born_ms: Life of that worker.
+        saved: Newest checkpoint, empty for none.
+    """
+
+    __slots__ = ("attempt", "born_ms", "failures", "phase", "saved", "worker")
+
+    def __init__(
+        self,
+        phase: Phase = Phase.QUEUED,
+        attempt: int = 0,
+        failures: int = 0,
+        worker: str = "",
+        born_ms: int = 0,
+        saved: str = "",
+    ) -> None:
+        self.phase = phase
+        self.attempt = attempt
+        self.failures = failures
+        self.worker = worker
+        self.born_ms = born_ms
+        self.saved = saved
+
+
+class Job:
+    """One job.
+
+    Attributes:
+        submission: What its caller handed in.
+        state: Where it is, as decided.
+        shown: Where it is, as the log has acknowledged.
+        cancelled: Whether its cancelling is recorded.
+        ended_ms: When it ended, Unix milliseconds, 0 before.
+        opened: How many of its times were opened.
+        runs: Tasks by time, step and index, of times not yet done.
+    """
+
+    __slots__ = (
+        "cancelled",
+        "ended_ms",
+        "opened",
+        "runs",
+        "shown",
+        "state",
+        "submission",
+    )
+
+    def __init__(self, submission: work.Submission) -> None:
+        self.submission = submission
+        self.state = State.QUEUED
+        self.shown = State.QUEUED
+        self.cancelled = False
+        self.ended_ms = 0
+        self.opened = 0
+        self.runs: dict[int, list[list[Task]]] = {}
+
+
+class Book:
+    """All jobs that a node knows.
+
+    Attributes:
+        jobs: Job by id.
+        early_cancels: Ids cancelled before the job itself was read.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.early_cancels: set[str] = set()
+
+
+def add_job(book: Book, submission: work.Submission) -> Job | None:
+    """Adds a job; the first submission of an id counts.
+
+    Returns:
+        The job, None where its id was known.
+    """
+    if submission.job in book.jobs:
+        return None
+    job = book.jobs[submission.job] = Job(submission)
+    if submission.job in book.early_cancels:
+        book.early_cancels.discard(submission.job)
+        cancel_job(job)
+    return job
+
+
+def cancel_job(job: Job) -> None:
+    """Notes that a job's cancelling is recorded."""
+    if job.state in ENDED:
+        return
+    job.cancelled = True
+    job.shown = State.CANCELLED
+
+
+def open_run(job: Job) -> int:
+    """Opens the job's next time; returns its number."""
+    number = job.opened
+    job.opened += 1
+    job.runs[number] = [
+        [Task() for _ in range(step.tasks)] for step in job.submission.steps
+    ]
+    return number
+
+
+def is_step_done(tasks: list[Task]) -> bool:
+    """Tells whether all tasks of a step are done."""
+    return all(task.phase is Phase.DONE for task in tasks)
+
+
+def is_ready(job: Job, run: list[list[Task]], step: int) -> bool:
+    """Tells whether all steps that a step waits for are done."""
+    return all(
+        is_step_done(run[before]) for before in job.submission.steps[step].after
+    )
+
+
+def count_pending(book: Book, queue: str) -> int:
+    """Counts a queue's accepted jobs of which no task was started."""
+    return sum(
+        job.shown is State.QUEUED and job.submission.queue.name == queue
+        for job in book.jobs.values()
+    )
+
+
+def list_placed(job: Job) -> list[tuple[work.TaskName, Task]]:
+    """Lists a job's tasks that a worker holds or may hold."""
+    return [
+        (work.TaskName(job.submission.job, number, step, index), task)
+        for number, run in job.runs.items()
+        for step, tasks in enumerate(run)
+        for index, task in enumerate(tasks)
+        if task.phase in (Phase.PLACED, Phase.STOPPING)
+    ]
+
+
+def find_task(book: Book, name: work.TaskName) -> Task | None:
+    """Returns the task of a name, None where it is not (or no more) known."""
+    job = book.jobs.get(name.job)
+    run = job.runs.get(name.time) if job else None
+    if run is None or not 0 <= name.step < len(run):
+        return None
+    tasks = run[name.step]
+    return tasks[name.index] if 0 <= name.index < len(tasks) else None
--- /dev/null
+++ b/poplarspindle/fleet/effects.py
@@ -0,0 +1,57 @@
+"""What the owner's reducer wants done, as data."""
+
+import dataclasses
+
+from poplarspindle.fleet import orders, records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Append:
+    """Append records in one call; then raise Appended with the number."""
+
+    number: int
+    found: tuple[records.Record, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """Send an order to a worker."""
+
+    worker: str
+    order: orders.Start | orders.Stop | orders.Pace
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acknowledge:
+    """Ends of a worker up to a number are recorded."""
+
+    worker: str
+    born_ms: int
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """One line for the log, and a counter.
+
+    Attributes:
+        part: Which part decided.
+        event: What was decided.
+        job: The job it touches, empty for none.
+        fields: What decided it.
+    """
+
+    part: str
+    event: str
+    job: str = ""
+    fields: tuple[tuple[str, object], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drop:
+    """Drop all records of jobs that ended long ago."""
+
+    jobs: tuple[str, ...]
+
+
+Effect = Append | Drop | Order | Acknowledge | Note
--- /dev/null
+++ b/poplarspindle/fleet/events.py
@@ -0,0 +1,123 @@
+"""Events that the owner's reducer takes.
+
+`at` is the node's monotonic clock in seconds, `wall_ms` its Unix time in
+milliseconds. Decisions read no clock: all time arrives here.
+"""
+
+import dataclasses
+
+from poplarspindle.fleet import orders, work
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claimed:
+    """This node owns the fleet; its book holds all up to the claim."""
+
+    at: float
+    wall_ms: int
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRead:
+    """A job was read from the log and added to the book."""
+
+    at: float
+    job: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelRead:
+    """A cancelling was read from the log and noted in the book."""
+
+    at: float
+    wall_ms: int
+    job: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkersListed:
+    """The list of workers was read.
+
+    Attributes:
+        workers: All that are listed.
+    """
+
+    at: float
+    workers: tuple[work.Worker, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configured:
+    """The configuration or the data centres out of service changed."""
+
+    at: float
+    configuration: work.Configuration
+    out: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reported:
+    """A worker answered a hold.
+
+    Attributes:
+        sent_at: When it was asked.
+        until_ms: End of leases that was asked for, 0 for none.
+    """
+
+    at: float
+    wall_ms: int
+    worker: str
+    sent_at: float
+    until_ms: int
+    report: work.Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """A hold that renews leases is about to be sent."""
+
+    at: float
+    worker: str
+    until_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ordered:
+    """An order was answered, or not."""
+
+    at: float
+    worker: str
+    sent_at: float
+    order: orders.Start | orders.Stop | orders.Pace
+    answer: orders.Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Appended:
+    """All records of one Append effect are in the log."""
+
+    at: float
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time passed."""
+
+    at: float
+    wall_ms: int
+
+
+Event = (
+    Claimed
+    | JobRead
+    | CancelRead
+    | WorkersListed
+    | Configured
+    | Reported
+    | Granted
+    | Ordered
+    | Appended
+    | Ticked
+)
--- /dev/null
+++ b/poplarspindle/fleet/fleet.py
@@ -0,0 +1,236 @@
+"""State of the fleet's owner, and the small steps that change it."""
+
+from poplarspindle.fleet import book, effects, orders, records, views, work
+
+LEASE_MS = 4000  # Outlasts a takeover; a dark worker's tasks wait for it.
+TAKEOVER_GRANT_S = 4.0  # An owner cut from the store grants no longer.
+
+
+class Fleet:
+    """What the owner decides by.
+
+    Attributes:
+        epoch: Number of the ownership.
+        book: All jobs.
+        configuration: The operators' configuration, None before it is read.
+        out: Data centres that get no more work.
+        hands: Workers by name.
+        ready: Indexes of queued tasks by job, time and step.
+        open_jobs: Ids of jobs that have not ended.
+        dirty: Ids of jobs whose progress is to be recorded.
+        waiting: Effects that follow the next append.
+        fresh_runs: Runs that the next append records.
+        number: Number of the last append.
+        sent: What follows an append in flight, by its number.
+        at: Present time, own clock.
+        wall_ms: Present time, Unix milliseconds.
+        lease_most_ms: Longest lease that a worker grants.
+        early_ms: How much before its time a task may start.
+        keep_ended_s: Time for which an ended job's state is kept.
+        drops: Ids of ended jobs in the order in which they ended.
+    """
+
+    def __init__(
+        self,
+        known: book.Book,
+        lease_most_ms: int = 6000,
+        early_ms: int = 250,
+        keep_ended_s: float = 120.0,
+    ) -> None:
+        self.epoch = 0
+        self.book = known
+        self.configuration: work.Configuration | None = None
+        self.out: frozenset[str] = frozenset()
+        self.hands: dict[str, views.Hand] = {}
+        self.ready: dict[tuple[str, int, int], set[int]] = {}
+        self.open_jobs: dict[str, None] = {}
+        self.dirty: dict[str, None] = {}
+        self.waiting: list[effects.Effect] = []
+        self.fresh_runs: list[views.Run] = []
+        self.number = 0
+        self.sent: dict[int, tuple] = {}
+        self.at = 0.0
+        self.wall_ms = 0
+        self.lease_most_ms = lease_most_ms
+        self.early_ms = early_ms
+        self.keep_ended_s = keep_ended_s
+        self.drops: dict[str, None] = {}
+
+    @property
+    def queues(self) -> dict[str, work.Queue]:
+        """Queues of the newest configuration."""
+        return self.configuration.queues if self.configuration else {}
+
+
+def note(part: str, event: str, job: str = "", **fields) -> effects.Note:
+    """Makes a note for the log."""
+    return effects.Note(part, event, job, tuple(fields.items()))
+
+
+def format_task(name: work.TaskName) -> str:
+    """Formats the part of a task's name behind its job, for the log."""
+    return f"{name.time}.{name.step}.{name.index}"
+
+
+def find_queue(own: Fleet, job: book.Job) -> work.Queue:
+    """Returns a job's queue as configured now, or as it was at hand-in."""
+    known = job.submission.queue
+    return own.queues.get(known.name, known)
+
+
+def queue_step(own: Fleet, job: book.Job, number: int, step: int) -> None:
+    """Makes a step's queued tasks ready if nothing is left to wait for."""
+    run = job.runs[number]
+    if not book.is_ready(job, run, step):
+        return
+    found = {
+        index
+        for index, task in enumerate(run[step])
+        if task.phase is book.Phase.QUEUED
+    }
+    if found:
+        own.ready[job.submission.job, number, step] = found
+
+
+def queue_run(own: Fleet, job: book.Job, number: int) -> None:
+    """Makes all ready steps of one time of a job known as such."""
+    for step in range(len(job.submission.steps)):
+        queue_step(own, job, number, step)
+
+
+def open_due(own: Fleet, job: book.Job) -> None:
+    """Opens the times of a job that are due."""
+    submission = job.submission
+    while job.opened < max(1, submission.times):
+        due_ms = submission.first_ms + job.opened * submission.every_ms
+        if submission.times and own.wall_ms < due_ms:
+            return
+        number = book.open_run(job)
+        own.dirty[submission.job] = None
+        queue_run(own, job, number)
+
+
+def requeue(own: Fleet, run: views.Run) -> None:
+    """Queues a run's task again, unless its job has ended."""
+    task = run.task
+    if task.attempt != run.attempt or task.phase is book.Phase.DONE:
+        return
+    task.phase = book.Phase.QUEUED
+    task.worker = ""
+    if run.job.state in book.ENDED:
+        return
+    own.dirty[run.name.job] = None
+    key = (run.name.job, run.name.time, run.name.step)
+    own.ready.setdefault(key, set()).add(run.name.index)
+
+
+def drop_run(own: Fleet, hand: views.Hand, run: views.Run, why: str) -> list:
+    """Gives up a run that surely does not run, and queues its task again."""
+    views.remove_run(hand, run)
+    requeue(own, run)
+    return [
+        note(
+            "runs",
+            "given-up",
+            run.name.job,
+            task=format_task(run.name),
+            attempt=run.attempt,
+            worker=hand.worker.name,
+            why=why,
+        )
+    ]
+
+
+def stop_run(own: Fleet, hand: views.Hand, run: views.Run) -> list:
+    """Has a run stopped; one whose start was never sent just ends."""
+    if not run.asked:
+        views.remove_run(hand, run)
+        requeue(own, run)
+        return []
+    run.stopping = True
+    if run.stop_asked or own.at < run.stop_after:
+        return []
+    run.stop_asked = True
+    order = orders.Stop(run.name, run.attempt, own.epoch)
+    return [effects.Order(hand.worker.name, order)]
+
+
+def end_job(own: Fleet, job: book.Job, state: book.State) -> list:
+    """Ends a job; what still runs of it is stopped."""
+    name = job.submission.job
+    job.state = state
+    job.ended_ms = own.wall_ms
+    own.dirty[name] = None
+    own.open_jobs.pop(name, None)
+    own.drops[name] = None
+    for key in [key for key in own.ready if key[0] == name]:
+        del own.ready[key]
+    found = [note("jobs", "ended", name, state=state.value)]
+    for hand in own.hands.values():
+        for run in [r for r in hand.runs.values() if r.name.job == name]:
+            found += stop_run(own, hand, run)
+    job.runs = {}
+    return found
+
+
+def send_start(own: Fleet, hand: views.Hand, run: views.Run) -> list:
+    """Orders a worker to start a run."""
+    run.asked = True
+    run.answered_at = float("inf")
+    clock_ms = views.tell_clock(hand, own.at)
+    until_ms = clock_ms + min(LEASE_MS, own.lease_most_ms)
+    views.note_grant(hand, until_ms)
+    order = orders.Start(
+        run.name,
+        run.attempt,
+        own.epoch,
+        run.job.submission.spec,
+        until_ms,
+        run.task.saved,
+    )
+    return [effects.Order(hand.worker.name, order)]
+
+
+def flush(own: Fleet) -> list:
+    """Makes one append of all that changed, unless one is in flight."""
+    if own.sent or not (own.dirty or own.waiting):
+        return []
+    found = [
+        records.encode_progress(own.book.jobs[name])
+        for name in own.dirty
+        if name in own.book.jobs
+    ]
+    shown = [
+        (job, job.state)
+        for name in own.dirty
+        if (job := own.book.jobs.get(name)) is not None
+    ]
+    own.dirty.clear()
+    follow, own.waiting = own.waiting, []
+    runs, own.fresh_runs = own.fresh_runs, []
+    if not found:
+        return follow
+    own.number += 1
+    own.sent[own.number] = (shown, runs, follow)
+    return [effects.Append(own.number, tuple(found))]
+
+
+def take_appended(own: Fleet, number: int) -> list:
+    """Does what waited for an append: starts, acknowledgements."""
+    if number not in own.sent:
+        return []
+    shown, runs, follow = own.sent.pop(number)
+    for job, state in shown:
+        if state in book.ENDED or not job.cancelled:
+            job.shown = state
+    found = list(follow)
+    for run in runs:
+        hand = own.hands.get(run.task.worker)
+        if hand is None or run.key not in hand.runs:
+            continue
+        run.recorded = True
+        if run.job.state in book.ENDED or run.stopping:
+            found += stop_run(own, hand, run)
+        else:
+            found += send_start(own, hand, run)
+    return found
--- /dev/null
+++ b/poplarspindle/fleet/owner.py
@@ -0,0 +1,309 @@
+"""The owner's reducer: events in, effects out.
+
+State is owned by one thread and changed in place; the same events in the
+same order give the same effects.
+"""
+
+from poplarspindle import resources
+from poplarspindle.fleet import (
+    book,
+    effects,
+    events,
+    fleet,
+    placing,
+    reports,
+    views,
+    work,
+)
+
+RETRY_S = 0.05
+DRAIN_MARGIN_MS = 900
+
+
+def reduce(own: fleet.Fleet, event: events.Event) -> list[effects.Effect]:
+    """Reduces one event; `settle` has to follow the last one of a batch."""
+    own.at = event.at
+    if hasattr(event, "wall_ms"):
+        own.wall_ms = event.wall_ms
+    return _HANDLERS[type(event)](own, event)
+
+
+def settle(own: fleet.Fleet) -> list[effects.Effect]:
+    """Places what is ready and records what changed."""
+    return place_ready(own) + fleet.flush(own)
+
+
+def _claim(own: fleet.Fleet, event: events.Claimed) -> list:
+    """Takes the fleet over: what was placed is held, the rest is ready."""
+    own.epoch = event.epoch
+    unsure_at = event.at + fleet.TAKEOVER_GRANT_S
+    unsure_at += own.lease_most_ms / 1000 * views.CLOCK_DRIFT
+    for name, job in own.book.jobs.items():
+        if job.state in book.ENDED:
+            own.drops[name] = None
+            continue
+        own.open_jobs[name] = None
+        for number in job.runs:
+            fleet.queue_run(own, job, number)
+        for task_name, task in book.list_placed(job):
+            hand = own.hands.setdefault(
+                task.worker, views.Hand(_describe_unknown(task.worker))
+            )
+            hand.listed = False
+            hand.born_ms = task.born_ms
+            run = views.Run(task_name, job, task, event.at, True)
+            run.asked = True
+            views.add_run(hand, run)
+            hand.lapse_at = unsure_at
+    found = [
+        fleet.note(
+            "ownership",
+            "took-over",
+            epoch=event.epoch,
+            jobs=len(own.book.jobs),
+            open_jobs=len(own.open_jobs),
+        )
+    ]
+    for name in list(own.open_jobs):
+        job = own.book.jobs[name]
+        if job.cancelled:
+            found += fleet.end_job(own, job, book.State.CANCELLED)
+        else:
+            fleet.open_due(own, job)
+    return found
+
+
+def _describe_unknown(name: str) -> work.Worker:
+    """Describes a worker that only the log knows of."""
+    return work.Worker(name, "", "", "", resources.NOTHING)
+
+
+def _read_job(own: fleet.Fleet, event: events.JobRead) -> list:
+    job = own.book.jobs.get(event.job)
+    if job is None or job.state in book.ENDED or event.job in own.open_jobs:
+        return []
+    if job.cancelled:
+        return fleet.end_job(own, job, book.State.CANCELLED)
+    own.open_jobs[event.job] = None
+    fleet.open_due(own, job)
+    return []
+
+
+def _read_cancel(own: fleet.Fleet, event: events.CancelRead) -> list:
+    job = own.book.jobs.get(event.job)
+    if job is None or job.state in book.ENDED:
+        return []
+    return fleet.end_job(own, job, book.State.CANCELLED)
+
+
+def _list_workers(own: fleet.Fleet, event: events.WorkersListed) -> list:
+    found = []
+    listed = {worker.name: worker for worker in event.workers}
+    for name, worker in listed.items():
+        hand = own.hands.get(name)
+        if hand is None:
+            hand = own.hands[name] = views.Hand(worker)
+            found.append(_note_worker("listed", worker))
+        elif not hand.listed:
+            found.append(_note_worker("listed-again", worker))
+        elif hand.worker.presence is not worker.presence:
+            found.append(_note_worker("presence", worker))
+        hand.listed = True
+        hand.worker = worker
+        if worker.presence is work.Presence.LEAVING:
+            leaves_at = event.at + worker.leaves_ms / 1000
+            hand.leaves_at = min(hand.leaves_at, leaves_at)
+        else:
+            hand.leaves_at = float("inf")
+    for name, hand in list(own.hands.items()):
+        if name in listed:
+            continue
+        if hand.listed:
+            hand.listed = False
+            found.append(_note_worker("unlisted", hand.worker))
+        if not hand.runs:
+            del own.hands[name]
+    return found
+
+
+def _note_worker(event: str, worker: work.Worker) -> effects.Note:
+    return fleet.note(
+        "workers",
+        event,
+        worker=worker.name,
+        presence=worker.presence.value,
+        leaves_ms=worker.leaves_ms,
+        born_ms=worker.born_ms,
+    )
+
+
+def _configure(own: fleet.Fleet, event: events.Configured) -> list:
+    own.configuration = event.configuration
+    own.out = event.out
+    return [
+        fleet.note(
+            "configuration",
+            "in-force",
+            version=event.configuration.version,
+            out=sorted(event.out),
+        )
+    ]
+
+
+def _grant(own: fleet.Fleet, event: events.Granted) -> list:
+    hand = own.hands.get(event.worker)
+    if hand is not None and hand.clock_ms:
+        views.note_grant(hand, event.until_ms)
+    return []
+
+
+def _append(own: fleet.Fleet, event: events.Appended) -> list:
+    return fleet.take_appended(own, event.number)
+
+
+def _tick(own: fleet.Fleet, event: events.Ticked) -> list:
+    found = []
+    for name in list(own.open_jobs):
+        job = own.book.jobs[name]
+        if job.submission.times:
+            fleet.open_due(own, job)
+    for hand in list(own.hands.values()):
+        if hand.runs:
+            found += _tick_hand(own, hand)
+    return found + _drop_old(own)
+
+
+def _tick_hand(own: fleet.Fleet, hand: views.Hand) -> list:
+    found = []
+    if own.at >= hand.lapse_at and own.at - hand.heard_at > 1.0:
+        hand.heard_at = float("-inf")
+        for run in list(hand.runs.values()):
+            found += fleet.drop_run(own, hand, run, "lease-lapsed")
+        return found
+    left_ms = (hand.leaves_at - own.at) * 1000
+    leaving = left_ms < DRAIN_MARGIN_MS + 900
+    for run in list(hand.runs.values()):
+        lasting_leaves = run.step.lasting and hand.leaves_at < float("inf")
+        if run.stopping or leaving or lasting_leaves:
+            found += fleet.stop_run(own, hand, run)
+    return found
+
+
+def _drop_old(own: fleet.Fleet) -> list:
+    """Drops the records of jobs that ended long ago, oldest first."""
+    found: list = []
+    for name in own.drops:
+        job = own.book.jobs.get(name)
+        if job is None:
+            found.append(name)
+            continue
+        age_s = (own.wall_ms - job.ended_ms) / 1000
+        if age_s < 2 * own.keep_ended_s or name in own.dirty:
+            break
+        found.append(name)
+    for name in found:
+        del own.drops[name]
+        own.book.jobs.pop(name, None)
+    if not found:
+        return []
+    return [effects.Drop(tuple(found))]
+
+
+def place_ready(own: fleet.Fleet) -> list:
+    """Places ready tasks, the most urgent step first."""
+    if own.configuration is None or not own.ready:
+        return []
+    keys = sorted(
+        own.ready,
+        key=lambda key: (
+            *placing.rank_job(own.book.jobs[key[0]], key[1], own.queues),
+            key,
+        ),
+    )
+    open_hands: dict[str, list[views.Hand]] = {}
+    found = []
+    full: set[tuple] = set()
+    for key in keys:
+        job = own.book.jobs[key[0]]
+        step = job.submission.steps[key[2]]
+        service = fleet.find_queue(own, job).service
+        if service not in open_hands:
+            open_hands[service] = [
+                hand
+                for hand in own.hands.values()
+                if placing.is_open(hand, service, own.out, own.at)
+            ]
+        shape = (service, step.need, step.fills, step.label)
+        if shape in full:
+            continue
+        found += _place_step(own, open_hands[service], job, step, key)
+        if key in own.ready and not step.most_per_worker and not step.gang:
+            full.add(shape)
+    return found
+
+
+def _place_step(own, hands, job, step, key) -> list:
+    tasks = job.runs[key[1]][key[2]]
+    indexes = sorted(own.ready[key])
+    if step.gang and len(indexes) < len(tasks):
+        return []
+    placed: list[tuple[views.Hand, views.Run]] = []
+    attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
+    rack = ""
+    for index in indexes:
+        task = tasks[index]
+        hand = placing.choose_worker(hands, step, key, rack)
+        if hand is None:
+            break
+        task.phase = book.Phase.PLACED
+        task.attempt = attempt or task.attempt + 1
+        task.worker = hand.worker.name
+        task.born_ms = hand.born_ms
+        name = work.TaskName(key[0], key[1], key[2], index)
+        run = views.Run(name, job, task, own.at, False)
+        views.add_run(hand, run)
+        placed.append((hand, run))
+        rack = hand.worker.rack if step.one_rack else ""
+    if step.gang and len(placed) < len(tasks):
+        for hand, run in placed:
+            views.remove_run(hand, run)
+            run.task.phase = book.Phase.QUEUED
+            run.task.worker = ""
+        return []
+    if not placed:
+        return []
+    own.ready[key] -= {run.name.index for _, run in placed}
+    if not own.ready[key]:
+        del own.ready[key]
+    if job.state is book.State.QUEUED:
+        job.state = book.State.ACTIVE
+    own.dirty[key[0]] = None
+    own.fresh_runs += [run for _, run in placed]
+    return [
+        fleet.note(
+            "placing",
+            "placed",
+            key[0],
+            time=key[1],
+            step=key[2],
+            tasks=[
+                (run.name.index, run.attempt, hand.worker.name)
+                for hand, run in placed
+            ],
+            left=len(own.ready.get(key, ())),
+        )
+    ]
+
+
+_HANDLERS = {
+    events.Claimed: _claim,
+    events.JobRead: _read_job,
+    events.CancelRead: _read_cancel,
+    events.WorkersListed: _list_workers,
+    events.Configured: _configure,
+    events.Reported: reports.take_report,
+    events.Granted: _grant,
+    events.Ordered: reports.take_answer,
+    events.Appended: _append,
+    events.Ticked: _tick,
+}
--- /dev/null
+++ b/poplarspindle/fleet/placing.py
@@ -0,0 +1,110 @@
+"""Which worker a task goes to, and which task goes first. Pure functions."""
+
+from collections.abc import Iterable, Mapping
+
+from poplarspindle.fleet import book, views, work
+
+FILL_SHARE_LEAST = 0.75
+SERVING_USE = 0.75
+REMOTE_COST = 0.5
+HURT_COST = 0.4
+
+
+def is_open(
+    hand: views.Hand, service: str, out: frozenset[str], at: float
+) -> bool:
+    """Tells whether tasks may be placed on a worker at all."""
+    return (
+        hand.listed
+        and hand.heard
+        and hand.worker.service == service
+        and hand.worker.presence is work.Presence.READY
+        and hand.worker.data_centre not in out
+        and at >= hand.full_until
+    )
+
+
+def fits(hand: views.Hand, step: work.Step, key: tuple) -> bool:
+    """Tells whether one more task of a step fits on a worker."""
+    if step.label and step.label not in hand.worker.labels:
+        return False
+    if step.most_per_worker and hand.by_step[key] >= step.most_per_worker:
+        return False
+    return views.get_reserved(step).fits_in(views.get_room(hand))
+
+
+def count_left(hand: views.Hand) -> float:
+    """Returns the processors that fills may still use, in thousandths."""
+    used = hand.held.millicores + hand.strangers.millicores
+    serving = sum(
+        run.step.need.millicores
+        for run in hand.runs.values()
+        if run.step.lasting
+    )
+    used -= (1 - SERVING_USE) * serving
+    return hand.worker.capacity.millicores - used - hand.filling
+
+
+def rank_worker(hand: views.Hand, step: work.Step, rack: str) -> float:
+    """Prices a worker for one task of a step; the least goes first.
+
+    Load pattern: steps of many tasks arrive at once. Spreading them by what
+    is left of each worker's processors keeps every task at full speed and
+    loses least when a worker dies.
+    """
+    capacity = max(1, hand.worker.capacity.millicores)
+    price = -count_left(hand) / capacity
+    wanted = step.rack or rack
+    if wanted and hand.worker.rack != wanted:
+        price += REMOTE_COST
+    if step.fills:
+        price += HURT_COST * (100 - hand.pace) / 100
+    return price
+
+
+def has_processors(hand: views.Hand, step: work.Step) -> bool:
+    """Tells whether a fill would work at a fair share of its speed."""
+    if not step.fills:
+        return True
+    wanted = FILL_SHARE_LEAST * step.need.millicores
+    return hand.pace >= 50 and count_left(hand) >= wanted
+
+
+def choose_worker(
+    hands: Iterable[views.Hand], step: work.Step, key: tuple, rack: str
+) -> views.Hand | None:
+    """Chooses the worker for one task of a step, None where none has room."""
+    fitting = [
+        hand
+        for hand in hands
+        if fits(hand, step, key) and has_processors(hand, step)
+    ]
+    return min(
+        fitting,
+        key=lambda h: (rank_worker(h, step, rack), h.worker.name),
+        default=None,
+    )
+
+
+def find_chain_ms(
+    submission: work.Submission, run: list[list[book.Task]]
+) -> float:
+    """Returns the longest chain of work still to do, milliseconds."""
+    longest: list[float] = []
+    for step, tasks in zip(submission.steps, run, strict=True):
+        before = max((longest[index] for index in step.after), default=0.0)
+        own = 0 if book.is_step_done(tasks) else step.estimate_ms
+        longest.append(before + own)
+    return max(longest, default=0.0)
+
+
+def rank_job(
+    job: book.Job, run_number: int, queues: Mapping[str, work.Queue]
+) -> tuple:
+    """Orders ready work: priority, then who was handed in first."""
+    submission = job.submission
+    queue = queues.get(submission.queue.name, submission.queue)
+    due_ms = submission.accepted_ms
+    if submission.times:
+        due_ms = submission.first_ms + run_number * submission.every_ms
+    return queue.priority, due_ms
--- /dev/null
+++ b/poplarspindle/fleet/reports.py
@@ -0,0 +1,285 @@
+"""What workers report and answer, taken in by the owner."""
+
+from poplarspindle import resources
+from poplarspindle.fleet import (
+    book,
+    effects,
+    events,
+    fleet,
+    orders,
+    pacing,
+    views,
+    work,
+)
+
+FULL_S = 0.3  # Room that others take is seen with the next report.
+BUSY_S = 1.0
+SILENCES_MOST = 3
+BAD_ENDS_MOST = 3
+BAD_WORKER_S = 4.0
+
+
+def take_report(own: fleet.Fleet, event: events.Reported) -> list:
+    """Reduces a worker's report."""
+    hand = own.hands.get(event.worker)
+    if hand is None:
+        return []
+    report = event.report
+    found = []
+    views.note_clock(hand, report.clock_ms, event.at)
+    first = not hand.heard
+    if report.born_ms != hand.born_ms:
+        found += _begin_life(own, hand, report.born_ms)
+    hand.heard_at = event.at
+    if event.until_ms:
+        views.note_grant(hand, event.until_ms)
+    found += _take_ends(own, hand, report)
+    found += _take_running(own, hand, event, first)
+    return found + pacing.review(own, hand)
+
+
+def _begin_life(own: fleet.Fleet, hand: views.Hand, born_ms: int) -> list:
+    """Forgets all of a worker's earlier life."""
+    found = []
+    earlier = [run for run in hand.runs.values() if run.task.born_ms != born_ms]
+    for run in earlier:
+        found += fleet.drop_run(own, hand, run, "worker-born-again")
+    hand.born_ms = born_ms
+    hand.noted = hand.recorded = 0
+    hand.until_ms = 0
+    hand.lapse_at = float("-inf")
+    return found
+
+
+def _take_ends(own: fleet.Fleet, hand: views.Hand, report: work.Report) -> list:
+    found = []
+    news = [end for end in report.ended if end.number > hand.noted]
+    for end in sorted(news, key=lambda end: end.number):
+        hand.noted = end.number
+        run = hand.runs.get((end.task, end.attempt))
+        if run is not None:
+            found += end_run(own, hand, run, end.how, end.saved)
+    if hand.noted > hand.recorded:
+        hand.recorded = hand.noted
+        own.waiting.append(
+            effects.Acknowledge(hand.worker.name, hand.born_ms, hand.noted)
+        )
+    return found
+
+
+def end_run(
+    own: fleet.Fleet,
+    hand: views.Hand,
+    run: views.Run,
+    how: work.How,
+    saved: str,
+) -> list:
+    """Takes the end of a run in."""
+    views.remove_run(hand, run)
+    found = [
+        fleet.note(
+            "runs",
+            "ended",
+            run.name.job,
+            task=fleet.format_task(run.name),
+            attempt=run.attempt,
+            worker=hand.worker.name,
+            how=how.value,
+            took_ms=int((own.at - run.placed_at) * 1000),
+        )
+    ]
+    _judge_worker(own, hand, run, how)
+    task = run.task
+    if task.attempt != run.attempt or run.job.state in book.ENDED:
+        return found
+    own.dirty[run.name.job] = None
+    if saved:
+        _save(run, saved)
+    if how is work.How.DONE and not run.step.lasting:
+        return found + _finish_task(own, run)
+    if how is work.How.FAILED and not run.step.lasting:
+        task.failures += 1
+        if _count_failures(run) >= fleet.find_queue(own, run.job).attempts:
+            return found + fleet.end_job(own, run.job, book.State.FAILED)
+    fleet.requeue(own, run)
+    return found
+
+
+def _judge_worker(own, hand, run, how) -> None:
+    """Leaves a worker alone for a while that fails task after task."""
+    if how is work.How.DONE:
+        hand.bad_ends = 0
+    elif how is work.How.FAILED:
+        hand.bad_ends += 1
+        if hand.bad_ends >= BAD_ENDS_MOST:
+            hand.full_until = own.at + BAD_WORKER_S
+
+
+def _save(run: views.Run, saved: str) -> None:
+    """Keeps a checkpoint; any member's is valid for its whole gang."""
+    members = [run.task]
+    if run.step.gang:
+        members = run.job.runs[run.name.time][run.name.step]
+    for task in members:
+        task.saved = saved
+
+
+def _count_failures(run: views.Run) -> int:
+    if not run.step.gang:
+        return run.task.failures
+    members = run.job.runs[run.name.time][run.name.step]
+    return sum(task.failures for task in members)
+
+
+def _finish_task(own: fleet.Fleet, run: views.Run) -> list:
+    job, number, step = run.job, run.name.time, run.name.step
+    tasks = job.runs[number][step]
+    run.task.phase = book.Phase.DONE
+    if run.step.gang:
+        for task in tasks:
+            task.phase = book.Phase.DONE
+    if not book.is_step_done(tasks):
+        return []
+    if all(map(book.is_step_done, job.runs[number])):
+        del job.runs[number]
+    else:
+        for later, spec in enumerate(job.submission.steps):
+            if step in spec.after:
+                fleet.queue_step(own, job, number, later)
+    if not job.runs and job.opened >= max(1, job.submission.times):
+        return fleet.end_job(own, job, book.State.COMPLETED)
+    return []
+
+
+def _take_running(own, hand, event, first: bool) -> list:
+    """Compares what a worker lists with what was placed on it."""
+    found = []
+    listed = {(row.task, row.attempt): row for row in event.report.running}
+    hand.strangers = resources.NOTHING
+    for key, row in listed.items():
+        run = hand.runs.get(key)
+        if run is None:
+            found += _stop_stranger(own, hand, row)
+            continue
+        run.confirmed = True
+        run.usage = row.usage
+        run.percent = row.percent
+        run.first_seen_at = min(run.first_seen_at, event.at)
+        if row.saved and row.saved != run.task.saved and not run.step.gang:
+            run.task.saved = row.saved
+    for run in [r for key, r in hand.runs.items() if key not in listed]:
+        if first and run.recorded and not run.stopping:
+            found += fleet.send_start(own, hand, run)
+        elif event.sent_at > run.answered_at:
+            found += fleet.drop_run(own, hand, run, "not-listed")
+    return found
+
+
+def _stop_stranger(own: fleet.Fleet, hand: views.Hand, row) -> list:
+    """Has a run stopped that nobody wants any more."""
+    job = own.book.jobs.get(row.task.job)
+    if job is not None and row.task.step < len(job.submission.steps):
+        step = job.submission.steps[row.task.step]
+        hand.strangers = hand.strangers + views.get_reserved(step)
+    order = orders.Stop(row.task, row.attempt, own.epoch)
+    return [
+        effects.Order(hand.worker.name, order),
+        fleet.note(
+            "runs",
+            "stop-stranger",
+            row.task.job,
+            task=fleet.format_task(row.task),
+            attempt=row.attempt,
+            worker=hand.worker.name,
+        ),
+    ]
+
+
+def take_answer(own: fleet.Fleet, event: events.Ordered) -> list:
+    """Reduces a worker's answer to an order."""
+    hand = own.hands.get(event.worker)
+    if hand is None:
+        return []
+    if event.answer.clock_ms:
+        views.note_clock(hand, event.answer.clock_ms, event.at)
+    run = hand.runs.get((event.order.task, event.order.attempt))
+    if run is None or isinstance(event.order, orders.Pace):
+        return []
+    if isinstance(event.order, orders.Stop):
+        return _take_stop(own, hand, run, event)
+    return _take_start(own, hand, run, event)
+
+
+def _take_stop(own, hand, run, event) -> list:
+    run.stop_asked = False
+    if event.answer.refusal is None:
+        run.answered_at = min(run.answered_at, event.at)
+        run.stop_after = own.at + 1.0
+    return []
+
+
+def _take_start(own, hand, run, event) -> list:
+    refusal = event.answer.refusal
+    found = []
+    if refusal is None:
+        run.confirmed = True
+        run.answered_at = event.at
+        if run.step.fills and hand.pace < 100:
+            found.append(pacing.order_pace(own, hand, run))
+    elif refusal is orders.Refusal.ENDED:
+        run.answered_at = event.at
+    else:
+        found += _refuse_start(own, hand, run, refusal)
+    return found
+
+
+def _refuse_start(own, hand, run, refusal) -> list:
+    """Tries a start again, here or elsewhere, as far as that is safe."""
+    found = [
+        fleet.note(
+            "runs",
+            "start-refused",
+            run.name.job,
+            task=fleet.format_task(run.name),
+            attempt=run.attempt,
+            worker=hand.worker.name,
+            why=refusal.value,
+            silences=run.silences,
+        )
+    ]
+    if refusal is orders.Refusal.FENCED:
+        return found
+    if refusal is orders.Refusal.SILENT:
+        run.silences += 1
+    if refusal is orders.Refusal.ROOM:
+        hand.full_until = own.at + FULL_S
+    elif refusal not in (orders.Refusal.LATE, orders.Refusal.SILENT):
+        hand.full_until = own.at + BUSY_S
+    if run.stopping:
+        return found + fleet.stop_run(own, hand, run)
+    surely_absent = run.silences == 0 and not run.confirmed
+    again = refusal in (orders.Refusal.LATE, orders.Refusal.SILENT)
+    if again and run.silences < SILENCES_MOST:
+        return found + fleet.send_start(own, hand, run)
+    if surely_absent and not again:
+        found += _give_back(own, hand, run, refusal)
+        return found
+    return found + fleet.stop_run(own, hand, run)
+
+
+def _give_back(own, hand, run, refusal) -> list:
+    """Queues a task again whose start was surely not carried out."""
+    found = fleet.drop_run(own, hand, run, refusal.value)
+    if not run.step.gang:
+        return found
+    members = run.job.runs.get(run.name.time, [])
+    if not members:
+        return found
+    for task in members[run.name.step]:
+        other = own.hands.get(task.worker)
+        if other is None or task.phase is not book.Phase.PLACED:
+            continue
+        for held in list(other.runs.values()):
+            if held.task is task:
+                found += fleet.stop_run(own, other, held)
+    return found
--- /dev/null
+++ b/poplarspindle/fleet/views.py
@@ -0,0 +1,199 @@
+"""What the owner knows of workers and runs besides the log."""
+
+import collections
+
+from poplarspindle import resources
+from poplarspindle.fleet import book, work
+
+CLOCK_DRIFT = 1.02  # Workers' clocks may be 2 % slow.
+LAPSE_SLACK_S = 0.25
+
+
+class Run:
+    """One run of a task, from its placement to its end.
+
+    Attributes:
+        name: The task's name.
+        job: Its job.
+        task: Its state in the book.
+        step: Its step.
+        attempt: Number of the run.
+        placed_at: When it was placed, own clock.
+        recorded: Whether the placement is acknowledged by the log.
+        asked: Whether an order to start it is on its way.
+        answered_at: When the worker last answered a start, own clock.
+        confirmed: Whether the worker is known to have it.
+        silences: Starts of it that got no answer.
+        stopping: Whether it is to end.
+        stop_asked: Whether an order to stop it is on its way.
+        stop_after: Earliest time for the next order to stop it.
+        percent: Share of its speed last asked for.
+        usage: Tail in milliseconds or processors in use; None if unknown.
+        first_seen_at: When it was first listed as running.
+    """
+
+    __slots__ = (
+        "answered_at",
+        "asked",
+        "attempt",
+        "confirmed",
+        "first_seen_at",
+        "job",
+        "name",
+        "percent",
+        "placed_at",
+        "recorded",
+        "retry_at",
+        "silences",
+        "step",
+        "stop_after",
+        "stop_asked",
+        "stopping",
+        "task",
+        "usage",
+    )
+
+    def __init__(
+        self,
+        name: work.TaskName,
+        job: book.Job,
+        task: book.Task,
+        placed_at: float,
+        recorded: bool,
+    ) -> None:
+        self.name = name
+        self.job = job
+        self.task = task
+        self.step = job.submission.steps[name.step]
+        self.attempt = task.attempt
+        self.placed_at = placed_at
+        self.recorded = recorded
+        self.asked = False
+        self.answered_at = float("inf")
+        self.confirmed = False
+        self.silences = 0
+        self.stopping = False
+        self.stop_asked = False
+        self.stop_after = float("-inf")
+        self.retry_at = float("-inf")
+        self.percent = 100
+        self.usage: float | None = None
+        self.first_seen_at = float("inf")
+
+    @property
+    def key(self) -> tuple[work.TaskName, int]:
+        """Identifies the run."""
+        return self.name, self.attempt
+
+
+class Hand:
+    """One worker, as its owner knows it.
+
+    Attributes:
+        worker: Its description; the last one where it is listed no more.
+        listed: Whether it is listed now.
+        born_ms: Life that last reported, 0 for none.
+        heard_at: When it last reported under this epoch, own clock.
+        clock_ms: Its clock at `clock_at`.
+        clock_at: Own clock when `clock_ms` was read, at the latest.
+        until_ms: Latest end of leases given to it, on its clock.
+        lapse_at: When all leases given to it are over, own clock.
+        noted: Number of the last end that was taken in.
+        recorded: Number of the last end that the log has.
+        runs: Runs placed on it.
+        strangers: Room that runs take which are to be stopped.
+        by_step: Runs by job, time and step.
+        held: Room that its runs reserve, processors of fills left out.
+        filling: Processors that its fills ask for, in thousandths.
+        full_until: Time before which nothing is placed on it.
+        bad_ends: Failed ends in a row.
+        pace: Share of their speed that its fills may work at.
+        paced_at: When that last changed.
+        leaves_at: When it leaves at the earliest, infinity if it stays.
+    """
+
+    def __init__(self, worker: work.Worker) -> None:
+        self.worker = worker
+        self.listed = True
+        self.born_ms = 0
+        self.heard_at = float("-inf")
+        self.clock_ms = 0
+        self.clock_at = float("-inf")
+        self.until_ms = 0
+        self.lapse_at = float("-inf")
+        self.noted = 0
+        self.recorded = 0
+        self.runs: dict[tuple[work.TaskName, int], Run] = {}
+        self.strangers = resources.NOTHING
+        self.by_step: collections.Counter = collections.Counter()
+        self.held = resources.NOTHING
+        self.filling = 0
+        self.full_until = float("-inf")
+        self.bad_ends = 0
+        self.pace = 100
+        self.paced_at = float("-inf")
+        self.leaves_at = float("inf")
+
+    @property
+    def heard(self) -> bool:
+        """Tells whether it reported under this epoch and did not go dark."""
+        return self.heard_at > float("-inf")
+
+
+def get_reserved(step: work.Step) -> resources.Resources:
+    """Returns what a run takes of a worker's room."""
+    if not step.fills:
+        return step.need
+    return resources.Resources(0, step.need.memory_mb, step.need.accelerators)
+
+
+def add_run(hand: Hand, run: Run) -> None:
+    """Adds a run to a worker and reserves its room."""
+    hand.runs[run.key] = run
+    hand.held = hand.held + get_reserved(run.step)
+    hand.by_step[_step_key(run)] += 1
+    if run.step.fills:
+        hand.filling += run.step.need.millicores
+
+
+def remove_run(hand: Hand, run: Run) -> None:
+    """Removes a run from a worker and frees its room."""
+    if hand.runs.pop(run.key, None) is None:
+        return
+    hand.held = hand.held - get_reserved(run.step)
+    key = _step_key(run)
+    hand.by_step[key] -= 1
+    if not hand.by_step[key]:
+        del hand.by_step[key]
+    if run.step.fills:
+        hand.filling -= run.step.need.millicores
+
+
+def _step_key(run: Run) -> tuple[str, int, int]:
+    return run.name.job, run.name.time, run.name.step
+
+
+def get_room(hand: Hand) -> resources.Resources:
+    """Returns the room left on a worker."""
+    return hand.worker.capacity - hand.held - hand.strangers
+
+
+def note_clock(hand: Hand, clock_ms: int, at: float) -> None:
+    """Notes a worker's clock, read at `at` at the latest."""
+    if clock_ms > 0:
+        hand.clock_ms, hand.clock_at = clock_ms, at
+
+
+def tell_clock(hand: Hand, at: float) -> int:
+    """Returns a worker's clock as it is at least, 0 if never read."""
+    if hand.clock_at == float("-inf"):
+        return 0
+    return hand.clock_ms + int((at - hand.clock_at) * 1000 / CLOCK_DRIFT)
+
+
+def note_grant(hand: Hand, until_ms: int) -> None:
+    """Notes that leases may last until a time on the worker's clock."""
+    hand.until_ms = max(hand.until_ms, until_ms)
+    left_s = (hand.until_ms - hand.clock_ms) / 1000
+    over_at = hand.clock_at + left_s * CLOCK_DRIFT + LAPSE_SLACK_S
+    hand.lapse_at = max(hand.lapse_at, over_at)
--- /dev/null
+++ b/poplarspindle/node/followers.py
@@ -0,0 +1,110 @@
+"""Follows one keyed topic: all newest records first, then each change."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import structlog
+
+from poplarspindle import outcomes
+from poplarspindle.fleet import records
+from poplarspindle.node import storage
+
+WAIT_MS = 1000  # Also how often a calm topic's tail is confirmed.
+BACKOFF_S = 0.1
+BACKOFF_MOST_S = 0.5
+
+_log = structlog.get_logger(part="follower")
+
+
+class Follower:
+    """Reads a topic on a thread of its own.
+
+    Args:
+        store: The store.
+        topic: The topic.
+        reset: Called with all newest records; they replace what was known.
+        apply: Called with the records of each page read after that.
+        pause_s: Returns the least time between two pages, seconds.
+
+    Attributes:
+        next: Offset to read next, -1 before the newest records were read.
+        fresh_at: When the tail was last reached, monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        store: storage.Store,
+        topic: str,
+        reset: Callable[[tuple[records.Record, ...]], None],
+        apply: Callable[[tuple[records.Record, ...], bool], None],
+        pause_s: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._reset = reset
+        self._apply = apply
+        self._pause_s = pause_s
+        self._reload = threading.Event()
+        self.next = -1
+        self.fresh_at = float("-inf")
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts the reading thread."""
+        self._thread.start()
+
+    def reload(self) -> None:
+        """Has all newest records read again."""
+        self._reload.set()
+
+    def _run(self) -> None:
+        failures = 0
+        while True:
+            if self.next < 0 or self._reload.is_set():
+                self._reload.clear()
+                failure = self._load()
+            else:
+                failure = self._read()
+            if failure is None:
+                if failures:
+                    _log.info("regained", topic=self._topic, failures=failures)
+                failures = 0
+                continue
+            if failure.reason == "expired":
+                _log.warning("expired", topic=self._topic, offset=self.next)
+                self._reload.set()
+                continue
+            if not failures:
+                _log.warning(
+                    "lost",
+                    topic=self._topic,
+                    why=failure.reason,
+                    fresh_ms=int((time.monotonic() - self.fresh_at) * 1000)
+                    if self.next >= 0
+                    else -1,
+                )
+            failures += 1
+            time.sleep(min(BACKOFF_MOST_S, BACKOFF_S * failures))
+
+    def _load(self) -> outcomes.Failed | None:
+        found = storage.load_newest(self._store, self._topic)
+        if isinstance(found, outcomes.Failed):
+            return found
+        self._reset(found.value.found)
+        self.next = found.value.end
+        return None
+
+    def _read(self) -> outcomes.Failed | None:
+        page = self._store.read(self._topic, self.next, WAIT_MS)
+        if isinstance(page, outcomes.Failed):
+            return page
+        self.next = page.value.next
+        at_tail = page.value.next >= page.value.end
+        self._apply(page.value.found, at_tail)
+        if at_tail:
+            self.fresh_at = time.monotonic()
+        pause_s = self._pause_s()
+        if page.value.found and pause_s:
+            time.sleep(pause_s)
+        return None
--- /dev/null
+++ b/poplarspindle/node/lines.py
@@ -0,0 +1,73 @@
+"""Log lines that never block: a bounded queue before standard output."""
+
+import collections
+import sys
+import threading
+
+import structlog
+
+LINES_MOST = 4000
+FLUSH_S = 0.25
+
+
+class BoundedWriter:
+    """A text file that drops lines when its reader is too slow.
+
+    Attributes:
+        dropped: Lines dropped so far.
+    """
+
+    def __init__(self, out=None) -> None:
+        self._out = out or sys.stdout
+        self._lines: collections.deque[str] = collections.deque()
+        self.dropped = 0
+        self._told = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._wake = threading.Event()
+
+    def start(self) -> None:
+        """Starts the writing thread."""
+        self._thread.start()
+
+    def write(self, text: str) -> None:
+        """Queues a line."""
+        if len(self._lines) >= LINES_MOST:
+            self.dropped += 1
+            return
+        self._lines.append(text)
+
+    def flush(self) -> None:
+        """Does nothing: the writing thread flushes."""
+
+    def drain(self) -> None:
+        """Writes all that is queued."""
+        found = []
+        while self._lines:
+            found.append(self._lines.popleft())
+        if self.dropped > self._told:
+            found.append(f'{{"event":"lines-dropped","n":{self.dropped}}}\n')
+            self._told = self.dropped
+        if found:
+            self._out.write("".join(found))
+            self._out.flush()
+
+    def _run(self) -> None:
+        while not self._wake.wait(FLUSH_S):
+            self.drain()
+
+
+def set_up(node: str, incarnation: str) -> BoundedWriter:
+    """Sends all log lines of the process, as JSON, to standard output."""
+    writer = BoundedWriter()
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(separators=(",", ":")),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(file=writer),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.clear_contextvars()
+    writer.start()
+    return writer
--- /dev/null
+++ b/poplarspindle/node/owning.py
@@ -0,0 +1,334 @@
+"""The owner's side of a node: appends, orders and looks at workers."""
+
+import dataclasses
+import queue
+import threading
+import time
+from collections.abc import Callable
+
+import structlog
+
+from poplarspindle import outcomes
+from poplarspindle.fleet import (
+    effects,
+    events,
+    fleet,
+    orders,
+    records,
+    views,
+    work,
+)
+from poplarspindle.node import storage
+
+ORDER_THREADS = 24
+APPEND_S = 1.2
+RETRY_S = 0.05
+RETRY_MOST_S = 0.4
+LIST_S = 0.2
+LIST_WHOLE_S = 3.0
+LIST_GRACE_S = 2.5  # Entries lapsed in an outage are back by then.
+HOLD_WAIT_MS = 1000
+IDLE_WAIT_MS = 2000
+RECORDED_S = 0.5
+UNREACHED_S = 0.15
+LONG_LEASE_AFTER_S = 0.8
+
+_log = structlog.get_logger(part="owner")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The ownership of an epoch is over."""
+
+    epoch: int
+    why: str
+
+
+class Watch:
+    """Looks at one worker for as long as this node owns the fleet."""
+
+    def __init__(self, own: "Owning", worker: work.Worker) -> None:
+        self._own = own
+        self.worker = worker
+        self.link = own.connect(worker)
+        self._seen = 0
+        self._born_ms = 0
+        self._clock_ms = 0
+        self._clock_at = 0.0
+        self.busy = False
+        self._recorded = threading.Condition()
+        self.over = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def record(self, born_ms: int, number: int) -> None:
+        """Notes that ends up to a number are recorded."""
+        with self._recorded:
+            if born_ms == self._born_ms:
+                self._seen = max(self._seen, number)
+                self._recorded.notify_all()
+
+    def _run(self) -> None:
+        wait_ms = 0
+        while not (self.over.is_set() or self._own.over.is_set()):
+            if self._look(wait_ms):
+                wait_ms = HOLD_WAIT_MS if self.busy else IDLE_WAIT_MS
+            else:
+                wait_ms = 0
+                self.over.wait(UNREACHED_S)
+        self.link.close()
+
+    def _look(self, wait_ms: int) -> bool:
+        own = self._own
+        sent_at = time.monotonic()
+        until_ms = self._choose_lease(sent_at)
+        if until_ms:
+            own.post(events.Granted(sent_at, self.worker.name, until_ms))
+        order = orders.Hold(own.epoch, self._seen, until_ms, wait_ms)
+        answer = self.link.hold(order)
+        at = time.monotonic()
+        if isinstance(answer, outcomes.Failed):
+            if answer.reason == "fenced":
+                own.lose("worker-fenced")
+            return False
+        report = answer.value
+        if report.born_ms != self._born_ms:
+            with self._recorded:
+                self._born_ms, self._seen = report.born_ms, 0
+        self._clock_ms, self._clock_at = report.clock_ms, at
+        self.busy = bool(report.running)
+        own.post(
+            events.Reported(
+                at,
+                own.wall_ms(),
+                self.worker.name,
+                sent_at,
+                until_ms,
+                report,
+            )
+        )
+        if report.ended:
+            self._await_recorded(max(end.number for end in report.ended))
+        return True
+
+    def _await_recorded(self, number: int) -> None:
+        """Waits until ends are recorded, so that they aren't listed again."""
+        deadline = time.monotonic() + RECORDED_S
+        with self._recorded:
+            while self._seen < number:
+                left_s = deadline - time.monotonic()
+                if left_s <= 0 or self._own.over.is_set():
+                    return
+                self._recorded.wait(left_s)
+
+    def _choose_lease(self, now: float) -> int:
+        """Returns the end of the leases to ask for, 0 for none."""
+        if not self._clock_ms:
+            return 0
+        quiet_s = now - self._own.store_ok_at()
+        if quiet_s > fleet.TAKEOVER_GRANT_S:
+            return 0
+        clock_ms = self._clock_ms + int((now - self._clock_at) * 1000)
+        long = quiet_s > LONG_LEASE_AFTER_S
+        return clock_ms + (self._own.lease_most_ms if long else fleet.LEASE_MS)
+
+
+class Owning:
+    """Carries the owner's effects out while this node owns the fleet.
+
+    Args:
+        store: The store.
+        list_topic: Topic of the workers' entries.
+        read_worker: Reads one entry.
+        connect: Makes a client of a worker.
+        epoch: Epoch of the ownership.
+        post: Takes events for the node's state.
+        store_ok_at: Returns when the store last confirmed the ownership.
+        wall_ms: Returns Unix time in milliseconds.
+        lease_most_ms: Longest lease that a worker grants.
+    """
+
+    def __init__(
+        self,
+        store: storage.Store,
+        list_topic: str,
+        read_worker: Callable[[records.Record], work.Worker | None],
+        connect: Callable,
+        epoch: int,
+        post: Callable[[object], None],
+        store_ok_at: Callable[[], float],
+        wall_ms: Callable[[], int],
+        lease_most_ms: int,
+    ) -> None:
+        self._store = store
+        self._list_topic = list_topic
+        self._read_worker = read_worker
+        self.connect = connect
+        self.epoch = epoch
+        self.post = post
+        self._confirmed_at = store_ok_at
+        self._appended_at = float("-inf")
+        self.wall_ms = wall_ms
+        self.lease_most_ms = lease_most_ms
+        self.over = threading.Event()
+        self._sequence = 0
+        self._appends: queue.SimpleQueue = queue.SimpleQueue()
+        self._orders: queue.SimpleQueue = queue.SimpleQueue()
+        self._watches: dict[str, Watch] = {}
+        self._entries: dict[str, records.Record] = {}
+        self._list_lost_at = float("-inf")
+        jobs = [self._append_loop, self._list_loop]
+        jobs += [self._order_loop] * ORDER_THREADS
+        for job in jobs:
+            threading.Thread(target=job, daemon=True).start()
+
+    def store_ok_at(self) -> float:
+        """Returns when the store last confirmed the ownership."""
+        return max(self._confirmed_at(), self._appended_at)
+
+    def stop(self) -> None:
+        """Ends all threads; orders not yet sent are dropped."""
+        self.over.set()
+        self._appends.put(None)
+        for _ in range(ORDER_THREADS):
+            self._orders.put(None)
+        for watch in list(self._watches.values()):
+            watch.over.set()
+
+    def lose(self, why: str) -> None:
+        """Notes that another owner was seen."""
+        if not self.over.is_set():
+            self.post(Lost(self.epoch, why))
+
+    def carry_out(self, effect: effects.Effect) -> None:
+        """Carries one effect out, on other threads."""
+        if isinstance(effect, effects.Order):
+            self._orders.put((time.monotonic(), effect))
+        elif isinstance(effect, effects.Append):
+            self._appends.put((effect.number, effect.found))
+        elif isinstance(effect, effects.Drop):
+            found = [r for job in effect.jobs for r in records.list_drops(job)]
+            self._appends.put((0, tuple(found)))
+        elif isinstance(effect, effects.Acknowledge):
+            watch = self._watches.get(effect.worker)
+            if watch is not None:
+                watch.record(effect.born_ms, effect.number)
+
+    def keep_watches(self, hands: dict[str, views.Hand]) -> None:
+        """Watches every worker that is listed or still holds runs."""
+        for name, hand in hands.items():
+            address = hand.worker.address
+            watch = self._watches.get(name)
+            if not address or (
+                watch is not None and watch.worker.address == address
+            ):
+                continue
+            if watch is not None:
+                watch.over.set()
+            self._watches[name] = Watch(self, hand.worker)
+        for name in self._watches.keys() - hands.keys():
+            self._watches.pop(name).over.set()
+
+    def _append_loop(self) -> None:
+        while not self.over.is_set():
+            item = self._appends.get()
+            if item is None or self.over.is_set():
+                return
+            number, found = item
+            self._sequence += 1
+            if self._append(found) and number:
+                self.post(events.Appended(time.monotonic(), number))
+
+    def _append(self, found) -> bool:
+        """Appends until the outcome is known; the sequence makes it once."""
+        backoff_s = RETRY_S
+        while not self.over.is_set():
+            answer = self._store.append(
+                found, APPEND_S, self.epoch, self._sequence
+            )
+            if isinstance(answer, outcomes.Ok):
+                self._appended_at = time.monotonic()
+                return True
+            if answer.reason in ("fenced", "seq"):
+                self.lose(answer.reason)
+                return False
+            _log.warning(
+                "append-failed", why=answer.reason, sequence=self._sequence
+            )
+            self.over.wait(backoff_s)
+            backoff_s = min(RETRY_MOST_S, 2 * backoff_s)
+        return False
+
+    def _order_loop(self) -> None:
+        while not self.over.is_set():
+            item = self._orders.get()
+            if item is None or self.over.is_set():
+                return
+            _, effect = item
+            watch = self._watches.get(effect.worker)
+            sent_at = time.monotonic()
+            if watch is None:
+                answer = orders.Answer(orders.Refusal.UNREACHABLE)
+            else:
+                answer = _send(watch.link, effect.order)
+            self.post(
+                events.Ordered(
+                    time.monotonic(),
+                    effect.worker,
+                    sent_at,
+                    effect.order,
+                    answer,
+                )
+            )
+
+    def _list_loop(self) -> None:
+        whole_at = float("-inf")
+        offset = 0
+        while not self.over.is_set():
+            now = time.monotonic()
+            if now - whole_at >= LIST_WHOLE_S:
+                found = storage.load_newest(self._store, self._list_topic)
+                if isinstance(found, outcomes.Ok):
+                    whole_at, offset = now, found.value.end
+                    self._replace_entries(found.value.found, now)
+                else:
+                    self._list_lost_at = now
+            else:
+                page = self._store.read(self._list_topic, offset, 0)
+                if isinstance(page, outcomes.Ok):
+                    offset = page.value.next
+                    self._update_entries(page.value.found, now)
+                else:
+                    whole_at = float("-inf")
+                    self._list_lost_at = now
+            self.over.wait(LIST_S)
+
+    def _replace_entries(self, found, now: float) -> None:
+        fresh = {record.key: record for record in found if record.value}
+        if now - self._list_lost_at < LIST_GRACE_S:
+            fresh = self._entries | fresh
+        self._entries = fresh
+        self._post_entries()
+
+    def _update_entries(self, found, now: float) -> None:
+        if not found:
+            return
+        for record in found:
+            if record.value:
+                self._entries[record.key] = record
+            elif now - self._list_lost_at >= LIST_GRACE_S:
+                self._entries.pop(record.key, None)
+        self._post_entries()
+
+    def _post_entries(self) -> None:
+        workers = map(self._read_worker, self._entries.values())
+        found = tuple(worker for worker in workers if worker is not None)
+        self.post(events.WorkersListed(time.monotonic(), found))
+
+
+def _send(link, order) -> orders.Answer:
+    if isinstance(order, orders.Start):
+        return link.start(order)
+    if isinstance(order, orders.Stop):
+        return link.stop(order)
+    return link.pace(order)
--- /dev/null
+++ b/poplarspindle/node/standing.py
@@ -0,0 +1,114 @@
+"""This node's standing in the group of nodes: who should own the fleet."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import structlog
+
+from poplarspindle import outcomes
+from poplarspindle.fleet import records
+from poplarspindle.node import storage
+
+JOIN_S = 0.3
+CLAIM_S = 1.0  # Time for a claim to come back through the log.
+EPOCH_STEP = 16
+
+_log = structlog.get_logger(part="ownership")
+
+
+class Standing:
+    """Keeps this node in the group and claims the fleet when chosen.
+
+    Args:
+        store: The store.
+        member: This process's incarnation.
+        ttl_ms: Time after which a silent member is out.
+
+    Attributes:
+        owner: The newest owner's record that was read, None for none.
+        owning: Whether this process is that owner.
+        store_ok_at: When the store last confirmed this member's standing.
+        able: Whether this node is fit to own the fleet now.
+    """
+
+    def __init__(
+        self,
+        store: storage.Store,
+        member: str,
+        ttl_ms: int,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self._store = store
+        self._member = member
+        self._ttl_ms = ttl_ms
+        self._wall_ms = wall_ms
+        self._generation = 0
+        self._leaving = threading.Event()
+        self._claimed_at = float("-inf")
+        self.owner: records.Owner | None = None
+        self.owning = False
+        self.store_ok_at = float("-inf")
+        self.able = False
+        self.resigned = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts the joining thread."""
+        self._thread.start()
+
+    def leave(self) -> None:
+        """Leaves the group, for another member to be chosen at once."""
+        self._leaving.set()
+
+    def _run(self) -> None:
+        chosen = False
+        failed = False
+        while not self._leaving.is_set():
+            answer = self._store.join(
+                self._member, self._ttl_ms, self._generation
+            )
+            now = time.monotonic()
+            if isinstance(answer, outcomes.Ok):
+                self._generation = answer.value.generation
+                if answer.value.chosen != chosen or failed:
+                    _log.info(
+                        "standing",
+                        chosen=answer.value.chosen,
+                        generation=self._generation,
+                        owning=self.owning,
+                    )
+                failed = False
+                chosen = answer.value.chosen
+                if chosen:
+                    self.store_ok_at = now
+            elif not failed:
+                failed = True
+                _log.warning("join-failed", why=answer.reason)
+            if chosen and not failed and not self.owning and self.able:
+                self._claim(now)
+            if not chosen and self.owning:
+                self.resigned.set()
+            self._leaving.wait(JOIN_S)
+        answer = self._store.leave(self._member)
+        _log.info("left", ok=isinstance(answer, outcomes.Ok))
+
+    def _claim(self, now: float) -> None:
+        if now - self._claimed_at < CLAIM_S:
+            return
+        self._claimed_at = now
+        last = self.owner.epoch if self.owner else 0
+        # Claims at the same moment differ in the epoch's low digits; where
+        # they do not, only the one whose name is read back owns the fleet.
+        low = hash(self._member) % EPOCH_STEP
+        epoch = (last // EPOCH_STEP + 1) * EPOCH_STEP + low
+        claim = records.Owner(epoch, self._member, self._wall_ms())
+        answer = self._store.append(
+            [records.encode_owner(claim)], 1.0, epoch, 0
+        )
+        _log.info(
+            "claimed",
+            epoch=epoch,
+            before=last,
+            outcome="ok" if isinstance(answer, outcomes.Ok) else answer.reason,
+        )
--- /dev/null
+++ b/poplarspindle/node/storage.py
@@ -0,0 +1,106 @@
+"""What a node needs of a store, and what the store answers."""
+
+import dataclasses
+import typing
+from collections.abc import Iterable
+
+from poplarspindle import outcomes
+from poplarspindle.fleet import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Records read from an offset on.
+
+    Attributes:
+        found: The records, in order.
+        next: Offset to read from next.
+        end: Offset that the next append will get.
+    """
+
+    found: tuple[records.Record, ...]
+    next: int
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Newest:
+    """Newest records of some keys.
+
+    Attributes:
+        found: The records.
+        more: Whether there are keys behind the last one.
+        end: Offset that the next append will get.
+    """
+
+    found: tuple[records.Record, ...]
+    more: bool
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """A member's standing in the nodes' group.
+
+    Attributes:
+        generation: Rises with each change of the group.
+        chosen: Whether this member is the one that should own the fleet.
+    """
+
+    generation: int
+    chosen: bool
+
+
+class Store(typing.Protocol):
+    """Calls that a node makes."""
+
+    def append(
+        self,
+        found: Iterable[records.Record],
+        timeout_s: float,
+        epoch: int = 0,
+        sequence: int = 0,
+    ) -> outcomes.Ok[int] | outcomes.Failed:
+        """Appends records, all or none; returns the first one's offset."""
+
+    def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> outcomes.Ok[Page] | outcomes.Failed:
+        """Reads records from an offset on."""
+
+    def read_newest(
+        self, topic: str, after: str = ""
+    ) -> outcomes.Ok[Newest] | outcomes.Failed:
+        """Reads a page of the newest record of each key."""
+
+    def join(
+        self, member: str, ttl_ms: int, generation: int
+    ) -> outcomes.Ok[Membership] | outcomes.Failed:
+        """Joins the nodes' group or stays in it."""
+
+    def leave(self, member: str) -> outcomes.Ok[None] | outcomes.Failed:
+        """Leaves the nodes' group."""
+
+
+def load_newest(
+    store: Store, topic: str
+) -> outcomes.Ok[Newest] | outcomes.Failed:
+    """Reads all newest records of a topic.
+
+    Returns:
+        The records with the end from BEFORE the first page: pages are no
+        snapshot, so whoever reads on from there misses nothing.
+    """
+    found: list[records.Record] = []
+    first_end = None
+    after = ""
+    while True:
+        page = store.read_newest(topic, after)
+        if isinstance(page, outcomes.Failed):
+            return page
+        if first_end is None:
+            first_end = page.value.end
+        found += page.value.found
+        if not page.value.more or not page.value.found:
+            return outcomes.Ok(Newest(tuple(found), False, first_end))
+        after = page.value.found[-1].key
--- /dev/null
+++ b/poplarspindle/node/wishes.py
@@ -0,0 +1,23 @@
+"""What operators wish, as a node takes it in."""
+
+import dataclasses
+
+from poplarspindle.fleet import work
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configured:
+    """The configuration changed."""
+
+    configuration: work.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DataCentreOut:
+    """A data centre is to get no more work, or is taken back."""
+
+    data_centre: str
+    out: bool
+
+
+Wish = Configured | DataCentreOut
--- a/poplarspindle/outcomes.py
+++ b/poplarspindle/outcomes.py
@@ -23,6 +23,11 @@
     LIST = "list"
     SYNC = "sync"
     PUBLISH = "publish"
+    JOIN = "join"
+    START = "start"
+    STOP = "stop"
+    HOLD = "hold"
+    PACE = "pace"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/poplarspindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/poplarspindle/platform/store.py
@@ -0,0 +1,228 @@
+"""Client of the platform's store: keyed topics and groups."""
+
+import base64
+import struct
+import urllib.parse
+from collections.abc import Iterable
+
+from poplarspindle import outcomes
+from poplarspindle.fleet import records
+from poplarspindle.node import storage
+from poplarspindle.platform import transport
+
+FLEET_TOPIC = "keyed.poplarspindle"
+OPERATORS_TOPIC = "keyed.op"
+WORKERS_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+GROUP = "poplarspindle-owner"
+PRODUCER = "owner"
+OWNED_PART = 0
+RAW_HEADERS = {"Content-Type": "application/octet-stream"}
+READ_ANSWER_S = 2.0  # A slow store takes hundreds of milliseconds.
+_OFFSETS = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+
+def encode_records(found: Iterable[records.Record]) -> bytes:
+    """Encodes keyed records as the store takes them."""
+    parts = []
+    for record in found:
+        key = record.key.encode()
+        content = bytes([len(key)]) + key + record.value
+        parts += [_LENGTH.pack(len(content)), content]
+    return b"".join(parts)
+
+
+def decode_records(data: bytes) -> list[records.Record]:
+    """Decodes keyed records; one that is malformed has an empty key."""
+    found = []
+    at = 0
+    while at + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, at)
+        at += _LENGTH.size
+        found.append(_decode_record(data[at : at + length]))
+        at += length
+    return found
+
+
+def _decode_record(content: bytes) -> records.Record:
+    size = content[0] if content else 0
+    key = content[1 : 1 + size]
+    try:
+        return records.Record(key.decode(), content[1 + size :])
+    except UnicodeDecodeError:
+        return records.Record("", b"")
+
+
+class Store:
+    """Calls of the store.
+
+    Args:
+        address: `host:port` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._calls = transport.Transport(address)
+
+    def append(
+        self,
+        found: Iterable[records.Record],
+        timeout_s: float,
+        epoch: int = 0,
+        sequence: int = 0,
+        topic: str = FLEET_TOPIC,
+    ) -> outcomes.Ok[int] | outcomes.Failed:
+        """Appends records, all or none.
+
+        Args:
+            found: The records.
+            timeout_s: Time for the answer.
+            epoch: Epoch of the owner that appends, 0 for anybody.
+            sequence: Number of this append in the epoch.
+            topic: Topic to append to.
+
+        Returns:
+            Offset of the first record, or the failure. Its reason is
+            `fenced` where a higher epoch was seen.
+        """
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        if epoch:
+            query |= {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
+        answer = self._calls.call(
+            outcomes.Step.APPEND,
+            "POST",
+            f"/api/log-append?{urllib.parse.urlencode(query)}",
+            encode_records(found),
+            timeout_s,
+            RAW_HEADERS,
+        )
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        fields = answer.value.read_fields()
+        if answer.value.status == 200 and isinstance(fields.get("offset"), int):
+            return outcomes.Ok(fields["offset"])
+        return self._refuse(outcomes.Step.APPEND, answer.value, fields)
+
+    def _refuse(self, step, answer, fields) -> outcomes.Failed:
+        """Returns the failure for an answer that is no success."""
+        reason = fields.get("reason")
+        if answer.status == 409 and reason in ("fenced", "seq"):
+            return outcomes.Failed(step, self._calls.address, reason)
+        reason = f"status-{answer.status}"
+        acted = answer.status not in (400, 410, 412, 429, 503, 507)
+        return outcomes.Failed(step, self._calls.address, reason, "", acted)
+
+    def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> outcomes.Ok[storage.Page] | outcomes.Failed:
+        """Reads records from an offset on, waiting where there are none.
+
+        Returns:
+            The records; or the failure, with reason `expired` where they
+            are gone.
+        """
+        query = urllib.parse.urlencode(
+            {"topic": topic, "part": 0, "from": offset, "wait_ms": wait_ms}
+        )
+        answer = self._calls.call(
+            outcomes.Step.READ,
+            "GET",
+            f"/api/log-read?{query}",
+            None,
+            READ_ANSWER_S + wait_ms / 1000,
+        )
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        if answer.value.status == 410:
+            return outcomes.Failed(
+                outcomes.Step.READ, self._calls.address, "expired"
+            )
+        body = answer.value.body
+        if answer.value.status != 200 or len(body) < _OFFSETS.size:
+            return self._refuse(outcomes.Step.READ, answer.value, {})
+        end, _ = _OFFSETS.unpack_from(body)
+        found = tuple(decode_records(body[_OFFSETS.size :]))
+        return outcomes.Ok(storage.Page(found, offset + len(found), end))
+
+    def read_newest(
+        self, topic: str, after: str = ""
+    ) -> outcomes.Ok[storage.Newest] | outcomes.Failed:
+        """Reads a page of the newest record of each key.
+
+        Args:
+            topic: The topic.
+            after: Last key of the page before, empty for the first page.
+        """
+        # The wire names the key to continue behind `depends_on`.
+        query = {"topic": topic, "part": 0}
+        query |= {"depends_on": after} if after else {}
+        answer = self._calls.call(
+            outcomes.Step.READ,
+            "GET",
+            f"/api/log-newest?{urllib.parse.urlencode(query)}",
+            None,
+            READ_ANSWER_S,
+        )
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        fields = answer.value.read_fields()
+        if answer.value.status != 200:
+            return self._refuse(outcomes.Step.READ, answer.value, {})
+        try:
+            return outcomes.Ok(_read_newest(fields))
+        except (KeyError, TypeError, ValueError) as error:
+            return outcomes.Failed(
+                outcomes.Step.READ,
+                self._calls.address,
+                "malformed",
+                repr(error),
+            )
+
+    def join(
+        self, member: str, ttl_ms: int, generation: int
+    ) -> outcomes.Ok[storage.Membership] | outcomes.Failed:
+        """Joins the nodes' group or stays in it.
+
+        Returns:
+            Whether this member is the one that should own the fleet.
+        """
+        fields = {
+            "group": GROUP,
+            "member": member,
+            "topics": [FLEET_TOPIC],
+            "ttl_ms": ttl_ms,
+            "generation": generation,
+        }
+        answer = self._calls.post(
+            outcomes.Step.JOIN, "/api/log-join", fields, READ_ANSWER_S
+        )
+        if isinstance(answer, outcomes.Failed):
+            return answer
+        found = answer.value.read_fields()
+        if answer.value.status != 200:
+            return self._refuse(outcomes.Step.JOIN, answer.value, found)
+        parts = found.get("parts", [])
+        mine = any(row[:2] == [FLEET_TOPIC, OWNED_PART] for row in parts)
+        return outcomes.Ok(storage.Membership(found["generation"], mine))
+
+    def leave(self, member: str) -> outcomes.Ok[None] | outcomes.Failed:
+        """Leaves the nodes' group."""
+        answer = self._calls.post(
+            outcomes.Step.JOIN,
+            "/api/log-leave",
+            {"group": GROUP, "member": member},
+            1.0,
+        )
+        return (
+            answer if isinstance(answer, outcomes.Failed) else outcomes.Ok(None)
+        )
+
+
+def _read_newest(fields: dict) -> storage.Newest:
+    found = tuple(
+        records.Record(item["key"], base64.b64decode(item["value"]))
+        for item in fields["items"]
+    )
+    return storage.Newest(
+        found, bool(fields.get("has_more")), fields["end_offset"]
+    )
