--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -7,6 +7,8 @@
 FILL_SHARE_LEAST = 0.75
 SERVING_USE = 0.75
 REMOTE_COST = 0.5
+SERVING_COST = 1.0
+FILLED_COST = 0.5
 HURT_COST = 0.4
 
 
@@ -36,11 +38,7 @@
 def count_left(hand: views.Hand) -> float:
     """Returns the processors that fills may still use, in thousandths."""
     used = hand.held.millicores + hand.strangers.millicores
-    serving = sum(
-        run.step.need.millicores
-        for run in hand.runs.values()
-        if run.step.lasting
-    )
+    serving = hand.serving
     used -= (1 - SERVING_USE) * serving
     return hand.worker.capacity.millicores - used - hand.filling
 
@@ -48,18 +46,23 @@
 def rank_worker(hand: views.Hand, step: work.Step, rack: str) -> float:
     """Prices a worker for one task of a step; the least goes first.
 
-    Load pattern: steps of many tasks arrive at once. Spreading them by what
-    is left of each worker's processors keeps every task at full speed and
-    loses least when a worker dies.
+    Load pattern: half of the fleet is reserved by tasks that serve, the rest
+    is filled by work that disturbs them. Packing what serves on few workers
+    leaves others where fills disturb nobody; spreading fills by what is left
+    of each worker's processors keeps them at full speed.
     """
     capacity = max(1, hand.worker.capacity.millicores)
-    price = -count_left(hand) / capacity
     wanted = step.rack or rack
-    if wanted and hand.worker.rack != wanted:
-        price += REMOTE_COST
+    remote = REMOTE_COST if wanted and hand.worker.rack != wanted else 0.0
+    serving = hand.serving / capacity
+    filling = hand.filling / capacity
     if step.fills:
-        price += HURT_COST * (100 - hand.pace) / 100
-    return price
+        disturbs = SERVING_COST * (hand.serving > 0)
+        slow = HURT_COST * (100 - hand.pace) / 100
+        return remote + disturbs + slow - count_left(hand) / capacity
+    if step.target_ms:
+        return remote + FILLED_COST * filling - serving
+    return remote + filling - count_left(hand) / capacity
 
 
 def has_processors(hand: views.Hand, step: work.Step) -> bool:
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -105,6 +105,7 @@
         by_step: Runs by job, time and step.
         held: Room that its runs reserve, processors of fills left out.
         filling: Processors that its fills ask for, in thousandths.
+        serving: Processors that tasks with a target reserve, in thousandths.
         full_until: Time before which nothing is placed on it.
         bad_ends: Failed ends in a row.
         pace: Share of their speed that its fills may work at.
@@ -128,6 +129,7 @@
         self.by_step: collections.Counter = collections.Counter()
         self.held = resources.NOTHING
         self.filling = 0
+        self.serving = 0
         self.full_until = float("-inf")
         self.bad_ends = 0
         self.pace = 100
@@ -154,6 +156,8 @@
     hand.by_step[_step_key(run)] += 1
     if run.step.fills:
         hand.filling += run.step.need.millicores
+    if run.step.target_ms:
+        hand.serving += run.step.need.millicores
 
 
 def remove_run(hand: Hand, run: Run) -> None:
@@ -167,6 +171,8 @@
         del hand.by_step[key]
     if run.step.fills:
         hand.filling -= run.step.need.millicores
+    if run.step.target_ms:
+        hand.serving -= run.step.need.millicores
 
 
 def _step_key(run: Run) -> tuple[str, int, int]:
