--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -1,5 +1,6 @@
 """State of the fleet's owner, and the small steps that change it."""
 
+from poplarspindle import interference
 from poplarspindle.fleet import book, effects, orders, records, views, work
 
 LEASE_MS = 4000  # Outlasts a takeover; a dark worker's tasks wait for it.
@@ -27,6 +28,8 @@
         lease_most_ms: Longest lease that a worker grants.
         early_ms: How much before its time a task may start.
         keep_ended_s: Time for which an ended job's state is kept.
+        harm_ms: Time for which a lasting task may miss its target.
+        slowdown: What was learned of fills beside what serves.
         drops: Ids of ended jobs in the order in which they ended.
     """
 
@@ -36,6 +39,7 @@
         lease_most_ms: int = 6000,
         early_ms: int = 250,
         keep_ended_s: float = 120.0,
+        harm_ms: int = 4000,
     ) -> None:
         self.epoch = 0
         self.book = known
@@ -54,6 +58,8 @@
         self.lease_most_ms = lease_most_ms
         self.early_ms = early_ms
         self.keep_ended_s = keep_ended_s
+        self.harm_ms = harm_ms
+        self.slowdown = interference.Model()
         self.drops: dict[str, None] = {}
 
     @property
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -10,6 +10,7 @@
     effects,
     events,
     fleet,
+    pacing,
     placing,
     reports,
     views,
@@ -242,6 +243,14 @@
     return found
 
 
+def _disturbs(own: fleet.Fleet, hand: views.Hand, step: work.Step) -> bool:
+    """Tells whether a fill would push what serves on a worker too far."""
+    if hand.pace < pacing.MOVE_PACE:
+        return True
+    ratio = pacing.predict_ratio(own, hand, step.image, step.need.millicores)
+    return ratio > pacing.START_SHARE
+
+
 def _place_step(own, hands, job, step, key) -> list:
     tasks = job.runs[key[1]][key[2]]
     indexes = sorted(own.ready[key])
@@ -250,9 +259,13 @@
     placed: list[tuple[views.Hand, views.Run]] = []
     attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
     rack = ""
+
+    def disturbs(hand: views.Hand) -> bool:
+        return _disturbs(own, hand, step)
+
     for index in indexes:
         task = tasks[index]
-        hand = placing.choose_worker(hands, step, key, rack)
+        hand = placing.choose_worker(hands, step, key, rack, disturbs)
         if hand is None:
             break
         task.phase = book.Phase.PLACED
--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -1,6 +1,6 @@
 """Which worker a task goes to, and which task goes first. Pure functions."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from poplarspindle.fleet import book, views, work
 
@@ -9,7 +9,6 @@
 REMOTE_COST = 0.5
 SERVING_COST = 1.0
 FILLED_COST = 0.5
-HURT_COST = 0.4
 
 
 def is_open(
@@ -58,8 +57,7 @@
     filling = hand.filling / capacity
     if step.fills:
         disturbs = SERVING_COST * (hand.serving > 0)
-        slow = HURT_COST * (100 - hand.pace) / 100
-        return remote + disturbs + slow - count_left(hand) / capacity
+        return remote + disturbs - count_left(hand) / capacity
     if step.target_ms:
         return remote + FILLED_COST * filling - serving
     return remote + filling - count_left(hand) / capacity
@@ -70,18 +68,33 @@
     if not step.fills:
         return True
     wanted = FILL_SHARE_LEAST * step.need.millicores
-    return hand.pace >= 50 and count_left(hand) >= wanted
+    return count_left(hand) >= wanted
 
 
 def choose_worker(
-    hands: Iterable[views.Hand], step: work.Step, key: tuple, rack: str
+    hands: Iterable[views.Hand],
+    step: work.Step,
+    key: tuple,
+    rack: str,
+    disturbs: Callable[[views.Hand], bool],
 ) -> views.Hand | None:
-    """Chooses the worker for one task of a step, None where none has room."""
+    """Chooses the worker for one task of a step, None where none has room.
+
+    Args:
+        hands: Workers that are open.
+        step: The step.
+        key: Its job, time and number.
+        rack: Rack of its other tasks, empty for any.
+        disturbs: Tells whether the task would disturb what serves there.
+    """
     fitting = [
         hand
         for hand in hands
         if fits(hand, step, key) and has_processors(hand, step)
     ]
+    if step.fills:
+        quiet = [hand for hand in fitting if not hand.serving]
+        fitting = quiet or [h for h in fitting if not disturbs(h)]
     return min(
         fitting,
         key=lambda h: (rank_worker(h, step, rack), h.worker.name),
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -76,6 +76,7 @@
 ) -> list:
     """Takes the end of a run in."""
     views.remove_run(hand, run)
+    hand.changed_at = own.at
     found = [
         fleet.note(
             "runs",
@@ -163,8 +164,8 @@
             continue
         run.confirmed = True
         run.usage = row.usage
-        run.percent = row.percent
-        run.first_seen_at = min(run.first_seen_at, event.at)
+        if run.first_seen_at > event.at:
+            run.first_seen_at = hand.changed_at = event.at
         if row.saved and row.saved != run.task.saved and not run.step.gang:
             run.task.saved = row.saved
     for run in [r for key, r in hand.runs.items() if key not in listed]:
@@ -224,7 +225,8 @@
     if refusal is None:
         run.confirmed = True
         run.answered_at = event.at
-        if run.step.fills and hand.pace < 100:
+        if run.step.fills and hand.pace < pacing.MOVE_PACE:
+            run.percent = hand.pace
             found.append(pacing.order_pace(own, hand, run))
     elif refusal is orders.Refusal.ENDED:
         run.answered_at = event.at
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -110,6 +110,8 @@
         bad_ends: Failed ends in a row.
         pace: Share of their speed that its fills may work at.
         paced_at: When that last changed.
+        changed_at: When a run came or went last.
+        over_since: Since when a target is missed, infinity if none is.
         leaves_at: When it leaves at the earliest, infinity if it stays.
     """
 
@@ -134,6 +136,8 @@
         self.bad_ends = 0
         self.pace = 100
         self.paced_at = float("-inf")
+        self.changed_at = float("-inf")
+        self.over_since = float("inf")
         self.leaves_at = float("inf")
 
     @property
--- a/poplarspindle/interference.py
+++ b/poplarspindle/interference.py
@@ -17,8 +17,6 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from poplarspindle import records
-
 BASE = 0.3
 LOAD_MOST = 2.5
 NOISE_VARIANCE = 0.03
@@ -35,13 +33,6 @@
 PAIRS_MOST = 20_000
 
 
-def name_service(job: str) -> str:
-    """Returns the service of a job, empty for a batch job."""
-    if not job.startswith(records.SERVICE_PREFIX):
-        return ""
-    return job.removeprefix(records.SERVICE_PREFIX).partition("/")[0]
-
-
 @dataclasses.dataclass(slots=True)
 class Term:
     """One learned number.
--- a/poplarspindle/learning.py
+++ b/poplarspindle/learning.py
@@ -59,7 +59,7 @@
         del ladder.signals[gone]
     for running in event.report.running:
         task = cell.table.tasks.get(running.task)
-        if task is None or interference.name_service(task.job.job):
+        if task is None or records.name_service(task.job.job):
             continue
         family = task.job.family
         share = mixes.find_share(cell, worker, task)
@@ -74,7 +74,7 @@
     if task is None or task.attempt != sample.attempt:
         return []
     taken_at = event.sent_at - sample.age_ms / 1000
-    service = interference.name_service(task.job.job)
+    service = records.name_service(task.job.job)
     if service:
         _take_latency(own, ladder, service, sample, taken_at)
         return []
--- a/poplarspindle/mixes.py
+++ b/poplarspindle/mixes.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from poplarspindle import cells, interference, state
+from poplarspindle import cells, interference, records, state
 
 FULL_PER_MILLE = 1000
 TARGET_DEFAULT_MS = 200.0
@@ -86,7 +86,7 @@
     mix = Mix({}, {})
     replicas: dict[str, int] = {}
     for task in tasks:
-        name = interference.name_service(task.job.job)
+        name = records.name_service(task.job.job)
         if name:
             replicas[name] = replicas.get(name, 0) + 1
             continue
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -320,6 +320,7 @@
             self._settings.lease_most_ms,
             self._settings.early_ms,
             self._settings.keep_ended_s,
+            self._settings.harm_ms,
         )
         self._ticked_at = now
         self._standing.resigned.clear()
--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -29,6 +29,7 @@
 LIST_GRACE_S = 2.5  # Entries lapsed in an outage are back by then.
 HOLD_WAIT_MS = 1000
 IDLE_WAIT_MS = 2000
+TAIL_WAIT_MS = 550  # Tails are measured over half a second.
 RECORDED_S = 0.5
 UNREACHED_S = 0.15
 LONG_LEASE_AFTER_S = 0.8
@@ -55,7 +56,7 @@
         self._born_ms = 0
         self._clock_ms = 0
         self._clock_at = 0.0
-        self.busy = False
+        self.wait_ms = HOLD_WAIT_MS
         self._recorded = threading.Condition()
         self.over = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -72,7 +73,7 @@
         wait_ms = 0
         while not (self.over.is_set() or self._own.over.is_set()):
             if self._look(wait_ms):
-                wait_ms = HOLD_WAIT_MS if self.busy else IDLE_WAIT_MS
+                wait_ms = self.wait_ms
             else:
                 wait_ms = 0
                 self.over.wait(UNREACHED_S)
@@ -96,7 +97,6 @@
             with self._recorded:
                 self._born_ms, self._seen = report.born_ms, 0
         self._clock_ms, self._clock_at = report.clock_ms, at
-        self.busy = bool(report.running)
         own.post(
             events.Reported(
                 at,
@@ -226,6 +226,9 @@
             if watch is not None:
                 watch.over.set()
             self._watches[name] = Watch(self, hand.worker)
+        for name, hand in hands.items():
+            if (watch := self._watches.get(name)) is not None:
+                watch.wait_ms = _choose_wait(hand)
         for name in self._watches.keys() - hands.keys():
             self._watches.pop(name).over.set()
 
@@ -326,6 +329,13 @@
         self.post(events.WorkersListed(time.monotonic(), found))
 
 
+def _choose_wait(hand: views.Hand) -> int:
+    """Returns how long a look at a worker waits for an end."""
+    if hand.serving and hand.filling:
+        return TAIL_WAIT_MS
+    return HOLD_WAIT_MS if hand.runs else IDLE_WAIT_MS
+
+
 def _send(link, order) -> orders.Answer:
     if isinstance(order, orders.Start):
         return link.start(order)
--- a/poplarspindle/placement.py
+++ b/poplarspindle/placement.py
@@ -8,6 +8,7 @@
     interference,
     mixes,
     quarantine,
+    records,
     reports,
     resources,
     state,
@@ -77,7 +78,7 @@
         mix = self._mixes.get(name)
         if mix is None:
             return
-        service = interference.name_service(task.job.job)
+        service = records.name_service(task.job.job)
         if service:
             mixes.add_service(self.own, mix, service, 1)
         else:
@@ -168,7 +169,7 @@
     Replicas of a service are spread over workers and racks, but services
     share workers: so more workers are left where batch work disturbs none.
     """
-    service = interference.name_service(task.job.job)
+    service = records.name_service(task.job.job)
     if service:
         racks = _count_racks(rooms, service)
 
--- a/poplarspindle/reaction.py
+++ b/poplarspindle/reaction.py
@@ -16,6 +16,7 @@
     eviction,
     interference,
     mixes,
+    records,
     state,
 )
 
@@ -119,7 +120,7 @@
         task
         for task in cells.list_held(cell, name)
         if task.phase in (cells.Phase.RUNNING, cells.Phase.PLACED)
-        and not interference.name_service(task.job.job)
+        and not records.name_service(task.job.job)
         and not eviction.is_leaving(cell, task)
     ]
 
@@ -142,7 +143,7 @@
     after = ladder.stepped_at + SETTLE_S
     measured: dict[str, float | None] = {}
     for task in sorted(cell.table.held.get(name, ())):
-        service = interference.name_service(cell.table.tasks[task].job.job)
+        service = records.name_service(cell.table.tasks[task].job.job)
         if not service:
             continue
         measured.setdefault(service, None)
--- a/poplarspindle/records.py
+++ b/poplarspindle/records.py
@@ -457,3 +457,10 @@
             except Exception as error:
                 raise MalformedError(kind) from error
     raise MalformedError("unknown kind")
+
+
+def name_service(job: str) -> str:
+    """Returns the service of a job, empty for a batch job."""
+    if not job.startswith(SERVICE_PREFIX):
+        return ""
+    return job.removeprefix(SERVICE_PREFIX).partition("/")[0]
--- a/poplarspindle/tools/fakes/machines.py
+++ b/poplarspindle/tools/fakes/machines.py
@@ -9,7 +9,7 @@
 import math
 import random
 
-from poplarspindle import effects, interference, records, reports, resources
+from poplarspindle import effects, records, reports, resources
 
 NEVER_S = float("inf")
 SAMPLE_LAG_S = 3.0
@@ -67,7 +67,7 @@
         """Returns the truth of a task by its job."""
         job, _, _ = task.rpartition("/")
         if job.startswith(records.SERVICE_PREFIX):
-            return Truth(interference.name_service(job))
+            return Truth(records.name_service(job))
         return self.truths[job]
 
     def find_pair(self, service: str, family: str) -> float:
--- a/poplarspindle/tools/measures.py
+++ b/poplarspindle/tools/measures.py
@@ -4,7 +4,7 @@
 import itertools
 import math
 
-from poplarspindle import cells, interference, resources
+from poplarspindle import cells, records, resources
 from poplarspindle.tools import traces, virtual
 
 GRACE_S = 3.0
@@ -129,7 +129,7 @@
         for task in cell.table.tasks.values():
             if task.phase in cells.ENDED:
                 continue
-            if not interference.name_service(task.job.job):
+            if not records.name_service(task.job.job):
                 wanted += loop.world.find_truth(task.task).millicores
                 reserved += task.need.millicores
             elif task.phase in cells.HOLDING and name not in out:
