Take over or refuse starts that reach a worker's next life

Change: a run listed in the new life is taken over; one whose start was not answered is refused there by a stop first; runs given up with an unanswered start are refused again when their worker begins another life.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -4,6 +4,7 @@
 from poplarspindle.fleet import book, effects, orders, records, views, work
 
 LEASE_MS = 4000  # Outlasts a takeover; a dark worker's tasks wait for it.
+LATE_ORDER_S = 15.0  # An order without an answer may be done that late.
 TAKEOVER_GRANT_S = 4.0  # An owner cut from the store grants no longer.
 
 
@@ -30,6 +31,8 @@
         keep_ended_s: Time for which an ended job's state is kept.
         harm_ms: Time for which a lasting task may miss its target.
         slowdown: What was learned of fills beside what serves.
+        ghosts: Runs given up whose start may still arrive, by worker, with
+            the time until which it may.
         drops: Ids of ended jobs in the order in which they ended.
     """
 
@@ -61,6 +64,7 @@
         self.harm_ms = harm_ms
         self.slowdown = interference.Model()
         self.drops: dict[str, None] = {}
+        self.ghosts: dict[str, dict[tuple[work.TaskName, int], float]] = {}
 
     @property
     def queues(self) -> dict[str, work.Queue]:
@@ -130,9 +134,20 @@
     own.ready.setdefault(key, set()).add(run.name.index)
 
 
+def list_ghosts(own: Fleet, worker: str) -> list[tuple[work.TaskName, int]]:
+    """Lists runs given up whose start a worker may still carry out."""
+    ghosts = own.ghosts.get(worker, {})
+    for key in [key for key, at in ghosts.items() if at <= own.at]:
+        del ghosts[key]
+    return list(ghosts)
+
+
 def drop_run(own: Fleet, hand: views.Hand, run: views.Run, why: str) -> list:
     """Gives up a run that surely does not run, and queues its task again."""
     views.remove_run(hand, run)
+    if run.silences:
+        ghosts = own.ghosts.setdefault(hand.worker.name, {})
+        ghosts[run.key] = own.at + LATE_ORDER_S
     requeue(own, run)
     return [
         note(
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -29,7 +29,7 @@
     views.note_clock(hand, report.clock_ms, event.at)
     first = not hand.heard
     if report.born_ms != hand.born_ms:
-        found += _begin_life(own, hand, report.born_ms)
+        found += _begin_life(own, hand, report)
     hand.heard_at = event.at
     if event.until_ms:
         views.note_grant(hand, event.until_ms)
@@ -38,12 +38,30 @@
     return found + pacing.review(own, hand)
 
 
-def _begin_life(own: fleet.Fleet, hand: views.Hand, born_ms: int) -> list:
-    """Forgets all of a worker's earlier life."""
+def _begin_life(
+    own: fleet.Fleet, hand: views.Hand, report: work.Report
+) -> list:
+    """Forgets a worker's earlier life.
+
+    A start on its way may still arrive in the new life: what is listed there
+    is taken over, and what may come is refused beforehand by a stop.
+    """
     found = []
-    earlier = [run for run in hand.runs.values() if run.task.born_ms != born_ms]
-    for run in earlier:
-        found += fleet.drop_run(own, hand, run, "worker-born-again")
+    born_ms = report.born_ms
+    listed = {(row.task, row.attempt) for row in report.running}
+    for run in list(hand.runs.values()):
+        if run.task.born_ms == born_ms:
+            continue
+        if run.key in listed:
+            run.task.born_ms = born_ms
+            own.dirty[run.name.job] = None
+        elif run.asked and run.answered_at == float("inf"):
+            found += fleet.stop_run(own, hand, run)
+        else:
+            found += fleet.drop_run(own, hand, run, "worker-born-again")
+    for name, attempt in fleet.list_ghosts(own, hand.worker.name):
+        order = orders.Stop(name, attempt, own.epoch)
+        found.append(effects.Order(hand.worker.name, order))
     hand.born_ms = born_ms
     hand.noted = hand.recorded = 0
     hand.until_ms = 0
--- /dev/null
+++ b/poplarspindle/tests/test_fleet.py
@@ -0,0 +1,227 @@
+"""The fleet's owner against fake workers that keep their own ledgers."""
+
+import pytest
+
+from poplarspindle import resources
+from poplarspindle.fleet import book, work
+from poplarspindle.tools.fakes import fleets
+
+CORE = resources.Resources(1000, 1000, 0)
+
+
+def make_step(tasks=4, after=(), **options):
+    return work.Step(tasks, CORE, 500, after, **options)
+
+
+CHAINS = [
+    pytest.param((make_step(),), id="one step"),
+    pytest.param((make_step(), make_step(6, (0,))), id="two steps"),
+    pytest.param(
+        (make_step(2), make_step(3), make_step(4, (0, 1))), id="joined"
+    ),
+    pytest.param((make_step(40), make_step(2, (0,))), id="wider than room"),
+]
+
+
+@pytest.mark.parametrize("steps", CHAINS)
+def test_job_completes_once(steps):
+    world = fleets.World(1)
+    world.submit("a" * 16, *steps)
+    world.run(6)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == sum(step.tasks for step in steps)
+    assert world.room_refusals == 0
+    assert world.list_broken() == []
+
+
+def test_failing_job_fails_after_its_attempts():
+    world = fleets.World(1, fail=lambda run: run.name.index == 0)
+    world.submit("a" * 16, make_step(3))
+    world.run(6)
+    assert world.get_state("a" * 16) == "failed"
+    runs = [r for w in world.workers.values() for r in w.ledger]
+    assert sum(run.name.index == 0 for run in runs) == world.queue.attempts
+
+
+def test_gang_starts_whole_with_one_attempt():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(8, gang=True))
+    world.run(4)
+    runs = [r for w in world.workers.values() for r in w.ledger]
+    assert world.get_state("a" * 16) == "completed"
+    assert {run.attempt for run in runs} == {1}
+
+
+def test_gang_waits_for_room_for_all():
+    world = fleets.World(1, workers=1)
+    world.submit("a" * 16, make_step(6))
+    world.submit("b" * 16, make_step(8, gang=True))
+    world.run(0.5)
+    assert world.starts == 6
+    world.run(4)
+    assert world.get_state("b" * 16) == "completed"
+
+
+def test_lasting_task_is_back_after_its_worker_crashed():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(4, lasting=True))
+    world.run(2)
+    worker = next(w for w in world.workers.values() if w.runs)
+    lost = len(worker.runs)
+    worker.crash()
+    world.run(1)
+    running = sum(len(w.runs) for w in world.workers.values())
+    assert (lost > 0, running) == (True, 4)
+    assert world.list_broken() == []
+
+
+def test_cancelled_job_is_stopped():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(4, lasting=True))
+    world.run(1)
+    world.cancel("a" * 16)
+    assert world.get_state("a" * 16) == "cancelled"
+    world.run(1)
+    assert sum(len(w.runs) for w in world.workers.values()) == 0
+
+
+def test_cancelled_before_its_start_is_recorded_never_starts():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(4))
+    world.cancel("a" * 16)
+    world.run(2)
+    assert world.starts == 0
+
+
+def test_scheduled_job_runs_at_each_due_time():
+    world = fleets.World(1)
+    first_ms = world.wall_ms() + 1000
+    world.submit(
+        "a" * 16, make_step(2), times=3, first_ms=first_ms, every_ms=700
+    )
+    world.run(5)
+    runs = [r for w in world.workers.values() for r in w.ledger]
+    began = [
+        min(r.began for r in runs if r.name.time == time) for time in range(3)
+    ]
+    assert world.get_state("a" * 16) == "completed"
+    assert all(at >= 1.0 + 0.7 * time for time, at in enumerate(began))
+
+
+def test_leaving_worker_gets_nothing_and_is_emptied_in_time():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(8, lasting=True))
+    world.run(1)
+    leaving = world.workers["w0"]
+    leaving.description = fleets.dataclasses.replace(
+        leaving.description,
+        presence=work.Presence.LEAVING,
+        leaves_ms=3000,
+    )
+    world.run(0.1)
+    begun = len(leaving.ledger)
+    world.submit("b" * 16, make_step(8))
+    world.run(2.0)
+    assert len(leaving.ledger) == begun
+    assert not leaving.runs
+    assert sum(len(w.runs) for w in world.workers.values()) == 8
+
+
+def test_out_data_centre_gets_nothing():
+    world = fleets.World(1)
+    world.out = frozenset({"dc0"})
+    world.take_over()
+    world.submit("a" * 16, make_step(8))
+    world.run(3)
+    used = {
+        w.description.data_centre for w in world.workers.values() if w.ledger
+    }
+    assert used == {"dc1"}
+    assert world.get_state("a" * 16) == "completed"
+
+
+@pytest.mark.parametrize("at", [0.005, 0.06, 0.2, 0.4, 0.55, 0.6, 0.9])
+def test_takeover_runs_nothing_twice(at):
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(8), make_step(8, (0,)))
+    world.run(at)
+    world.take_over()
+    world.run(6)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.list_broken() == []
+
+
+def test_takeover_waits_for_a_worker_that_may_still_run():
+    world = fleets.World(1, run_s=lambda rng: 30.0)
+    world.submit("a" * 16, make_step(8))
+    world.run(1)
+    cut = next(w for w in world.workers.values() if w.runs)
+    cut.reached = False
+    world.take_over()
+    world.run(12)
+    assert world.list_broken() == []
+    running = sum(len(w.runs) for w in world.workers.values())
+    assert running == 8
+
+
+def test_store_outage_keeps_leases_and_records_ends_later():
+    world = fleets.World(1, run_s=lambda rng: 3.0)
+    world.submit("a" * 16, make_step(4), make_step(4, (0,)))
+    world.run(1)
+    world.store_up = False
+    world.run(8)
+    assert world.starts == 4
+    world.store_up = True
+    world.run(5)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 8
+
+
+WALKS = range(40)
+
+
+@pytest.mark.parametrize("seed", WALKS)
+def test_random_walk_keeps_the_promises(seed):
+    world = fleets.World(
+        seed,
+        run_s=lambda rng: rng.uniform(0.1, 2.5),
+        fail=lambda run: run.attempt == 1 and run.name.index == 3,
+        late=(0.0, 0.06)[seed % 2],
+    )
+    for number in range(14):
+        name = f"{number:016x}"
+        width = world.rng.randint(1, 8)
+        steps = [make_step(width)]
+        if world.rng.random() < 0.5:
+            steps.append(make_step(world.rng.randint(1, 6), (0,)))
+        if world.rng.random() < 0.2:
+            steps = [make_step(width, lasting=True)]
+        world.submit(name, *steps)
+        world.run(world.rng.uniform(0.05, 0.8))
+        _strike(world)
+    for worker in world.workers.values():
+        worker.reached = True
+    world.store_up = True
+    world.run(30)
+    assert world.list_broken() == []
+    open_jobs = [
+        job
+        for job in world.own.book.jobs.values()
+        if not job.submission.steps[0].lasting
+    ]
+    assert {job.state for job in open_jobs} <= book.ENDED
+
+
+def _strike(world):
+    worker = world.rng.choice(list(world.workers.values()))
+    chance = world.rng.random()
+    if chance < 0.15:
+        worker.crash()
+    elif chance < 0.3:
+        worker.reached = not worker.reached
+    elif chance < 0.45:
+        world.take_over()
+    elif chance < 0.55:
+        world.store_up = not world.store_up
+    elif chance < 0.62:
+        world.cancel(world.rng.choice(list(world.own.book.jobs)))
--- /dev/null
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -0,0 +1,490 @@
+"""A virtual fleet: the owner's reducer against fake workers and a fake log.
+
+Time is virtual; all chance comes from one seed. Faults are chosen by the
+caller. The ledger of each worker, not the owner's state, is judged.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from poplarspindle import resources
+from poplarspindle.fleet import (
+    book,
+    effects,
+    events,
+    fleet,
+    orders,
+    owner,
+    records,
+    views,
+    work,
+)
+
+TICK_S = 0.05
+APPEND_S = 0.01
+ORDER_S = 0.003
+SILENT_S = 0.4
+LOOK_S = 0.25
+STOP_S = 0.3
+WALL_MS = 1_700_000_000_000
+
+
+@dataclasses.dataclass(slots=True)
+class FakeRun:
+    """One run on a fake worker, as its ledger keeps it."""
+
+    name: work.TaskName
+    attempt: int
+    began: float
+    ends: float
+    ended: float = float("inf")
+    how: work.How | None = None
+    noted: float = float("inf")
+
+
+class FakeWorker:
+    """A worker that keeps leases, fences and a ledger.
+
+    Attributes:
+        description: Its entry in the list.
+        ledger: All runs that ever began.
+        up: Whether it is alive.
+        reached: Whether the owner reaches it.
+    """
+
+    def __init__(self, world: "World", description: work.Worker) -> None:
+        self.world = world
+        self.description = description
+        self.ledger: list[FakeRun] = []
+        self.up = True
+        self.reached = True
+        self.born_ms = description.born_ms
+        self.fence = 0
+        self.until_ms = 0
+        self.runs: dict[tuple, FakeRun] = {}
+        self.ends: list[tuple[int, FakeRun]] = []
+        self.numbers = itertools.count(1)
+        self.highest: dict[work.TaskName, int] = {}
+        self.born_at = world.now
+
+    def clock_ms(self) -> int:
+        """Returns the worker's own clock; it is 2 % slow."""
+        return 1 + int((self.world.now - self.born_at) * 980)
+
+    def advance(self) -> None:
+        """Ends what is done and, when the lease is over, everything."""
+        if not self.up:
+            return
+        now = self.world.now
+        for run in list(self.runs.values()):
+            if run.ends <= now:
+                how = self.world.judge_run(run)
+                self._end(run, how)
+        if self.runs and self.clock_ms() > self.until_ms:
+            for run in list(self.runs.values()):
+                self._end(run, work.How.LAPSED)
+
+    def _end(self, run: FakeRun, how: work.How) -> None:
+        run.how, run.ended = how, self.world.now
+        del self.runs[run.name, run.attempt]
+        self.ends.append((next(self.numbers), run))
+
+    def crash(self) -> None:
+        """Ends this life; the next one knows nothing of it."""
+        for run in self.runs.values():
+            run.ended = self.world.now
+        self.runs.clear()
+        self.ends.clear()
+        self.highest.clear()
+        self.fence = self.until_ms = 0
+        self.numbers = itertools.count(1)
+        self.born_ms += 1000
+        self.born_at = self.world.now
+        self.description = dataclasses.replace(
+            self.description, born_ms=self.born_ms
+        )
+
+    def _grant(self, until_ms: int) -> None:
+        most = self.clock_ms() + self.world.lease_most_ms
+        self.until_ms = max(self.until_ms, min(until_ms, most))
+
+    def _check_fence(self, epoch: int) -> bool:
+        if epoch < self.fence:
+            return False
+        self.fence = epoch
+        return True
+
+    def start(self, order: orders.Start) -> orders.Answer:
+        """Carries out a start."""
+        if not self._check_fence(order.epoch):
+            return orders.Answer(orders.Refusal.FENCED, self.clock_ms())
+        if order.until_ms <= self.clock_ms():
+            return orders.Answer(orders.Refusal.LATE, self.clock_ms())
+        self._grant(order.until_ms)
+        if (order.task, order.attempt) in self.runs:
+            return orders.Answer(None, self.clock_ms())
+        if order.attempt <= self.highest.get(order.task, 0):
+            return orders.Answer(orders.Refusal.ENDED, self.clock_ms())
+        step = self.world.find_step(order.task)
+        taken = resources.NOTHING
+        for run in self.runs.values():
+            taken += views.get_reserved(self.world.find_step(run.name))
+        room = self.description.capacity - taken
+        if not views.get_reserved(step).fits_in(room):
+            self.world.room_refusals += 1
+            return orders.Answer(orders.Refusal.ROOM, self.clock_ms())
+        now = self.world.now
+        ends = now + self.world.choose_time(order.task)
+        run = FakeRun(order.task, order.attempt, now, ends)
+        self.runs[order.task, order.attempt] = run
+        self.highest[order.task] = order.attempt
+        self.ledger.append(run)
+        self.world.starts += 1
+        return orders.Answer(None, self.clock_ms())
+
+    def stop(self, order: orders.Stop) -> orders.Answer:
+        """Carries out a stop; a run not there yet never starts."""
+        if not self._check_fence(order.epoch):
+            return orders.Answer(orders.Refusal.FENCED, self.clock_ms())
+        before = self.highest.get(order.task, 0)
+        self.highest[order.task] = max(before, order.attempt)
+        run = self.runs.get((order.task, order.attempt))
+        if run is not None:
+            self.world.call_later(STOP_S, lambda: self._stop(run))
+        return orders.Answer(None, self.clock_ms())
+
+    def _stop(self, run: FakeRun) -> None:
+        if self.runs.get((run.name, run.attempt)) is run:
+            self._end(run, work.How.STOPPED)
+
+    def hold(self, order: orders.Hold) -> work.Report | None:
+        """Carries out a hold."""
+        if not self._check_fence(order.epoch):
+            return None
+        if order.until_ms:
+            self._grant(order.until_ms)
+        for number, run in self.ends:
+            if number <= order.seen:
+                run.noted = min(run.noted, self.world.now)
+        self.ends = [row for row in self.ends if row[0] > order.seen]
+        return work.Report(
+            self.clock_ms(),
+            self.born_ms,
+            tuple(work.Running(r.name, r.attempt) for r in self.runs.values()),
+            tuple(
+                work.Ended(number, run.name, run.attempt, run.how, "")
+                for number, run in self.ends
+            ),
+        )
+
+
+class World:
+    """Workers, a log and one owner at a time, in virtual time.
+
+    Args:
+        seed: Seed of all chance.
+        workers: Number of workers.
+        run_s: Returns the time that a task takes, seconds.
+        fail: Tells whether a run fails by itself.
+        late: Share of orders that get no answer and are carried out late.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        workers: int = 4,
+        capacity: resources.Resources | None = None,
+        run_s: Callable[[random.Random], float] = lambda rng: 0.5,
+        fail: Callable[[FakeRun], bool] = lambda run: False,
+        late: float = 0.0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.lease_most_ms = 6000
+        self.late = late
+        self.starts = 0
+        self.room_refusals = 0
+        self.store_up = True
+        self.completed_at: dict[str, float] = {}
+        self._run_s = run_s
+        self._fail = fail
+        self._due: list = []
+        self._numbers = itertools.count()
+        self.log: dict[str, records.Record] = {}
+        self.submissions: dict[str, work.Submission] = {}
+        self.workers = {
+            f"w{i}": FakeWorker(
+                self,
+                work.Worker(
+                    f"w{i}",
+                    f"10.0.0.{i}:80",
+                    "pool",
+                    f"dc{i % 2}",
+                    capacity or resources.Resources(8000, 32000, 0),
+                    frozenset({"a", f"r{i % 2}"}),
+                    f"r{i % 2}",
+                    born_ms=1000 + i,
+                ),
+            )
+            for i in range(workers)
+        }
+        self.queue = work.Queue("q", "h", "/q/", "pool", 0, 3, 1.5, 250)
+        self.configuration = work.Configuration(1, {"q": self.queue})
+        self.out: frozenset[str] = frozenset()
+        self.own: fleet.Fleet | None = None
+        self._looks: dict[str, dict] = {}
+        self.notes: collections.Counter = collections.Counter()
+        self.take_over()
+
+    # What the workers ask.
+
+    def find_step(self, name: work.TaskName) -> work.Step:
+        """Returns the step of a task."""
+        return self.submissions[name.job].steps[name.step]
+
+    def choose_time(self, name: work.TaskName) -> float:
+        """Returns how long a run takes, seconds."""
+        if self.find_step(name).lasting:
+            return float("inf")
+        return self._run_s(self.rng)
+
+    def judge_run(self, run: FakeRun) -> work.How:
+        """Tells how a run ends that ends by itself."""
+        return work.How.FAILED if self._fail(run) else work.How.DONE
+
+    # The owner.
+
+    def take_over(self) -> None:
+        """Lets another owner begin from the log alone."""
+        epoch = (self.own.epoch if self.own else 0) + 16
+        known = book.Book()
+        for name, submission in self.submissions.items():
+            if f"j/{name}" in self.log:
+                value = self.log[f"j/{name}"].value
+                book.add_job(known, records.decode_submission(name, value))
+                assert known.jobs[name].submission == submission
+        for key in self.log:
+            kind, _, name = key.partition("/")
+            if kind == records.CANCELLED:
+                book.cancel_job(known.jobs[name])
+        for key, record in self.log.items():
+            kind, _, name = key.partition("/")
+            if kind == records.PROGRESS:
+                records.apply_progress(known.jobs[name], record.value)
+        self.own = fleet.Fleet(known, self.lease_most_ms)
+        self._looks = {}
+        self._do(events.Claimed(self.now, self.wall_ms(), epoch))
+        self._do(events.Configured(self.now, self.configuration, self.out))
+        self.list_workers()
+
+    def wall_ms(self) -> int:
+        """Returns Unix time in milliseconds."""
+        return WALL_MS + int(self.now * 1000)
+
+    def list_workers(self) -> None:
+        """Lets the owner read the list."""
+        listed = tuple(
+            worker.description for worker in self.workers.values() if worker.up
+        )
+        self._do(events.WorkersListed(self.now, listed))
+
+    def submit(self, job: str, *steps: work.Step, **options) -> None:
+        """Hands a job in."""
+        submission = work.Submission(
+            job,
+            self.queue,
+            "spec",
+            steps,
+            accepted_ms=self.wall_ms(),
+            **options,
+        )
+        self.submissions[job] = submission
+        record = records.encode_submission(submission)
+        self.log[record.key] = record
+        book.add_job(self.own.book, submission)
+        self._do(events.JobRead(self.now, job))
+        self._settle()
+
+    def cancel(self, job: str) -> None:
+        """Cancels a job."""
+        record = records.encode_cancel(job)
+        self.log[record.key] = record
+        book.cancel_job(self.own.book.jobs[job])
+        self._do(events.CancelRead(self.now, self.wall_ms(), job))
+        self._settle()
+
+    def _do(self, event: events.Event) -> None:
+        for effect in owner.reduce(self.own, event):
+            self._carry_out(effect)
+
+    def _settle(self) -> None:
+        self.own.at, self.own.wall_ms = self.now, self.wall_ms()
+        for effect in owner.settle(self.own):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        own = self.own
+        if isinstance(effect, effects.Note):
+            self.notes[effect.event] += 1
+        elif isinstance(effect, effects.Append):
+            self.call_later(APPEND_S, lambda: self._append(own, effect))
+        elif isinstance(effect, effects.Order):
+            self.call_later(ORDER_S, lambda: self._deliver(own, effect))
+        elif isinstance(effect, effects.Acknowledge):
+            look = self._looks.setdefault(effect.worker, {})
+            if look.get("born") == effect.born_ms:
+                look["seen"] = max(look.get("seen", 0), effect.number)
+
+    def _append(self, own: fleet.Fleet, effect: effects.Append) -> None:
+        if own is not self.own:
+            return
+        if not self.store_up:
+            self.call_later(0.2, lambda: self._append(own, effect))
+            return
+        for record in effect.found:
+            self.log[record.key] = record
+        self._do(events.Appended(self.now, effect.number))
+        for name, job in own.book.jobs.items():
+            if job.shown is book.State.COMPLETED:
+                self.completed_at.setdefault(name, self.now)
+        self._settle()
+
+    def _deliver(self, own: fleet.Fleet, effect: effects.Order) -> None:
+        worker = self.workers.get(effect.worker)
+        if worker is None or not worker.up or not worker.reached:
+            self._answer(own, effect, orders.Answer(orders.Refusal.SILENT))
+            return
+        if self.rng.random() < self.late:
+            delay_s = self.rng.uniform(2.0, 12.0)
+            born_ms = worker.born_ms
+
+            def carry_out_late() -> None:
+                if worker.up and worker.born_ms == born_ms:
+                    self._execute(worker, effect.order)
+
+            self.call_later(delay_s, carry_out_late)
+            self._answer(own, effect, orders.Answer(orders.Refusal.SILENT))
+            return
+        answer = self._execute(worker, effect.order)
+        self._answer(own, effect, answer)
+
+    def _execute(self, worker: FakeWorker, order) -> orders.Answer:
+        worker.advance()
+        if isinstance(order, orders.Start):
+            return worker.start(order)
+        if isinstance(order, orders.Stop):
+            return worker.stop(order)
+        return orders.Answer(None, worker.clock_ms())
+
+    def _answer(self, own, effect, answer: orders.Answer) -> None:
+        silent = answer.refusal is orders.Refusal.SILENT
+        sent_at = self.now
+
+        def arrive() -> None:
+            if own is not self.own:
+                return
+            self._do(
+                events.Ordered(
+                    self.now, effect.worker, sent_at, effect.order, answer
+                )
+            )
+            self._settle()
+
+        self.call_later(SILENT_S if silent else ORDER_S, arrive)
+
+    def _look(self, name: str) -> None:
+        worker = self.workers[name]
+        if not worker.up or not worker.reached or self.own is None:
+            return
+        worker.advance()
+        look = self._looks.setdefault(name, {})
+        clock_ms = look.get("clock", 0)
+        if clock_ms:
+            clock_ms += int((self.now - look["at"]) * 1000)
+        until_ms = clock_ms + fleet.LEASE_MS if clock_ms else 0
+        if until_ms:
+            self._do(events.Granted(self.now, name, until_ms))
+        seen = look.get("seen", 0) if look.get("born") == worker.born_ms else 0
+        hold = orders.Hold(self.own.epoch, seen, until_ms, 0)
+        report = worker.hold(hold)
+        if report is None:
+            return
+        if look.get("born") != report.born_ms:
+            look |= {"born": report.born_ms, "seen": 0}
+        look |= {"clock": report.clock_ms, "at": self.now}
+        self._do(
+            events.Reported(
+                self.now, self.wall_ms(), name, self.now, until_ms, report
+            )
+        )
+        self._settle()
+
+    # Time.
+
+    def call_later(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Calls a function later in virtual time."""
+        heapq.heappush(
+            self._due, (self.now + delay_s, next(self._numbers), call)
+        )
+
+    def run(self, seconds: float) -> None:
+        """Lets virtual time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now = round(self.now + TICK_S, 6)
+            while self._due and self._due[0][0] <= self.now:
+                _, _, call = heapq.heappop(self._due)
+                call()
+            for worker in self.workers.values():
+                worker.advance()
+            self.list_workers()
+            self._do(events.Ticked(self.now, self.wall_ms()))
+            self._settle()
+            if round(self.now / TICK_S) % round(LOOK_S / TICK_S) == 0:
+                for name in list(self.workers):
+                    self._look(name)
+
+    def get_state(self, job: str) -> str:
+        """Returns a job's state as callers are shown it."""
+        return self.own.book.jobs[job].shown.value
+
+    # The judgement.
+
+    def list_broken(self) -> list[str]:
+        """Lists the promises that the workers' ledgers show as broken."""
+        by_task = collections.defaultdict(list)
+        for worker in self.workers.values():
+            for run in worker.ledger:
+                by_task[run.name].append(run)
+        found = []
+        for name, runs in by_task.items():
+            runs.sort(key=lambda run: run.began)
+            for first, second in itertools.combinations(runs, 2):
+                if second.began < first.ended:
+                    found.append(f"two runs at once: {name}")
+                if (
+                    first.how is work.How.DONE
+                    and first.noted < float("inf")
+                    and second.began > first.ended
+                ):
+                    found.append(f"started after done: {name}")
+            found += self._check_order(name, runs, by_task)
+        return found
+
+    def _check_order(self, name, runs, by_task) -> list[str]:
+        submission = self.submissions[name.job]
+        for before in submission.steps[name.step].after:
+            for index in range(submission.steps[before].tasks):
+                earlier = work.TaskName(name.job, name.time, before, index)
+                done = [
+                    run.ended
+                    for run in by_task.get(earlier, ())
+                    if run.how is work.How.DONE
+                ]
+                if not done or min(done) > runs[0].began:
+                    return [f"started too early: {name}"]
+        return []
