Take in that a given-up run was done; judge leases in the virtual fleet

A cut worker's task that ended done while its lease still held ran again after the worker came back, though nothing had replaced it. Now the end counts if the task was not placed again.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -77,6 +77,8 @@
         run = hand.runs.get((end.task, end.attempt))
         if run is not None:
             found += end_run(own, hand, run, end.how, end.saved)
+        elif end.how is work.How.DONE:
+            found += _take_late_end(own, hand, end)
     if hand.noted > hand.recorded:
         hand.recorded = hand.noted
         own.waiting.append(
@@ -85,6 +87,26 @@
     return found
 
 
+def _take_late_end(own: fleet.Fleet, hand: views.Hand, end) -> list:
+    """Takes in that a run is done which was given up but not replaced."""
+    task = book.find_task(own.book, end.task)
+    job = own.book.jobs.get(end.task.job)
+    if (
+        task is None
+        or task.phase is not book.Phase.QUEUED
+        or task.attempt != end.attempt
+        or job.submission.steps[end.task.step].lasting
+    ):
+        return []
+    key = (end.task.job, end.task.time, end.task.step)
+    waiting = own.ready.get(key, set())
+    waiting.discard(end.task.index)
+    if not waiting:
+        own.ready.pop(key, None)
+    run = views.Run(end.task, job, task, own.at, True)
+    return end_run(own, hand, run, end.how, end.saved)
+
+
 def end_run(
     own: fleet.Fleet,
     hand: views.Hand,
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -44,6 +44,7 @@
     ended: float = float("inf")
     how: work.How | None = None
     noted: float = float("inf")
+    lapsed: bool = False
 
 
 class FakeWorker:
@@ -84,6 +85,10 @@
             if run.ends <= now:
                 how = self.world.judge_run(run)
                 self._end(run, how)
+        if self.clock_ms() > self.until_ms:
+            # An end counts as noted only if the lease held until then.
+            for _, run in self.ends:
+                run.lapsed = True
         if self.runs and self.clock_ms() > self.until_ms:
             for run in list(self.runs.values()):
                 self._end(run, work.How.LAPSED)
@@ -469,6 +474,7 @@
                 if (
                     first.how is work.How.DONE
                     and first.noted < float("inf")
+                    and not first.lapsed
                     and second.began > first.ended
                 ):
                     found.append(f"started after done: {name}")
