--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -33,6 +33,7 @@
         slowdown: What was learned of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
+        summed_at: When the fleet was last summed up for the log.
         drops: Ids of ended jobs in the order in which they ended.
     """
 
@@ -64,6 +65,7 @@
         self.harm_ms = harm_ms
         self.slowdown = interference.Model()
         self.drops: dict[str, None] = {}
+        self.summed_at = float("-inf")
         self.ghosts: dict[str, dict[tuple[work.TaskName, int], float]] = {}
 
     @property
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -19,6 +19,7 @@
 
 RETRY_S = 0.05
 DRAIN_MARGIN_MS = 900
+SUMMARY_S = 1.0
 
 
 def reduce(own: fleet.Fleet, event: events.Event) -> list[effects.Effect]:
@@ -171,9 +172,48 @@
     for hand in list(own.hands.values()):
         if hand.runs:
             found += _tick_hand(own, hand)
+    if own.at - own.summed_at >= SUMMARY_S:
+        own.summed_at = own.at
+        found.append(_sum_up(own))
     return found + _drop_old(own)
 
 
+def _sum_up(own: fleet.Fleet) -> effects.Note:
+    """Sums the fleet up for the log, in thousandths of a processor."""
+    hands = [hand for hand in own.hands.values() if hand.heard]
+    quiet = [hand for hand in hands if not hand.serving]
+    loud = [hand for hand in hands if hand.serving]
+    ready_fills = sum(
+        len(indexes)
+        for key, indexes in own.ready.items()
+        if own.book.jobs[key[0]].submission.steps[key[2]].fills
+    )
+    return fleet.note(
+        "fleet",
+        "load",
+        workers=len(hands),
+        without_serving=len(quiet),
+        capacity=sum(h.worker.capacity.millicores for h in hands),
+        held=sum(h.held.millicores for h in hands),
+        serving=sum(h.serving for h in hands),
+        filling=sum(h.filling for h in hands),
+        left_quiet=int(sum(map(placing.count_left, quiet))),
+        left_beside=int(sum(map(placing.count_left, loud))),
+        fills_used=int(
+            sum(
+                run.usage or 0
+                for hand in hands
+                for run in hand.runs.values()
+                if run.step.fills
+            )
+        ),
+        ready=sum(map(len, own.ready.values())),
+        ready_fills=ready_fills,
+        open_jobs=len(own.open_jobs),
+        hot=sum(h.over_since < float("inf") for h in hands),
+    )
+
+
 def _tick_hand(own: fleet.Fleet, hand: views.Hand) -> list:
     found = []
     if own.at >= hand.lapse_at and own.at - hand.heard_at > 1.0:
