Ask a worker that does not answer for no lease

Change: no lease is asked for until a worker answers again, and nothing is placed on one that missed a look. Test: tasks of a dark worker are back after their lease; red without it.

--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -82,6 +82,15 @@
     until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unheard:
+    """A worker did not answer a look."""
+
+    at: float
+    worker: str
+    why: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ordered:
     """An order was answered, or not."""
@@ -117,6 +126,7 @@
     | Configured
     | Reported
     | Granted
+    | Unheard
     | Ordered
     | Appended
     | Ticked
--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -1,11 +1,17 @@
 """State of the fleet's owner, and the small steps that change it."""
 
 from poplarspindle import interference
-from poplarspindle.fleet import book, effects, orders, records, views, work
+from poplarspindle.fleet import (
+    book,
+    effects,
+    leases,
+    orders,
+    records,
+    views,
+    work,
+)
 
-LEASE_MS = 4000  # Outlasts a takeover; a dark worker's tasks wait for it.
 LATE_ORDER_S = 15.0  # An order without an answer may be done that late.
-TAKEOVER_GRANT_S = 4.0  # An owner cut from the store grants no longer.
 
 
 class Fleet:
@@ -201,7 +207,7 @@
     run.asked = True
     run.answered_at = float("inf")
     clock_ms = views.tell_clock(hand, own.at)
-    until_ms = clock_ms + min(LEASE_MS, own.lease_most_ms)
+    until_ms = clock_ms + min(leases.LEASE_MS, own.lease_most_ms)
     views.note_grant(hand, until_ms)
     order = orders.Start(
         run.name,
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -10,6 +10,7 @@
     effects,
     events,
     fleet,
+    leases,
     pacing,
     placing,
     reports,
@@ -20,6 +21,7 @@
 RETRY_S = 0.05
 DRAIN_MARGIN_MS = 900
 SUMMARY_S = 1.0
+UNHEARD_S = 1.0
 
 
 def reduce(own: fleet.Fleet, event: events.Event) -> list[effects.Effect]:
@@ -38,7 +40,7 @@
 def _claim(own: fleet.Fleet, event: events.Claimed) -> list:
     """Takes the fleet over: what was placed is held, the rest is ready."""
     own.epoch = event.epoch
-    unsure_at = event.at + fleet.TAKEOVER_GRANT_S
+    unsure_at = event.at + leases.TAKEOVER_GRANT_S
     unsure_at += own.lease_most_ms / 1000 * views.CLOCK_DRIFT
     for name, job in own.book.jobs.items():
         if job.state in book.ENDED:
@@ -159,6 +161,29 @@
     return []
 
 
+def _miss(own: fleet.Fleet, event: events.Unheard) -> list:
+    """Keeps work away from a worker that did not answer a look."""
+    hand = own.hands.get(event.worker)
+    if hand is None:
+        return []
+    hand.full_until = max(hand.full_until, event.at + UNHEARD_S)
+    if hand.missed:
+        return []
+    hand.missed = True
+    return [
+        fleet.note(
+            "workers",
+            "unheard",
+            worker=event.worker,
+            why=event.why,
+            runs=len(hand.runs),
+            lapses_in_ms=int((hand.lapse_at - own.at) * 1000)
+            if hand.lapse_at > float("-inf")
+            else 0,
+        )
+    ]
+
+
 def _append(own: fleet.Fleet, event: events.Appended) -> list:
     return fleet.take_appended(own, event.number)
 
@@ -356,6 +381,7 @@
     events.Configured: _configure,
     events.Reported: reports.take_report,
     events.Granted: _grant,
+    events.Unheard: _miss,
     events.Ordered: reports.take_answer,
     events.Appended: _append,
     events.Ticked: _tick,
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -31,6 +31,10 @@
     if report.born_ms != hand.born_ms:
         found += _begin_life(own, hand, report)
     hand.heard_at = event.at
+    if hand.missed:
+        hand.missed = False
+        hand.full_until = event.at
+        found.append(fleet.note("workers", "heard-again", worker=event.worker))
     if event.until_ms:
         views.note_grant(hand, event.until_ms)
     found += _take_ends(own, hand, report)
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -109,6 +109,7 @@
         full_until: Time before which nothing is placed on it.
         bad_ends: Failed ends in a row.
         pace: Share of their speed that its fills may work at.
+        missed: Whether the last look at it got no answer.
         paced_at: When that last changed.
         changed_at: When a run came or went last.
         over_since: Since when a target is missed, infinity if none is.
@@ -135,6 +136,7 @@
         self.full_until = float("-inf")
         self.bad_ends = 0
         self.pace = 100
+        self.missed = False
         self.paced_at = float("-inf")
         self.changed_at = float("-inf")
         self.over_since = float("inf")
--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -12,7 +12,7 @@
 from poplarspindle.fleet import (
     effects,
     events,
-    fleet,
+    leases,
     orders,
     records,
     views,
@@ -32,7 +32,6 @@
 TAIL_WAIT_MS = 550  # Tails are measured over half a second.
 RECORDED_S = 0.5
 UNREACHED_S = 0.15
-LONG_LEASE_AFTER_S = 0.8
 
 _log = structlog.get_logger(part="owner")
 
@@ -54,8 +53,7 @@
         self.link = own.connect(worker)
         self._seen = 0
         self._born_ms = 0
-        self._clock_ms = 0
-        self._clock_at = 0.0
+        self._clock = leases.Clock()
         self.wait_ms = HOLD_WAIT_MS
         self._recorded = threading.Condition()
         self.over = threading.Event()
@@ -82,21 +80,25 @@
     def _look(self, wait_ms: int) -> bool:
         own = self._own
         sent_at = time.monotonic()
-        until_ms = self._choose_lease(sent_at)
+        until_ms = leases.choose_lease(
+            self._clock, sent_at, own.store_ok_at(), own.lease_most_ms
+        )
         if until_ms:
             own.post(events.Granted(sent_at, self.worker.name, until_ms))
         order = orders.Hold(own.epoch, self._seen, until_ms, wait_ms)
         answer = self.link.hold(order)
         at = time.monotonic()
         if isinstance(answer, outcomes.Failed):
+            self._clock.heard = False
             if answer.reason == "fenced":
                 own.lose("worker-fenced")
+            own.post(events.Unheard(at, self.worker.name, answer.reason))
             return False
         report = answer.value
         if report.born_ms != self._born_ms:
             with self._recorded:
                 self._born_ms, self._seen = report.born_ms, 0
-        self._clock_ms, self._clock_at = report.clock_ms, at
+        self._clock = leases.Clock(report.clock_ms, at, True)
         own.post(
             events.Reported(
                 at,
@@ -121,17 +123,6 @@
                     return
                 self._recorded.wait(left_s)
 
-    def _choose_lease(self, now: float) -> int:
-        """Returns the end of the leases to ask for, 0 for none."""
-        if not self._clock_ms:
-            return 0
-        quiet_s = now - self._own.store_ok_at()
-        if quiet_s > fleet.TAKEOVER_GRANT_S:
-            return 0
-        clock_ms = self._clock_ms + int((now - self._clock_at) * 1000)
-        long = quiet_s > LONG_LEASE_AFTER_S
-        return clock_ms + (self._own.lease_most_ms if long else fleet.LEASE_MS)
-
 
 class Owning:
     """Carries the owner's effects out while this node owns the fleet.
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -164,6 +164,17 @@
     assert running == 8
 
 
+def test_tasks_of_a_dark_worker_are_back_after_their_lease():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(8, lasting=True))
+    world.run(1)
+    dark = next(w for w in world.workers.values() if w.runs)
+    dark.crash()
+    dark.up = False
+    world.run(5.0)
+    assert sum(len(w.runs) for w in world.workers.values() if w.up) == 8
+
+
 def test_store_outage_keeps_leases_and_records_ends_later():
     world = fleets.World(1, run_s=lambda rng: 3.0)
     world.submit("a" * 16, make_step(4), make_step(4, (0,)))
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -17,6 +17,7 @@
     effects,
     events,
     fleet,
+    leases,
     orders,
     owner,
     records,
@@ -214,6 +215,7 @@
         self.starts = 0
         self.room_refusals = 0
         self.store_up = True
+        self.store_ok_at = 0.0
         self.completed_at: dict[str, float] = {}
         self._run_s = run_s
         self._fail = fail
@@ -403,16 +405,20 @@
 
     def _look(self, name: str) -> None:
         worker = self.workers[name]
-        if not worker.up or not worker.reached or self.own is None:
-            return
         worker.advance()
         look = self._looks.setdefault(name, {})
-        clock_ms = look.get("clock", 0)
-        if clock_ms:
-            clock_ms += int((self.now - look["at"]) * 1000)
-        until_ms = clock_ms + fleet.LEASE_MS if clock_ms else 0
+        clock = look.setdefault("clock", leases.Clock())
+        confirmed_at = self.now if self.store_up else self.store_ok_at
+        self.store_ok_at = confirmed_at
+        until_ms = leases.choose_lease(
+            clock, self.now, confirmed_at, self.lease_most_ms
+        )
         if until_ms:
             self._do(events.Granted(self.now, name, until_ms))
+        if not worker.up or not worker.reached:
+            clock.heard = False
+            self._do(events.Unheard(self.now, name, "timeout"))
+            return
         seen = look.get("seen", 0) if look.get("born") == worker.born_ms else 0
         hold = orders.Hold(self.own.epoch, seen, until_ms, 0)
         report = worker.hold(hold)
@@ -420,7 +426,7 @@
             return
         if look.get("born") != report.born_ms:
             look |= {"born": report.born_ms, "seen": 0}
-        look |= {"clock": report.clock_ms, "at": self.now}
+        look["clock"] = leases.Clock(report.clock_ms, self.now, True)
         self._do(
             events.Reported(
                 self.now, self.wall_ms(), name, self.now, until_ms, report
