--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -308,14 +308,6 @@
     return found
 
 
-def _disturbs(own: fleet.Fleet, hand: views.Hand, step: work.Step) -> bool:
-    """Tells whether a fill would push what serves on a worker too far."""
-    if hand.pace < pacing.MOVE_PACE:
-        return True
-    ratio = pacing.predict_ratio(own, hand, step.image, step.need.millicores)
-    return ratio > pacing.START_SHARE
-
-
 def _place_step(own, hands, job, step, key) -> list:
     tasks = job.runs[key[1]][key[2]]
     indexes = sorted(own.ready[key])
@@ -325,12 +317,12 @@
     attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
     rack = ""
 
-    def disturbs(hand: views.Hand) -> bool:
-        return _disturbs(own, hand, step)
+    def find_harm(hand: views.Hand) -> float:
+        return pacing.predict_ratio(own, hand, step)
 
     for index in indexes:
         task = tasks[index]
-        hand = placing.choose_worker(hands, step, key, rack, disturbs)
+        hand = placing.choose_worker(hands, step, key, rack, find_harm)
         if hand is None:
             break
         task.phase = book.Phase.PLACED
--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -7,8 +7,10 @@
 measurement moves the pace by one step at most.
 """
 
+import math
+
 from poplarspindle import interference
-from poplarspindle.fleet import effects, fleet, orders, views
+from poplarspindle.fleet import effects, fleet, orders, views, work
 
 HOT_SHARE = 0.85
 COOL_SHARE = 0.6
@@ -20,7 +22,6 @@
 UP_STEP = 20
 SLOWEST = 10
 LOAD = 0.5  # Workers do not tell the load of what serves.
-START_SHARE = 0.7
 MOVE_PACE = 50
 
 
@@ -69,18 +70,29 @@
             )
 
 
-def predict_ratio(
-    own: fleet.Fleet, hand: views.Hand, image: str, millicores: int
-) -> float:
-    """Predicts the worst tail over its target if a fill came to a worker."""
+def predict_ratio(own: fleet.Fleet, hand: views.Hand, step: work.Step) -> float:
+    """Predicts the worst tail over its target if a fill came to a worker.
+
+    The load of what serves swings and is not told: the prediction starts
+    from the present tail where that is worse than the learned mean.
+    """
+    serving = list_serving(hand)
+    if not serving:
+        return 0.0
+    if hand.pace < MOVE_PACE:
+        return math.inf
     shares = find_shares(hand, list_fills(hand))
     capacity = max(1, hand.worker.capacity.millicores)
-    shares[image] = shares.get(image, 0.0) + millicores / capacity
+    added = step.need.millicores / capacity
+    shares[step.image] = shares.get(step.image, 0.0) + added
     worst = 0.0
-    for run in list_serving(hand):
-        tail = interference.predict(own.slowdown, run.step.image, shares, LOAD)
-        if tail is not None:
-            worst = max(worst, tail / run.step.target_ms)
+    for run in serving:
+        image = run.step.image
+        weight = own.slowdown.find_weight(image, step.image).mean
+        pushed = interference.weigh_load(LOAD) * weight * added
+        tail = run.usage * math.exp(min(pushed, 20.0))
+        mean = interference.predict(own.slowdown, image, shares, LOAD)
+        worst = max(worst, max(tail, mean or 0.0) / run.step.target_ms)
     return worst
 
 
--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -7,8 +7,11 @@
 FILL_SHARE_LEAST = 0.75
 SERVING_USE = 0.75
 REMOTE_COST = 0.5
-SERVING_COST = 1.0
 FILLED_COST = 0.5
+MIXED_COST = 1.5
+QUIET_COST = 0.3
+HARM_COST = 0.6
+HARM_MOST = 0.75
 
 
 def is_open(
@@ -42,25 +45,37 @@
     return hand.worker.capacity.millicores - used - hand.filling
 
 
-def rank_worker(hand: views.Hand, step: work.Step, rack: str) -> float:
+def rank_worker(
+    hand: views.Hand, step: work.Step, rack: str, harm: float
+) -> float:
     """Prices a worker for one task of a step; the least goes first.
 
-    Load pattern: half of the fleet is reserved by tasks that serve, the rest
-    is filled by work that disturbs them. Packing what serves on few workers
-    leaves others where fills disturb nobody; spreading fills by what is left
-    of each worker's processors keeps them at full speed.
+    Load pattern: half of the fleet or more is reserved by tasks that serve,
+    the rest is filled by work that disturbs some of them, by image, and
+    others hardly at all. What serves is packed by image, so that each fill
+    finds workers where it disturbs nobody; fills go where they harm least
+    and most processors are left; workers that serve nothing are kept for
+    those that harm everywhere.
+
+    Args:
+        hand: The worker.
+        step: The step.
+        rack: Rack of its other tasks, empty for any.
+        harm: Worst predicted tail over its target, for a fill.
     """
     capacity = max(1, hand.worker.capacity.millicores)
     wanted = step.rack or rack
     remote = REMOTE_COST if wanted and hand.worker.rack != wanted else 0.0
-    serving = hand.serving / capacity
     filling = hand.filling / capacity
+    left = count_left(hand) / capacity
     if step.fills:
-        disturbs = SERVING_COST * (hand.serving > 0)
-        return remote + disturbs - count_left(hand) / capacity
+        quiet = QUIET_COST if not hand.serving else 0.0
+        return remote + quiet + HARM_COST * harm - left
     if step.target_ms:
-        return remote + FILLED_COST * filling - serving
-    return remote + filling - count_left(hand) / capacity
+        same = hand.images[step.image] / capacity
+        other = hand.serving / capacity - same
+        return remote + FILLED_COST * filling + MIXED_COST * other - same
+    return remote + filling - left
 
 
 def has_processors(hand: views.Hand, step: work.Step) -> bool:
@@ -76,7 +91,7 @@
     step: work.Step,
     key: tuple,
     rack: str,
-    disturbs: Callable[[views.Hand], bool],
+    find_harm: Callable[[views.Hand], float],
 ) -> views.Hand | None:
     """Chooses the worker for one task of a step, None where none has room.
 
@@ -85,21 +100,25 @@
         step: The step.
         key: Its job, time and number.
         rack: Rack of its other tasks, empty for any.
-        disturbs: Tells whether the task would disturb what serves there.
+        find_harm: Predicts the worst tail over its target that a fill would
+            bring about on a worker.
     """
     fitting = [
         hand
         for hand in hands
         if fits(hand, step, key) and has_processors(hand, step)
     ]
-    if step.fills:
-        quiet = [hand for hand in fitting if not hand.serving]
-        fitting = quiet or [h for h in fitting if not disturbs(h)]
-    return min(
-        fitting,
-        key=lambda h: (rank_worker(h, step, rack), h.worker.name),
+    harms = [find_harm(hand) if step.fills else 0.0 for hand in fitting]
+    found = min(
+        (
+            (rank_worker(hand, step, rack, harm), hand.worker.name, hand)
+            for hand, harm in zip(fitting, harms, strict=True)
+            if harm <= HARM_MOST
+        ),
+        key=lambda row: row[:2],
         default=None,
     )
+    return found[2] if found else None
 
 
 def find_chain_ms(
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -108,6 +108,7 @@
         serving: Processors that tasks with a target reserve, in thousandths.
         full_until: Time before which nothing is placed on it.
         bad_ends: Failed ends in a row.
+        images: Processors of tasks with a target by image.
         pace: Share of their speed that its fills may work at.
         missed: Whether the last look at it got no answer.
         paced_at: When that last changed.
@@ -133,6 +134,7 @@
         self.held = resources.NOTHING
         self.filling = 0
         self.serving = 0
+        self.images: collections.Counter = collections.Counter()
         self.full_until = float("-inf")
         self.bad_ends = 0
         self.pace = 100
@@ -164,6 +166,7 @@
         hand.filling += run.step.need.millicores
     if run.step.target_ms:
         hand.serving += run.step.need.millicores
+        hand.images[run.step.image] += run.step.need.millicores
 
 
 def remove_run(hand: Hand, run: Run) -> None:
@@ -179,6 +182,7 @@
         hand.filling -= run.step.need.millicores
     if run.step.target_ms:
         hand.serving -= run.step.need.millicores
+        hand.images[run.step.image] -= run.step.need.millicores
 
 
 def _step_key(run: Run) -> tuple[str, int, int]:
