Order ready work by what can still meet its objective, then worth for work

Cause: within a priority the oldest went first; under overload every job was late, and tasks that last (older, never ending) kept urgent short ones out.

--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -13,6 +13,7 @@
     leases,
     pacing,
     placing,
+    ranking,
     reports,
     views,
     work,
@@ -282,7 +283,7 @@
     keys = sorted(
         own.ready,
         key=lambda key: (
-            *placing.rank_job(own.book.jobs[key[0]], key[1], own.queues),
+            *_rank_key(own, key),
             key,
         ),
     )
@@ -308,6 +309,12 @@
     return found
 
 
+def _rank_key(own: fleet.Fleet, key: tuple[str, int, int]) -> tuple:
+    job = own.book.jobs[key[0]]
+    step = job.submission.steps[key[2]]
+    return ranking.rank_step(job, key[1], step, own.queues, own.wall_ms)
+
+
 def _place_step(own, hands, job, step, key) -> list:
     tasks = job.runs[key[1]][key[2]]
     indexes = sorted(own.ready[key])
--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -1,8 +1,8 @@
-"""Which worker a task goes to, and which task goes first. Pure functions."""
+"""Which worker a task goes to. Pure functions."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
-from poplarspindle.fleet import book, views, work
+from poplarspindle.fleet import views, work
 
 FILL_SHARE_LEAST = 0.75
 SERVING_USE = 0.75
@@ -119,27 +119,3 @@
         default=None,
     )
     return found[2] if found else None
-
-
-def find_chain_ms(
-    submission: work.Submission, run: list[list[book.Task]]
-) -> float:
-    """Returns the longest chain of work still to do, milliseconds."""
-    longest: list[float] = []
-    for step, tasks in zip(submission.steps, run, strict=True):
-        before = max((longest[index] for index in step.after), default=0.0)
-        own = 0 if book.is_step_done(tasks) else step.estimate_ms
-        longest.append(before + own)
-    return max(longest, default=0.0)
-
-
-def rank_job(
-    job: book.Job, run_number: int, queues: Mapping[str, work.Queue]
-) -> tuple:
-    """Orders ready work: priority, then who was handed in first."""
-    submission = job.submission
-    queue = queues.get(submission.queue.name, submission.queue)
-    due_ms = submission.accepted_ms
-    if submission.times:
-        due_ms = submission.first_ms + run_number * submission.every_ms
-    return queue.priority, due_ms
