Keep a follower alive whose first read fails

Change: the age is written as it is; threads that raise log it and go on; a read whose records are gone although it succeeds loads all newest again. Test: tests/test_followers.py, 'first read fails' was red.

--- a/poplarspindle/node/commits.py
+++ b/poplarspindle/node/commits.py
@@ -7,7 +7,7 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import storage
+from poplarspindle.node import storage, threads
 
 APPEND_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
 BACKOFF_S = 0.05
@@ -53,11 +53,10 @@
         self._applied = applied
         self._waiting: list[Entry] = []
         self._changed = threading.Condition()
-        self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
         """Starts the appending thread."""
-        self._thread.start()
+        threads.start(self._run)
 
     def commit(self, record: records.Record, deadline: float) -> Entry:
         """Appends a record; returns its outcome at the deadline at latest."""
--- a/poplarspindle/node/followers.py
+++ b/poplarspindle/node/followers.py
@@ -8,7 +8,7 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import storage
+from poplarspindle.node import storage, threads
 
 WAIT_MS = 1000  # Also how often a calm topic's tail is confirmed.
 BACKOFF_S = 0.1
@@ -48,11 +48,10 @@
         self._reload = threading.Event()
         self.next = -1
         self.fresh_at = float("-inf")
-        self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
         """Starts the reading thread."""
-        self._thread.start()
+        threads.start(self._run)
 
     def reload(self) -> None:
         """Has all newest records read again."""
@@ -72,7 +71,12 @@
                 failures = 0
                 continue
             if failure.reason == "expired":
-                _log.warning("expired", topic=self._topic, offset=self.next)
+                _log.warning(
+                    "expired",
+                    topic=self._topic,
+                    offset=self.next,
+                    why=failure.detail,
+                )
                 self._reload.set()
                 continue
             if not failures:
@@ -80,9 +84,7 @@
                     "lost",
                     topic=self._topic,
                     why=failure.reason,
-                    fresh_ms=int((time.monotonic() - self.fresh_at) * 1000)
-                    if self.next >= 0
-                    else -1,
+                    fresh_s=round(time.monotonic() - self.fresh_at, 3),
                 )
             failures += 1
             time.sleep(min(BACKOFF_MOST_S, BACKOFF_S * failures))
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import queue
-import threading
 import time
 import uuid
 from collections.abc import Callable
@@ -27,6 +26,7 @@
     settings,
     standing,
     storage,
+    threads,
     wishes,
 )
 
@@ -148,7 +148,7 @@
 
     def start(self) -> None:
         """Starts all threads and servers."""
-        threading.Thread(target=self._run, daemon=True).start()
+        threads.start(self._run)
         self._commits.start()
         self._jobs.start()
         self._operators.start()
--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -18,7 +18,7 @@
     views,
     work,
 )
-from poplarspindle.node import storage
+from poplarspindle.node import storage, threads
 
 ORDER_THREADS = 24
 APPEND_S = 1.2
@@ -57,8 +57,7 @@
         self.wait_ms = HOLD_WAIT_MS
         self._recorded = threading.Condition()
         self.over = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self._thread.start()
+        threads.start(self._run, own.over)
 
     def record(self, born_ms: int, number: int) -> None:
         """Notes that ends up to a number are recorded."""
@@ -171,7 +170,7 @@
         jobs = [self._append_loop, self._list_loop]
         jobs += [self._order_loop] * ORDER_THREADS
         for job in jobs:
-            threading.Thread(target=job, daemon=True).start()
+            threads.start(job, self.over)
 
     def store_ok_at(self) -> float:
         """Returns when the store last confirmed the ownership."""
--- a/poplarspindle/node/standing.py
+++ b/poplarspindle/node/standing.py
@@ -8,7 +8,7 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import storage
+from poplarspindle.node import storage, threads
 
 JOIN_S = 0.3
 CLAIM_S = 1.0  # Time for a claim to come back through the log.
@@ -51,11 +51,10 @@
         self.store_ok_at = float("-inf")
         self.able = False
         self.resigned = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
         """Starts the joining thread."""
-        self._thread.start()
+        threads.start(self._run)
 
     def leave(self) -> None:
         """Leaves the group, for another member to be chosen at once."""
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -140,8 +140,16 @@
         body = answer.value.body
         if answer.value.status != 200 or len(body) < _OFFSETS.size:
             return self._refuse(outcomes.Step.READ, answer.value, {})
-        end, _ = _OFFSETS.unpack_from(body)
+        end, first = _OFFSETS.unpack_from(body)
         found = tuple(decode_records(body[_OFFSETS.size :]))
+        if first > offset or (end > offset and not found) or end < offset:
+            # Records in between are gone although the answer is a success.
+            return outcomes.Failed(
+                outcomes.Step.READ,
+                self._calls.address,
+                "expired",
+                f"asked for {offset}, first {first}, end {end}",
+            )
         return outcomes.Ok(storage.Page(found, offset + len(found), end))
 
     def read_newest(
--- /dev/null
+++ b/poplarspindle/tests/test_followers.py
@@ -0,0 +1,83 @@
+"""Followers against a store that fails in each way, at each step."""
+
+import threading
+
+import pytest
+
+from poplarspindle import outcomes
+from poplarspindle.fleet import records
+from poplarspindle.node import followers, storage
+
+FAILED = outcomes.Failed(outcomes.Step.READ, "store", "broken", "", True)
+EXPIRED = outcomes.Failed(outcomes.Step.READ, "store", "expired")
+
+
+class Store:
+    """Answers by a script, then with silence for ever."""
+
+    def __init__(self, newest, pages):
+        self.newest = list(newest)
+        self.pages = list(pages)
+        self.idle = threading.Event()
+
+    def read_newest(self, topic, after=""):
+        return self.newest.pop(0)
+
+    def read(self, topic, offset, wait_ms):
+        if self.pages:
+            return self.pages.pop(0)
+        self.idle.set()
+        threading.Event().wait()
+
+
+def make_record(value):
+    return records.Record("k", value)
+
+
+def make_newest(value, end):
+    return outcomes.Ok(storage.Newest((make_record(value),), False, end))
+
+
+def make_page(value, end):
+    return outcomes.Ok(storage.Page((make_record(value),), end, end))
+
+
+SCRIPTS = [
+    pytest.param(
+        [make_newest(b"1", 1)], [make_page(b"2", 2)], [b"1", b"2"], id="calm"
+    ),
+    pytest.param(
+        [FAILED, make_newest(b"1", 1)],
+        [make_page(b"2", 2)],
+        [b"1", b"2"],
+        id="first load fails",
+    ),
+    pytest.param(
+        [make_newest(b"1", 1)],
+        [FAILED, make_page(b"2", 2)],
+        [b"1", b"2"],
+        id="first read fails",
+    ),
+    pytest.param(
+        [make_newest(b"1", 1), make_newest(b"5", 5)],
+        [EXPIRED, make_page(b"6", 6)],
+        [b"1", b"5", b"6"],
+        id="history forgotten",
+    ),
+]
+
+
+@pytest.mark.parametrize(("newest", "pages", "seen"), SCRIPTS)
+def test_follower_sees_all_that_is_newest(newest, pages, seen):
+    store = Store(newest, pages)
+    found = []
+    follower = followers.Follower(
+        store,
+        "t",
+        lambda rows: found.extend(row.value for row in rows),
+        lambda rows, tail: found.extend(row.value for row in rows),
+        lambda: 0.0,
+    )
+    follower.start()
+    assert store.idle.wait(30)
+    assert found == seen
