--- a/poplarspindle/tests/test_followers.py
+++ b/poplarspindle/tests/test_followers.py
@@ -21,9 +21,11 @@
         self.idle = threading.Event()
 
     def read_newest(self, topic, after=""):
+        """Answers the next load of the script."""
         return self.newest.pop(0)
 
     def read(self, topic, offset, wait_ms):
+        """Answers the next read of the script."""
         if self.pages:
             return self.pages.pop(0)
         self.idle.set()
