Place only when work or room came, and keep what ranking needs

Change: work of a job kept until one of its tasks is done, room kept until it changes, no pass without new work, room or 50 ms.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -6,6 +6,7 @@
     effects,
     leases,
     orders,
+    ranking,
     records,
     views,
     work,
@@ -39,6 +40,8 @@
         slowdown: What was learned of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
+        stirred: Whether work or room came since the last placing.
+        efforts: Work of jobs with ready steps, by job and time.
         summed_at: When the fleet was last summed up for the log.
         drops: Ids of ended jobs in the order in which they ended.
     """
@@ -71,6 +74,8 @@
         self.harm_ms = harm_ms
         self.slowdown = interference.Model()
         self.drops: dict[str, None] = {}
+        self.stirred = True
+        self.efforts: dict[tuple[str, int], ranking.Effort] = {}
         self.summed_at = float("-inf")
         self.ghosts: dict[str, dict[tuple[work.TaskName, int], float]] = {}
 
@@ -108,6 +113,7 @@
     }
     if found:
         own.ready[job.submission.job, number, step] = found
+        own.stirred = True
 
 
 def queue_run(own: Fleet, job: book.Job, number: int) -> None:
@@ -140,6 +146,7 @@
     own.dirty[run.name.job] = None
     key = (run.name.job, run.name.time, run.name.step)
     own.ready.setdefault(key, set()).add(run.name.index)
+    own.stirred = True
 
 
 def list_ghosts(own: Fleet, worker: str) -> list[tuple[work.TaskName, int]]:
@@ -194,6 +201,8 @@
     own.drops[name] = None
     for key in [key for key in own.ready if key[0] == name]:
         del own.ready[key]
+    for number in job.runs:
+        own.efforts.pop((name, number), None)
     found = [note("jobs", "ended", name, state=state.value)]
     for hand in own.hands.values():
         for run in [r for r in hand.runs.values() if r.name.job == name]:
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -115,6 +115,7 @@
             found.append(_note_worker("presence", worker))
         hand.listed = True
         hand.worker = worker
+        hand.room = None
         if worker.presence is work.Presence.LEAVING:
             leaves_at = event.at + worker.leaves_ms / 1000
             hand.leaves_at = min(hand.leaves_at, leaves_at)
@@ -191,6 +192,7 @@
 
 def _tick(own: fleet.Fleet, event: events.Ticked) -> list:
     found = []
+    own.stirred = True
     for name in list(own.open_jobs):
         job = own.book.jobs[name]
         if job.submission.times:
@@ -278,8 +280,9 @@
 
 def place_ready(own: fleet.Fleet) -> list:
     """Places ready tasks, the most urgent step first."""
-    if own.configuration is None or not own.ready:
+    if own.configuration is None or not own.ready or not own.stirred:
         return []
+    own.stirred = False
     keys = sorted(
         own.ready,
         key=lambda key: (
@@ -289,7 +292,7 @@
     )
     open_hands: dict[str, list[views.Hand]] = {}
     found = []
-    full: set[tuple] = set()
+    full: dict[tuple, resources.Resources] = {}
     for key in keys:
         job = own.book.jobs[key[0]]
         step = job.submission.steps[key[2]]
@@ -300,19 +303,26 @@
                 for hand in own.hands.values()
                 if placing.is_open(hand, service, own.out, own.at)
             ]
-        shape = (service, step.need, step.fills, step.label)
-        if shape in full:
+        shape = (service, step.fills, step.label, step.image)
+        if shape in full and full[shape].fits_in(step.need):
             continue
         found += _place_step(own, open_hands[service], job, step, key)
         if key in own.ready and not step.most_per_worker and not step.gang:
-            full.add(shape)
+            full[shape] = step.need
     return found
 
 
 def _rank_key(own: fleet.Fleet, key: tuple[str, int, int]) -> tuple:
     job = own.book.jobs[key[0]]
     step = job.submission.steps[key[2]]
-    return ranking.rank_step(job, key[1], step, own.queues, own.wall_ms)
+
+    def find() -> ranking.Effort:
+        known = own.efforts.get(key[:2])
+        if known is None:
+            known = own.efforts[key[:2]] = ranking.find_effort(job, key[1])
+        return known
+
+    return ranking.rank_step(job, key[1], step, find, own.queues, own.wall_ms)
 
 
 def _place_step(own, hands, job, step, key) -> list:
--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -85,14 +85,18 @@
     capacity = max(1, hand.worker.capacity.millicores)
     added = step.need.millicores / capacity
     shares[step.image] = shares.get(step.image, 0.0) + added
-    worst = 0.0
+    tails: dict[str, float] = {}
     for run in serving:
-        image = run.step.image
+        tail = run.usage / run.step.target_ms
+        tails[run.step.image] = max(tails.get(run.step.image, 0.0), tail)
+    targets = {run.step.image: run.step.target_ms for run in serving}
+    worst = 0.0
+    for image, tail in tails.items():
         weight = own.slowdown.find_weight(image, step.image).mean
         pushed = interference.weigh_load(LOAD) * weight * added
-        tail = run.usage * math.exp(min(pushed, 20.0))
-        mean = interference.predict(own.slowdown, image, shares, LOAD)
-        worst = max(worst, max(tail, mean or 0.0) / run.step.target_ms)
+        mean = interference.predict(own.slowdown, image, shares, LOAD) or 0.0
+        pushed_tail = tail * math.exp(min(pushed, 20.0))
+        worst = max(worst, pushed_tail, mean / targets[image])
     return worst
 
 
--- a/poplarspindle/fleet/ranking.py
+++ b/poplarspindle/fleet/ranking.py
@@ -9,7 +9,7 @@
 """
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from poplarspindle.fleet import book, work
 
@@ -21,36 +21,43 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Standing:
-    """Where a job stands between its work and its objective.
+class Effort:
+    """The work of one time of a job, by its estimates.
 
     Attributes:
         chain_s: Longest chain of work left, seconds.
+        whole_chain_s: Longest chain of all its work, seconds.
         work: Work left, core-seconds.
         whole: All its work, core-seconds.
-        objective_s: Time from its due time to its objective.
-        age_s: Time since it was due.
     """
 
     chain_s: float
+    whole_chain_s: float
     work: float
     whole: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """Where a job stands between its work and its objective.
+
+    Attributes:
+        effort: Its work.
+        objective_s: Time from its due time to its objective.
+        age_s: Time since it was due.
+    """
+
+    effort: Effort
     objective_s: float
     age_s: float
 
 
-def find_standing(
-    job: book.Job, number: int, queue: work.Queue, wall_ms: int
-) -> Standing:
-    """Finds where one time of a job stands."""
-    submission = job.submission
-    due_ms = submission.accepted_ms
-    if submission.times:
-        due_ms = submission.first_ms + number * submission.every_ms
+def find_effort(job: book.Job, number: int) -> Effort:
+    """Finds the work of one time of a job."""
     ends: list[float] = []
     whole_ends: list[float] = []
     left = whole = 0.0
-    for step, tasks in zip(submission.steps, job.runs[number], strict=True):
+    for step, tasks in zip(job.submission.steps, job.runs[number], strict=True):
         run_s = step.estimate_ms / 1000
         cores = step.need.millicores / 1000
         open_tasks = sum(task.phase is not book.Phase.DONE for task in tasks)
@@ -60,14 +67,19 @@
         ends.append(before + (run_s if open_tasks else 0.0))
         first = max((whole_ends[index] for index in step.after), default=0.0)
         whole_ends.append(first + run_s)
-    chain_s = max(whole_ends, default=0.0)
-    return Standing(
-        max(ends, default=0.0),
-        left,
-        whole,
-        queue.slack * chain_s + queue.target_ms / 1000,
-        (wall_ms - due_ms) / 1000,
-    )
+    return Effort(max(ends), max(whole_ends), left, whole)
+
+
+def find_standing(
+    job: book.Job, number: int, effort: Effort, queue: work.Queue, wall_ms: int
+) -> Standing:
+    """Finds where one time of a job stands."""
+    submission = job.submission
+    due_ms = submission.accepted_ms
+    if submission.times:
+        due_ms = submission.first_ms + number * submission.every_ms
+    objective_s = queue.slack * effort.whole_chain_s + queue.target_ms / 1000
+    return Standing(effort, objective_s, (wall_ms - due_ms) / 1000)
 
 
 def rank(standing: Standing) -> tuple[int, float]:
@@ -77,29 +89,39 @@
         0 if it can meet its objective, 1 if it can only be late, 2 if it is
         hopeless; and the work left for its worth.
     """
-    ends_s = standing.age_s + standing.chain_s
+    ends_s = standing.age_s + standing.effort.chain_s
     if ends_s <= standing.objective_s:
         stage = 0
     elif ends_s <= LATE_FACTOR * standing.objective_s:
         stage = 1
     else:
         stage = 2
-    worth = BASE_WORTH + (1 - BASE_WORTH) * standing.whole / MEAN_WORK
+    worth = BASE_WORTH + (1 - BASE_WORTH) * standing.effort.whole / MEAN_WORK
     worth = min(WORTH_MOST, worth)
-    return stage, max(WORK_LEAST, standing.work) / worth
+    return stage, max(WORK_LEAST, standing.effort.work) / worth
 
 
 def rank_step(
     job: book.Job,
     number: int,
     step: work.Step,
+    find: Callable[[], Effort],
     queues: Mapping[str, work.Queue],
     wall_ms: int,
 ) -> tuple:
-    """Ranks a ready step: priority, short before lasting, then its job."""
+    """Ranks a ready step: priority, short before lasting, then its job.
+
+    Args:
+        job: Its job.
+        number: Which time of it.
+        step: The step.
+        find: Returns the work of that time.
+        queues: Queues as configured now.
+        wall_ms: Unix time in milliseconds.
+    """
     known = job.submission.queue
     queue = queues.get(known.name, known)
     if step.lasting:
         return queue.priority, 1, 0, job.submission.accepted_ms
-    standing = find_standing(job, number, queue, wall_ms)
+    standing = find_standing(job, number, find(), queue, wall_ms)
     return queue.priority, 0, *rank(standing)
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -120,6 +120,7 @@
 ) -> list:
     """Takes the end of a run in."""
     views.remove_run(hand, run)
+    own.stirred = True
     hand.changed_at = own.at
     found = [
         fleet.note(
@@ -178,6 +179,7 @@
 
 def _finish_task(own: fleet.Fleet, run: views.Run) -> list:
     job, number, step = run.job, run.name.time, run.name.step
+    own.efforts.pop((run.name.job, number), None)
     tasks = job.runs[number][step]
     run.task.phase = book.Phase.DONE
     if run.step.gang:
@@ -201,6 +203,7 @@
     found = []
     listed = {(row.task, row.attempt): row for row in event.report.running}
     hand.strangers = resources.NOTHING
+    hand.room = None
     for key, row in listed.items():
         run = hand.runs.get(key)
         if run is None:
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -104,6 +104,7 @@
         strangers: Room that runs take which are to be stopped.
         by_step: Runs by job, time and step.
         held: Room that its runs reserve, processors of fills left out.
+        room: Room left, None where it has to be worked out.
         filling: Processors that its fills ask for, in thousandths.
         serving: Processors that tasks with a target reserve, in thousandths.
         full_until: Time before which nothing is placed on it.
@@ -132,6 +133,7 @@
         self.strangers = resources.NOTHING
         self.by_step: collections.Counter = collections.Counter()
         self.held = resources.NOTHING
+        self.room: resources.Resources | None = None
         self.filling = 0
         self.serving = 0
         self.images: collections.Counter = collections.Counter()
@@ -160,6 +162,7 @@
 def add_run(hand: Hand, run: Run) -> None:
     """Adds a run to a worker and reserves its room."""
     hand.runs[run.key] = run
+    hand.room = None
     hand.held = hand.held + get_reserved(run.step)
     hand.by_step[_step_key(run)] += 1
     if run.step.fills:
@@ -173,6 +176,7 @@
     """Removes a run from a worker and frees its room."""
     if hand.runs.pop(run.key, None) is None:
         return
+    hand.room = None
     hand.held = hand.held - get_reserved(run.step)
     key = _step_key(run)
     hand.by_step[key] -= 1
@@ -191,7 +195,9 @@
 
 def get_room(hand: Hand) -> resources.Resources:
     """Returns the room left on a worker."""
-    return hand.worker.capacity - hand.held - hand.strangers
+    if hand.room is None:
+        hand.room = hand.worker.capacity - hand.held - hand.strangers
+    return hand.room
 
 
 def note_clock(hand: Hand, clock_ms: int, at: float) -> None:
