Refuse more tasks that last before they fill the fleet

Change: the owner records the load twice a second; every node refuses at once, with the time to come back, a job whose lasting tasks would take them above 0.85 of what is in service.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -2,6 +2,7 @@
 
 from poplarspindle import interference
 from poplarspindle.fleet import (
+    admission,
     book,
     effects,
     leases,
@@ -12,6 +13,7 @@
     work,
 )
 
+LOAD_S = 0.5
 LATE_ORDER_S = 15.0  # An order without an answer may be done that late.
 
 
@@ -40,6 +42,7 @@
         slowdown: What was learned of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
+        told_at: When the load was last recorded.
         stirred: Whether work or room came since the last placing.
         efforts: Work of jobs with ready steps, by job and time.
         summed_at: When the fleet was last summed up for the log.
@@ -75,6 +78,7 @@
         self.slowdown = interference.Model()
         self.drops: dict[str, None] = {}
         self.stirred = True
+        self.told_at = float("-inf")
         self.efforts: dict[tuple[str, int], ranking.Effort] = {}
         self.summed_at = float("-inf")
         self.ghosts: dict[str, dict[tuple[work.TaskName, int], float]] = {}
@@ -229,9 +233,28 @@
     return [effects.Order(hand.worker.name, order)]
 
 
+def sum_load(own: Fleet) -> admission.Load:
+    """Sums up the load that admission goes by."""
+    capacity: dict[str, int] = {}
+    lasting: dict[str, int] = {}
+    for hand in own.hands.values():
+        service = hand.worker.service
+        if hand.listed and hand.worker.data_centre not in own.out:
+            room = hand.worker.capacity.millicores
+            capacity[service] = capacity.get(service, 0) + room
+    for name in own.open_jobs:
+        job = own.book.jobs[name]
+        wanted = admission.count_lasting(job.submission)
+        if wanted:
+            service = find_queue(own, job).service
+            lasting[service] = lasting.get(service, 0) + wanted
+    return admission.Load(own.wall_ms, capacity, lasting)
+
+
 def flush(own: Fleet) -> list:
     """Makes one append of all that changed, unless one is in flight."""
-    if own.sent or not (own.dirty or own.waiting):
+    told = own.at - own.told_at >= LOAD_S and own.configuration is not None
+    if own.sent or not (own.dirty or own.waiting or told):
         return []
     found = [
         records.encode_progress(own.book.jobs[name])
@@ -243,6 +266,9 @@
         for name in own.dirty
         if (job := own.book.jobs.get(name)) is not None
     ]
+    if told:
+        own.told_at = own.at
+        found.append(admission.encode_load(sum_load(own)))
     own.dirty.clear()
     follow, own.waiting = own.waiting, []
     runs, own.fresh_runs = own.fresh_runs, []
--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -52,7 +52,7 @@
 
 def decode_owner(value: bytes) -> Owner:
     """Decodes the owner's record; raises ValueError where it is malformed."""
-    _, epoch, instance, claimed_ms = _unpack(value)
+    _, epoch, instance, claimed_ms = unpack(value)
     return Owner(epoch, instance, claimed_ms)
 
 
@@ -100,7 +100,7 @@
 
 def decode_submission(job: str, value: bytes) -> work.Submission:
     """Decodes a job as handed in; raises ValueError where it is malformed."""
-    _, queue, spec, steps, times, first_ms, every_ms, accepted = _unpack(value)
+    _, queue, spec, steps, times, first_ms, every_ms, accepted = unpack(value)
     return work.Submission(
         job,
         work.Queue(*queue),
@@ -154,7 +154,7 @@
 
 def apply_progress(job: book.Job, value: bytes) -> None:
     """Sets a job's progress; raises ValueError where it is malformed."""
-    _, state, ended_ms, opened, runs = _unpack(value)
+    _, state, ended_ms, opened, runs = unpack(value)
     decoded = {
         number: [[_decode_task(t) for t in tasks] for tasks in run]
         for number, run in runs.items()
@@ -173,7 +173,8 @@
     ]
 
 
-def _unpack(value: bytes) -> list:
+def unpack(value: bytes) -> list:
+    """Unpacks a record's value; raises ValueError where it is malformed."""
     try:
         found = msgpack.unpackb(value, strict_map_key=False)
     except Exception as error:
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -10,6 +10,7 @@
 
 from poplarspindle import metrics, outcomes, serving
 from poplarspindle.fleet import (
+    admission,
     book,
     effects,
     events,
@@ -111,6 +112,7 @@
         self._owning: owning.Owning | None = None
         self._loaded = False
         self._leaving = False
+        self._load: admission.Load | None = None
         self.configuration: work.Configuration | None = None
         self._out: frozenset[str] = frozenset()
         self._standing = standing.Standing(
@@ -255,6 +257,8 @@
         for record in event.found:
             if record.key == records.OWNER_KEY:
                 self._read_owner(record)
+            elif record.key == admission.LOAD_KEY:
+                self._load = admission.decode_load(record.value)
             else:
                 self._apply(record)
         if event.at_tail and not event.mine:
@@ -463,6 +467,11 @@
         if not self._loaded:
             return _refuse(503, "The log is not read yet.")
         job = dataclasses.replace(call.submission, accepted_ms=_tell_wall_ms())
+        retry_s = admission.find_retry_s(self._load, job, job.accepted_ms)
+        if retry_s:
+            return calls.Answer(
+                429, error="No room for more that lasts.", retry_s=retry_s
+            )
         entry = self._commits.commit(records.encode_submission(job), deadline)
         return _answer_entry(entry)
 
