--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -22,7 +22,10 @@
 UP_STEP = 20
 SLOWEST = 10
 LOAD = 0.5  # Workers do not tell the load of what serves.
-MOVE_PACE = 50
+MOVE_PACE = 25
+MOVE_AFTER_S = 1.0
+MOVES_MOST = 3
+COOLING_S = 1.2
 
 
 def list_serving(hand: views.Hand) -> list[views.Run]:
@@ -79,7 +82,7 @@
     serving = list_serving(hand)
     if not serving:
         return 0.0
-    if hand.pace < MOVE_PACE:
+    if own.at < hand.hot_until:
         return math.inf
     shares = find_shares(hand, list_fills(hand))
     capacity = max(1, hand.worker.capacity.millicores)
@@ -120,8 +123,9 @@
         hand.over_since = float("inf")
     else:
         hand.over_since = min(hand.over_since, own.at)
+    if ratio >= HOT_SHARE:
+        hand.hot_until = own.at + COOLING_S
     if not fills:
-        hand.pace = 100 if ratio < HOT_SHARE else 0
         return []
     learn(own, hand)
     if own.at - hand.paced_at < STEP_S:
@@ -129,9 +133,6 @@
     over_s = own.at - hand.over_since
     pause = over_s >= PAUSE_AFTER_SHARE * own.harm_ms / 1000
     chosen = choose_paces(own, serving, fills, ratio, pause)
-    hand.pace = min(
-        (chosen.get(run.key, run.percent) for run in fills), default=100
-    )
     if not chosen:
         return []
     hand.paced_at = own.at
@@ -140,6 +141,7 @@
         if run.key in chosen:
             run.percent = chosen[run.key]
             found.append(order_pace(own, hand, run))
+    found += move_slowed(own, hand, fills)
     found.append(
         fleet.note(
             "pacing",
@@ -154,6 +156,26 @@
     return found
 
 
+def move_slowed(
+    own: fleet.Fleet, hand: views.Hand, fills: list[views.Run]
+) -> list:
+    """Stops fills that a worker has to slow down for good.
+
+    One that saves its progress goes on elsewhere and makes room for work
+    that disturbs less; it is moved a few times at most.
+    """
+    found: list = []
+    for run in fills:
+        if (
+            run.percent <= MOVE_PACE
+            and run.step.saves
+            and run.attempt <= MOVES_MOST
+            and own.at - run.first_seen_at >= MOVE_AFTER_S
+        ):
+            found += fleet.stop_run(own, hand, run)
+    return found
+
+
 def choose_paces(
     own: fleet.Fleet,
     serving: list[views.Run],
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -272,9 +272,6 @@
     if refusal is None:
         run.confirmed = True
         run.answered_at = event.at
-        if run.step.fills and hand.pace < pacing.MOVE_PACE:
-            run.percent = hand.pace
-            found.append(pacing.order_pace(own, hand, run))
     elif refusal is orders.Refusal.ENDED:
         run.answered_at = event.at
     else:
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -110,7 +110,7 @@
         full_until: Time before which nothing is placed on it.
         bad_ends: Failed ends in a row.
         images: Processors of tasks with a target by image.
-        pace: Share of their speed that its fills may work at.
+        hot_until: Time before which no fill is placed on it.
         missed: Whether the last look at it got no answer.
         paced_at: When that last changed.
         changed_at: When a run came or went last.
@@ -139,7 +139,7 @@
         self.images: collections.Counter = collections.Counter()
         self.full_until = float("-inf")
         self.bad_ends = 0
-        self.pace = 100
+        self.hot_until = float("-inf")
         self.missed = False
         self.paced_at = float("-inf")
         self.changed_at = float("-inf")
