Predict a fill's harm from the present tail

Cause: the learned mean ignores the swing of what serves; where load was low fills waited beside free processors.

--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -26,6 +26,7 @@
 MOVE_AFTER_S = 1.0
 MOVES_MOST = 3
 COOLING_S = 1.2
+UNSEEN_S = 0.8  # A tail is measured over half a second and read later.
 
 
 def list_serving(hand: views.Hand) -> list[views.Run]:
@@ -76,30 +77,31 @@
 def predict_ratio(own: fleet.Fleet, hand: views.Hand, step: work.Step) -> float:
     """Predicts the worst tail over its target if a fill came to a worker.
 
-    The load of what serves swings and is not told: the prediction starts
-    from the present tail where that is worse than the learned mean.
+    The load of what serves swings and is not told, so the prediction starts
+    from the present tail; fills that came lately are not in it yet.
     """
     serving = list_serving(hand)
     if not serving:
         return 0.0
     if own.at < hand.hot_until:
         return math.inf
-    shares = find_shares(hand, list_fills(hand))
     capacity = max(1, hand.worker.capacity.millicores)
-    added = step.need.millicores / capacity
-    shares[step.image] = shares.get(step.image, 0.0) + added
+    unseen = {step.image: step.need.millicores / capacity}
+    for run in hand.runs.values():
+        if run.step.fills and own.at - run.first_seen_at < UNSEEN_S:
+            share = run.step.need.millicores / capacity
+            unseen[run.step.image] = unseen.get(run.step.image, 0.0) + share
     tails: dict[str, float] = {}
     for run in serving:
         tail = run.usage / run.step.target_ms
         tails[run.step.image] = max(tails.get(run.step.image, 0.0), tail)
-    targets = {run.step.image: run.step.target_ms for run in serving}
     worst = 0.0
     for image, tail in tails.items():
-        weight = own.slowdown.find_weight(image, step.image).mean
-        pushed = interference.weigh_load(LOAD) * weight * added
-        mean = interference.predict(own.slowdown, image, shares, LOAD) or 0.0
-        pushed_tail = tail * math.exp(min(pushed, 20.0))
-        worst = max(worst, pushed_tail, mean / targets[image])
+        pushed = interference.weigh_load(LOAD) * sum(
+            own.slowdown.find_weight(image, fill).mean * share
+            for fill, share in unseen.items()
+        )
+        worst = max(worst, tail * math.exp(min(pushed, 20.0)))
     return worst
 
 
