--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -6,6 +6,7 @@
     book,
     effects,
     leases,
+    memory,
     orders,
     ranking,
     records,
@@ -42,6 +43,7 @@
         slowdown: What was learned of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
+        remembered_at: When what was learned was last recorded.
         told_at: When the load was last recorded.
         stirred: Whether work or room came since the last placing.
         efforts: Work of jobs with ready steps, by job and time.
@@ -79,6 +81,7 @@
         self.drops: dict[str, None] = {}
         self.stirred = True
         self.told_at = float("-inf")
+        self.remembered_at = float("-inf")
         self.efforts: dict[tuple[str, int], ranking.Effort] = {}
         self.summed_at = float("-inf")
         self.ghosts: dict[str, dict[tuple[work.TaskName, int], float]] = {}
@@ -269,6 +272,10 @@
     if told:
         own.told_at = own.at
         found.append(admission.encode_load(sum_load(own)))
+    if told and own.at - own.remembered_at >= memory.SAVE_S:
+        own.remembered_at = own.at
+        if own.slowdown.weights:
+            found.append(memory.encode_memory(own.slowdown))
     own.dirty.clear()
     follow, own.waiting = own.waiting, []
     runs, own.fresh_runs = own.fresh_runs, []
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -15,6 +15,7 @@
     effects,
     events,
     fleet,
+    memory,
     owner,
     records,
     work,
@@ -113,6 +114,7 @@
         self._loaded = False
         self._leaving = False
         self._load: admission.Load | None = None
+        self._memory = b""
         self.configuration: work.Configuration | None = None
         self._out: frozenset[str] = frozenset()
         self._standing = standing.Standing(
@@ -178,8 +180,11 @@
             try:
                 self._take_batch(batch)
             except Exception:
-                _log.exception("state-failed")
+                # Part of the batch is lost: the book is read anew.
+                _log.exception("state-failed", events=len(batch))
                 self._give_up_ownership("state-failed")
+                self._loaded = self._standing.able = False
+                self._jobs.reload()
 
     def _next_events(self) -> list:
         found = []
@@ -249,18 +254,13 @@
                 if record.key.startswith(f"{kind}/"):
                     self._apply(record)
         for record in found:
-            if record.key == records.OWNER_KEY:
-                self._read_owner(record)
+            if "/" not in record.key:
+                self._apply(record)
         _log.info("loaded", records=len(found), jobs=len(self._book.jobs))
 
     def _read_records(self, event: _Read) -> None:
         for record in event.found:
-            if record.key == records.OWNER_KEY:
-                self._read_owner(record)
-            elif record.key == admission.LOAD_KEY:
-                self._load = admission.decode_load(record.value)
-            else:
-                self._apply(record)
+            self._apply(record)
         if event.at_tail and not event.mine:
             self._loaded = True
             self._standing.able = self.configuration is not None
@@ -270,6 +270,12 @@
         try:
             if kind == records.SUBMITTED:
                 self._apply_submission(job, record.value)
+            elif kind == records.OWNER_KEY:
+                self._read_owner(record)
+            elif kind == admission.LOAD_KEY:
+                self._load = admission.decode_load(record.value)
+            elif kind == memory.MEMORY_KEY:
+                self._memory = record.value
             elif kind == records.CANCELLED and record.value:
                 self._apply_cancel(job)
             elif kind == records.PROGRESS and self._fleet is None:
@@ -327,6 +333,8 @@
             self._settings.harm_ms,
         )
         self._ticked_at = now
+        if self._memory:
+            self._fleet.slowdown = memory.decode_memory(self._memory, now)
         self._standing.resigned.clear()
         self._standing.owning = True
         platform = self._platform
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -8,6 +8,7 @@
     book,
     fleet,
     leases,
+    memory,
     pacing,
     placing,
     ranking,
@@ -329,6 +330,20 @@
     assert other.shown is book.State.ACTIVE
 
 
+def test_memory_keeps_what_was_learned():
+    own = make_fleet()
+    for at in range(5):
+        pacing.interference.learn(
+            own.slowdown, "s", {"f": 0.5}, 0.5, 90.0, float(at)
+        )
+    known = own.slowdown.find_weight("s", "f")
+    found = memory.decode_memory(
+        memory.encode_memory(own.slowdown).value, 9.0
+    ).find_weight("s", "f")
+    assert found.mean == pytest.approx(known.mean, abs=0.01)
+    assert found.variance >= known.variance
+
+
 @pytest.mark.parametrize("value", [b"", b"\xc1", b"\x90", b"\x91\x63", b"x"])
 def test_malformed_record_is_refused(value):
     with pytest.raises(ValueError):
