Stand in for the users' platform over HTTP, and run whole nodes on it

Seven scenarios through the real adapter: the whole way, two nodes, malformed calls, cancelling, a store that refuses, a takeover from the store alone, and changes of the configuration.

--- /dev/null
+++ b/poplarspindle/tests/test_node.py
@@ -0,0 +1,187 @@
+"""Whole nodes against the stand-in of the users' platform, over HTTP."""
+
+import contextlib
+import json
+import socket
+import time
+
+import pytest
+import urllib3
+
+from poplarspindle import metrics
+from poplarspindle.node import node
+from poplarspindle.platform import __main__ as program
+from poplarspindle.platform import settings
+from poplarspindle.tools.fakes import deployment
+
+PATIENCE_S = 60.0
+ID = "5c0e7a21d94b36f8"
+JOB = {
+    "spec": "x",
+    "pipeline": [
+        {"count": 3, "cpu": 500, "mem_mb": 10, "estimated_ms": 100},
+        {"count": 2, "cpu": 500, "mem_mb": 10, "depends_on": [0]},
+    ],
+}
+
+
+def find_port():
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+def await_that(condition):
+    deadline = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+
+
+class House:
+    """A store, two minions and nodes."""
+
+    def __init__(self, nodes=1):
+        self.store = deployment.FakeStore()
+        self.minions = [deployment.FakeMinion(f"i-{n}") for n in range(2)]
+        for minion in self.minions:
+            self.store.write("keyed.servers", minion.name, minion.describe())
+        deployment.write_configuration(self.store)
+        self.http = urllib3.PoolManager(retries=False)
+        self.nodes = []
+        for number in range(nodes):
+            self.add_node(f"n{number}")
+
+    def add_node(self, name):
+        """Starts a node and waits until it is ready."""
+        ports = find_port(), find_port()
+        text = deployment.write_settings(self.store, name, ports)
+        own = settings.read_settings(text)
+        found = node.Node(own, program.connect(own), metrics.Metrics())
+        found.start()
+        self.nodes.append(found)
+        await_that(found.is_ready)
+        return found
+
+    def call(self, method, path, fields=None, number=0):
+        """Calls a node as a caller does."""
+        address = self.nodes[number]._settings.callers_address
+        return self.http.request(
+            method,
+            f"http://{address}{path}",
+            body=json.dumps(fields).encode() if fields else None,
+            headers={"Host": "desk", "Deadline-Ms": "3000"},
+        )
+
+    def get_state(self, job=ID, number=0):
+        """Returns a job's state as a node shows it."""
+        return self.call("GET", f"/q/{job}", number=number).json().get("state")
+
+
+@pytest.fixture
+def house():
+    with contextlib.ExitStack() as stack:
+
+        def make(nodes=1):
+            found = House(nodes)
+            stack.callback(found.store.stop)
+            for minion in found.minions:
+                stack.callback(minion.stop)
+            stack.callback(lambda: [n.stop() for n in found.nodes])
+            return found
+
+        yield make
+
+
+def list_runs(found):
+    return [run for minion in found.minions for run in minion.ledger]
+
+
+def test_job_goes_the_whole_way(house):
+    found = house()
+    assert found.call("POST", f"/q/{ID}", JOB).status == 200
+    await_that(lambda: found.get_state() == "completed")
+    runs = list_runs(found)
+    assert sorted(run[0] for run in runs) == sorted(
+        f"{ID}.0.{step}.{index}"
+        for step, count in ((0, 3), (1, 2))
+        for index in range(count)
+    )
+    first_done = max(run[3] for run in runs if ".0.0." in run[0])
+    assert all(run[2] >= first_done for run in runs if ".0.1." in run[0])
+
+
+def test_job_sent_to_two_nodes_is_one_job(house):
+    found = house(2)
+    answers = [found.call("POST", f"/q/{ID}", JOB, n).status for n in (0, 1)]
+    assert answers == [200, 200]
+    await_that(lambda: found.get_state(number=0) == "completed")
+    await_that(lambda: found.get_state(number=1) == "completed")
+    assert len(list_runs(found)) == 5
+
+
+ANSWERS = [
+    ("GET", f"/q/{ID}", None, 410),
+    ("DELETE", f"/q/{ID}", None, 410),
+    ("GET", "/q/", None, 200),
+    ("GET", "/none/", None, 404),
+    ("POST", f"/q/{ID}", {"pipeline": []}, 400),
+    ("POST", "/q/short", JOB, 400),
+]
+
+
+def test_calls_are_answered_truly(house):
+    found = house()
+    for method, path, fields, status in ANSWERS:
+        assert found.call(method, path, fields).status == status
+    assert not any(
+        key.startswith("j/")
+        for key in found.store.read_keys("keyed.poplarspindle")
+    )
+
+
+def test_cancelled_job_is_shown_so_everywhere(house):
+    found = house(2)
+    lasting = {
+        "pipeline": [
+            {"count": 2, "cpu": 9000, "mem_mb": 1, "long_running": True}
+        ]
+    }
+    assert found.call("POST", f"/q/{ID}", lasting).status == 200
+    assert found.call("DELETE", f"/q/{ID}", number=1).status == 200
+    await_that(lambda: found.get_state(number=0) == "cancelled")
+    assert list_runs(found) == []
+
+
+def test_store_that_refuses_means_not_taken(house):
+    found = house()
+    found.store.up = False
+    answer = found.call("POST", f"/q/{ID}", JOB)
+    assert answer.status == 503
+    assert int(answer.headers["Retry-After"]) >= 1
+    found.store.up = True
+    await_that(lambda: found.call("GET", f"/q/{ID}").status == 410)
+
+
+def test_next_owner_goes_on_from_the_store_alone(house):
+    found = house()
+    assert found.call("POST", f"/q/{ID}", JOB).status == 200
+    await_that(lambda: list_runs(found))
+    found.nodes[0].stop()
+    found.nodes.clear()
+    found.add_node("later")
+    await_that(lambda: found.get_state() == "completed")
+    tasks = [run[0] for run in list_runs(found) if run[4] == "done"]
+    assert len(tasks) == len(set(tasks)) == 5
+
+
+def test_change_of_configuration_comes_into_force(house):
+    found = house()
+    assert found.nodes[0].configuration.version == 1
+    deployment.write_configuration(found.store, 9)
+    await_that(lambda: found.nodes[0].configuration.version == 9)
+    deployment.write_configuration(found.store, 4)
+    found.store.write("keyed.op", "config", b"{")
+    found.store.write("keyed.op", "evacuate/dc", b"{}")
+    await_that(lambda: found.nodes[0]._out == {"dc"})
+    assert found.nodes[0].configuration.version == 9
