--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -362,8 +362,12 @@
     own.ready[key] -= {run.name.index for _, run in placed}
     if not own.ready[key]:
         del own.ready[key]
+    extra = {}
     if job.state is book.State.QUEUED:
         job.state = book.State.ACTIVE
+        if not job.submission.times:
+            extra["first_ms"] = own.wall_ms - job.submission.accepted_ms
+            extra["queue"] = job.submission.queue.name
     own.dirty[key[0]] = None
     own.fresh_runs += [run for _, run in placed]
     return [
@@ -378,6 +382,7 @@
                 for hand, run in placed
             ],
             left=len(own.ready.get(key, ())),
+            **extra,
         )
     ]
 
--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -26,8 +26,17 @@
 }
 
 
+HISTOGRAMS = {
+    "poplarspindle_call_seconds": "Time to answer a caller, by kind.",
+    "poplarspindle_first_start_seconds": "Hand-in to first start, by queue.",
+    "poplarspindle_append_seconds": "Time of appends, by who appends.",
+    "poplarspindle_order_seconds": "Time of orders to workers, by kind.",
+}
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
 class Metrics:
-    """The counters of one process; safe for use by several threads."""
+    """The figures of one process; safe for use by several threads."""
 
     def __init__(self) -> None:
         self._registry = aioprometheus.Registry()
@@ -39,6 +48,26 @@
             name: aioprometheus.Counter(name, doc, registry=self._registry)
             for name, doc in COUNTERS.items()
         }
+        self._histograms = {
+            name: aioprometheus.Histogram(
+                name, doc, registry=self._registry, buckets=list(BUCKETS_S)
+            )
+            for name, doc in HISTOGRAMS.items()
+        }
+
+    def observe(self, name: str, reason: str, seconds: float) -> None:
+        """Adds a duration to a histogram.
+
+        Args:
+            name: A key of HISTOGRAMS.
+            reason: Value of the label `reason`.
+            seconds: The duration.
+
+        Raises:
+            KeyError: The name is not in HISTOGRAMS.
+        """
+        with self._lock:
+            self._histograms[name].observe({"reason": reason}, seconds)
 
     def add(self, name: str, reason: str, amount: int = 1) -> None:
         """Adds to a counter.
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -214,6 +214,12 @@
         self._carry_out(owner.settle(self._fleet))
 
     def _take(self, event: object) -> None:
+        if isinstance(event, events.Ordered):
+            self._counters.observe(
+                "poplarspindle_order_seconds",
+                type(event.order).__name__.lower(),
+                event.at - event.sent_at,
+            )
         if isinstance(event, _Reset):
             self._reset_book(event.found)
         elif isinstance(event, _Read):
@@ -236,6 +242,12 @@
                     "poplarspindle_fleet_total", f"{effect.part}-{effect.event}"
                 )
                 fields = dict(effect.fields)
+                if effect.event == "placed" and "first_ms" in fields:
+                    self._counters.observe(
+                        "poplarspindle_first_start_seconds",
+                        fields["queue"],
+                        fields["first_ms"] / 1000,
+                    )
                 if effect.job:
                     fields["job"] = effect.job
                 _log.info(effect.event, about=effect.part, **fields)
@@ -340,6 +352,7 @@
         platform = self._platform
         self._owning = owning.Owning(
             platform.store,
+            self._counters,
             platform.workers_topic,
             platform.read_worker,
             platform.connect,
@@ -435,6 +448,8 @@
         self._counters.add(
             "poplarspindle_requests_total", f"{reason}-{answer.status}"
         )
+        took_s = time.monotonic() - began
+        self._counters.observe("poplarspindle_call_seconds", reason, took_s)
         if call is None or call.kind is not calls.Kind.SHOW or answer.error:
             _log.info(
                 "answered",
@@ -445,7 +460,7 @@
                 status=answer.status,
                 state=answer.state,
                 why=answer.error,
-                took_ms=int((time.monotonic() - began) * 1000),
+                took_ms=int(took_s * 1000),
                 version=self.configuration.version if self.configuration else 0,
             )
         response = self._platform.write_answer(answer)
--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from poplarspindle import outcomes
+from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import (
     effects,
     events,
@@ -128,6 +128,7 @@
 
     Args:
         store: The store.
+        counters: The node's figures.
         list_topic: Topic of the workers' entries.
         read_worker: Reads one entry.
         connect: Makes a client of a worker.
@@ -141,6 +142,7 @@
     def __init__(
         self,
         store: storage.Store,
+        counters: metrics.Metrics,
         list_topic: str,
         read_worker: Callable[[records.Record], work.Worker | None],
         connect: Callable,
@@ -151,6 +153,7 @@
         lease_most_ms: int,
     ) -> None:
         self._store = store
+        self._counters = counters
         self._list_topic = list_topic
         self._read_worker = read_worker
         self.connect = connect
@@ -236,11 +239,17 @@
         """Appends until the outcome is known; the sequence makes it once."""
         backoff_s = RETRY_S
         while not self.over.is_set():
+            began = time.monotonic()
             answer = self._store.append(
                 found, APPEND_S, self.epoch, self._sequence
             )
             if isinstance(answer, outcomes.Ok):
                 self._appended_at = time.monotonic()
+                self._counters.observe(
+                    "poplarspindle_append_seconds",
+                    "owner",
+                    self._appended_at - began,
+                )
                 return True
             if answer.reason in ("fenced", "seq"):
                 self.lose(answer.reason)
--- a/poplarspindle/tools/pages.py
+++ b/poplarspindle/tools/pages.py
@@ -19,6 +19,8 @@
 page from `poplarspindle/defaults.py`.
 """
 
+HISTOGRAMS_HEAD = "Histograms, with the same label, in seconds:\n"
+
 COUNTERS_HEAD = """\
 # Counters
 
@@ -47,6 +49,8 @@
 def write_counters() -> str:
     """Returns the page of all counters."""
     rows = [f"- `{name}`: {text}" for name, text in metrics.COUNTERS.items()]
+    rows += ["", HISTOGRAMS_HEAD]
+    rows += [f"- `{name}`: {text}" for name, text in metrics.HISTOGRAMS.items()]
     return "\n".join([COUNTERS_HEAD, *rows, ""])
 
 
