--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -26,6 +26,7 @@
 MOVE_AFTER_S = 1.0
 MOVES_MOST = 3
 COOLING_S = 1.2
+DOUBT = 0.7  # Standard deviations; a pair never seen is not taken for light.
 UNSEEN_S = 0.8  # A tail is measured over half a second and read later.
 
 
@@ -74,6 +75,12 @@
             )
 
 
+def find_weight(own: fleet.Fleet, image: str, fill: str) -> float:
+    """Returns how strongly a fill may disturb an image, doubt included."""
+    term = own.slowdown.find_weight(image, fill)
+    return term.mean + DOUBT * math.sqrt(term.variance)
+
+
 def predict_ratio(own: fleet.Fleet, hand: views.Hand, step: work.Step) -> float:
     """Predicts the worst tail over its target if a fill came to a worker.
 
@@ -98,7 +105,7 @@
     worst = 0.0
     for image, tail in tails.items():
         pushed = interference.weigh_load(LOAD) * sum(
-            own.slowdown.find_weight(image, fill).mean * share
+            find_weight(own, image, fill) * share
             for fill, share in unseen.items()
         )
         worst = max(worst, tail * math.exp(min(pushed, 20.0)))
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -35,7 +35,7 @@
 CALLER_THREADS = 24
 TICK_S = 0.05
 BATCH_EVENTS = 200
-FOLLOW_PAUSE_S = 0.08
+FOLLOW_PAUSE_S = 0.15  # Each read is priced; states may be shown as late.
 FRESH_S = 2.0
 READY_FRESH_S = 3.0
 LEAVE_ROTATION_S = 2.5
