Reload settings at SIGHUP; take another life at an address for the end

Change: settings are read again at SIGHUP and each second; bad ones are logged and not taken. A look that another life answers frees the runs at once.

--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -11,6 +11,7 @@
     events,
     fleet,
     leases,
+    orders,
     pacing,
     placing,
     ranking,
@@ -169,10 +170,17 @@
     if hand is None:
         return []
     hand.full_until = max(hand.full_until, event.at + UNHEARD_S)
+    found = []
+    if event.why == orders.Refusal.OTHER_LIFE:
+        # Another life answers at its address: this one is over, and orders
+        # still on their way to it are refused there.
+        for run in list(hand.runs.values()):
+            found += fleet.drop_run(own, hand, run, event.why)
     if hand.missed:
-        return []
+        return found
     hand.missed = True
     return [
+        *found,
         fleet.note(
             "workers",
             "unheard",
@@ -182,7 +190,7 @@
             lapses_in_ms=int((hand.lapse_at - own.at) * 1000)
             if hand.lapse_at > float("-inf")
             else 0,
-        )
+        ),
     ]
 
 
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -161,6 +161,29 @@
             server.start()
         _log.info("started", incarnation=self.incarnation)
 
+    def reload(self, read: Callable[[], settings.Settings]) -> None:
+        """Takes changed settings over; bad ones are logged and not taken.
+
+        Args:
+            read: Reads the settings; raises OSError or ValueError.
+        """
+        try:
+            found = read()
+        except (OSError, ValueError) as error:
+            _log.warning("settings-refused", why=str(error))
+            return
+        before, self._settings = self._settings, found
+        if found == before:
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(found)
+            if getattr(found, field.name) != getattr(before, field.name)
+        ]
+        _log.info("reloaded", changed=changed)
+        if found.store_address != before.store_address:
+            self._platform.store.move(found.store_address)
+
     def stop(self) -> None:
         """Leaves rotation, hands ownership over, finishes what is answered."""
         _log.info("stopping", owning=self._standing.owning)
--- a/poplarspindle/node/storage.py
+++ b/poplarspindle/node/storage.py
@@ -54,6 +54,9 @@
 class Store(typing.Protocol):
     """Calls that a node makes."""
 
+    def move(self, address: str) -> None:
+        """Sends all further calls to another address."""
+
     def append(
         self,
         found: Iterable[records.Record],
--- a/poplarspindle/platform/__main__.py
+++ b/poplarspindle/platform/__main__.py
@@ -6,8 +6,11 @@
 
 from poplarspindle import metrics, programs
 from poplarspindle.node import lines, node
+from poplarspindle.node import settings as node_settings
 from poplarspindle.platform import callers, minions, operators, settings, store
 
+RELOAD_S = 1.0  # The file may change without a signal.
+
 
 def connect(own_settings) -> node.Platform:
     """Returns the calls of the platform that the settings describe."""
@@ -26,18 +29,25 @@
     )
 
 
+def read_file() -> node_settings.Settings:
+    """Reads the settings file; raises OSError or ValueError."""
+    with open(settings.find_path(), encoding="utf-8") as file:
+        return settings.read_settings(file.read())
+
+
 def main() -> int:
     """Runs a node until it is asked to stop; returns the exit code."""
     try:
-        with open(settings.find_path(), encoding="utf-8") as file:
-            own_settings = settings.read_settings(file.read())
+        own_settings = read_file()
     except (OSError, ValueError) as error:
         print(f"poplarspindle: bad settings: {error}", file=sys.stderr)
         return 2
     writer = lines.set_up(own_settings.node, "")
     structlog.contextvars.bind_contextvars(node=own_settings.node)
     found = node.Node(own_settings, connect(own_settings), metrics.Metrics())
-    code = programs.run_until_stopped(found.start, found.stop)
+    code = programs.run_until_stopped(
+        found.start, found.stop, lambda: found.reload(read_file), RELOAD_S
+    )
     writer.drain()
     return code
 
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -64,6 +64,11 @@
     def __init__(self, address: str) -> None:
         self._calls = transport.Transport(address)
 
+    def move(self, address: str) -> None:
+        """Sends all further calls to another address."""
+        before, self._calls = self._calls, transport.Transport(address)
+        before.close()
+
     def append(
         self,
         found: Iterable[records.Record],
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -175,6 +175,18 @@
     assert sum(len(w.runs) for w in world.workers.values() if w.up) == 8
 
 
+def test_worker_replaced_at_its_address_frees_its_tasks_at_once():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(8, lasting=True))
+    world.run(1)
+    gone = next(w for w in world.workers.values() if w.runs)
+    gone.crash()
+    gone.up = False
+    gone.replaced = True
+    world.run(1.2)
+    assert sum(len(w.runs) for w in world.workers.values() if w.up) == 8
+
+
 def test_store_outage_keeps_leases_and_records_ends_later():
     world = fleets.World(1, run_s=lambda rng: 3.0)
     world.submit("a" * 16, make_step(4), make_step(4, (0,)))
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -175,6 +175,31 @@
     assert len(tasks) == len(set(tasks)) == 5
 
 
+def test_changed_settings_are_taken_over(house):
+    found = house()
+    own = found.nodes[0]._settings
+    changed = node.dataclasses.replace(own, keep_ended_s=7.0)
+    found.nodes[0].reload(lambda: changed)
+    assert found.nodes[0]._settings.keep_ended_s == 7.0
+
+    def refuse():
+        raise ValueError("bad")
+
+    found.nodes[0].reload(refuse)
+    assert found.nodes[0]._settings.keep_ended_s == 7.0
+    second = deployment.FakeStore()
+    for topic in ("keyed.op", "keyed.servers"):
+        for key, value in found.store.read_keys(topic).items():
+            second.write(topic, key, value)
+    found.nodes[0].reload(
+        lambda: node.dataclasses.replace(changed, store_address=second.address)
+    )
+    assert found.call("POST", f"/q/{ID}", JOB).status == 200
+    assert f"j/{ID}" in second.read_keys("keyed.poplarspindle")
+    found.store.stop()
+    found.store = second
+
+
 def test_change_of_configuration_comes_into_force(house):
     found = house()
     assert found.nodes[0].configuration.version == 1
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -56,6 +56,7 @@
         ledger: All runs that ever began.
         up: Whether it is alive.
         reached: Whether the owner reaches it.
+        replaced: Whether another life answers at its address.
     """
 
     def __init__(self, world: "World", description: work.Worker) -> None:
@@ -64,6 +65,7 @@
         self.ledger: list[FakeRun] = []
         self.up = True
         self.reached = True
+        self.replaced = False
         self.born_ms = description.born_ms
         self.fence = 0
         self.until_ms = 0
@@ -417,7 +419,9 @@
             self._do(events.Granted(self.now, name, until_ms))
         if not worker.up or not worker.reached:
             clock.heard = False
-            self._do(events.Unheard(self.now, name, "timeout"))
+            refusal = orders.Refusal.OTHER_LIFE
+            why = refusal.value if worker.replaced else "timeout"
+            self._do(events.Unheard(self.now, name, why))
             return
         seen = look.get("seen", 0) if look.get("born") == worker.born_ms else 0
         hold = orders.Hold(self.own.epoch, seen, until_ms, 0)
