--- a/poplarspindle/ctl.py
+++ b/poplarspindle/ctl.py
@@ -23,6 +23,7 @@
     outcomes,
     records,
     settings,
+    stories,
 )
 
 EXIT_OK = 0
@@ -372,6 +373,19 @@
     return EXIT_OK if found.known else EXIT_UNKNOWN
 
 
+def story(job: str, *paths: str) -> int:
+    """Tells what happened to one job on the users' platform, from log lines.
+
+    Args:
+        job: Its id.
+        paths: Files of log lines of any number of nodes.
+    """
+    lines = [line for path in paths for line in _read_file(path).splitlines()]
+    found = stories.read_lines(lines, job)
+    print("\n".join(stories.tell(found)) or f"No line names job {job}.")
+    return EXIT_OK if found else EXIT_UNKNOWN
+
+
 def trace(name: str) -> int:
     """Tells what happened to one request or one job.
 
@@ -400,6 +414,7 @@
     "status": status,
     "trace": trace,
     "explain": explain,
+    "story": story,
 }
 
 
