Send failed tasks to sound workers; mix serving tasks rather than spread

Cause: a task that failed was tried again where it had failed, on the worker that failing kept empty; with two attempts its job was lost. Change: the next attempt avoids workers with failures; a worker that fails two jobs' work with none done between is closed for 3 s, doubling; serving tasks mix before they take an empty worker.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -43,6 +43,7 @@
         slowdown: What was learned of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
+        failed_on: Workers on which a task of an open job failed.
         remembered_at: When what was learned was last recorded.
         told_at: When the load was last recorded.
         stirred: Whether work or room came since the last placing.
@@ -79,6 +80,7 @@
         self.harm_ms = harm_ms
         self.slowdown = interference.Model()
         self.drops: dict[str, None] = {}
+        self.failed_on: dict[work.TaskName, set[str]] = {}
         self.stirred = True
         self.told_at = float("-inf")
         self.remembered_at = float("-inf")
@@ -210,6 +212,8 @@
         del own.ready[key]
     for number in job.runs:
         own.efforts.pop((name, number), None)
+    for task in [task for task in own.failed_on if task.job == name]:
+        del own.failed_on[task]
     found = [note("jobs", "ended", name, state=state.value)]
     for hand in own.hands.values():
         for run in [r for r in hand.runs.values() if r.name.job == name]:
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -347,14 +347,17 @@
 
     for index in indexes:
         task = tasks[index]
-        hand = placing.choose_worker(hands, step, key, rack, find_harm)
+        name = work.TaskName(key[0], key[1], key[2], index)
+        failed_on = own.failed_on.get(name, frozenset())
+        hand = placing.choose_worker(
+            placing.prefer_sound(hands, failed_on), step, key, rack, find_harm
+        ) or placing.choose_worker(hands, step, key, rack, find_harm)
         if hand is None:
             break
         task.phase = book.Phase.PLACED
         task.attempt = attempt or task.attempt + 1
         task.worker = hand.worker.name
         task.born_ms = hand.born_ms
-        name = work.TaskName(key[0], key[1], key[2], index)
         run = views.Run(name, job, task, own.at, False)
         views.add_run(hand, run)
         placed.append((hand, run))
--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -1,6 +1,6 @@
 """Which worker a task goes to. Pure functions."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from poplarspindle.fleet import views, work
 
@@ -8,7 +8,7 @@
 SERVING_USE = 0.75
 REMOTE_COST = 0.5
 FILLED_COST = 0.5
-MIXED_COST = 1.5
+MIXED_COST = 0.3
 QUIET_COST = 0.3
 HARM_COST = 1.2
 HARM_MOST = 0.75
@@ -86,6 +86,23 @@
     return count_left(hand) >= wanted
 
 
+def prefer_sound(
+    hands: list[views.Hand], failed_on: Collection[str]
+) -> list[views.Hand]:
+    """Returns the workers for a task that failed before.
+
+    Load pattern: a worker fails all that it starts, and a task has only a
+    few attempts; the next one goes where other work is being done.
+    """
+    if not failed_on:
+        return hands
+    return [
+        hand
+        for hand in hands
+        if hand.worker.name not in failed_on and not hand.bad_jobs
+    ]
+
+
 def choose_worker(
     hands: Iterable[views.Hand],
     step: work.Step,
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -15,8 +15,9 @@
 FULL_S = 0.3  # Room that others take is seen with the next report.
 BUSY_S = 1.0
 SILENCES_MOST = 3
-BAD_ENDS_MOST = 3
-BAD_WORKER_S = 4.0
+BAD_JOBS_MOST = 2
+CLOSED_FIRST_S = 3.0
+CLOSED_MOST_S = 24.0
 
 
 def take_report(own: fleet.Fleet, event: events.Reported) -> list:
@@ -134,7 +135,7 @@
             took_ms=int((own.at - run.placed_at) * 1000),
         )
     ]
-    _judge_worker(own, hand, run, how)
+    found += _judge_worker(own, hand, run, how)
     task = run.task
     if task.attempt != run.attempt or run.job.state in book.ENDED:
         return found
@@ -151,14 +152,33 @@
     return found
 
 
-def _judge_worker(own, hand, run, how) -> None:
-    """Leaves a worker alone for a while that fails task after task."""
+def _judge_worker(own, hand, run, how) -> list:
+    """Closes a worker for a while that fails the work of several jobs.
+
+    Load pattern: a worker that fails all it starts is soon empty, and so
+    draws all that comes. One job's failures are held against the job.
+    """
     if how is work.How.DONE:
-        hand.bad_ends = 0
-    elif how is work.How.FAILED:
-        hand.bad_ends += 1
-        if hand.bad_ends >= BAD_ENDS_MOST:
-            hand.full_until = own.at + BAD_WORKER_S
+        hand.bad_jobs.clear()
+        hand.closed_s = 0.0
+        return []
+    if how is not work.How.FAILED:
+        return []
+    own.failed_on.setdefault(run.name, set()).add(hand.worker.name)
+    hand.bad_jobs.add(run.name.job)
+    if len(hand.bad_jobs) < BAD_JOBS_MOST:
+        return []
+    hand.closed_s = min(CLOSED_MOST_S, max(CLOSED_FIRST_S, 2 * hand.closed_s))
+    hand.full_until = max(hand.full_until, own.at + hand.closed_s)
+    return [
+        fleet.note(
+            "workers",
+            "closed",
+            worker=hand.worker.name,
+            jobs=len(hand.bad_jobs),
+            for_s=hand.closed_s,
+        )
+    ]
 
 
 def _save(run: views.Run, saved: str) -> None:
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -108,7 +108,8 @@
         filling: Processors that its fills ask for, in thousandths.
         serving: Processors that tasks with a target reserve, in thousandths.
         full_until: Time before which nothing is placed on it.
-        bad_ends: Failed ends in a row.
+        bad_jobs: Jobs of which a run failed on it since one was done.
+        closed_s: How long it was last closed for failing, seconds.
         images: Processors of tasks with a target by image.
         hot_until: Time before which no fill is placed on it.
         missed: Whether the last look at it got no answer.
@@ -138,7 +139,8 @@
         self.serving = 0
         self.images: collections.Counter = collections.Counter()
         self.full_until = float("-inf")
-        self.bad_ends = 0
+        self.bad_jobs: set[str] = set()
+        self.closed_s = 0.0
         self.hot_until = float("-inf")
         self.missed = False
         self.paced_at = float("-inf")
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -208,7 +208,7 @@
 
 # Admission: tasks that last hold most of the fleet.
 
-LOAD = admission.Load(1000, {"pool": 100_000}, {"pool": 80_000})
+LOAD = admission.Load(1000, {"pool": 100_000}, {"pool": 70_000})
 ADMISSIONS = [
     pytest.param(LOAD, make_step(5, lasting=True), 2000, 0, id="room"),
     pytest.param(LOAD, make_step(6, lasting=True), 2000, 8, id="full"),
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -43,6 +43,29 @@
     assert sum(run.name.index == 0 for run in runs) == world.queue.attempts
 
 
+def test_worker_that_fails_all_ruins_no_job():
+    """A worker that fails at once is always the emptiest one."""
+    world = fleets.World(1, workers=6)
+    broken = world.workers["w0"]
+    world.fail_on = {"w0"}
+    world.allow_attempts(2)
+    names = [f"{number:016x}" for number in range(20)]
+    for name in names:
+        world.submit(name, make_step(4))
+        world.run(0.3)
+    world.run(8)
+    assert {world.get_state(name) for name in names} == {"completed"}
+    assert 0 < len(broken.ledger) <= 12
+
+
+def test_poisonous_job_closes_no_worker():
+    world = fleets.World(1, fail=lambda run: run.name.job[0] == "b")
+    world.submit("b" * 16, make_step(8))
+    world.run(3)
+    assert world.get_state("b" * 16) == "failed"
+    assert world.notes["closed"] == 0
+
+
 def test_gang_starts_whole_with_one_attempt():
     world = fleets.World(1)
     world.submit("a" * 16, make_step(8, gang=True))
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -86,7 +86,7 @@
         now = self.world.now
         for run in list(self.runs.values()):
             if run.ends <= now:
-                how = self.world.judge_run(run)
+                how = self.world.judge_run(run, self.description.name)
                 self._end(run, how)
         if self.clock_ms() > self.until_ms:
             # An end counts as noted only if the lease held until then.
@@ -216,6 +216,7 @@
         self.late = late
         self.starts = 0
         self.room_refusals = 0
+        self.fail_on: set[str] = set()
         self.store_up = True
         self.store_ok_at = 0.0
         self.completed_at: dict[str, float] = {}
@@ -249,6 +250,12 @@
         self.notes: collections.Counter = collections.Counter()
         self.take_over()
 
+    def allow_attempts(self, attempts: int) -> None:
+        """Configures after how many failed runs a task has failed."""
+        self.queue = dataclasses.replace(self.queue, attempts=attempts)
+        self.configuration = work.Configuration(2, {"q": self.queue})
+        self._do(events.Configured(self.now, self.configuration, self.out))
+
     # What the workers ask.
 
     def find_step(self, name: work.TaskName) -> work.Step:
@@ -261,9 +268,10 @@
             return float("inf")
         return self._run_s(self.rng)
 
-    def judge_run(self, run: FakeRun) -> work.How:
+    def judge_run(self, run: FakeRun, worker: str) -> work.How:
         """Tells how a run ends that ends by itself."""
-        return work.How.FAILED if self._fail(run) else work.How.DONE
+        failed = worker in self.fail_on or self._fail(run)
+        return work.How.FAILED if failed else work.How.DONE
 
     # The owner.
 
