--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -198,6 +198,21 @@
     assert sum(len(w.runs) for w in world.workers.values() if w.up) == 8
 
 
+def test_dark_worker_is_not_waited_for_anew_at_each_takeover():
+    """Its leases run out while owners follow each other every 3 s."""
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(8, lasting=True))
+    world.run(1)
+    dark = next(w for w in world.workers.values() if w.runs)
+    dark.crash()
+    dark.up = False
+    for _ in range(5):
+        world.run(3)
+        world.take_over()
+    world.run(1)
+    assert sum(len(w.runs) for w in world.workers.values() if w.up) == 8
+
+
 def test_worker_replaced_at_its_address_frees_its_tasks_at_once():
     world = fleets.World(1)
     world.submit("a" * 16, make_step(8, lasting=True))
