Keep in the log how long a silent worker's leases still last

The record counts from its reading, so no clocks are compared; a worker on it gets no lease and no start before it is taken off, and a look that was missed since forbids leases again. A start without an answer is repeated when its worker answers again.

--- a/poplarspindle/fleet/effects.py
+++ b/poplarspindle/fleet/effects.py
@@ -30,6 +30,18 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allow:
+    """A worker may be asked for leases again.
+
+    Attributes:
+        look: The look whose answer allows it; later misses forbid it.
+    """
+
+    worker: str
+    look: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Note:
     """One line for the log, and a counter.
@@ -54,4 +66,4 @@
     jobs: tuple[str, ...]
 
 
-Effect = Append | Drop | Order | Acknowledge | Note
+Effect = Append | Drop | Order | Acknowledge | Allow | Note
--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -5,17 +5,24 @@
 """
 
 import dataclasses
+from collections.abc import Mapping
 
-from poplarspindle.fleet import orders, work
+from poplarspindle.fleet import dark, orders, work
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claimed:
-    """This node owns the fleet; its book holds all up to the claim."""
+    """This node owns the fleet; its book holds all up to the claim.
+
+    Attributes:
+        epoch: Number of the ownership.
+        silent: Silent workers, as the log says.
+    """
 
     at: float
     wall_ms: int
     epoch: int
+    silent: Mapping[str, dark.Dark] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +70,7 @@
     Attributes:
         sent_at: When it was asked.
         until_ms: End of leases that was asked for, 0 for none.
+        look: Rises with each look that was not answered.
     """
 
     at: float
@@ -71,6 +79,7 @@
     sent_at: float
     until_ms: int
     report: work.Report
+    look: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -4,6 +4,7 @@
 from poplarspindle.fleet import (
     admission,
     book,
+    dark,
     effects,
     leases,
     memory,
@@ -43,6 +44,9 @@
         slowdown: What was learned of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
+        told_dark: Workers called dark by an append in flight, or None.
+        silent: Workers that the log may call dark.
+        dark_changed: Whether the log has to hear of silent workers.
         failed_on: Workers on which a task of an open job failed.
         remembered_at: When what was learned was last recorded.
         told_at: When the load was last recorded.
@@ -80,6 +84,9 @@
         self.harm_ms = harm_ms
         self.slowdown = interference.Model()
         self.drops: dict[str, None] = {}
+        self.dark_changed = False
+        self.silent: set[str] = set()
+        self.told_dark: set[str] | None = None
         self.failed_on: dict[work.TaskName, set[str]] = {}
         self.stirred = True
         self.told_at = float("-inf")
@@ -223,8 +230,10 @@
 
 
 def send_start(own: Fleet, hand: views.Hand, run: views.Run) -> list:
-    """Orders a worker to start a run."""
-    run.asked = True
+    """Orders a worker to start a run; a silent one gets no order."""
+    if hand.missed or hand.dark:
+        return []
+    run.asked = run.sending = True
     run.answered_at = float("inf")
     clock_ms = views.tell_clock(hand, own.at)
     until_ms = clock_ms + min(leases.LEASE_MS, own.lease_most_ms)
@@ -258,10 +267,16 @@
     return admission.Load(own.wall_ms, capacity, lasting)
 
 
+def mark_dark(own: Fleet) -> None:
+    """Marks the workers that the log may call dark: they get no lease."""
+    for name, hand in own.hands.items():
+        hand.dark = name in own.silent
+
+
 def flush(own: Fleet) -> list:
     """Makes one append of all that changed, unless one is in flight."""
     told = own.at - own.told_at >= LOAD_S and own.configuration is not None
-    if own.sent or not (own.dirty or own.waiting or told):
+    if own.sent or not (own.dirty or own.waiting or told or own.dark_changed):
         return []
     found = [
         records.encode_progress(own.book.jobs[name])
@@ -280,6 +295,13 @@
         own.remembered_at = own.at
         if own.slowdown.weights:
             found.append(memory.encode_memory(own.slowdown))
+    if own.dark_changed:
+        own.dark_changed = False
+        silent = dark.list_dark(own.hands)
+        own.told_dark = {hand.worker.name for hand in silent}
+        own.silent |= own.told_dark
+        mark_dark(own)
+        found.append(dark.encode_dark(silent, own.at))
     own.dirty.clear()
     follow, own.waiting = own.waiting, []
     runs, own.fresh_runs = own.fresh_runs, []
@@ -295,6 +317,9 @@
     if number not in own.sent:
         return []
     shown, runs, follow = own.sent.pop(number)
+    if own.told_dark is not None:
+        own.silent, own.told_dark = own.told_dark, None
+        mark_dark(own)
     for job, state in shown:
         if state in book.ENDED or not job.cancelled:
             job.shown = state
--- a/poplarspindle/fleet/leases.py
+++ b/poplarspindle/fleet/leases.py
@@ -14,12 +14,13 @@
     Attributes:
         ms: What it showed, 0 if it was never read.
         at: Own clock then.
-        heard: Whether the last look at the worker was answered.
+        allowed: Whether the worker may be asked for leases: not after a
+            look that it did not answer, until the owner says so.
     """
 
     ms: int = 0
     at: float = 0.0
-    heard: bool = False
+    allowed: bool = False
 
 
 def choose_lease(
@@ -40,7 +41,7 @@
         Milliseconds, 0 for no lease.
     """
     quiet_s = now - confirmed_at
-    if not clock.ms or not clock.heard or quiet_s > TAKEOVER_GRANT_S:
+    if not clock.ms or not clock.allowed or quiet_s > TAKEOVER_GRANT_S:
         return 0
     clock_ms = clock.ms + int((now - clock.at) * 1000)
     long = quiet_s > LONG_LEASE_AFTER_S
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -64,6 +64,7 @@
         hand = own.hands.get(name)
         if hand is None:
             hand = own.hands[name] = views.Hand(worker)
+            hand.dark = name in own.silent
             found.append(_note_worker("listed", worker))
         elif not hand.listed:
             found.append(_note_worker("listed-again", worker))
@@ -134,6 +135,7 @@
     if hand.missed:
         return found
     hand.missed = True
+    own.dark_changed = own.dark_changed or bool(hand.runs)
     return [
         *found,
         fleet.note(
@@ -216,7 +218,8 @@
     leaving = left_ms < DRAIN_MARGIN_MS + 900
     for run in list(hand.runs.values()):
         lasting_leaves = run.step.lasting and hand.leaves_at < float("inf")
-        if run.stopping or leaving or lasting_leaves:
+        unsent = hand.missed and run.recorded and not run.asked
+        if run.stopping or leaving or lasting_leaves or unsent:
             found += fleet.stop_run(own, hand, run)
     return found
 
--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -21,6 +21,7 @@
     return (
         hand.listed
         and hand.heard
+        and not hand.dark
         and hand.worker.service == service
         and hand.worker.presence is work.Presence.READY
         and hand.worker.data_centre not in out
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -28,6 +28,14 @@
     report = event.report
     found = []
     views.note_clock(hand, report.clock_ms, event.at)
+    allow = effects.Allow(event.worker, event.look)
+    if hand.dark:
+        # The log has to forget that it is dark before it gets a lease.
+        own.dark_changed = own.dark_changed or hand.missed
+        hand.missed = False
+        return []
+    if not event.until_ms:
+        found.append(allow)
     first = not hand.heard
     if report.born_ms != hand.born_ms:
         found += _begin_life(own, hand, report)
@@ -236,13 +244,22 @@
         if row.saved and row.saved != run.task.saved and not run.step.gang:
             run.task.saved = row.saved
     for run in [r for key, r in hand.runs.items() if key not in listed]:
-        if first and run.recorded and not run.stopping:
+        if (first and run.recorded and not run.stopping) or _is_unsent(run):
             found += fleet.send_start(own, hand, run)
         elif event.sent_at > run.answered_at:
             found += fleet.drop_run(own, hand, run, "not-listed")
     return found
 
 
+def _is_unsent(run: views.Run) -> bool:
+    """Tells whether a start went without an answer and is to be repeated.
+
+    It was not repeated while the worker did not answer looks.
+    """
+    unanswered = run.silences > 0 and run.answered_at == float("inf")
+    return unanswered and not run.sending and not run.stopping
+
+
 def _stop_stranger(own: fleet.Fleet, hand: views.Hand, row) -> list:
     """Has a run stopped that nobody wants any more."""
     job = own.book.jobs.get(row.task.job)
@@ -288,6 +305,7 @@
 
 def _take_start(own, hand, run, event) -> list:
     refusal = event.answer.refusal
+    run.sending = False
     found = []
     if refusal is None:
         run.confirmed = True
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -7,6 +7,8 @@
 def take_over(own: fleet.Fleet, event: events.Claimed) -> list:
     """Takes the fleet over: what was placed is held, the rest is ready."""
     own.epoch = event.epoch
+    own.silent = set(event.silent)
+    own.dark_changed = bool(event.silent)
     unsure_at = event.at + leases.TAKEOVER_GRANT_S
     unsure_at += own.lease_most_ms / 1000 * views.CLOCK_DRIFT
     for name, job in own.book.jobs.items():
@@ -26,6 +28,11 @@
             run.asked = True
             views.add_run(hand, run)
             hand.lapse_at = unsure_at
+            known = event.silent.get(task.worker)
+            if known is not None:
+                hand.dark = hand.missed = True
+                if known.born_ms == task.born_ms:
+                    hand.lapse_at = min(unsure_at, known.over_at)
     found = [
         fleet.note(
             "ownership",
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -20,7 +20,8 @@
         attempt: Number of the run.
         placed_at: When it was placed, own clock.
         recorded: Whether the placement is acknowledged by the log.
-        asked: Whether an order to start it is on its way.
+        asked: Whether it was ever ordered to start.
+        sending: Whether an order to start it is on its way.
         answered_at: When the worker last answered a start, own clock.
         confirmed: Whether the worker is known to have it.
         silences: Starts of it that got no answer.
@@ -43,7 +44,7 @@
         "percent",
         "placed_at",
         "recorded",
-        "retry_at",
+        "sending",
         "silences",
         "step",
         "stop_after",
@@ -75,7 +76,7 @@
         self.stopping = False
         self.stop_asked = False
         self.stop_after = float("-inf")
-        self.retry_at = float("-inf")
+        self.sending = False
         self.percent = 100
         self.usage: float | None = None
         self.first_seen_at = float("inf")
@@ -113,6 +114,7 @@
         images: Processors of tasks with a target by image.
         hot_until: Time before which no fill is placed on it.
         missed: Whether the last look at it got no answer.
+        dark: Whether the log may say that it is dark.
         paced_at: When that last changed.
         changed_at: When a run came or went last.
         over_since: Since when a target is missed, infinity if none is.
@@ -143,6 +145,7 @@
         self.closed_s = 0.0
         self.hot_until = float("-inf")
         self.missed = False
+        self.dark = False
         self.paced_at = float("-inf")
         self.changed_at = float("-inf")
         self.over_since = float("inf")
--- a/poplarspindle/node/known.py
+++ b/poplarspindle/node/known.py
@@ -1,6 +1,6 @@
 """What a node knows: written by its one state thread, read by callers'."""
 
-from poplarspindle.fleet import admission, book, work
+from poplarspindle.fleet import admission, book, dark, work
 
 
 class Known:
@@ -13,6 +13,7 @@
         configuration: The operators' configuration, None before it is read.
         out: Data centres that get no more work.
         load: The owner's newest word on the fleet's load.
+        silent: Silent workers, as the log says.
         memory: What owners learned, as recorded.
     """
 
@@ -24,3 +25,4 @@
         self.out: frozenset[str] = frozenset()
         self.load: admission.Load | None = None
         self.memory = b""
+        self.silent: dict[str, dark.Dark] = {}
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -12,6 +12,7 @@
 from poplarspindle.fleet import (
     admission,
     book,
+    dark,
     effects,
     events,
     fleet,
@@ -273,6 +274,10 @@
                 self._read_owner(record)
             elif kind == admission.LOAD_KEY:
                 self._known.load = admission.decode_load(record.value)
+            elif kind == dark.DARK_KEY:
+                self._known.silent = dark.decode_dark(
+                    record.value, time.monotonic()
+                )
             elif kind == memory.MEMORY_KEY:
                 self._known.memory = record.value
             elif kind == records.CANCELLED and record.value:
@@ -353,7 +358,11 @@
             clocks.tell_wall_ms,
             self._settings.lease_most_ms,
         )
-        self._reduce(events.Claimed(now, clocks.tell_wall_ms(), found.epoch))
+        self._reduce(
+            events.Claimed(
+                now, clocks.tell_wall_ms(), found.epoch, self._known.silent
+            )
+        )
         if self._known.configuration is not None:
             self._reduce(
                 events.Configured(
--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -32,6 +32,7 @@
 TAIL_WAIT_MS = 550  # Tails are measured over half a second.
 RECORDED_S = 0.5
 UNREACHED_S = 0.15
+UNALLOWED_S = 0.03  # An append takes about that long.
 
 _log = structlog.get_logger(part="owner")
 
@@ -54,6 +55,7 @@
         self._seen = 0
         self._born_ms = 0
         self._clock = leases.Clock()
+        self._misses = 0
         self.wait_ms = HOLD_WAIT_MS
         self._recorded = threading.Condition()
         self.over = threading.Event()
@@ -66,11 +68,19 @@
                 self._seen = max(self._seen, number)
                 self._recorded.notify_all()
 
+    def allow(self, look: int) -> None:
+        """Lets leases be asked for, unless a look was missed since."""
+        with self._recorded:
+            if look == self._misses:
+                self._clock.allowed = True
+
     def _run(self) -> None:
         wait_ms = 0
         while not (self.over.is_set() or self._own.over.is_set()):
             if self._look(wait_ms):
-                wait_ms = self.wait_ms
+                wait_ms = self.wait_ms if self._clock.allowed else 0
+                if not self._clock.allowed:
+                    self.over.wait(UNALLOWED_S)
             else:
                 wait_ms = 0
                 self.over.wait(UNREACHED_S)
@@ -88,7 +98,9 @@
         answer = self.link.hold(order)
         at = time.monotonic()
         if isinstance(answer, outcomes.Failed):
-            self._clock.heard = False
+            with self._recorded:
+                self._misses += 1
+                self._clock.allowed = False
             if answer.reason == "fenced":
                 own.lose("worker-fenced")
             own.post(events.Unheard(at, self.worker.name, answer.reason))
@@ -97,7 +109,7 @@
         if report.born_ms != self._born_ms:
             with self._recorded:
                 self._born_ms, self._seen = report.born_ms, 0
-        self._clock = leases.Clock(report.clock_ms, at, True)
+        self._clock.ms, self._clock.at = report.clock_ms, at
         own.post(
             events.Reported(
                 at,
@@ -106,6 +118,7 @@
                 sent_at,
                 until_ms,
                 report,
+                self._misses,
             )
         )
         if report.ended:
@@ -202,6 +215,10 @@
         elif isinstance(effect, effects.Drop):
             found = [r for job in effect.jobs for r in records.list_drops(job)]
             self._appends.put((0, tuple(found)))
+        elif isinstance(effect, effects.Allow):
+            watch = self._watches.get(effect.worker)
+            if watch is not None:
+                watch.allow(effect.look)
         elif isinstance(effect, effects.Acknowledge):
             watch = self._watches.get(effect.worker)
             if watch is not None:
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -288,7 +288,7 @@
     pytest.param(CLOCK, 20.0, 9.0, 0, id="store away too long: none"),
     pytest.param(leases.Clock(), 11.0, 11.0, 0, id="clock unknown"),
     pytest.param(
-        leases.Clock(1000, 10.0, False), 11.0, 11.0, 0, id="does not answer"
+        leases.Clock(1000, 10.0, False), 11.0, 11.0, 0, id="not allowed"
     ),
 ]
 
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -14,6 +14,7 @@
 from poplarspindle import resources
 from poplarspindle.fleet import (
     book,
+    dark,
     effects,
     events,
     fleet,
@@ -60,6 +61,7 @@
         self.starts = 0
         self.room_refusals = 0
         self.fail_on: set[str] = set()
+        self.dark_read_at = 0.0
         self.store_up = True
         self.store_ok_at = 0.0
         self.completed_at: dict[str, float] = {}
@@ -137,7 +139,13 @@
                 records.apply_progress(known.jobs[name], record.value)
         self.own = fleet.Fleet(known, self.lease_most_ms)
         self._looks = {}
-        self._do(events.Claimed(self.now, self.wall_ms(), epoch))
+        silent = {}
+        if dark.DARK_KEY in self.log:
+            # The log is followed, so the record was read when it came.
+            silent = dark.decode_dark(
+                self.log[dark.DARK_KEY].value, self.dark_read_at
+            )
+        self._do(events.Claimed(self.now, self.wall_ms(), epoch, silent))
         self._do(events.Configured(self.now, self.configuration, self.out))
         self.list_workers()
 
@@ -194,6 +202,10 @@
             self.call_later(APPEND_S, lambda: self._append(own, effect))
         elif isinstance(effect, effects.Order):
             self.call_later(ORDER_S, lambda: self._deliver(own, effect))
+        elif isinstance(effect, effects.Allow):
+            look = self._looks.setdefault(effect.worker, {})
+            if look.get("misses", 0) == effect.look:
+                look.setdefault("clock", leases.Clock()).allowed = True
         elif isinstance(effect, effects.Acknowledge):
             look = self._looks.setdefault(effect.worker, {})
             if look.get("born") == effect.born_ms:
@@ -207,6 +219,8 @@
             return
         for record in effect.found:
             self.log[record.key] = record
+            if record.key == dark.DARK_KEY:
+                self.dark_read_at = self.now
         self._do(events.Appended(self.now, effect.number))
         for name, job in own.book.jobs.items():
             if job.shown is book.State.COMPLETED:
@@ -271,7 +285,8 @@
         if until_ms:
             self._do(events.Granted(self.now, name, until_ms))
         if not worker.up or not worker.reached:
-            clock.heard = False
+            clock.allowed = False
+            look["misses"] = look.get("misses", 0) + 1
             refusal = orders.Refusal.OTHER_LIFE
             why = refusal.value if worker.replaced else "timeout"
             self._do(events.Unheard(self.now, name, why))
@@ -283,10 +298,16 @@
             return
         if look.get("born") != report.born_ms:
             look |= {"born": report.born_ms, "seen": 0}
-        look["clock"] = leases.Clock(report.clock_ms, self.now, True)
+        clock.ms, clock.at = report.clock_ms, self.now
         self._do(
             events.Reported(
-                self.now, self.wall_ms(), name, self.now, until_ms, report
+                self.now,
+                self.wall_ms(),
+                name,
+                self.now,
+                until_ms,
+                report,
+                look.get("misses", 0),
             )
         )
         self._settle()
