--- a/poplarspindle/fleet/book.py
+++ b/poplarspindle/fleet/book.py
@@ -153,7 +153,7 @@
     """Counts a queue's accepted jobs of which no task was started."""
     return sum(
         job.shown is State.QUEUED and job.submission.queue.name == queue
-        for job in book.jobs.values()
+        for job in list(book.jobs.values())  # Other threads add to it.
     )
 
 
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -20,7 +20,6 @@
     work,
 )
 
-RETRY_S = 0.05
 DRAIN_MARGIN_MS = 900
 SUMMARY_S = 1.0
 UNHEARD_S = 1.0
--- a/poplarspindle/fleet/work.py
+++ b/poplarspindle/fleet/work.py
@@ -5,8 +5,6 @@
 
 from poplarspindle import resources
 
-ID_LENGTH = 16
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
--- a/poplarspindle/node/desk.py
+++ b/poplarspindle/node/desk.py
@@ -164,12 +164,7 @@
     def _count(self, call: calls.Call, deadline: float) -> calls.Answer:
         if not self._known.loaded:
             return _refuse(503, "The log is not read yet.")
-        jobs = list(self._known.book.jobs.values())
-        pending = sum(
-            job.shown is book.State.QUEUED
-            and job.submission.queue.name == call.queue.name
-            for job in jobs
-        )
+        pending = book.count_pending(self._known.book, call.queue.name)
         return calls.Answer(200, pending=pending)
 
 
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -13,7 +13,6 @@
 FLEET_TOPIC = "keyed.poplarspindle"
 OPERATORS_TOPIC = "keyed.op"
 WORKERS_TOPIC = "keyed.servers"
-STATUS_TOPIC = "keyed.status"
 GROUP = "poplarspindle-owner"
 PRODUCER = "owner"
 OWNED_PART = 0
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -84,7 +84,7 @@
 
         def make(nodes=1):
             found = House(nodes)
-            stack.callback(found.store.stop)
+            stack.callback(lambda: found.store.stop())
             for minion in found.minions:
                 stack.callback(minion.stop)
             stack.callback(lambda: [n.stop() for n in found.nodes])
