Tell nothing of an ownership that is over

Cause (found by reading): the owner's threads went on posting after their ownership ended. If the same node owned the fleet again, a late answer to an earlier epoch's look could pass for a fenced one, and an append's number could release starts that were not recorded yet. Change: events are handed over only while their ownership lasts. Test: tests/test_owning.py, red before.

--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -171,7 +171,7 @@
         self._read_worker = read_worker
         self.connect = connect
         self.epoch = epoch
-        self.post = post
+        self._post = post
         self._confirmed_at = store_ok_at
         self._appended_at = float("-inf")
         self.wall_ms = wall_ms
@@ -192,6 +192,15 @@
         """Returns when the store last confirmed the ownership."""
         return max(self._confirmed_at(), self._appended_at)
 
+    def post(self, event: object) -> None:
+        """Hands an event over, unless this ownership is over.
+
+        The same node may own the fleet again: answers to an earlier epoch's
+        looks and appends must not be taken for the present one's.
+        """
+        if not self.over.is_set():
+            self._post(event)
+
     def stop(self) -> None:
         """Ends all threads; orders not yet sent are dropped."""
         self.over.set()
