Learn what fills do to tails apart from each job's own load

Cause: what fills do was learned from tails whose own swing (a job's load, 0.45 either way in the logarithm over 14 s, the same for all tasks of a job) was taken for noise of the fills.

Change: fleet/pressure.py keeps the undisturbed tail of each job beside the weights of pairs, learns from each report, and counts fills that ended within the time that a tail is measured over. Where all pairs of a worker are known, paces are planned so that all tails stay below their targets; else the ladder of before goes on. A fill is placed where it takes up least of what may be pressed.

Ruled out: lack of processors (used over asked is the same, 0.85, from 0.3 to 1.3 of the capacity).

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -9,6 +9,7 @@
     leases,
     memory,
     orders,
+    pressure,
     ranking,
     records,
     views,
@@ -41,7 +42,7 @@
         early_ms: How much before its time a task may start.
         keep_ended_s: Time for which an ended job's state is kept.
         harm_ms: Time for which a lasting task may miss its target.
-        slowdown: What was learned of fills beside what serves.
+        tails: What was learned of tails and of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
         told_dark: Workers called dark by an append in flight, or None.
@@ -82,7 +83,7 @@
         self.early_ms = early_ms
         self.keep_ended_s = keep_ended_s
         self.harm_ms = harm_ms
-        self.slowdown = interference.Model()
+        self.tails = pressure.Model()
         self.drops: dict[str, None] = {}
         self.dark_changed = False
         self.silent: set[str] = set()
@@ -95,6 +96,11 @@
         self.summed_at = float("-inf")
         self.ghosts: dict[str, dict[tuple[work.TaskName, int], float]] = {}
 
+    @property
+    def slowdown(self) -> interference.Model:
+        """Weights of fills on what serves."""
+        return self.tails.pairs
+
     @property
     def queues(self) -> dict[str, work.Queue]:
         """Queues of the newest configuration."""
@@ -215,6 +221,7 @@
     own.dirty[name] = None
     own.open_jobs.pop(name, None)
     own.drops[name] = None
+    pressure.forget_job(own.tails, name)
     for key in [key for key in own.ready if key[0] == name]:
         del own.ready[key]
     for number in job.runs:
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -300,7 +300,7 @@
     rack = ""
 
     def find_harm(hand: views.Hand) -> float:
-        return pacing.predict_ratio(own, hand, step)
+        return pacing.predict_harm(own, hand, step)
 
     for index in indexes:
         task = tasks[index]
--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -3,40 +3,28 @@
 Load pattern: a fill disturbs the serving tasks of its worker by an amount
 that nobody declares, that differs by image and that shows only in their
 tails, half a second late. What is learned of each pair decides which fills
-may start beside which serving tasks, and which one gives way first. Each
-measurement moves the pace by one step at most.
+may start beside which serving tasks and how fast they may go there. Pairs
+not known yet are felt out: each measurement moves the pace by one step.
 """
 
-import math
-
 from poplarspindle import interference
-from poplarspindle.fleet import effects, fleet, orders, views, work
+from poplarspindle.fleet import effects, fleet, orders, pressure, views, work
 
 HOT_SHARE = 0.85
 COOL_SHARE = 0.6
 OVER_SHARE = 1.0
+PLACE_SHARE = 0.8  # Of the target, up to which a new fill may raise a tail.
+PACE_SHARE = 0.9
 PAUSE_AFTER_SHARE = 0.4  # Of the time for which a target may be missed.
 STEP_S = 0.55  # A tail is measured over the last half second.
-STEADY_S = 0.5
 DOWN_FACTOR = 0.5
 UP_STEP = 20
 SLOWEST = 10
-LOAD = 0.5  # Workers do not tell the load of what serves.
+CHANGE_LEAST = 8  # Smaller changes of pace are not worth an order.
+LIGHT = 0.03  # Pressure that does not show in a tail.
 MOVE_PACE = 25
 MOVE_AFTER_S = 1.0
 MOVES_MOST = 3
-COOLING_S = 1.2
-DOUBT = 0.7  # Standard deviations; a pair never seen is not taken for light.
-UNSEEN_S = 0.8  # A tail is measured over half a second and read later.
-
-
-def list_serving(hand: views.Hand) -> list[views.Run]:
-    """Lists the runs of a worker whose tails are measured."""
-    return [
-        run
-        for run in hand.runs.values()
-        if run.step.target_ms and run.usage is not None
-    ]
 
 
 def list_fills(hand: views.Hand) -> list[views.Run]:
@@ -48,67 +36,37 @@
     ]
 
 
-def find_shares(hand: views.Hand, fills: list[views.Run]) -> dict[str, float]:
-    """Returns the part of a worker's processors that fills use, by image."""
-    capacity = max(1, hand.worker.capacity.millicores)
-    shares: dict[str, float] = {}
-    for run in fills:
-        used = run.usage
-        if used is None:
-            used = run.step.need.millicores * run.percent / 100
-        image = run.step.image
-        shares[image] = shares.get(image, 0.0) + used / capacity
-    return shares
-
-
-def learn(own: fleet.Fleet, hand: views.Hand) -> None:
-    """Learns from a worker's report how much fills disturb what serves."""
-    fills = list_fills(hand)
-    steady = own.at - STEADY_S
-    if hand.changed_at > steady:
-        return
-    shares = find_shares(hand, fills)
-    for run in list_serving(hand):
-        if run.first_seen_at < steady:
-            interference.learn(
-                own.slowdown, run.step.image, shares, LOAD, run.usage, own.at
+def find_budgets(own: fleet.Fleet, hand: views.Hand) -> dict[str, float]:
+    """Returns how far new fills may press on a worker, by image."""
+    if hand.budgets is None:
+        room = pressure.find_room(own.tails, hand, own.at, PLACE_SHARE)
+        fills = [run for run in hand.runs.values() if run.step.fills]
+        hand.budgets = {
+            image: left
+            - sum(
+                pressure.find_pressure(own.tails, hand, image, run)
+                * max(run.percent, SLOWEST)
+                / 100
+                for run in fills
             )
+            for image, left in room.items()
+        }
+    return hand.budgets
 
 
-def find_weight(own: fleet.Fleet, image: str, fill: str) -> float:
-    """Returns how strongly a fill may disturb an image, doubt included."""
-    term = own.slowdown.find_weight(image, fill)
-    return term.mean + DOUBT * math.sqrt(term.variance)
-
-
-def predict_ratio(own: fleet.Fleet, hand: views.Hand, step: work.Step) -> float:
-    """Predicts the worst tail over its target if a fill came to a worker.
+def predict_harm(own: fleet.Fleet, hand: views.Hand, step: work.Step) -> float:
+    """Predicts how much of what may be pressed a fill would take up.
 
-    The load of what serves swings and is not told, so the prediction starts
-    from the present tail; fills that came lately are not in it yet.
+    Returns:
+        0 where it disturbs nobody, more than 1 where a tail would come too
+        near its target.
     """
-    serving = list_serving(hand)
-    if not serving:
-        return 0.0
-    if own.at < hand.hot_until:
-        return math.inf
-    capacity = max(1, hand.worker.capacity.millicores)
-    unseen = {step.image: step.need.millicores / capacity}
-    for run in hand.runs.values():
-        if run.step.fills and own.at - run.first_seen_at < UNSEEN_S:
-            share = run.step.need.millicores / capacity
-            unseen[run.step.image] = unseen.get(run.step.image, 0.0) + share
-    tails: dict[str, float] = {}
-    for run in serving:
-        tail = run.usage / run.step.target_ms
-        tails[run.step.image] = max(tails.get(run.step.image, 0.0), tail)
+    share = pressure.find_share(hand, step)
     worst = 0.0
-    for image, tail in tails.items():
-        pushed = interference.weigh_load(LOAD) * sum(
-            find_weight(own, image, fill) * share
-            for fill, share in unseen.items()
-        )
-        worst = max(worst, tail * math.exp(min(pushed, 20.0)))
+    for image, budget in find_budgets(own, hand).items():
+        pressed = pressure.find_weight(own.tails, image, step.image) * share
+        if pressed > LIGHT:
+            worst = max(worst, pressed / max(budget, LIGHT / 100))
     return worst
 
 
@@ -125,23 +83,23 @@
 
 def review(own: fleet.Fleet, hand: views.Hand) -> list:
     """Reviews the pace of a worker's fills after a report."""
-    serving = list_serving(hand)
+    hand.budgets = None
+    serving = pressure.list_serving(hand)
     fills = list_fills(hand)
     ratio = max((r.usage / r.step.target_ms for r in serving), default=0.0)
     if ratio < OVER_SHARE:
         hand.over_since = float("inf")
     else:
         hand.over_since = min(hand.over_since, own.at)
-    if ratio >= HOT_SHARE:
-        hand.hot_until = own.at + COOLING_S
-    if not fills:
-        return []
-    learn(own, hand)
-    if own.at - hand.paced_at < STEP_S:
+    pressure.learn(own.tails, hand, own.at)
+    if not fills or own.at - hand.paced_at < STEP_S:
         return []
     over_s = own.at - hand.over_since
     pause = over_s >= PAUSE_AFTER_SHARE * own.harm_ms / 1000
-    chosen = choose_paces(own, serving, fills, ratio, pause)
+    if pause or not knows_pairs(own, serving, fills):
+        chosen = choose_paces(own, serving, fills, ratio, pause)
+    else:
+        chosen = plan_paces(own, hand, fills)
     if not chosen:
         return []
     hand.paced_at = own.at
@@ -165,6 +123,63 @@
     return found
 
 
+def knows_pairs(
+    own: fleet.Fleet, serving: list[views.Run], fills: list[views.Run]
+) -> bool:
+    """Tells whether all pairs on a worker were measured well enough."""
+    images = {run.step.image for run in serving}
+    return all(
+        interference.is_trusted(own.slowdown, image, fill)
+        for fill in {run.step.image for run in fills}
+        for image in images
+    )
+
+
+def plan_paces(
+    own: fleet.Fleet, hand: views.Hand, fills: list[views.Run]
+) -> dict[tuple, int]:
+    """Plans the paces at which all tails stay below their targets.
+
+    The fill that presses most on the tail that is highest gives way first,
+    by as much as is needed.
+
+    Returns:
+        New pace by run, of those that change.
+    """
+    room = pressure.find_room(own.tails, hand, own.at, PACE_SHARE)
+    paces = {run.key: 1.0 for run in fills}
+    pressed = {
+        image: {
+            run.key: pressure.find_pressure(own.tails, hand, image, run)
+            for run in fills
+        }
+        for image in room
+    }
+    for _ in range(len(fills) * max(1, len(room))):
+        over = {
+            image: sum(paces[key] * part for key, part in parts.items())
+            - room[image]
+            for image, parts in pressed.items()
+        }
+        image = max(over, key=over.get, default=None)
+        if image is None or over[image] <= 0:
+            break
+        parts = pressed[image]
+        working = [key for key in parts if paces[key] and parts[key] > LIGHT]
+        if not working:
+            break
+        worst = max(working, key=lambda key: (parts[key], repr(key)))
+        pace = paces[worst] - over[image] / parts[worst]
+        paces[worst] = pace if pace * 100 >= SLOWEST else 0.0
+    planned = {run.key: int(100 * paces[run.key]) for run in fills}
+    return {
+        run.key: planned[run.key]
+        for run in fills
+        if abs(planned[run.key] - run.percent) >= CHANGE_LEAST
+        or (planned[run.key] != run.percent and planned[run.key] in (0, 100))
+    }
+
+
 def move_slowed(
     own: fleet.Fleet, hand: views.Hand, fills: list[views.Run]
 ) -> list:
--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -5,13 +5,13 @@
 from poplarspindle.fleet import views, work
 
 FILL_SHARE_LEAST = 0.75
-SERVING_USE = 0.75
+SERVING_USE = 0.5  # What serves reserves for its peak.
 REMOTE_COST = 0.5
 FILLED_COST = 0.5
 MIXED_COST = 0.3
 QUIET_COST = 0.3
 HARM_COST = 1.2
-HARM_MOST = 0.75
+HARM_MOST = 1.0  # All of what a worker's serving tasks may be pressed.
 
 
 def is_open(
@@ -62,7 +62,8 @@
         hand: The worker.
         step: The step.
         rack: Rack of its other tasks, empty for any.
-        harm: Worst predicted tail over its target, for a fill.
+        harm: Part of what its serving tasks may be pressed that a fill
+            would take up.
     """
     capacity = max(1, hand.worker.capacity.millicores)
     wanted = step.rack or rack
@@ -118,8 +119,8 @@
         step: The step.
         key: Its job, time and number.
         rack: Rack of its other tasks, empty for any.
-        find_harm: Predicts the worst tail over its target that a fill would
-            bring about on a worker.
+        find_harm: Predicts how much of what a worker's serving tasks may be
+            pressed a fill would take up, more than 1 for too much.
     """
     fitting = [
         hand
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -8,6 +8,7 @@
     fleet,
     orders,
     pacing,
+    pressure,
     views,
     work,
 )
@@ -130,7 +131,7 @@
     """Takes the end of a run in."""
     views.remove_run(hand, run)
     own.stirred = True
-    hand.changed_at = own.at
+    pressure.note_end(hand, run, own.at)
     found = [
         fleet.note(
             "runs",
@@ -240,7 +241,7 @@
         run.confirmed = True
         run.usage = row.usage
         if run.first_seen_at > event.at:
-            run.first_seen_at = hand.changed_at = event.at
+            run.first_seen_at = event.at
         if row.saved and row.saved != run.task.saved and not run.step.gang:
             run.task.saved = row.saved
     for run in [r for key, r in hand.runs.items() if key not in listed]:
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -112,11 +112,13 @@
         bad_jobs: Jobs of which a run failed on it since one was done.
         closed_s: How long it was last closed for failing, seconds.
         images: Processors of tasks with a target by image.
-        hot_until: Time before which no fill is placed on it.
+        ended_fills: Fills that ended lately: when, image, processors used.
+        learned_at: When its tails were last learned from.
+        budgets: How far new fills may press on what serves, by image; None
+            where it has to be worked out.
         missed: Whether the last look at it got no answer.
         dark: Whether the log may say that it is dark.
         paced_at: When that last changed.
-        changed_at: When a run came or went last.
         over_since: Since when a target is missed, infinity if none is.
         leaves_at: When it leaves at the earliest, infinity if it stays.
     """
@@ -143,11 +145,12 @@
         self.full_until = float("-inf")
         self.bad_jobs: set[str] = set()
         self.closed_s = 0.0
-        self.hot_until = float("-inf")
+        self.ended_fills: list[tuple[float, str, float]] = []
+        self.learned_at = float("-inf")
+        self.budgets: dict[str, float] | None = None
         self.missed = False
         self.dark = False
         self.paced_at = float("-inf")
-        self.changed_at = float("-inf")
         self.over_since = float("inf")
         self.leaves_at = float("inf")
 
@@ -167,7 +170,7 @@
 def add_run(hand: Hand, run: Run) -> None:
     """Adds a run to a worker and reserves its room."""
     hand.runs[run.key] = run
-    hand.room = None
+    hand.room = hand.budgets = None
     hand.held = hand.held + get_reserved(run.step)
     hand.by_step[_step_key(run)] += 1
     if run.step.fills:
@@ -181,7 +184,7 @@
     """Removes a run from a worker and frees its room."""
     if hand.runs.pop(run.key, None) is None:
         return
-    hand.room = None
+    hand.room = hand.budgets = None
     hand.held = hand.held - get_reserved(run.step)
     key = _step_key(run)
     hand.by_step[key] -= 1
--- a/poplarspindle/interference.py
+++ b/poplarspindle/interference.py
@@ -182,25 +182,37 @@
         for family, share in shares.items()
         if share > 0
     ]
-    _move_terms(parts, seen, at)
+    move_terms(parts, seen, at)
     for family in shares:
         term = model.weights.get((service, family))
         if term is not None:
             term.mean = min(max(term.mean, 0.0), WEIGHT_MOST)
 
 
-def _move_terms(
-    parts: Iterable[tuple[Term, float]], seen: float, at: float
+def move_terms(
+    parts: Iterable[tuple[Term, float]],
+    seen: float,
+    at: float,
+    noise: float = NOISE_VARIANCE,
+    surprise_most: float = SURPRISE_MOST,
 ) -> None:
-    """Moves each term by its share of the surprise."""
+    """Moves each term by its share of the surprise.
+
+    Args:
+        parts: The terms and how much each counts in what was seen.
+        seen: What was seen: the sum of all parts, and noise.
+        at: When it was seen, own clock.
+        noise: Variance of the noise.
+        surprise_most: Greatest difference that is taken for true.
+    """
     for term, _ in parts:
         passed = max(0.0, at - term.at)
         term.at = max(term.at, at)
         grown = term.variance + FORGET_PER_S * passed
         term.variance = min(grown, VARIANCE_MOST)
-    spread = sum(p * p * term.variance for term, p in parts) + NOISE_VARIANCE
+    spread = sum(p * p * term.variance for term, p in parts) + noise
     missed = seen - sum(p * term.mean for term, p in parts)
-    surprise = max(-SURPRISE_MOST, min(SURPRISE_MOST, missed))
+    surprise = max(-surprise_most, min(surprise_most, missed))
     for term, part in parts:
         gain = part * term.variance / spread
         term.mean += gain * surprise
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -342,7 +342,8 @@
         )
         self._ticked_at = now
         if self._known.memory:
-            self._fleet.slowdown = memory.decode_memory(self._known.memory, now)
+            pairs = memory.decode_memory(self._known.memory, now)
+            self._fleet.tails.pairs = pairs
         self._standing.resigned.clear()
         self._standing.owning = True
         platform = self._platform
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -274,9 +274,9 @@
     add(hand, step, "s", usage=20.0)
     fill = make_step(image="f", fills=True)
     own.slowdown.touch_weight("s", "f", 0.0).mean = 6.0
-    alone = pacing.predict_ratio(own, hand, fill)
+    alone = pacing.predict_harm(own, hand, fill)
     add(hand, fill, "f", at=own.at)
-    assert pacing.predict_ratio(own, hand, fill) > alone > 0.4
+    assert pacing.predict_harm(own, hand, fill) > alone > 0.4
 
 
 # Leases: as long as is safe, none for who does not answer.
