Lose no second when a fleet starts anew, no lease when an owner stops

After a closing kill of all nodes an owner came 1.2 s later than it could: the first read of a calm log waits a second before it shows the tail. And an owner that began told the log a capacity of 0 before it had read the list of workers, so that callers were refused all that lasts.

Change: the first read after a load does not wait; a node that becomes able claims at once; an owner asked to stop holds on while the store is away (until it leaves rotation) and asks for the longest leases before it gives up; no load is told before the list of workers was read. Each has a test that failed.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -51,6 +51,7 @@
         failed_on: Workers on which a task of an open job failed.
         remembered_at: When what was learned was last recorded.
         told_at: When the load was last recorded.
+        listed_at: When the list of workers was last read.
         stirred: Whether work or room came since the last placing.
         efforts: Work of jobs with ready steps, by job and time.
         summed_at: When the fleet was last summed up for the log.
@@ -91,6 +92,7 @@
         self.failed_on: dict[work.TaskName, set[str]] = {}
         self.stirred = True
         self.told_at = float("-inf")
+        self.listed_at = float("-inf")
         self.remembered_at = float("-inf")
         self.efforts: dict[tuple[str, int], ranking.Effort] = {}
         self.summed_at = float("-inf")
@@ -282,7 +284,9 @@
 
 def flush(own: Fleet) -> list:
     """Makes one append of all that changed, unless one is in flight."""
-    told = own.at - own.told_at >= LOAD_S and own.configuration is not None
+    # A fleet whose workers were not listed yet would look full.
+    told = own.at - own.told_at >= LOAD_S and own.listed_at > float("-inf")
+    told = told and own.configuration is not None
     if own.sent or not (own.dirty or own.waiting or told or own.dark_changed):
         return []
     found = [
--- a/poplarspindle/fleet/leases.py
+++ b/poplarspindle/fleet/leases.py
@@ -4,7 +4,7 @@
 
 LEASE_MS = 4000  # Outlasts a takeover; a dark worker's tasks wait for it.
 TAKEOVER_GRANT_S = 4.0  # An owner cut from the store grants no longer.
-LONG_LEASE_AFTER_S = 0.8
+LONG_LEASE_AFTER_S = 0.8  # The store may be away for longer.
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +24,11 @@
 
 
 def choose_lease(
-    clock: Clock, now: float, confirmed_at: float, lease_most_ms: int
+    clock: Clock,
+    now: float,
+    confirmed_at: float,
+    lease_most_ms: int,
+    last: bool = False,
 ) -> int:
     """Returns the end of the leases to ask for, on the worker's clock.
 
@@ -36,6 +40,7 @@
         now: Own clock.
         confirmed_at: When the store last confirmed the ownership.
         lease_most_ms: Longest lease that a worker grants.
+        last: Whether this owner grants no more after it.
 
     Returns:
         Milliseconds, 0 for no lease.
@@ -44,5 +49,5 @@
     if not clock.ms or not clock.allowed or quiet_s > TAKEOVER_GRANT_S:
         return 0
     clock_ms = clock.ms + int((now - clock.at) * 1000)
-    long = quiet_s > LONG_LEASE_AFTER_S
+    long = last or quiet_s > LONG_LEASE_AFTER_S
     return clock_ms + (lease_most_ms if long else LEASE_MS)
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -58,6 +58,7 @@
 
 def _list_workers(own: fleet.Fleet, event: events.WorkersListed) -> list:
     found = []
+    own.listed_at = event.at
     listed = {worker.name: worker for worker in event.workers}
     for name, worker in listed.items():
         hand = own.hands.get(name)
--- a/poplarspindle/node/followers.py
+++ b/poplarspindle/node/followers.py
@@ -46,6 +46,7 @@
         self._apply = apply
         self._pause_s = pause_s
         self._reload = threading.Event()
+        self._reached_tail = False
         self.next = -1
         self.fresh_at = float("-inf")
 
@@ -95,14 +96,18 @@
             return found
         self._reset(found.value.found)
         self.next = found.value.end
+        self._reached_tail = False
         return None
 
     def _read(self) -> outcomes.Failed | None:
-        page = self._store.read(self._topic, self.next, WAIT_MS)
+        # On a calm log the first read would wait in vain to show the tail.
+        wait_ms = WAIT_MS if self._reached_tail else 0
+        page = self._store.read(self._topic, self.next, wait_ms)
         if isinstance(page, outcomes.Failed):
             return page
         self.next = page.value.next
         at_tail = page.value.next >= page.value.end
+        self._reached_tail = at_tail
         self._apply(page.value.found, at_tail)
         if at_tail:
             self.fresh_at = time.monotonic()
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -40,6 +40,8 @@
 BATCH_EVENTS = 200
 FOLLOW_PAUSE_S = 0.15  # Each read is priced; states may be shown as late.
 LEAVE_ROTATION_S = 2.5
+STORE_AWAY_S = 0.8  # Joins and appends confirm the store more often.
+HAND_OVER_POLL_S = 0.05
 
 _log = structlog.get_logger(part="node")
 
@@ -153,13 +155,30 @@
         """Leaves rotation, hands ownership over, finishes what is answered."""
         _log.info("stopping", owning=self._standing.owning)
         self._known.leaving = True
-        self._events.put(owning.Lost(0, "leaving"))
-        self._standing.leave()
-        time.sleep(min(LEAVE_ROTATION_S, self._settings.leave_s / 2))
+        rotated_at = time.monotonic()
+        rotated_at += min(LEAVE_ROTATION_S, self._settings.leave_s / 2)
+        self._hand_over(rotated_at)
+        time.sleep(max(0.0, rotated_at - time.monotonic()))
         for server in self._servers:
             server.stop()
         _log.info("stopped")
 
+    def _hand_over(self, until: float) -> None:
+        """Gives ownership up; while the store is away nobody could take it.
+
+        Args:
+            until: When to give it up at the latest, monotonic seconds.
+        """
+        held = self._owning
+        while held is not None and not held.over.is_set():
+            away_s = time.monotonic() - held.store_ok_at()
+            if away_s < STORE_AWAY_S or time.monotonic() >= until:
+                held.extend_leases()
+                break
+            held.over.wait(HAND_OVER_POLL_S)
+        self._events.put(owning.Lost(0, "leaving"))
+        self._standing.leave()
+
     # State thread.
 
     def _run(self) -> None:
--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -1,5 +1,6 @@
 """The owner's side of a node: appends, orders and looks at workers."""
 
+import contextlib
 import dataclasses
 import queue
 import threading
@@ -22,6 +23,8 @@
 
 ORDER_THREADS = 24
 APPEND_S = 1.2
+EXTENDERS = 12
+EXTEND_S = 0.4  # Workers answer in milliseconds; a stop must go on.
 RETRY_S = 0.05
 RETRY_MOST_S = 0.4
 LIST_S = 0.2
@@ -74,6 +77,16 @@
             if look == self._misses:
                 self._clock.allowed = True
 
+    def extend(self) -> None:
+        """Asks for the longest leases, for the time until the next owner."""
+        own = self._own
+        now = time.monotonic()
+        until_ms = leases.choose_lease(
+            self._clock, now, own.store_ok_at(), own.lease_most_ms, last=True
+        )
+        if until_ms:
+            self.link.hold(orders.Hold(own.epoch, self._seen, until_ms, 0))
+
     def _run(self) -> None:
         wait_ms = 0
         while not (self.over.is_set() or self._own.over.is_set()):
@@ -210,6 +223,30 @@
         for watch in list(self._watches.values()):
             watch.over.set()
 
+    def extend_leases(self) -> None:
+        """Has all workers keep their runs while ownership changes hands."""
+        began = time.monotonic()
+        waiting = queue.SimpleQueue()
+        for watch in list(self._watches.values()):
+            waiting.put(watch)
+
+        def extend() -> None:
+            with contextlib.suppress(queue.Empty):
+                while not self.over.is_set():
+                    waiting.get_nowait().extend()
+
+        helpers = [threads.start(extend, self.over) for _ in range(EXTENDERS)]
+        for helper in helpers:
+            left_s = began + EXTEND_S - time.monotonic()
+            helper.join(max(0.0, left_s))
+        _log.info(
+            "leases-extended",
+            about="ownership",
+            epoch=self.epoch,
+            left=waiting.qsize(),
+            took_ms=int((time.monotonic() - began) * 1000),
+        )
+
     def lose(self, why: str) -> None:
         """Notes that another owner was seen."""
         if not self.over.is_set():
--- a/poplarspindle/node/standing.py
+++ b/poplarspindle/node/standing.py
@@ -29,7 +29,7 @@
         owner: The newest owner's record that was read, None for none.
         owning: Whether this process is that owner.
         store_ok_at: When the store last confirmed this member's standing.
-        able: Whether this node is fit to own the fleet now.
+        resigned: Set when another member is chosen while this one owns.
     """
 
     def __init__(
@@ -45,20 +45,34 @@
         self._wall_ms = wall_ms
         self._generation = 0
         self._leaving = threading.Event()
+        self._woken = threading.Event()
         self._claimed_at = float("-inf")
         self.owner: records.Owner | None = None
         self.owning = False
         self.store_ok_at = float("-inf")
-        self.able = False
+        self._able = False
         self.resigned = threading.Event()
 
     def start(self) -> None:
         """Starts the joining thread."""
         threads.start(self._run)
 
+    @property
+    def able(self) -> bool:
+        """Whether this node is fit to own the fleet now."""
+        return self._able
+
+    @able.setter
+    def able(self, able: bool) -> None:
+        became = able and not self._able
+        self._able = able
+        if became:
+            self._woken.set()
+
     def leave(self) -> None:
         """Leaves the group, for another member to be chosen at once."""
         self._leaving.set()
+        self._woken.set()
 
     def _run(self) -> None:
         chosen = False
@@ -88,7 +102,8 @@
                 self._claim(now)
             if not chosen and self.owning:
                 self.resigned.set()
-            self._leaving.wait(JOIN_S)
+            self._woken.wait(JOIN_S)
+            self._woken.clear()
         answer = self._store.leave(self._member)
         _log.info("left", ok=isinstance(answer, outcomes.Ok))
 
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -298,6 +298,12 @@
     assert leases.choose_lease(clock, now, confirmed, 6000) == until_ms
 
 
+def test_last_lease_of_an_owner_is_the_longest():
+    until_ms = leases.choose_lease(CLOCK, 11.0, 11.0, 6000, last=True)
+    assert until_ms == 2000 + 6000
+    assert leases.choose_lease(CLOCK, 20.0, 9.0, 6000, last=True) == 0
+
+
 # Records.
 
 
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -3,7 +3,15 @@
 import pytest
 
 from poplarspindle import resources
-from poplarspindle.fleet import book, work
+from poplarspindle.fleet import (
+    admission,
+    book,
+    effects,
+    events,
+    fleet,
+    owner,
+    work,
+)
 from poplarspindle.tools.fakes import fleets
 
 CORE = resources.Resources(1000, 1000, 0)
@@ -150,6 +158,25 @@
     assert sum(len(w.runs) for w in world.workers.values()) == 8
 
 
+def test_owner_tells_no_load_before_it_knows_its_workers():
+    """A fleet of no workers looks full: all that lasts was refused."""
+    world = fleets.World(1)
+    own = fleet.Fleet(book.Book())
+    for event in (
+        events.Claimed(0.0, world.wall_ms(), 16, {}),
+        events.Configured(0.0, world.configuration, frozenset()),
+        events.Ticked(1.0, world.wall_ms()),
+    ):
+        owner.reduce(own, event)
+    keys = [
+        record.key
+        for effect in owner.settle(own)
+        if isinstance(effect, effects.Append)
+        for record in effect.found
+    ]
+    assert admission.LOAD_KEY not in keys
+
+
 def test_out_data_centre_gets_nothing():
     world = fleets.World(1)
     world.out = frozenset({"dc0"})
--- a/poplarspindle/tests/test_followers.py
+++ b/poplarspindle/tests/test_followers.py
@@ -18,6 +18,7 @@
     def __init__(self, newest, pages):
         self.newest = list(newest)
         self.pages = list(pages)
+        self.waits = []
         self.idle = threading.Event()
 
     def read_newest(self, topic, after=""):
@@ -26,6 +27,7 @@
 
     def read(self, topic, offset, wait_ms):
         """Answers the next read of the script."""
+        self.waits.append(wait_ms)
         if self.pages:
             return self.pages.pop(0)
         self.idle.set()
@@ -83,3 +85,15 @@
     follower.start()
     assert store.idle.wait(30)
     assert found == seen
+
+
+def test_tail_of_a_calm_log_is_known_without_waiting():
+    """A fleet that starts anew would stand still for the wait."""
+    empty = outcomes.Ok(storage.Page((), 1, 1))
+    store = Store([make_newest(b"1", 1)], [empty])
+    follower = followers.Follower(
+        store, "t", lambda rows: None, lambda rows, tail: None, lambda: 0.0
+    )
+    follower.start()
+    assert store.idle.wait(30)
+    assert store.waits == [0, followers.WAIT_MS]
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -1,14 +1,17 @@
 """Whole nodes against the stand-in of the users' platform, over HTTP."""
 
 import contextlib
+import dataclasses
 import json
 import socket
+import threading
 import time
 
 import pytest
 import urllib3
 
 from poplarspindle import metrics
+from poplarspindle.fleet import leases
 from poplarspindle.node import node
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
@@ -210,3 +213,39 @@
     found.store.write("keyed.op", "evacuate/dc", b"{}")
     await_that(lambda: found.nodes[0]._known.out == {"dc"})
     assert found.nodes[0]._known.configuration.version == 9
+
+
+def list_leases(found):
+    return [left_ms for m in found.minions for _, left_ms in m.leases]
+
+
+def test_stopped_owner_leaves_the_longest_leases_behind(house):
+    found = house()
+    await_that(lambda: all(minion.leases for minion in found.minions))
+    assert max(list_leases(found)) <= leases.LEASE_MS
+    found.nodes.pop().stop()
+    longest = [max(left_ms for _, left_ms in m.leases) for m in found.minions]
+    assert min(longest) > leases.LEASE_MS
+
+
+def test_owner_asked_to_stop_holds_on_while_the_store_is_away(house):
+    """Nobody could take over: its runs would end for nothing."""
+    found = house()
+    await_that(lambda: all(minion.leases for minion in found.minions))
+    stopped = found.nodes.pop()
+    stopped._settings = dataclasses.replace(stopped._settings, leave_s=120)
+    found.store.up = False
+    confirmed_at = stopped._owning.store_ok_at
+    await_that(lambda: time.monotonic() - confirmed_at() > node.STORE_AWAY_S)
+    until = time.monotonic() + PATIENCE_S
+    thread = threading.Thread(target=stopped._hand_over, args=(until,))
+    stopped._known.leaving = True
+    thread.start()
+    before = len(list_leases(found))
+    await_that(lambda: len(list_leases(found)) > before)
+    assert stopped._standing.owning
+    found.store.up = True
+    await_that(lambda: not stopped._standing.owning)
+    thread.join()
+    stopped._settings = dataclasses.replace(stopped._settings, leave_s=0)
+    stopped.stop()
--- a/poplarspindle/tools/fakes/deployment.py
+++ b/poplarspindle/tools/fakes/deployment.py
@@ -161,6 +161,7 @@
 
     Attributes:
         ledger: `(task, attempt, began, ended, how)` of each run.
+        leases: `(owner's epoch, milliseconds asked for)` of each hold.
     """
 
     def __init__(self, name: str, run_s: float = 0.1) -> None:
@@ -175,6 +176,7 @@
         self._highest: dict[str, int] = {}
         self._ends: list[list] = []
         self.ledger: list[tuple[str, int, float, float, str]] = []
+        self.leases: list[tuple[int, int]] = []
         self._server = serving.Server("127.0.0.1:0", self._handle, 8)
         self.address = self._server.start()
 
@@ -252,6 +254,9 @@
 
     def _hold(self, fields: dict) -> serving.Response:
         deadline = time.monotonic() + fields.get("wait_ms", 0) / 1000
+        if "deadline_ms" in fields:
+            left_ms = fields["deadline_ms"] - self._clock_ms()
+            self.leases.append((fields["fencing_token"], left_ms))
         while True:
             with self._lock:
                 self._advance()
