Pack serving tasks, keep workers free for fills that press everywhere

Change: what serves is packed, its own image first, and takes an empty worker only where no other has room; light fills leave empty workers to heavy ones.

--- a/poplarspindle/fleet/placing.py
+++ b/poplarspindle/fleet/placing.py
@@ -8,8 +8,8 @@
 SERVING_USE = 0.5  # What serves reserves for its peak.
 REMOTE_COST = 0.5
 FILLED_COST = 0.5
-MIXED_COST = 0.3
-QUIET_COST = 0.3
+OTHER_SHARE = 0.5  # Of the worth of packing serving tasks by image.
+QUIET_COST = 1.0  # A worker on which no fill has to be held back.
 HARM_COST = 1.2
 HARM_MOST = 1.0  # All of what a worker's serving tasks may be pressed.
 
@@ -74,9 +74,11 @@
         quiet = QUIET_COST if not hand.serving else 0.0
         return remote + quiet + HARM_COST * harm - left
     if step.target_ms:
+        quiet = QUIET_COST if not hand.serving else 0.0
         same = hand.images[step.image] / capacity
         other = hand.serving / capacity - same
-        return remote + FILLED_COST * filling + MIXED_COST * other - same
+        packed = same + OTHER_SHARE * other
+        return remote + quiet + FILLED_COST * filling - packed
     return remote + filling - left
 
 
