--- a/poplarspindle/fleet/admission.py
+++ b/poplarspindle/fleet/admission.py
@@ -12,7 +12,7 @@
 
 from poplarspindle.fleet import records, work
 
-LASTING_MOST = 0.75
+LASTING_MOST = 0.85
 LASTING_RETRY_S = 8
 LOAD_KEY = "load"
 FRESH_MS = 6000
--- a/poplarspindle/fleet/pressure.py
+++ b/poplarspindle/fleet/pressure.py
@@ -27,6 +27,8 @@
 SAMPLE_S = 0.2  # Workers renew their figures about that often.
 HIGH_DECAY_PER_S = 0.01
 RISE = 0.2  # A level may rise by that while a fill runs.
+SEEN_S = 10.0  # Loads swing that slowly; a young job's peak is not known.
+UNMEASURED_SHARE = 0.6  # Of the target, for a tail not yet measured.
 DOUBT = 0.7  # Standard deviations; a pair never seen is not taken for light.
 
 
@@ -37,10 +39,12 @@
     Attributes:
         term: Its logarithm, milliseconds.
         high: Highest value lately.
+        since: When it was first measured, own clock.
     """
 
     term: interference.Term
     high: float
+    since: float
 
 
 class Model:
@@ -118,7 +122,7 @@
     level = model.levels.get(key)
     if level is None:
         term = interference.Term(seen, LEVEL_VARIANCE, at)
-        level = model.levels[key] = Level(term, seen)
+        level = model.levels[key] = Level(term, seen, at)
     passed = max(0.0, at - level.term.at)
     level.term.variance += LEVEL_DRIFT_PER_S * passed
     level.high -= HIGH_DECAY_PER_S * passed
@@ -154,11 +158,12 @@
     return max(free, level.term.mean)
 
 
-def find_soon(model: Model, run: views.Run, free: float) -> float:
+def find_soon(model: Model, run: views.Run, free: float, at: float) -> float:
     """Returns how high a task's undisturbed tail may rise meanwhile."""
     level = model.levels.get((run.name.job, run.name.step))
-    high = level.high if level else free + RISE
-    return min(max(free, high), free + RISE)
+    if level is None or at - level.since < SEEN_S:
+        return free + RISE
+    return min(max(free, level.high), free + RISE)
 
 
 def find_room(
@@ -178,9 +183,14 @@
     """
     shares = find_shares(hand, at)
     room: dict[str, float] = {}
-    for run in list_serving(hand):
-        soon = find_soon(model, run, find_free(model, run, shares))
-        left = math.log(most * run.step.target_ms) - soon
+    for run in hand.runs.values():
+        if not run.step.target_ms:
+            continue
+        left = math.log(most / UNMEASURED_SHARE)
+        if run.usage:
+            free = find_free(model, run, shares)
+            soon = find_soon(model, run, free, at)
+            left = math.log(most * run.step.target_ms) - soon
         image = run.step.image
         room[image] = min(room.get(image, left), left)
     return room
--- a/poplarspindle/tests/test_pressure.py
+++ b/poplarspindle/tests/test_pressure.py
@@ -242,6 +242,30 @@
     assert pressure.find_shares(hand, load.now + 1.0) == {}
 
 
+def test_tails_not_yet_measured_bear_little():
+    """All that waits came at once, before the first report."""
+    load = Load(1)
+    hand = load.hands[0]
+    step = load._make_job("x", "f0", fills=True).submission.steps[0]
+    placed = 0
+    while pacing.predict_harm(load.own, hand, step) <= 1 and placed < 20:
+        load.add_fill(hand, "f0")
+        placed += 1
+    assert placed <= 1
+
+
+def test_peak_of_a_young_job_is_not_taken_for_known():
+    load = Load(1)
+    hand = load.hands[0]
+    load.report(hand)
+    run = pressure.list_serving(hand)[0]
+    tails = load.own.tails
+    free = tails.levels[run.name.job, 0].term.mean
+    assert pressure.find_soon(tails, run, free, load.now) > free
+    later = load.now + pressure.SEEN_S
+    assert pressure.find_soon(tails, run, free, later) == free
+
+
 def test_levels_of_ended_jobs_are_forgotten():
     load = Load(1)
     load.play(2)
