--- a/poplarspindle/node/lines.py
+++ b/poplarspindle/node/lines.py
@@ -3,11 +3,14 @@
 import collections
 import sys
 import threading
+from collections.abc import Iterator
 
 import structlog
 
 LINES_MOST = 4000
 FLUSH_S = 0.25
+CHUNK_CHARS = 8000  # Collectors cut what is written at once beyond 8 KiB.
+CHUNK_CHARS = 8000  # Collectors cut what is written at once beyond 8 KiB.
 
 
 class BoundedWriter:
@@ -47,8 +50,8 @@
         if self.dropped > self._told:
             found.append(f'{{"event":"lines-dropped","n":{self.dropped}}}\n')
             self._told = self.dropped
-        if found:
-            self._out.write("".join(found))
+        for chunk in _join_lines(found):
+            self._out.write(chunk)
             self._out.flush()
 
     def _run(self) -> None:
@@ -56,6 +59,34 @@
             self.drain()
 
 
+def _join_lines(lines: list[str]) -> Iterator[str]:
+    """Joins lines into chunks that are written at once, none cut in two."""
+    chunk: list[str] = []
+    size = 0
+    for line in lines:
+        if chunk and size + len(line) > CHUNK_CHARS:
+            yield "".join(chunk)
+            chunk, size = [], 0
+        chunk.append(line)
+        size += len(line)
+    if chunk:
+        yield "".join(chunk)
+
+
+def _join_lines(lines: list[str]) -> Iterator[str]:
+    """Joins lines into chunks that are written at once, none cut in two."""
+    chunk: list[str] = []
+    size = 0
+    for line in lines:
+        if chunk and size + len(line) > CHUNK_CHARS:
+            yield "".join(chunk)
+            chunk, size = [], 0
+        chunk.append(line)
+        size += len(line)
+    if chunk:
+        yield "".join(chunk)
+
+
 def set_up(node: str, incarnation: str) -> BoundedWriter:
     """Sends all log lines of the process, as JSON, to standard output."""
     writer = BoundedWriter()
