Free a worker of what serves when fills wait that press everywhere

Change: fleet/consolidating.py frees one worker at a time where fills have waited for 2 s and no worker is quiet: its serving tasks are stopped one by one, each only while all others of its step are at work and have been for 5 s. A pace whose order got no answer, or that an earlier owner chose, counts as unknown and is told again. Tests: a worker is freed, none while a task of the step is away, an unanswered pace is told again.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -30,6 +30,10 @@
         out: Data centres that get no more work.
         hands: Workers by name.
         ready: Indexes of queued tasks by job, time and step.
+        stuck: Since when a ready step finds no worker, by job, time and step.
+        freeing: Worker that is being freed of what serves, empty for none.
+        freeing_until: When that is given up.
+        freed_at: When the last worker was freed or task moved for it.
         open_jobs: Ids of jobs that have not ended.
         dirty: Ids of jobs whose progress is to be recorded.
         waiting: Effects that follow the next append.
@@ -72,6 +76,10 @@
         self.out: frozenset[str] = frozenset()
         self.hands: dict[str, views.Hand] = {}
         self.ready: dict[tuple[str, int, int], set[int]] = {}
+        self.stuck: dict[tuple[str, int, int], float] = {}
+        self.freeing = ""
+        self.freeing_until = float("-inf")
+        self.freed_at = float("-inf")
         self.open_jobs: dict[str, None] = {}
         self.dirty: dict[str, None] = {}
         self.waiting: list[effects.Effect] = []
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -7,6 +7,7 @@
 from poplarspindle import resources
 from poplarspindle.fleet import (
     book,
+    consolidating,
     effects,
     events,
     fleet,
@@ -168,6 +169,7 @@
     if own.at - own.summed_at >= SUMMARY_S:
         own.summed_at = own.at
         found.append(_sum_up(own))
+    found += consolidating.review(own)
     return found + _drop_old(own)
 
 
@@ -296,6 +298,8 @@
     indexes = sorted(own.ready[key])
     if step.gang and len(indexes) < len(tasks):
         return []
+    if step.target_ms and own.freeing:
+        hands = [h for h in hands if h.worker.name != own.freeing]
     placed: list[tuple[views.Hand, views.Run]] = []
     attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
     rack = ""
@@ -311,6 +315,7 @@
             placing.prefer_sound(hands, failed_on), step, key, rack, find_harm
         ) or placing.choose_worker(hands, step, key, rack, find_harm)
         if hand is None:
+            own.stuck.setdefault(key, own.at)
             break
         task.phase = book.Phase.PLACED
         task.attempt = attempt or task.attempt + 1
@@ -331,6 +336,7 @@
     own.ready[key] -= {run.name.index for _, run in placed}
     if not own.ready[key]:
         del own.ready[key]
+        own.stuck.pop(key, None)
     extra = {}
     if job.state is book.State.QUEUED:
         job.state = book.State.ACTIVE
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -13,6 +13,7 @@
     work,
 )
 
+AT_WORK_PERCENT = 100
 FULL_S = 0.3  # Room that others take is seen with the next report.
 BUSY_S = 1.0
 SILENCES_MOST = 3
@@ -240,6 +241,7 @@
             continue
         run.confirmed = True
         run.usage = row.usage
+        run.at_work = row.percent >= AT_WORK_PERCENT
         if run.first_seen_at > event.at:
             run.first_seen_at = event.at
         if row.saved and row.saved != run.task.saved and not run.step.gang:
@@ -289,7 +291,11 @@
     if event.answer.clock_ms:
         views.note_clock(hand, event.answer.clock_ms, event.at)
     run = hand.runs.get((event.order.task, event.order.attempt))
-    if run is None or isinstance(event.order, orders.Pace):
+    if run is None:
+        return []
+    if isinstance(event.order, orders.Pace):
+        if event.answer.refusal is not None:
+            run.percent = views.PACE_UNKNOWN
         return []
     if isinstance(event.order, orders.Stop):
         return _take_stop(own, hand, run, event)
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -26,6 +26,7 @@
             hand.born_ms = task.born_ms
             run = views.Run(task_name, job, task, event.at, True)
             run.asked = True
+            run.percent = views.PACE_UNKNOWN
             views.add_run(hand, run)
             hand.lapse_at = unsure_at
             known = event.silent.get(task.worker)
--- a/poplarspindle/fleet/views.py
+++ b/poplarspindle/fleet/views.py
@@ -7,6 +7,7 @@
 
 CLOCK_DRIFT = 1.02  # Workers' clocks may be 2 % slow.
 LAPSE_SLACK_S = 0.25
+PACE_UNKNOWN = 101  # Taken for full speed, but told again.
 
 
 class Run:
@@ -28,7 +29,9 @@
         stopping: Whether it is to end.
         stop_asked: Whether an order to stop it is on its way.
         stop_after: Earliest time for the next order to stop it.
-        percent: Share of its speed last asked for.
+        percent: Share of its speed last asked for, PACE_UNKNOWN if the
+            worker may not have been told.
+        at_work: Whether a lasting task was listed as at work.
         usage: Tail in milliseconds or processors in use; None if unknown.
         first_seen_at: When it was first listed as running.
     """
@@ -36,6 +39,7 @@
     __slots__ = (
         "answered_at",
         "asked",
+        "at_work",
         "attempt",
         "confirmed",
         "first_seen_at",
@@ -78,6 +82,7 @@
         self.stop_after = float("-inf")
         self.sending = False
         self.percent = 100
+        self.at_work = False
         self.usage: float | None = None
         self.first_seen_at = float("inf")
 
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -9,7 +9,10 @@
     effects,
     events,
     fleet,
+    orders,
     owner,
+    pacing,
+    views,
     work,
 )
 from poplarspindle.tools.fakes import fleets
@@ -318,3 +321,57 @@
         world.store_up = not world.store_up
     elif chance < 0.62:
         world.cancel(world.rng.choice(list(world.own.book.jobs)))
+
+
+def spread_serving(world):
+    """Lets one serving task stand on each worker, as after a crash."""
+    world.submit("b" * 16, make_step(28))
+    world.run(0.3)
+    world.submit("a" * 16, make_step(4, lasting=True, image="s", target_ms=9))
+    world.run(12)
+
+
+def count_serving(world):
+    counts = [
+        sum(world.find_step(run.name).target_ms > 0 for run in w.runs.values())
+        for w in world.workers.values()
+    ]
+    return sorted(counts)
+
+
+def test_worker_is_freed_for_fills_that_press_everywhere():
+    world = fleets.World(1, run_s=lambda rng: 2.0)
+    spread_serving(world)
+    assert count_serving(world) == [1, 1, 1, 1]
+    world.submit("c" * 16, make_step(6, fills=True, image="f"))
+    world.run(16)
+    assert count_serving(world)[0] == 0
+    assert world.get_state("c" * 16) == "completed"
+    assert world.list_broken() == []
+
+
+def test_worker_is_not_freed_while_a_task_of_the_step_is_away():
+    world = fleets.World(1, run_s=lambda rng: 2.0)
+    spread_serving(world)
+    cut = next(w for w in world.workers.values() if w.runs)
+    cut.reached = False
+    world.submit("c" * 16, make_step(6, fills=True, image="f"))
+    world.run(3.5)
+    assert world.notes["moved"] == 0
+
+
+def test_pace_without_an_answer_is_told_again():
+    world = fleets.World(1, run_s=lambda rng: 30.0)
+    world.submit("a" * 16, make_step(1, fills=True))
+    world.run(1)
+    hand = next(h for h in world.own.hands.values() if h.runs)
+    run = next(iter(hand.runs.values()))
+    run.percent = 40
+    order = orders.Pace(run.name, run.attempt, world.own.epoch, 40)
+    answer = orders.Answer(orders.Refusal.SILENT)
+    name = hand.worker.name
+    event = events.Ordered(world.now, name, world.now, order, answer)
+    owner.reduce(world.own, event)
+    assert run.percent == views.PACE_UNKNOWN
+    paces = pacing.plan_paces(world.own, hand, [run])
+    assert paces == {run.key: 100}
