Let an owner that is well go on when another member is chosen

Each takeover asks all workers anew and forgets levels of tails.

Change: a chosen member claims only a vacant fleet: no owner was read, the owner said that it gave up (a record that it appends when asked to stop), it is the owner's own incarnation, or nothing was heard of the owner for 1.2 s (it appends its load twice a second; a node that starts judges by the age of the newest load). The stand-in's group can be dealt anew; tests for an owner that is well, silent, and resigned, and a table of the decision.

--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -16,6 +16,7 @@
 CANCELLED = "c"
 PROGRESS = "s"
 OWNER_KEY = "owner"
+RESIGNED_KEY = "resigned"
 FORM = 1
 
 _PHASES = tuple(book.Phase)
@@ -56,6 +57,17 @@
     return Owner(epoch, instance, claimed_ms)
 
 
+def encode_resignation(epoch: int) -> Record:
+    """Encodes that the owner of an epoch gave the fleet up."""
+    return Record(RESIGNED_KEY, msgpack.packb([FORM, epoch]))
+
+
+def decode_resignation(value: bytes) -> int:
+    """Decodes the epoch given up; raises ValueError where malformed."""
+    _, epoch = unpack(value)
+    return epoch
+
+
 def encode_submission(job: work.Submission) -> Record:
     """Encodes a job as handed in."""
     queue = [getattr(job.queue, f.name) for f in _QUEUE_FIELDS]
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -42,6 +42,9 @@
 LEAVE_ROTATION_S = 2.5
 STORE_AWAY_S = 0.8  # Joins and appends confirm the store more often.
 HAND_OVER_POLL_S = 0.05
+HAND_OVER_S = 0.3  # Time for the state thread to give ownership up.
+
+OWNERS_KEYS = frozenset({records.OWNER_KEY, admission.LOAD_KEY})
 
 _log = structlog.get_logger(part="node")
 
@@ -170,6 +173,7 @@
             until: When to give it up at the latest, monotonic seconds.
         """
         held = self._owning
+        owned = held.epoch if held is not None else 0
         while held is not None and not held.over.is_set():
             away_s = time.monotonic() - held.store_ok_at()
             if away_s < STORE_AWAY_S or time.monotonic() >= until:
@@ -177,6 +181,9 @@
                 break
             held.over.wait(HAND_OVER_POLL_S)
         self._events.put(owning.Lost(0, "leaving"))
+        if held is not None:
+            held.over.wait(HAND_OVER_S)
+            self._standing.resign(owned)
         self._standing.leave()
 
     # State thread.
@@ -209,9 +216,6 @@
             self._take(event)
         if self._fleet is None:
             return
-        if self._standing.resigned.is_set():
-            self._give_up_ownership("not-chosen")
-            return
         now, wall_ms = time.monotonic(), clocks.tell_wall_ms()
         if now - self._ticked_at >= TICK_S:
             self._ticked_at = now
@@ -275,11 +279,25 @@
         for record in found:
             if "/" not in record.key:
                 self._apply(record)
+        self._standing.heard_at = self._find_heard_at()
         _log.info("loaded", records=len(found), jobs=len(self._known.book.jobs))
 
+    def _find_heard_at(self) -> float:
+        """Returns when the owner was last heard of, by its newest load.
+
+        Clocks of nodes differ: one that is ahead claims sooner, one that is
+        behind waits as if the owner had just been heard.
+        """
+        if self._known.load is None:
+            return float("-inf")
+        age_ms = clocks.tell_wall_ms() - self._known.load.at_ms
+        return time.monotonic() - max(0, age_ms) / 1000
+
     def _read_records(self, event: _Read) -> None:
         for record in event.found:
             self._apply(record)
+            if record.key in OWNERS_KEYS and not event.mine:
+                self._standing.heard_at = time.monotonic()
         if event.at_tail and not event.mine:
             self._known.loaded = True
             self._standing.able = self._known.configuration is not None
@@ -291,6 +309,9 @@
                 self._apply_submission(job, record.value)
             elif kind == records.OWNER_KEY:
                 self._read_owner(record)
+            elif kind == records.RESIGNED_KEY:
+                epoch = records.decode_resignation(record.value)
+                self._standing.note_resigned(epoch)
             elif kind == admission.LOAD_KEY:
                 self._known.load = admission.decode_load(record.value)
             elif kind == dark.DARK_KEY:
@@ -363,8 +384,6 @@
         if self._known.memory:
             pairs = memory.decode_memory(self._known.memory, now)
             self._fleet.tails.pairs = pairs
-        self._standing.resigned.clear()
-        self._standing.owning = True
         platform = self._platform
         self._owning = owning.Owning(
             platform.store,
@@ -378,6 +397,7 @@
             clocks.tell_wall_ms,
             self._settings.lease_most_ms,
         )
+        self._standing.owning = True
         self._reduce(
             events.Claimed(
                 now, clocks.tell_wall_ms(), found.epoch, self._known.silent
@@ -400,7 +420,6 @@
         self._owning.stop()
         self._owning = None
         self._standing.owning = False
-        self._standing.resigned.clear()
         self._standing.able = False
         self._known.loaded = False
         self._jobs.reload()
--- a/poplarspindle/node/standing.py
+++ b/poplarspindle/node/standing.py
@@ -13,10 +13,40 @@
 JOIN_S = 0.3
 CLAIM_S = 1.0  # Time for a claim to come back through the log.
 EPOCH_STEP = 16
+RESIGN_S = 0.5  # Without it the next owner waits until this one is silent.
+
+# An owner appends its load twice a second; a dead one is out of the group
+# after about a second.
+OWNER_SILENT_S = 1.2
 
 _log = structlog.get_logger(part="ownership")
 
 
+def is_vacant(
+    owner: records.Owner | None,
+    member: str,
+    resigned: int,
+    heard_at: float,
+    now: float,
+) -> bool:
+    """Tells whether the chosen member may claim the fleet.
+
+    Load pattern: nodes start, stop or join one after the other, or the group
+    deals everything anew, and another member is chosen each time although
+    the owner is well; each change of hands costs all nodes a takeover.
+
+    Args:
+        owner: The newest owner that was read, None for none.
+        member: The chosen member, which does not own the fleet now.
+        resigned: Newest epoch that was given up, 0 for none.
+        heard_at: When the owner was last heard of, monotonic seconds.
+        now: Present time, monotonic seconds.
+    """
+    if owner is None or resigned >= owner.epoch or owner.instance == member:
+        return True
+    return now - heard_at >= OWNER_SILENT_S
+
+
 class Standing:
     """Keeps this node in the group and claims the fleet when chosen.
 
@@ -29,7 +59,8 @@
         owner: The newest owner's record that was read, None for none.
         owning: Whether this process is that owner.
         store_ok_at: When the store last confirmed this member's standing.
-        resigned: Set when another member is chosen while this one owns.
+        resigned: Newest epoch that its owner gave up, 0 for none.
+        heard_at: When the owner was last heard of, monotonic seconds.
     """
 
     def __init__(
@@ -51,7 +82,8 @@
         self.owning = False
         self.store_ok_at = float("-inf")
         self._able = False
-        self.resigned = threading.Event()
+        self.resigned = 0
+        self.heard_at = float("-inf")
 
     def start(self) -> None:
         """Starts the joining thread."""
@@ -69,6 +101,18 @@
         if became:
             self._woken.set()
 
+    def note_resigned(self, epoch: int) -> None:
+        """Notes that an owner gave the fleet up: it may be claimed."""
+        self.resigned = max(self.resigned, epoch)
+        self._woken.set()
+
+    def resign(self, epoch: int) -> None:
+        """Tells the others that this owner gave the fleet up."""
+        answer = self._store.append(
+            [records.encode_resignation(epoch)], RESIGN_S
+        )
+        _log.info("resigned", epoch=epoch, ok=isinstance(answer, outcomes.Ok))
+
     def leave(self) -> None:
         """Leaves the group, for another member to be chosen at once."""
         self._leaving.set()
@@ -99,14 +143,18 @@
                 failed = True
                 _log.warning("join-failed", why=answer.reason)
             if chosen and not failed and not self.owning and self.able:
-                self._claim(now)
-            if not chosen and self.owning:
-                self.resigned.set()
+                self._claim_vacant(now)
             self._woken.wait(JOIN_S)
             self._woken.clear()
         answer = self._store.leave(self._member)
         _log.info("left", ok=isinstance(answer, outcomes.Ok))
 
+    def _claim_vacant(self, now: float) -> None:
+        if is_vacant(
+            self.owner, self._member, self.resigned, self.heard_at, now
+        ):
+            self._claim(now)
+
     def _claim(self, now: float) -> None:
         if now - self._claimed_at < CLAIM_S:
             return
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -11,8 +11,8 @@
 import urllib3
 
 from poplarspindle import metrics
-from poplarspindle.fleet import leases
-from poplarspindle.node import node
+from poplarspindle.fleet import leases, records
+from poplarspindle.node import node, standing
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 from poplarspindle.tools.fakes import deployment
@@ -249,3 +249,56 @@
     thread.join()
     stopped._settings = dataclasses.replace(stopped._settings, leave_s=0)
     stopped.stop()
+
+
+def test_member_chosen_while_the_owner_is_well_takes_nothing_over(house):
+    """The group deals everything anew whenever a node joins."""
+    found = house()
+    first = found.nodes[0]
+    await_that(lambda: first._standing.owning)
+    epoch = first._owning.epoch
+    second = found.add_node("n1")
+    found.store.choose(second.incarnation)
+    await_that(lambda: found.store.joins[second.incarnation] > 8)
+    assert first._standing.owning
+    assert first._owning.epoch == epoch
+
+
+def test_chosen_member_takes_over_from_a_silent_owner(house):
+    found = house(2)
+    first, second = found.nodes
+    await_that(lambda: any(n._standing.owning for n in found.nodes))
+    if second._standing.owning:
+        first, second = second, first
+    epoch = first._owning.epoch
+    found.store.choose(second.incarnation)
+    first._owning.stop()
+    await_that(lambda: second._owning is not None)
+    assert second._owning.epoch > epoch
+
+
+def test_resigned_owner_is_followed_at_once(house):
+    found = house(2)
+    await_that(lambda: any(n._standing.owning for n in found.nodes))
+    owner = next(n for n in found.nodes if n._standing.owning)
+    other = next(n for n in found.nodes if n is not owner)
+    epoch = owner._owning.epoch
+    found.nodes.remove(owner)
+    owner.stop()
+    await_that(lambda: other._standing.owning)
+    assert other._standing.resigned == epoch
+
+
+VACANCIES = [
+    pytest.param(None, 0, 9.0, True, id="no owner"),
+    pytest.param(records.Owner(32, "a", 0), 0, 9.0, False, id="owner is well"),
+    pytest.param(records.Owner(32, "a", 0), 16, 9.0, False, id="old one left"),
+    pytest.param(records.Owner(32, "a", 0), 32, 9.0, True, id="owner left"),
+    pytest.param(records.Owner(32, "a", 0), 0, 8.0, True, id="owner silent"),
+    pytest.param(records.Owner(32, "m", 0), 0, 9.0, True, id="gave up itself"),
+]
+
+
+@pytest.mark.parametrize(("owner", "resigned", "heard_at", "vacant"), VACANCIES)
+def test_vacancy(owner, resigned, heard_at, vacant):
+    assert standing.is_vacant(owner, "m", resigned, heard_at, 9.5) is vacant
--- a/poplarspindle/tools/fakes/deployment.py
+++ b/poplarspindle/tools/fakes/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import collections
 import itertools
 import json
 import struct
@@ -30,6 +31,7 @@
     Attributes:
         up: Whether it answers; else it says 503.
         appends: Appends that were carried out.
+        joins: Joins answered, by member.
     """
 
     def __init__(self) -> None:
@@ -39,6 +41,8 @@
         self._answers: dict[tuple, int] = {}
         self._members: dict[str, float] = {}
         self._generation = 0
+        self._chosen = ""
+        self.joins: collections.Counter = collections.Counter()
         self.up = True
         self.appends = 0
         self._server = serving.Server("127.0.0.1:0", self._handle, THREADS)
@@ -48,6 +52,12 @@
         """Stops serving."""
         self._server.stop()
 
+    def choose(self, member: str) -> None:
+        """Deals everything to one member of the group."""
+        with self._lock:
+            self._chosen = member
+            self._generation += 1
+
     def write(self, topic: str, key: str, value: bytes) -> None:
         """Writes a record as an operator or a minion does."""
         with self._lock:
@@ -128,7 +138,11 @@
             }
             if sorted(self._members) != before:
                 self._generation += 1
-            mine = min(self._members) == fields["member"]
+            self.joins[fields["member"]] += 1
+            chosen = self._chosen
+            if chosen not in self._members:
+                chosen = min(self._members)
+            mine = chosen == fields["member"]
         parts = [[topic, 0, 0] for topic in fields["topics"] if mine]
         return answer(200, {"generation": self._generation, "parts": parts})
 
