--- a/poplarspindle/node/known.py
+++ b/poplarspindle/node/known.py
@@ -1,6 +1,11 @@
 """What a node knows: written by its one state thread, read by callers'."""
 
+import structlog
+
 from poplarspindle.fleet import admission, book, dark, work
+from poplarspindle.node import wishes
+
+_log = structlog.get_logger(part="node")
 
 
 class Known:
@@ -26,3 +31,17 @@
         self.load: admission.Load | None = None
         self.memory = b""
         self.silent: dict[str, dark.Dark] = {}
+
+
+def apply_wish(known: Known, wish: wishes.Wish) -> None:
+    """Takes in what operators wish; an older configuration is passed over."""
+    if isinstance(wish, wishes.Configured):
+        found = wish.configuration
+        if known.configuration and found.version <= known.configuration.version:
+            return
+        known.configuration = found
+        _log.info("configured", version=found.version, queues=len(found.queues))
+    elif isinstance(wish, wishes.DataCentreOut):
+        change = {wish.data_centre}
+        known.out = known.out | change if wish.out else known.out - change
+        _log.info("data-centre", name=wish.data_centre, out=wish.out)
--- a/poplarspindle/node/lines.py
+++ b/poplarspindle/node/lines.py
@@ -73,20 +73,6 @@
         yield "".join(chunk)
 
 
-def _join_lines(lines: list[str]) -> Iterator[str]:
-    """Joins lines into chunks that are written at once, none cut in two."""
-    chunk: list[str] = []
-    size = 0
-    for line in lines:
-        if chunk and size + len(line) > CHUNK_CHARS:
-            yield "".join(chunk)
-            chunk, size = [], 0
-        chunk.append(line)
-        size += len(line)
-    if chunk:
-        yield "".join(chunk)
-
-
 def set_up(node: str, incarnation: str) -> BoundedWriter:
     """Sends all log lines of the process, as JSON, to standard output."""
     writer = BoundedWriter()
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -19,7 +19,6 @@
     memory,
     owner,
     records,
-    work,
 )
 from poplarspindle.node import (
     clocks,
@@ -32,7 +31,6 @@
     settings,
     standing,
     threads,
-    wishes,
 )
 
 CALLER_THREADS = 24
@@ -437,32 +435,14 @@
             except ValueError as error:
                 _log.warning("malformed", key=record.key, why=str(error))
                 continue
-            if isinstance(wish, wishes.Configured):
-                self._take_configuration(wish.configuration)
-            elif isinstance(wish, wishes.DataCentreOut):
-                change = {wish.data_centre}
-                self._known.out = (
-                    self._known.out | change
-                    if wish.out
-                    else self._known.out - change
-                )
-                _log.info("data-centre", name=wish.data_centre, out=wish.out)
+            known.apply_wish(self._known, wish)
         if found and self._known.configuration is not None:
+            self._standing.able = self._known.loaded
             self._events.put(
                 events.Configured(
                     time.monotonic(), self._known.configuration, self._known.out
                 )
             )
 
-    def _take_configuration(self, found: work.Configuration) -> None:
-        if (
-            self._known.configuration
-            and found.version <= self._known.configuration.version
-        ):
-            return
-        self._known.configuration = found
-        self._standing.able = self._known.loaded
-        _log.info("configured", version=found.version, queues=len(found.queues))
-
     def _take_committed(self, found: list[records.Record]) -> None:
         self._events.put(_Read(tuple(found), False, True))
--- a/poplarspindle/tests/test_watches.py
+++ b/poplarspindle/tests/test_watches.py
@@ -7,7 +7,7 @@
 
 from poplarspindle import outcomes, resources
 from poplarspindle.fleet import events, work
-from poplarspindle.node import owning
+from poplarspindle.node import watches
 
 WORKER = work.Worker("w", "a:1", "pool", "dc", resources.NOTHING)
 LOST = outcomes.Failed(outcomes.Step.HOLD, "w", "timeout", "", True)
@@ -86,7 +86,7 @@
 def test_look_is_repeated_before_a_worker_counts_as_unheard(answers, expected):
     link = Link(answers)
     own = Own(link)
-    owning.Watch(own, WORKER)
+    watches.Watch(own, WORKER)
     assert link.idle.wait(30)
     own.over.set()
     seen = [
@@ -100,7 +100,7 @@
 def test_repeated_look_does_not_wait_for_an_end():
     link = Link([make_report(5), LOST, make_report(6)])
     own = Own(link)
-    watch = owning.Watch(own, WORKER)
+    watch = watches.Watch(own, WORKER)
     watch.allow(0)
     assert link.idle.wait(30)
     own.over.set()
