--- a/poplarspindle/fleet/consolidating.py
+++ b/poplarspindle/fleet/consolidating.py
@@ -146,9 +146,25 @@
 
 
 def _stop_one(own: fleet.Fleet, hand: views.Hand) -> list[effects.Effect]:
-    """Stops one serving task all others of whose step are at work."""
+    """Stops one serving task all others of whose step are at work.
+
+    Room may have gone since the worker was chosen: a task without room
+    beside others that serve would only come back.
+    """
+    others = [
+        other
+        for other in own.hands.values()
+        if other is not hand
+        and other.serving
+        and placing.is_open(other, hand.worker.service, own.out, own.at)
+    ]
     for run in list(hand.runs.values()):
-        if run.step.target_ms and not run.stopping and is_spared(own, run):
+        if (
+            run.step.target_ms
+            and not run.stopping
+            and has_room(others, [(run.step, _step_key(run))])
+            and is_spared(own, run)
+        ):
             own.freed_at = own.at
             found: list[effects.Effect] = [
                 fleet.note(
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -360,6 +360,20 @@
     assert world.notes["moved"] == 0
 
 
+def test_task_without_room_elsewhere_is_not_moved():
+    """Room went after the worker was chosen: the task would come back."""
+    world = fleets.World(1, run_s=lambda rng: 2.0)
+    spread_serving(world)
+    hands = world.own.hands
+    world.own.freeing = next(iter(hands))
+    world.own.freeing_until = world.now + 12
+    world.submit("d" * 16, make_step(28))
+    world.run(0.6)
+    assert {views.get_room(hand).millicores for hand in hands.values()} == {0}
+    world.run(0.6)
+    assert world.notes["moved"] == 0
+
+
 def test_pace_without_an_answer_is_told_again():
     world = fleets.World(1, run_s=lambda rng: 30.0)
     world.submit("a" * 16, make_step(1, fills=True))
