Hand in a job that waits, not one that lasts, in the test of cancelling

Its job asked for 18 processors that last on workers with 16: admission refuses it rightly as soon as the node has read the load, and the test passed only when it was faster.

Change: the test waits until the load is known, so that admission always decides, and hands in a job that fits on no worker but does not last; all it asserts stays as it was.

--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -145,12 +145,10 @@
 
 def test_cancelled_job_is_shown_so_everywhere(house):
     found = house(2)
-    lasting = {
-        "pipeline": [
-            {"count": 2, "cpu": 9000, "mem_mb": 1, "long_running": True}
-        ]
-    }
-    assert found.call("POST", f"/q/{ID}", lasting).status == 200
+    await_that(lambda: found.nodes[0]._known.load is not None)
+    # No worker has that many processors: it is taken and never starts.
+    waiting = {"pipeline": [{"count": 2, "cpu": 9000, "mem_mb": 1}]}
+    assert found.call("POST", f"/q/{ID}", waiting).status == 200
     assert found.call("DELETE", f"/q/{ID}", number=1).status == 200
     await_that(lambda: found.get_state(number=0) == "cancelled")
     assert list_runs(found) == []
