--- a/poplarspindle/fleet/book.py
+++ b/poplarspindle/fleet/book.py
@@ -24,6 +24,7 @@
     CANCELLED = "cancelled"
 
 
+Group = tuple[int, int, int]  # A job's time and step, and its first task.
 ENDED = frozenset({State.COMPLETED, State.FAILED, State.CANCELLED})
 
 
@@ -69,6 +70,7 @@
         ended_ms: When it ended, Unix milliseconds, 0 before.
         opened: How many of its times were opened.
         runs: Tasks by time, step and index, of times not yet done.
+        written: Groups of its tasks that the progress log holds.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "shown",
         "state",
         "submission",
+        "written",
     )
 
     def __init__(self, submission: work.Submission) -> None:
@@ -89,6 +92,7 @@
         self.ended_ms = 0
         self.opened = 0
         self.runs: dict[int, list[list[Task]]] = {}
+        self.written: set[Group] = set()
 
 
 class Book:
--- a/poplarspindle/fleet/effects.py
+++ b/poplarspindle/fleet/effects.py
@@ -7,18 +7,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Append:
-    """Append records in one call; then raise Appended with the number."""
+    """Append to the progress log; then raise Appended with the number."""
 
     number: int
     found: tuple[records.Record, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Publish:
+    """Append to the shared log; then raise Published.
+
+    Attributes:
+        found: The records; later ones of the same key replace earlier ones.
+        silent: Whether they tell of silent workers.
+    """
+
+    found: tuple[records.Record, ...]
+    silent: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
     """Send an order to a worker."""
 
     worker: str
-    order: orders.Start | orders.Stop | orders.Pace
+    order: orders.Order
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,4 +79,4 @@
     jobs: tuple[str, ...]
 
 
-Effect = Append | Drop | Order | Acknowledge | Allow | Note
+Effect = Append | Publish | Drop | Order | Acknowledge | Allow | Note
--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -107,7 +107,7 @@
     at: float
     worker: str
     sent_at: float
-    order: orders.Start | orders.Stop | orders.Pace
+    order: orders.Order
     answer: orders.Answer
 
 
@@ -119,6 +119,13 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """The shared log holds which workers are silent."""
+
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
     """Time passed."""
@@ -138,5 +145,6 @@
     | Unheard
     | Ordered
     | Appended
+    | Published
     | Ticked
 )
--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -36,6 +36,7 @@
         freed_at: When the last worker was freed or task moved for it.
         open_jobs: Ids of jobs that have not ended.
         dirty: Ids of jobs whose progress is to be recorded.
+        touched: Groups of tasks that are to be recorded, with their job.
         waiting: Effects that follow the next append.
         fresh_runs: Runs that the next append records.
         number: Number of the last append.
@@ -49,11 +50,12 @@
         tails: What was learned of tails and of fills beside what serves.
         ghosts: Runs given up whose start may still arrive, by worker, with
             the time until which it may.
-        told_dark: Workers called dark by an append in flight, or None.
+        told_dark: Workers called dark by records in flight, or None.
         silent: Workers that the log may call dark.
         dark_changed: Whether the log has to hear of silent workers.
         failed_on: Workers on which a task of an open job failed.
-        remembered_at: When what was learned was last recorded.
+        remembered_at: When what was learned was last to be recorded.
+        remember_due: Whether the next append records what was learned.
         told_at: When the load was last recorded.
         listed_at: When the list of workers was last read.
         stirred: Whether work or room came since the last placing.
@@ -82,6 +84,7 @@
         self.freed_at = float("-inf")
         self.open_jobs: dict[str, None] = {}
         self.dirty: dict[str, None] = {}
+        self.touched: dict[tuple[str, book.Group], None] = {}
         self.waiting: list[effects.Effect] = []
         self.fresh_runs: list[views.Run] = []
         self.number = 0
@@ -102,6 +105,7 @@
         self.told_at = float("-inf")
         self.listed_at = float("-inf")
         self.remembered_at = float("-inf")
+        self.remember_due = False
         self.efforts: dict[tuple[str, int], ranking.Effort] = {}
         self.summed_at = float("-inf")
         self.ghosts: dict[str, dict[tuple[work.TaskName, int], float]] = {}
@@ -166,6 +170,22 @@
         queue_run(own, job, number)
 
 
+def touch_task(own: Fleet, name: work.TaskName) -> None:
+    """Notes that a task changed, for the progress log."""
+    first = name.index - name.index % records.GROUP_TASKS
+    own.touched[name.job, (name.time, name.step, first)] = None
+
+
+def touch_run(own: Fleet, run: views.Run) -> None:
+    """Notes that a run's task changed, with a gang all of its members."""
+    if not run.step.gang:
+        touch_task(own, run.name)
+        return
+    for first in range(0, run.step.tasks, records.GROUP_TASKS):
+        group = (run.name.time, run.name.step, first)
+        own.touched[run.name.job, group] = None
+
+
 def requeue(own: Fleet, run: views.Run) -> None:
     """Queues a run's task again, unless its job has ended."""
     task = run.task
@@ -175,7 +195,7 @@
     task.worker = ""
     if run.job.state in book.ENDED:
         return
-    own.dirty[run.name.job] = None
+    touch_task(own, run.name)
     key = (run.name.job, run.name.time, run.name.step)
     own.ready.setdefault(key, set()).add(run.name.index)
     own.stirred = True
@@ -291,64 +311,108 @@
 
 
 def flush(own: Fleet) -> list:
-    """Makes one append of all that changed, unless one is in flight."""
-    # A fleet whose workers were not listed yet would look full.
-    told = own.at - own.told_at >= LOAD_S and own.listed_at > float("-inf")
-    told = told and own.configuration is not None
-    if own.sent or not (own.dirty or own.waiting or told or own.dark_changed):
-        return []
-    found = [
-        records.encode_progress(own.book.jobs[name])
-        for name in own.dirty
-        if name in own.book.jobs
-    ]
+    """Records all that changed, unless an append is in flight."""
+    found = _tell_load(own) + _tell_silent(own)
+    if own.sent or not (own.dirty or own.touched or own.waiting):
+        return found
+    changed = _list_groups(own)
     shown = [
-        (job, job.state)
+        job
         for name in own.dirty
         if (job := own.book.jobs.get(name)) is not None
     ]
-    if told:
-        own.told_at = own.at
-        found.append(admission.encode_load(sum_load(own)))
-    if told and own.at - own.remembered_at >= memory.SAVE_S:
-        own.remembered_at = own.at
-        if own.slowdown.weights:
-            found.append(memory.encode_memory(own.slowdown))
-    if own.dark_changed:
-        own.dark_changed = False
-        silent = dark.list_dark(own.hands)
-        own.told_dark = {hand.worker.name for hand in silent}
-        own.silent |= own.told_dark
-        mark_dark(own)
-        found.append(dark.encode_dark(silent, own.at))
+    # Where all don't go into one call, a job's end comes after its tasks.
+    changed += [records.encode_progress(job) for job in shown]
+    if own.remember_due and own.slowdown.weights:
+        changed.append(memory.encode_memory(own.slowdown))
+        own.remember_due = False
+    states = [(job, job.state) for job in shown]
     own.dirty.clear()
+    own.touched.clear()
     follow, own.waiting = own.waiting, []
     runs, own.fresh_runs = own.fresh_runs, []
-    if not found:
-        return follow
+    if not changed:
+        return found + follow
     own.number += 1
-    own.sent[own.number] = (shown, runs, follow)
-    return [effects.Append(own.number, tuple(found))]
+    own.sent[own.number] = (states, runs, follow)
+    return [*found, effects.Append(own.number, tuple(changed))]
+
+
+def _list_groups(own: Fleet) -> list[records.Record]:
+    """Lists the records of changed groups, and drops those that are over."""
+    found = []
+    for name, group in own.touched:
+        job = own.book.jobs.get(name)
+        if job is not None and group[0] in job.runs:
+            job.written.add(group)
+            found.append(records.encode_group(job, group))
+    for name in own.dirty:
+        job = own.book.jobs.get(name)
+        if job is None:
+            continue
+        over = [group for group in job.written if group[0] not in job.runs]
+        job.written.difference_update(over)
+        found += [
+            records.Record(records.name_group(name, group), b"")
+            for group in over
+        ]
+    return found
 
 
-def take_appended(own: Fleet, number: int) -> list:
-    """Does what waited for an append: starts, acknowledgements."""
-    if number not in own.sent:
+def _tell_load(own: Fleet) -> list:
+    # A fleet whose workers were not listed yet would look full.
+    due = own.at - own.told_at >= LOAD_S and own.listed_at > float("-inf")
+    if not due or own.configuration is None:
+        return []
+    own.told_at = own.at
+    if own.at - own.remembered_at >= memory.SAVE_S:
+        own.remembered_at = own.at
+        own.remember_due = True
+    return [effects.Publish((admission.encode_load(sum_load(own)),))]
+
+
+def _tell_silent(own: Fleet) -> list:
+    if not own.dark_changed or own.told_dark is not None:
         return []
-    shown, runs, follow = own.sent.pop(number)
+    own.dark_changed = False
+    silent = dark.list_dark(own.hands)
+    own.told_dark = {hand.worker.name for hand in silent}
+    own.silent |= own.told_dark
+    mark_dark(own)
+    return [effects.Publish((dark.encode_dark(silent, own.at),), True)]
+
+
+def take_published(own: Fleet) -> list:
+    """Lets workers have leases that the log calls silent no more."""
     if own.told_dark is not None:
         own.silent, own.told_dark = own.told_dark, None
         mark_dark(own)
-    for job, state in shown:
-        if state in book.ENDED or not job.cancelled:
-            job.shown = state
+    return []
+
+
+def take_appended(own: Fleet, number: int) -> list:
+    """Does what waited for an append: starts, acknowledgements."""
+    if number not in own.sent:
+        return []
+    states, runs, follow = own.sent.pop(number)
     found = list(follow)
+    told = []
+    for job, state in states:
+        if job.shown is not state and (
+            state in book.ENDED or not job.cancelled
+        ):
+            job.shown = state
+            told.append(records.encode_state(job))
+    if told:
+        found.append(effects.Publish(tuple(told)))
     for run in runs:
         hand = own.hands.get(run.task.worker)
         if hand is None or run.key not in hand.runs:
             continue
         run.recorded = True
-        if run.job.state in book.ENDED or run.stopping:
+        # A worker that went silent meanwhile gets no order.
+        closed = hand.missed or hand.dark
+        if run.job.state in book.ENDED or run.stopping or closed:
             found += stop_run(own, hand, run)
         else:
             found += send_start(own, hand, run)
--- a/poplarspindle/fleet/orders.py
+++ b/poplarspindle/fleet/orders.py
@@ -46,6 +46,9 @@
     percent: int
 
 
+Order = Start | Stop | Pace
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hold:
     """Renew the leases and report.
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -340,10 +340,12 @@
     extra = {}
     if job.state is book.State.QUEUED:
         job.state = book.State.ACTIVE
+        own.dirty[key[0]] = None
         if not job.submission.times:
             extra["first_ms"] = own.wall_ms - job.submission.accepted_ms
             extra["queue"] = job.submission.queue.name
-    own.dirty[key[0]] = None
+    for _, run in placed:
+        fleet.touch_task(own, run.name)
     own.fresh_runs += [run for _, run in placed]
     return [
         fleet.note(
@@ -373,5 +375,6 @@
     events.Unheard: _miss,
     events.Ordered: reports.take_answer,
     events.Appended: _append,
+    events.Published: lambda own, _: fleet.take_published(own),
     events.Ticked: _tick,
 }
--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -1,8 +1,11 @@
-"""Records of the fleet's log: one key a job and kind, the newest counts.
+"""Records of the fleet's two logs; the newest of each key counts.
 
-A job has up to three keys: what its caller handed in, that it was cancelled,
-and its progress. Only the owner writes the last one, so no record needs to
-be read back to be in force.
+All nodes follow the shared log. There a job has up to three keys: what its
+caller handed in, that it was cancelled, and its state, which the owner writes.
+
+The progress log is the owner's alone; the next owner reads it when it begins.
+There a job has one key for itself and one for each group of a step's tasks, so
+that a task's start or end costs the same however wide its step is.
 """
 
 import dataclasses
@@ -14,7 +17,10 @@
 
 SUBMITTED = "j"
 CANCELLED = "c"
+STATE = "t"
 PROGRESS = "s"
+TASKS = "r"
+GROUP_TASKS = 16  # One record is a kilobyte; a wide step has ten groups.
 OWNER_KEY = "owner"
 RESIGNED_KEY = "resigned"
 FORM = 1
@@ -38,23 +44,25 @@
         epoch: Number of the ownership; each claim has a higher one.
         instance: The owner's incarnation.
         claimed_ms: When it claimed, Unix milliseconds.
+        fitness: How well its machine can carry the fleet.
     """
 
     epoch: int
     instance: str
     claimed_ms: int
+    fitness: float = 0.0
 
 
 def encode_owner(owner: Owner) -> Record:
     """Encodes the owner's record."""
-    value = msgpack.packb([FORM, owner.epoch, owner.instance, owner.claimed_ms])
-    return Record(OWNER_KEY, value)
+    fields = [owner.epoch, owner.instance, owner.claimed_ms, owner.fitness]
+    return Record(OWNER_KEY, msgpack.packb([FORM, *fields]))
 
 
 def decode_owner(value: bytes) -> Owner:
     """Decodes the owner's record; raises ValueError where it is malformed."""
-    _, epoch, instance, claimed_ms = unpack(value)
-    return Owner(epoch, instance, claimed_ms)
+    _, epoch, instance, claimed_ms, fitness = unpack(value)
+    return Owner(epoch, instance, claimed_ms, fitness)
 
 
 def encode_resignation(epoch: int) -> Record:
@@ -130,16 +138,69 @@
     return Record(f"{CANCELLED}/{job}", msgpack.packb([FORM]))
 
 
+def encode_state(job: book.Job) -> Record:
+    """Encodes a job's state, for all nodes."""
+    value = msgpack.packb([FORM, job.shown.value, job.ended_ms])
+    return Record(f"{STATE}/{job.submission.job}", value)
+
+
+def apply_state(job: book.Job, value: bytes) -> None:
+    """Sets a job's state; raises ValueError where it is malformed."""
+    _, state, ended_ms = unpack(value)
+    job.state = book.State(state)
+    job.ended_ms = ended_ms
+    if job.state in book.ENDED or not job.cancelled:
+        job.shown = job.state
+
+
 def encode_progress(job: book.Job) -> Record:
-    """Encodes a job's progress."""
-    runs = {
-        number: [[_encode_task(t) for t in tasks] for tasks in run]
-        for number, run in job.runs.items()
+    """Encodes a job's progress but for its tasks."""
+    value = [FORM, job.state.value, job.ended_ms, job.opened, list(job.runs)]
+    return Record(f"{PROGRESS}/{job.submission.job}", msgpack.packb(value))
+
+
+def apply_progress(job: book.Job, value: bytes) -> None:
+    """Sets a job's progress, all tasks queued; raises ValueError."""
+    _, state, ended_ms, opened, numbers = unpack(value)
+    job.state = book.State(state)
+    job.ended_ms, job.opened = ended_ms, opened
+    job.runs = {
+        number: [
+            [book.Task() for _ in range(step.tasks)]
+            for step in job.submission.steps
+        ]
+        for number in numbers
     }
-    value = msgpack.packb(
-        [FORM, job.state.value, job.ended_ms, job.opened, runs]
-    )
-    return Record(f"{PROGRESS}/{job.submission.job}", value)
+
+
+def name_group(job: str, group: book.Group) -> str:
+    """Returns the key of a group of tasks."""
+    return f"{TASKS}/{job}/{'/'.join(map(str, group))}"
+
+
+def encode_group(job: book.Job, group: book.Group) -> Record:
+    """Encodes the tasks of one group."""
+    number, step, first = group
+    tasks = job.runs[number][step][first : first + GROUP_TASKS]
+    value = msgpack.packb([FORM, [_encode_task(task) for task in tasks]])
+    return Record(name_group(job.submission.job, group), value)
+
+
+def parse_group(key: str) -> tuple[str, book.Group]:
+    """Parses a group's key; raises ValueError where it is malformed."""
+    _, job, number, step, first = key.split("/")
+    return job, (int(number), int(step), int(first))
+
+
+def apply_group(job: book.Job, group: book.Group, value: bytes) -> None:
+    """Sets the tasks of one group; raises ValueError where malformed."""
+    _, found = unpack(value)
+    number, step, first = group
+    if number not in job.runs:
+        raise ValueError("group of a time that is over")
+    tasks = job.runs[number][step]
+    tasks[first : first + len(found)] = map(_decode_task, found)
+    job.written.add(group)
 
 
 def _encode_task(task: book.Task) -> object:
@@ -164,27 +225,18 @@
     return book.Task(_PHASES[phase], *rest)
 
 
-def apply_progress(job: book.Job, value: bytes) -> None:
-    """Sets a job's progress; raises ValueError where it is malformed."""
-    _, state, ended_ms, opened, runs = unpack(value)
-    decoded = {
-        number: [[_decode_task(t) for t in tasks] for tasks in run]
-        for number, run in runs.items()
-    }
-    job.state = book.State(state)
-    job.ended_ms, job.opened, job.runs = ended_ms, opened, decoded
-    if job.state in book.ENDED or not job.cancelled:
-        job.shown = job.state
-
-
 def list_drops(job: str) -> list[Record]:
-    """Returns the records that drop all keys of a job."""
+    """Returns the records that drop a job from the shared log."""
     return [
-        Record(f"{kind}/{job}", b"")
-        for kind in (PROGRESS, CANCELLED, SUBMITTED)
+        Record(f"{kind}/{job}", b"") for kind in (STATE, CANCELLED, SUBMITTED)
     ]
 
 
+def drop_progress(job: str) -> Record:
+    """Returns the record that drops an ended job from the progress log."""
+    return Record(f"{PROGRESS}/{job}", b"")
+
+
 def unpack(value: bytes) -> list:
     """Unpacks a record's value; raises ValueError where it is malformed."""
     try:
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -69,7 +69,7 @@
             continue
         if run.key in listed:
             run.task.born_ms = born_ms
-            own.dirty[run.name.job] = None
+            fleet.touch_task(own, run.name)
         elif run.asked and run.answered_at == float("inf"):
             found += fleet.stop_run(own, hand, run)
         else:
@@ -149,7 +149,7 @@
     task = run.task
     if task.attempt != run.attempt or run.job.state in book.ENDED:
         return found
-    own.dirty[run.name.job] = None
+    fleet.touch_run(own, run)
     if saved:
         _save(run, saved)
     if how is work.How.DONE and not run.step.lasting:
@@ -219,6 +219,7 @@
         return []
     if all(map(book.is_step_done, job.runs[number])):
         del job.runs[number]
+        own.dirty[run.name.job] = None
     else:
         for later, spec in enumerate(job.submission.steps):
             if step in spec.after:
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -1,7 +1,17 @@
 """How an owner begins: from the log alone."""
 
+from collections.abc import Iterable
+
 from poplarspindle import resources
-from poplarspindle.fleet import book, events, fleet, leases, views, work
+from poplarspindle.fleet import (
+    book,
+    events,
+    fleet,
+    leases,
+    records,
+    views,
+    work,
+)
 
 
 def take_over(own: fleet.Fleet, event: events.Claimed) -> list:
@@ -12,6 +22,8 @@
     unsure_at = event.at + leases.TAKEOVER_GRANT_S
     unsure_at += own.lease_most_ms / 1000 * views.CLOCK_DRIFT
     for name, job in own.book.jobs.items():
+        if job.shown is not job.state:
+            own.dirty[name] = None  # The last owner may not have told it.
         if job.state in book.ENDED:
             own.drops[name] = None
             continue
@@ -52,6 +64,45 @@
     return found
 
 
+def load_progress(
+    known: book.Book, found: Iterable[records.Record]
+) -> tuple[list[records.Record], list[str]]:
+    """Sets all jobs' progress from the newest records of the progress log.
+
+    Returns:
+        Records that drop what belongs to no job, and the keys of records
+        that can't be read.
+    """
+    newest = {record.key: record for record in found if record.value}
+    for job in known.jobs.values():
+        job.state, job.opened, job.runs = book.State.QUEUED, 0, {}
+        job.written.clear()
+    drops: list[records.Record] = []
+    malformed: list[str] = []
+    # A job's groups need what its own record says of its times.
+    for prefix in (records.PROGRESS, records.TASKS):
+        for key, record in newest.items():
+            kind, _, rest = key.partition("/")
+            if kind != prefix:
+                continue
+            job = known.jobs.get(rest.partition("/")[0])
+            if job is None:
+                drops.append(records.Record(key, b""))
+                continue
+            try:
+                if kind == records.PROGRESS:
+                    records.apply_progress(job, record.value)
+                else:
+                    _, group = records.parse_group(key)
+                    if group[0] not in job.runs:
+                        drops.append(records.Record(key, b""))
+                        continue
+                    records.apply_group(job, group, record.value)
+            except (ValueError, TypeError, IndexError):
+                malformed.append(key)
+    return drops, malformed
+
+
 def _describe_unknown(name: str) -> work.Worker:
     """Describes a worker that only the log knows of."""
     return work.Worker(name, "", "", "", resources.NOTHING)
--- /dev/null
+++ b/poplarspindle/node/appending.py
@@ -0,0 +1,145 @@
+"""Appends of the owner to one log, in order, until the outcome is known."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+
+import structlog
+
+from poplarspindle import metrics, outcomes
+from poplarspindle.fleet import records
+from poplarspindle.node import storage, threads
+
+APPEND_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
+RETRY_S = 0.05
+RETRY_MOST_S = 0.4
+RECORD_HEAD_BYTES = 16  # What the store counts for a record besides its value.
+
+_log = structlog.get_logger(part="owner")
+
+Done = Callable[[float], None]
+
+
+class Appender:
+    """Appends to one topic on a thread of its own.
+
+    What waits while an append is in flight goes into the next one together;
+    of records with the same key the newest counts.
+
+    Args:
+        store: The store.
+        topic: The topic.
+        epoch: Epoch of the owner that appends.
+        most_bytes: Most bytes of one call.
+        over: Set when the ownership is over.
+        lose: Called with a reason where another owner was seen.
+        counters: The node's figures.
+
+    Attributes:
+        ok_at: When the store last took an append, monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        store: storage.Store,
+        topic: str,
+        epoch: int,
+        most_bytes: int,
+        over: threading.Event,
+        lose: Callable[[str], None],
+        counters: metrics.Metrics,
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._epoch = epoch
+        self._most_bytes = most_bytes
+        self._over = over
+        self._lose = lose
+        self._counters = counters
+        self._sequence = 0  # The claim was number 0.
+        self._waiting: queue.SimpleQueue = queue.SimpleQueue()
+        self.ok_at = float("-inf")
+
+    def start(self) -> None:
+        """Starts the appending thread."""
+        threads.start(self._run, self._over)
+
+    def put(
+        self, found: Iterable[records.Record], done: Done | None = None
+    ) -> None:
+        """Queues records.
+
+        Args:
+            found: The records.
+            done: Called with the time at which the store had them.
+        """
+        self._waiting.put((tuple(found), done))
+
+    def stop(self) -> None:
+        """Ends the thread; what still waits is dropped."""
+        self._waiting.put(None)
+
+    def _run(self) -> None:
+        while not self._over.is_set():
+            items = [self._waiting.get()]
+            while not self._waiting.empty():
+                items.append(self._waiting.get())
+            if None in items or self._over.is_set():
+                return
+            newest: dict[str, records.Record] = {}
+            for found, _ in items:
+                for record in found:
+                    newest.pop(record.key, None)
+                    newest[record.key] = record
+            if not all(map(self._append, self._split(newest.values()))):
+                return
+            for _, done in items:
+                if done is not None and not self._over.is_set():
+                    done(self.ok_at)
+
+    def _split(
+        self, found: Iterable[records.Record]
+    ) -> Iterator[list[records.Record]]:
+        """Splits records into calls that the store takes."""
+        call: list[records.Record] = []
+        size = 0
+        for record in found:
+            wanted = len(record.value) + len(record.key) + RECORD_HEAD_BYTES
+            if call and size + wanted > self._most_bytes:
+                yield call
+                call, size = [], 0
+            call.append(record)
+            size += wanted
+        if call:
+            yield call
+
+    def _append(self, found: list[records.Record]) -> bool:
+        """Appends until the outcome is known; the sequence makes it once."""
+        self._sequence += 1
+        backoff_s = RETRY_S
+        while not self._over.is_set():
+            began = time.monotonic()
+            answer = self._store.append(
+                found, APPEND_S, self._epoch, self._sequence, self._topic
+            )
+            if isinstance(answer, outcomes.Ok):
+                self.ok_at = time.monotonic()
+                self._counters.observe(
+                    "poplarspindle_append_seconds",
+                    "owner",
+                    self.ok_at - began,
+                )
+                return True
+            if answer.reason in ("fenced", "seq"):
+                self._lose(answer.reason)
+                return False
+            _log.warning(
+                "append-failed",
+                topic=self._topic,
+                why=answer.reason,
+                sequence=self._sequence,
+            )
+            self._over.wait(backoff_s)
+            backoff_s = min(RETRY_MOST_S, 2 * backoff_s)
+        return False
--- a/poplarspindle/node/desk.py
+++ b/poplarspindle/node/desk.py
@@ -148,10 +148,11 @@
 
     def _confirm_absent(self, job: str) -> calls.Answer | None:
         """Reads to the log's tail; returns the answer if a job isn't there."""
-        if not self._known.loaded or self._jobs.next < 0:
+        offset = self._known.applied
+        if not self._known.loaded or offset < 0:
             return _refuse(503, "The log is not read yet.")
         topic = self._platform.fleet_topic
-        page = self._platform.store.read(topic, self._jobs.next, 0)
+        page = self._platform.store.read(topic, offset, 0)
         if isinstance(page, outcomes.Failed):
             return _refuse(503, "The log does not answer.")
         key = f"{records.SUBMITTED}/{job}"
@@ -159,6 +160,8 @@
             record.key == key for record in page.value.found
         ):
             return None
+        if page.value.next < page.value.end:
+            return _refuse(503, "The log is not read to its end.")
         return calls.Answer(410, error="There is no such job.")
 
     def _count(self, call: calls.Call, deadline: float) -> calls.Answer:
--- /dev/null
+++ b/poplarspindle/node/exchange.py
@@ -0,0 +1,241 @@
+"""Many HTTP calls at a time on one thread: libcurl on an asyncio loop.
+
+The owner keeps a call open to each of hundreds of workers and sends them
+hundreds of orders a second. With a thread a call, most of the processor goes
+into switching between threads; here one thread carries all calls, and nothing
+is decided on it, so a renewal of leases never waits for a decision.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import threading
+from collections.abc import Callable
+
+import pycurl
+import structlog
+
+from poplarspindle import outcomes
+
+CONNECT_MS = 400  # Every peer is a few milliseconds away.
+CONNECTIONS_MOST = 2500  # Idle connections kept; below the descriptors.
+BODY_MOST_BYTES = 8 * 1024 * 1024
+_EVENTS = {
+    pycurl.POLL_IN: (True, False),
+    pycurl.POLL_OUT: (False, True),
+    pycurl.POLL_INOUT: (True, True),
+}
+
+_log = structlog.get_logger(part="exchange")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One POST.
+
+    Attributes:
+        step: Step named in a failure.
+        peer: Name of the peer, for a failure.
+        url: Address and target.
+        headers: Headers as `Name: value`.
+        body: Body.
+        timeout_s: Time for the answer.
+    """
+
+    step: outcomes.Step
+    peer: str
+    url: str
+    headers: tuple[str, ...]
+    body: bytes
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """One HTTP answer, whatever its status."""
+
+    status: int
+    body: bytes
+
+
+Outcome = outcomes.Ok[Answer] | outcomes.Failed
+Done = Callable[[Outcome], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Transfer:
+    """One call in flight."""
+
+    call: Call
+    done: Done
+    parts: list[bytes]
+
+
+class Exchange:
+    """Calls peers over HTTP; all callbacks run on its one thread."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, CONNECTIONS_MOST)
+        self._timer: asyncio.TimerHandle | None = None
+        self._watched: set[int] = set()
+        self._idle: list[pycurl.Curl] = []
+        self._transfers: dict[pycurl.Curl, _Transfer] = {}
+        self._inbox: collections.deque[Callable[[], None]] = collections.deque()
+        self._woken = False
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread; calls in flight get no answer."""
+        self.run_soon(self._end)
+
+    def run_soon(self, work: Callable[[], None]) -> None:
+        """Runs a function on the thread; may be called from any thread."""
+        self._inbox.append(work)
+        if not self._woken:
+            self._woken = True
+            try:
+                self._loop.call_soon_threadsafe(self._empty_inbox)
+            except RuntimeError:  # The loop has ended.
+                self._inbox.clear()
+
+    def run_later(
+        self, delay_s: float, work: Callable[[], None]
+    ) -> asyncio.TimerHandle:
+        """Runs a function later; may be called on the thread only."""
+        return self._loop.call_later(delay_s, _guard, work)
+
+    def send(self, call: Call, done: Done) -> None:
+        """Makes a call; may be called on the thread only.
+
+        Args:
+            call: The call.
+            done: Takes the answer, whatever its status, or the failure;
+                `may_have_acted` is false only where nothing was sent.
+        """
+        if self._stopping:
+            return
+        handle = self._idle.pop() if self._idle else _make_handle()
+        parts: list[bytes] = []
+        handle.setopt(pycurl.URL, call.url)
+        handle.setopt(pycurl.HTTPHEADER, call.headers)
+        handle.setopt(pycurl.POSTFIELDS, call.body)
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
+        handle.setopt(pycurl.WRITEFUNCTION, parts.append)
+        self._transfers[handle] = _Transfer(call, done, parts)
+        self._multi.add_handle(handle)
+
+    def _run(self) -> None:
+        try:
+            self._loop.run_forever()
+        finally:
+            self._loop.close()
+
+    def _end(self) -> None:
+        self._stopping = True
+        for handle in list(self._transfers):
+            self._multi.remove_handle(handle)
+        self._transfers.clear()
+        self._multi.close()
+        self._loop.stop()
+
+    def _empty_inbox(self) -> None:
+        self._woken = False
+        while self._inbox:
+            _guard(self._inbox.popleft())
+
+    def _watch_socket(self, event: int, descriptor: int, *_: object) -> None:
+        """Called by libcurl: which sockets it waits for."""
+        reads, writes = _EVENTS.get(event, (False, False))
+        if descriptor in self._watched:
+            if not reads:
+                self._loop.remove_reader(descriptor)
+            if not writes:
+                self._loop.remove_writer(descriptor)
+        self._watched.discard(descriptor)
+        if reads:
+            self._loop.add_reader(
+                descriptor, self._act, descriptor, pycurl.CSELECT_IN
+            )
+        if writes:
+            self._loop.add_writer(
+                descriptor, self._act, descriptor, pycurl.CSELECT_OUT
+            )
+        if reads or writes:
+            self._watched.add(descriptor)
+
+    def _set_timer(self, delay_ms: int) -> None:
+        """Called by libcurl: when it wants to be called without an event."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if delay_ms >= 0:
+            self._timer = self._loop.call_later(
+                delay_ms / 1000, self._act, pycurl.SOCKET_TIMEOUT, 0
+            )
+
+    def _act(self, descriptor: int, events: int) -> None:
+        if self._stopping:
+            return
+        self._multi.socket_action(descriptor, events)
+        more = True
+        while more:
+            left, finished, failed = self._multi.info_read()
+            more = left > 0
+            for handle in finished:
+                self._finish(handle, 0, "")
+            for handle, code, text in failed:
+                self._finish(handle, code, text)
+
+    def _finish(self, handle: pycurl.Curl, code: int, text: str) -> None:
+        transfer = self._transfers.pop(handle)
+        self._multi.remove_handle(handle)
+        if code:
+            sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
+            outcome: Outcome = _describe_failure(
+                transfer.call, code, text, sent
+            )
+        else:
+            status = handle.getinfo(pycurl.RESPONSE_CODE)
+            outcome = outcomes.Ok(Answer(status, b"".join(transfer.parts)))
+        self._idle.append(handle)
+        _guard(lambda: transfer.done(outcome))
+
+
+def _describe_failure(
+    call: Call, code: int, text: str, sent: bool
+) -> outcomes.Failed:
+    """Describes why a call got no answer."""
+    if not sent:
+        reason = "unreachable"
+    elif code == pycurl.E_OPERATION_TIMEDOUT:
+        reason = "timeout"
+    else:
+        reason = "broken"
+    return outcomes.Failed(call.step, call.peer, reason, text, sent)
+
+
+def _guard(work: Callable[[], None]) -> None:
+    """Runs a callback; a defect in one must not end the others' thread."""
+    try:
+        work()
+    except Exception as error:
+        _log.exception("raised", why=repr(error))
+
+
+def _make_handle() -> pycurl.Curl:
+    handle = pycurl.Curl()
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_MS)
+    handle.setopt(pycurl.MAXFILESIZE, BODY_MOST_BYTES)
+    return handle
--- a/poplarspindle/node/followers.py
+++ b/poplarspindle/node/followers.py
@@ -23,8 +23,10 @@
     Args:
         store: The store.
         topic: The topic.
-        reset: Called with all newest records; they replace what was known.
-        apply: Called with the records of each page read after that.
+        reset: Called with all newest records, which replace what was known,
+            and the offset from which changes to them follow.
+        apply: Called with the records of each page read after that, the
+            offset behind them, and whether that is the tail.
         pause_s: Returns the least time between two pages, seconds.
 
     Attributes:
@@ -36,8 +38,8 @@
         self,
         store: storage.Store,
         topic: str,
-        reset: Callable[[tuple[records.Record, ...]], None],
-        apply: Callable[[tuple[records.Record, ...], bool], None],
+        reset: Callable[[tuple[records.Record, ...], int], None],
+        apply: Callable[[tuple[records.Record, ...], int, bool], None],
         pause_s: Callable[[], float],
     ) -> None:
         self._store = store
@@ -94,7 +96,7 @@
         found = storage.load_newest(self._store, self._topic)
         if isinstance(found, outcomes.Failed):
             return found
-        self._reset(found.value.found)
+        self._reset(found.value.found, found.value.end)
         self.next = found.value.end
         self._reached_tail = False
         return None
@@ -108,7 +110,7 @@
         self.next = page.value.next
         at_tail = page.value.next >= page.value.end
         self._reached_tail = at_tail
-        self._apply(page.value.found, at_tail)
+        self._apply(page.value.found, page.value.next, at_tail)
         if at_tail:
             self.fresh_at = time.monotonic()
         pause_s = self._pause_s()
--- a/poplarspindle/node/known.py
+++ b/poplarspindle/node/known.py
@@ -14,22 +14,22 @@
     Attributes:
         book: All jobs.
         loaded: Whether the book holds all up to the log's tail.
+        applied: Offset in the log up to which the book holds all.
         leaving: Whether the node was asked to stop.
         configuration: The operators' configuration, None before it is read.
         out: Data centres that get no more work.
         load: The owner's newest word on the fleet's load.
         silent: Silent workers, as the log says.
-        memory: What owners learned, as recorded.
     """
 
     def __init__(self) -> None:
         self.book = book.Book()
         self.loaded = False
+        self.applied = -1
         self.leaving = False
         self.configuration: work.Configuration | None = None
         self.out: frozenset[str] = frozenset()
         self.load: admission.Load | None = None
-        self.memory = b""
         self.silent: dict[str, dark.Dark] = {}
 
 
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -8,17 +8,19 @@
 
 import structlog
 
-from poplarspindle import metrics, serving
+from poplarspindle import metrics, outcomes, serving
 from poplarspindle.fleet import (
     admission,
     book,
     dark,
     effects,
     events,
+    fitness,
     fleet,
     memory,
     owner,
     records,
+    takeover,
 )
 from poplarspindle.node import (
     clocks,
@@ -30,6 +32,7 @@
     ports,
     settings,
     standing,
+    storage,
     threads,
 )
 
@@ -41,6 +44,9 @@
 STORE_AWAY_S = 0.8  # Joins and appends confirm the store more often.
 HAND_OVER_POLL_S = 0.05
 HAND_OVER_S = 0.3  # Time for the state thread to give ownership up.
+PREPARE_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
+PREPARE_PAUSE_S = 0.1
+SETTLE_EVERY_S = 0.004  # Under load, decisions are made for many events.
 
 OWNERS_KEYS = frozenset({records.OWNER_KEY, admission.LOAD_KEY})
 
@@ -50,13 +56,32 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reset:
     found: tuple[records.Record, ...]
+    next: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Read:
+    """Records of a page, up to an offset; own ones have no offset."""
+
     found: tuple[records.Record, ...]
-    at_tail: bool
-    mine: bool = False
+    next: int = -1
+    at_tail: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Prepared:
+    """What a claim needs before it is an ownership.
+
+    Attributes:
+        epoch: Epoch of the claim.
+        progress: Newest records of the progress log, which takes appends of
+            this epoch only.
+        end: End of the shared log after that: the last owner read no more.
+    """
+
+    epoch: int
+    progress: tuple[records.Record, ...]
+    end: int
 
 
 class Node:
@@ -82,25 +107,37 @@
         self._known = known.Known()
         self._fleet: fleet.Fleet | None = None
         self._owning: owning.Owning | None = None
+        self._prepared: _Prepared | None = None
+        self._preparing = 0
+        self._stepping_down = False
         self._standing = standing.Standing(
             platform.store,
             self.incarnation,
             max(1000, own_settings.member_ttl_least_ms),
             clocks.tell_wall_ms,
+            fitness.rate(
+                own_settings.processors,
+                own_settings.link_mbps,
+                own_settings.memory_mb,
+            ),
         )
         self._commits = commits.Commits(platform.store, self._take_committed)
         self._jobs = followers.Follower(
             platform.store,
             platform.fleet_topic,
-            lambda found: self._events.put(_Reset(found)),
-            lambda found, tail: self._events.put(_Read(found, tail)),
-            lambda: 0.0 if self._standing.owning else FOLLOW_PAUSE_S,
+            lambda found, end: self._events.put(_Reset(found, end)),
+            lambda found, end, tail: self._events.put(_Read(found, end, tail)),
+            lambda: (
+                0.0
+                if self._standing.owning or self._preparing
+                else FOLLOW_PAUSE_S
+            ),
         )
         self._operators = followers.Follower(
             platform.store,
             platform.operators_topic,
-            self._reset_wishes,
-            lambda found, _: self._take_wishes(found),
+            lambda found, _: self._reset_wishes(found),
+            lambda found, *_: self._take_wishes(found),
             lambda: 0.0,
         )
         self.desk = desk.Desk(
@@ -200,6 +237,10 @@
 
     def _next_events(self) -> list:
         found = []
+        if self._fleet is not None:
+            pause_s = self._settled_at + SETTLE_EVERY_S - time.monotonic()
+            if pause_s > 0:
+                time.sleep(pause_s)
         try:
             timeout = TICK_S if self._fleet else None
             found.append(self._events.get(timeout=timeout))
@@ -215,12 +256,44 @@
         if self._fleet is None:
             return
         now, wall_ms = time.monotonic(), clocks.tell_wall_ms()
+        if len(batch) >= BATCH_EVENTS:
+            # More is waiting, renewals of leases among it: as far as this
+            # node can tell, no more time has passed than up to here.
+            now = min(now, getattr(batch[-1], "at", now))
+        self._check_lateness(getattr(batch[0], "at", now) if batch else now)
         if now - self._ticked_at >= TICK_S:
             self._ticked_at = now
             self._reduce(events.Ticked(now, wall_ms))
             self._owning.keep_watches(self._fleet.hands)
         self._fleet.at, self._fleet.wall_ms = now, wall_ms
         self._carry_out(owner.settle(self._fleet))
+        self._owning.flush()
+        self._settled_at = time.monotonic()
+
+    def _check_lateness(self, oldest_at: float) -> None:
+        now = time.monotonic()
+        if self._lateness.note(now - oldest_at, now):
+            self._step_down("overrun")
+
+    def _step_down(self, why: str) -> None:
+        """Gives the fleet to another node, on a thread of its own."""
+        if self._stepping_down or self._known.leaving:
+            return
+        self._stepping_down = True
+        held = self._owning
+        _log.info("steps-down", about="ownership", why=why, epoch=held.epoch)
+
+        def hand_over() -> None:
+            try:
+                self._standing.withdraw()
+                held.extend_leases()
+                self._events.put(owning.Lost(held.epoch, why))
+                held.over.wait(HAND_OVER_S)
+                self._standing.resign(held.epoch)
+            finally:
+                self._stepping_down = False
+
+        threads.start(hand_over, held.over)
 
     def _take(self, event: object) -> None:
         if isinstance(event, events.Ordered):
@@ -230,9 +303,12 @@
                 event.at - event.sent_at,
             )
         if isinstance(event, _Reset):
-            self._reset_book(event.found)
+            self._reset_book(event)
         elif isinstance(event, _Read):
             self._read_records(event)
+        elif isinstance(event, _Prepared):
+            self._prepared = event
+            self._become_owner()
         elif isinstance(event, owning.Lost):
             if self._fleet and event.epoch in (0, self._fleet.epoch):
                 self._give_up_ownership(event.why)
@@ -263,22 +339,28 @@
             else:
                 self._owning.carry_out(effect)
 
-    def _reset_book(self, found: tuple[records.Record, ...]) -> None:
+    def _reset_book(self, event: _Reset) -> None:
         if self._fleet is not None:
             self._give_up_ownership("log-expired")
         self._known.loaded = False
         self._standing.able = False
         self._known.book = book.Book()
         # A job's other records need the job: it comes first.
-        for kind in (records.SUBMITTED, records.CANCELLED, records.PROGRESS):
-            for record in found:
+        for kind in (records.SUBMITTED, records.CANCELLED, records.STATE):
+            for record in event.found:
                 if record.key.startswith(f"{kind}/"):
                     self._apply(record)
-        for record in found:
+        for record in event.found:
             if "/" not in record.key:
                 self._apply(record)
+        self._known.applied = event.next
         self._standing.heard_at = self._find_heard_at()
-        _log.info("loaded", records=len(found), jobs=len(self._known.book.jobs))
+        _log.info(
+            "loaded",
+            records=len(event.found),
+            jobs=len(self._known.book.jobs),
+            next=event.next,
+        )
 
     def _find_heard_at(self) -> float:
         """Returns when the owner was last heard of, by its newest load.
@@ -292,13 +374,18 @@
         return time.monotonic() - max(0, age_ms) / 1000
 
     def _read_records(self, event: _Read) -> None:
+        mine = event.next < 0
         for record in event.found:
             self._apply(record)
-            if record.key in OWNERS_KEYS and not event.mine:
+            if record.key in OWNERS_KEYS and not mine:
                 self._standing.heard_at = time.monotonic()
-        if event.at_tail and not event.mine:
+        if mine:
+            return
+        self._known.applied = event.next
+        if event.at_tail:
             self._known.loaded = True
             self._standing.able = self._known.configuration is not None
+        self._become_owner()
 
     def _apply(self, record: records.Record) -> None:
         kind, _, job = record.key.partition("/")
@@ -316,14 +403,16 @@
                 self._known.silent = dark.decode_dark(
                     record.value, time.monotonic()
                 )
-            elif kind == memory.MEMORY_KEY:
-                self._known.memory = record.value
+            elif kind == fitness.MARK_KEY:
+                self._standing.best = fitness.decode_mark(record.value)
+            elif kind == fitness.CANDIDATE_KEY:
+                self._weigh_candidate(fitness.decode_candidate(record.value))
             elif kind == records.CANCELLED and record.value:
                 self._apply_cancel(job)
-            elif kind == records.PROGRESS and self._fleet is None:
+            elif kind == records.STATE and self._fleet is None:
                 known = self._known.book.jobs.get(job)
                 if known is not None and record.value:
-                    records.apply_progress(known, record.value)
+                    records.apply_state(known, record.value)
         except (ValueError, TypeError, KeyError, IndexError) as error:
             self._counters.add("poplarspindle_records_total", "malformed")
             _log.warning("malformed", key=record.key, why=repr(error))
@@ -352,6 +441,14 @@
             now = time.monotonic()
             self._reduce(events.CancelRead(now, clocks.tell_wall_ms(), job))
 
+    def _weigh_candidate(self, found: fitness.Candidate) -> None:
+        if (
+            self._fleet is not None
+            and found.instance != self.incarnation
+            and fitness.is_better(found.fitness, self._standing.fitness)
+        ):
+            self._step_down("better-candidate")
+
     def _read_owner(self, record: records.Record) -> None:
         if not record.value:
             return
@@ -362,14 +459,80 @@
         if found.instance == self.incarnation:
             if (
                 self._fleet is None
-                and self._known.loaded
+                and self._preparing < found.epoch
                 and not self._known.leaving
             ):
-                self._become_owner(found)
+                self._preparing = found.epoch
+                threads.start(lambda: self._prepare(found))
         elif self._fleet is not None:
             self._give_up_ownership("other-owner")
 
-    def _become_owner(self, found: records.Owner) -> None:
+    def _prepare(self, claim: records.Owner) -> None:
+        """Reads what a claim needs; raises _Prepared unless it is lost.
+
+        The progress log first refuses all others, so what is read from it is
+        all that the last owner could append; and what that one knew of jobs
+        stands before the end that the shared log has then.
+        """
+        store, topics = self._platform.store, self._platform
+        began = time.monotonic()
+        fence = records.encode_owner(claim)
+        while self._standing.owner is claim and not self._known.leaving:
+            answer = store.append(
+                [fence], PREPARE_S, claim.epoch, 0, topics.progress_topic
+            )
+            if isinstance(answer, outcomes.Ok):
+                answer = storage.load_newest(store, topics.progress_topic)
+                progress = answer
+            if isinstance(answer, outcomes.Ok):
+                answer = store.read(
+                    topics.fleet_topic, max(0, self._known.applied), 0
+                )
+            if isinstance(answer, outcomes.Ok):
+                _log.info(
+                    "prepared",
+                    about="ownership",
+                    epoch=claim.epoch,
+                    records=len(progress.value.found),
+                    took_ms=int((time.monotonic() - began) * 1000),
+                )
+                self._events.put(
+                    _Prepared(
+                        claim.epoch, progress.value.found, answer.value.end
+                    )
+                )
+                return
+            _log.warning(
+                "not-prepared",
+                about="ownership",
+                epoch=claim.epoch,
+                why=answer.reason,
+            )
+            if answer.reason in ("fenced", "seq"):
+                break
+            time.sleep(PREPARE_PAUSE_S)
+        self._preparing = 0
+
+    def _become_owner(self) -> None:
+        """Begins to own the fleet once all that is needed was read."""
+        found, claim = self._prepared, self._standing.owner
+        if found is None or self._known.applied < found.end:
+            return
+        self._prepared, self._preparing = None, 0
+        if (
+            self._fleet is not None
+            or self._known.leaving
+            or claim is None
+            or claim.instance != self.incarnation
+            or claim.epoch != found.epoch
+        ):
+            return
+        drops, malformed = takeover.load_progress(
+            self._known.book, found.progress
+        )
+        for key in malformed:
+            self._counters.add("poplarspindle_records_total", "malformed")
+            _log.warning("malformed", key=key, why="progress")
         now = time.monotonic()
         self._fleet = fleet.Fleet(
             self._known.book,
@@ -378,24 +541,25 @@
             self._settings.keep_ended_s,
             self._settings.harm_ms,
         )
-        self._ticked_at = now
-        if self._known.memory:
-            pairs = memory.decode_memory(self._known.memory, now)
-            self._fleet.tails.pairs = pairs
-        platform = self._platform
+        self._ticked_at = self._settled_at = now
+        self._lateness = fitness.Lateness(now)
+        for record in found.progress:
+            if record.key == memory.MEMORY_KEY and record.value:
+                pairs = memory.decode_memory(record.value, now)
+                self._fleet.tails.pairs = pairs
         self._owning = owning.Owning(
-            platform.store,
+            self._platform,
+            self._settings,
             self._counters,
-            platform.workers_topic,
-            platform.read_worker,
-            platform.connect,
             found.epoch,
             self._events.put,
             lambda: self._standing.store_ok_at,
             clocks.tell_wall_ms,
-            self._settings.lease_most_ms,
         )
+        self._owning.start()
         self._standing.owning = True
+        if drops:
+            self._owning.carry_out(effects.Append(0, tuple(drops)))
         self._reduce(
             events.Claimed(
                 now, clocks.tell_wall_ms(), found.epoch, self._known.silent
@@ -445,4 +609,4 @@
             )
 
     def _take_committed(self, found: list[records.Record]) -> None:
-        self._events.put(_Read(tuple(found), False, True))
+        self._events.put(_Read(tuple(found)))
--- a/poplarspindle/node/ports.py
+++ b/poplarspindle/node/ports.py
@@ -14,12 +14,13 @@
 
     Attributes:
         store: The store.
-        fleet_topic: Topic of the node's own records.
+        fleet_topic: Topic that all nodes follow.
+        progress_topic: Topic of the owner's own records.
         operators_topic: Topic that operators write.
         workers_topic: Topic of the workers' entries.
         read_wish: Reads what operators write.
         read_worker: Reads a worker's entry.
-        connect: Makes a client of a worker.
+        connect: Makes a client of a worker, given what carries its calls.
         read_call: Reads a caller's request.
         refuse_call: Returns the status of a request that is malformed.
         write_answer: Writes an answer to a caller.
@@ -28,6 +29,7 @@
 
     store: storage.Store
     fleet_topic: str
+    progress_topic: str
     operators_topic: str
     workers_topic: str
     read_wish: Callable[[records.Record], wishes.Wish | None]
--- a/poplarspindle/node/settings.py
+++ b/poplarspindle/node/settings.py
@@ -29,6 +29,9 @@
         notice_ms: Time for which a task not at work counts as away.
         remote_factor: How much longer tasks take away from their rack.
         gang_wait_ms: Time that a gang's first member waits for the others.
+        processors: Processors of the machine.
+        link_mbps: Bandwidth of the machine's link.
+        memory_mb: Memory that the process may use.
     """
 
     node: str
@@ -52,3 +55,6 @@
     notice_ms: int
     remote_factor: float
     gang_wait_ms: int
+    processors: float
+    link_mbps: float
+    memory_mb: float
--- a/poplarspindle/node/standing.py
+++ b/poplarspindle/node/standing.py
@@ -7,12 +7,14 @@
 import structlog
 
 from poplarspindle import outcomes
-from poplarspindle.fleet import records
+from poplarspindle.fleet import fitness, records
 from poplarspindle.node import storage, threads
 
 JOIN_S = 0.3
 CLAIM_S = 1.0  # Time for a claim to come back through the log.
 EPOCH_STEP = 16
+TELL_S = 2.0
+WITHDRAW_S = 8.0  # Machines turn slow for several seconds.
 RESIGN_S = 0.5  # Without it the next owner waits until this one is silent.
 
 # An owner appends its load twice a second; a dead one is out of the group
@@ -54,8 +56,12 @@
         store: The store.
         member: This process's incarnation.
         ttl_ms: Time after which a silent member is out.
+        wall_ms: Returns Unix time in milliseconds.
+        own_fitness: How well this node's machine can carry the fleet.
 
     Attributes:
+        fitness: The same.
+        best: The best fitness that any node noted in the log.
         owner: The newest owner's record that was read, None for none.
         owning: Whether this process is that owner.
         store_ok_at: When the store last confirmed this member's standing.
@@ -69,7 +75,13 @@
         member: str,
         ttl_ms: int,
         wall_ms: Callable[[], int],
+        own_fitness: float = 1.0,
     ) -> None:
+        self.fitness = own_fitness
+        self.best = 0.0
+        self._began_at = time.monotonic()
+        self._withdrawn_until = float("-inf")
+        self._told_at = float("-inf")
         self._store = store
         self._member = member
         self._ttl_ms = ttl_ms
@@ -78,6 +90,7 @@
         self._leaving = threading.Event()
         self._woken = threading.Event()
         self._claimed_at = float("-inf")
+        self._chosen = self._failed = False
         self.owner: records.Owner | None = None
         self.owning = False
         self.store_ok_at = float("-inf")
@@ -118,37 +131,89 @@
         self._leaving.set()
         self._woken.set()
 
+    def withdraw(self) -> None:
+        """Lets another member be chosen for some time."""
+        self._withdrawn_until = time.monotonic() + WITHDRAW_S
+        self._woken.set()
+
+    def _may_own(self, now: float) -> bool:
+        silent_s = now - max(self.heard_at, self._began_at)
+        if now < self._withdrawn_until:
+            return False
+        return self.owning or fitness.may_own(self.fitness, self.best, silent_s)
+
     def _run(self) -> None:
-        chosen = False
-        failed = False
+        joined = True
         while not self._leaving.is_set():
-            answer = self._store.join(
-                self._member, self._ttl_ms, self._generation
-            )
             now = time.monotonic()
-            if isinstance(answer, outcomes.Ok):
-                self._generation = answer.value.generation
-                if answer.value.chosen != chosen or failed:
-                    _log.info(
-                        "standing",
-                        chosen=answer.value.chosen,
-                        generation=self._generation,
-                        owning=self.owning,
-                    )
-                failed = False
-                chosen = answer.value.chosen
-                if chosen:
-                    self.store_ok_at = now
-            elif not failed:
-                failed = True
-                _log.warning("join-failed", why=answer.reason)
-            if chosen and not failed and not self.owning and self.able:
-                self._claim_vacant(now)
+            if self._may_own(now):
+                joined = True
+                self._join()
+            elif joined:
+                joined = self._chosen = False
+                answer = self._store.leave(self._member)
+                _log.info(
+                    "stands-back",
+                    fitness=self.fitness,
+                    best=self.best,
+                    ok=isinstance(answer, outcomes.Ok),
+                )
+            if self.able:
+                self._tell_fitness(now)
             self._woken.wait(JOIN_S)
             self._woken.clear()
         answer = self._store.leave(self._member)
         _log.info("left", ok=isinstance(answer, outcomes.Ok))
 
+    def _join(self) -> None:
+        answer = self._store.join(self._member, self._ttl_ms, self._generation)
+        now = time.monotonic()
+        if isinstance(answer, outcomes.Failed):
+            if not self._failed:
+                _log.warning("join-failed", why=answer.reason)
+            self._failed = True
+            return
+        self._generation = answer.value.generation
+        if answer.value.chosen != self._chosen or self._failed:
+            _log.info(
+                "standing",
+                chosen=answer.value.chosen,
+                generation=self._generation,
+                owning=self.owning,
+            )
+        self._failed = False
+        self._chosen = answer.value.chosen
+        if self._chosen:
+            self.store_ok_at = now
+            if not self.owning and self.able:
+                self._claim_vacant(now)
+
+    def _tell_fitness(self, now: float) -> None:
+        """Notes the best fitness; asks a lesser owner for the fleet."""
+        found = []
+        if self.fitness > self.best:
+            found.append(fitness.encode_mark(self.fitness))
+        owner = self.owner
+        if (
+            owner is not None
+            and owner.instance != self._member
+            and now >= self._withdrawn_until
+            and now - self.heard_at < OWNER_SILENT_S
+            and fitness.is_better(self.fitness, owner.fitness)
+        ):
+            candidate = fitness.Candidate(self._member, self.fitness)
+            found.append(fitness.encode_candidate(candidate))
+        if found and now - self._told_at >= TELL_S:
+            self._told_at = now
+            answer = self._store.append(found, RESIGN_S)
+            _log.info(
+                "told-fitness",
+                fitness=self.fitness,
+                best=self.best,
+                candidate=len(found) > 1 or self.fitness <= self.best,
+                ok=isinstance(answer, outcomes.Ok),
+            )
+
     def _claim_vacant(self, now: float) -> None:
         if is_vacant(
             self.owner, self._member, self.resigned, self.heard_at, now
@@ -164,7 +229,9 @@
         # they do not, only the one whose name is read back owns the fleet.
         low = hash(self._member) % EPOCH_STEP
         epoch = (last // EPOCH_STEP + 1) * EPOCH_STEP + low
-        claim = records.Owner(epoch, self._member, self._wall_ms())
+        claim = records.Owner(
+            epoch, self._member, self._wall_ms(), self.fitness
+        )
         answer = self._store.append(
             [records.encode_owner(claim)], 1.0, epoch, 0
         )
--- a/poplarspindle/node/storage.py
+++ b/poplarspindle/node/storage.py
@@ -63,8 +63,12 @@
         timeout_s: float,
         epoch: int = 0,
         sequence: int = 0,
+        topic: str = "",
     ) -> outcomes.Ok[int] | outcomes.Failed:
-        """Appends records, all or none; returns the first one's offset."""
+        """Appends records, all or none; returns the first one's offset.
+
+        Without a topic the one that all nodes follow is meant.
+        """
 
     def read(
         self, topic: str, offset: int, wait_ms: int
--- a/poplarspindle/node/watches.py
+++ b/poplarspindle/node/watches.py
@@ -1,13 +1,14 @@
 """Looks at workers: renews leases, takes in what runs there and ended."""
 
+import collections
 import dataclasses
 import threading
 import time
 import typing
+from collections.abc import Callable
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import events, leases, orders, views, work
-from poplarspindle.node import threads
 
 HOLD_WAIT_MS = 1000
 IDLE_WAIT_MS = 2000
@@ -17,6 +18,8 @@
 RECORDED_S = 0.5
 UNREACHED_S = 0.15
 UNALLOWED_S = 0.03  # An append takes about that long.
+ORDERS_MOST = 8  # At a time to one worker; it takes few connections.
+UNREACHABLE = orders.Answer(orders.Refusal.UNREACHABLE)
 
 
 class Owner(typing.Protocol):
@@ -41,9 +44,16 @@
     def lose(self, why: str) -> None:
         """Notes that another owner was seen."""
 
+    def run_later(self, delay_s: float, job: Callable[[], None]) -> typing.Any:
+        """Runs a function later on the calls' thread; it can be cancelled."""
+
 
 class Watch:
-    """Looks at one worker for as long as this node owns the fleet."""
+    """Looks at one worker for as long as this node owns the fleet.
+
+    All of it runs on the thread that carries the calls; only `wait_ms` is
+    set from another one.
+    """
 
     def __init__(self, own: Owner, worker: work.Worker) -> None:
         self._own = own
@@ -53,25 +63,28 @@
         self._born_ms = 0
         self._clock = leases.Clock()
         self._misses = 0
+        self._awaited = 0  # Number of the end whose record is waited for.
+        self._resume: typing.Any = None
+        self._waiting: collections.deque[orders.Order] = collections.deque()
+        self._sending = 0
         self.wait_ms = HOLD_WAIT_MS
-        self._recorded = threading.Condition()
-        self.over = threading.Event()
-        threads.start(self._run, own.over)
+        self.over = False
 
     def record(self, born_ms: int, number: int) -> None:
         """Notes that ends up to a number are recorded."""
-        with self._recorded:
-            if born_ms == self._born_ms:
-                self._seen = max(self._seen, number)
-                self._recorded.notify_all()
+        if born_ms != self._born_ms:
+            return
+        self._seen = max(self._seen, number)
+        if self._awaited and self._seen >= self._awaited:
+            self._resume.cancel()
+            self._look_next()
 
     def allow(self, look: int) -> None:
         """Lets leases be asked for, unless a look was missed since."""
-        with self._recorded:
-            if look == self._misses:
-                self._clock.allowed = True
+        if look == self._misses:
+            self._clock.allowed = True
 
-    def extend(self) -> None:
+    def extend(self, done: Callable[[], None]) -> None:
         """Asks for the longest leases, for the time until the next owner."""
         own = self._own
         now = time.monotonic()
@@ -79,21 +92,39 @@
             self._clock, now, own.store_ok_at(), own.lease_most_ms, last=True
         )
         if until_ms:
-            self.link.hold(orders.Hold(own.epoch, self._seen, until_ms, 0))
-
-    def _run(self) -> None:
-        wait_ms = 0
-        while not (self.over.is_set() or self._own.over.is_set()):
-            if self._look(wait_ms):
-                wait_ms = self.wait_ms if self._clock.allowed else 0
-                if not self._clock.allowed:
-                    self.over.wait(UNALLOWED_S)
-            else:
-                wait_ms = 0
-                self.over.wait(UNREACHED_S)
-        self.link.close()
-
-    def _look(self, wait_ms: int) -> bool:
+            hold = orders.Hold(own.epoch, self._seen, until_ms, 0)
+            self.link.hold(hold, LOOK_AGAIN_PATIENCE_S, lambda _: done())
+        else:
+            done()
+
+    def order(self, order: orders.Order) -> None:
+        """Sends an order; beyond some at a time they wait for each other."""
+        if self._sending >= ORDERS_MOST:
+            self._waiting.append(order)
+            return
+        self._sending += 1
+        sent_at = time.monotonic()
+
+        def take(answer: orders.Answer) -> None:
+            self._sending -= 1
+            self._own.post(
+                events.Ordered(
+                    time.monotonic(), self.worker.name, sent_at, order, answer
+                )
+            )
+            if self._waiting and not self.is_over():
+                self.order(self._waiting.popleft())
+
+        self.link.send(order, take)
+
+    def is_over(self) -> bool:
+        """Tells whether this worker is to be looked at no more."""
+        return self.over or self._own.over.is_set()
+
+    def look(self, wait_ms: int = 0) -> None:
+        """Looks at the worker; the next look follows the answer."""
+        if self.is_over():
+            return
         own = self._own
         sent_at = time.monotonic()
         until_ms = leases.choose_lease(
@@ -102,25 +133,42 @@
         if until_ms:
             own.post(events.Granted(sent_at, self.worker.name, until_ms))
         order = orders.Hold(own.epoch, self._seen, until_ms, wait_ms)
-        answer = self.link.hold(order, LOOK_PATIENCE_S)
-        if isinstance(answer, outcomes.Failed) and answer.may_have_acted:
-            # An answer may be lost: what ended is asked for at once again.
-            sent_at = time.monotonic()
-            order = dataclasses.replace(order, wait_ms=0)
-            answer = self.link.hold(order, LOOK_AGAIN_PATIENCE_S)
+        self.link.hold(
+            order,
+            LOOK_PATIENCE_S,
+            lambda answer: self._take(order, sent_at, answer),
+        )
+
+    def _take(self, order: orders.Hold, sent_at: float, answer) -> None:
+        lost = isinstance(answer, outcomes.Failed) and answer.may_have_acted
+        if not lost or self.is_over():
+            self._take_last(order, sent_at, answer)
+            return
+        # An answer may be lost: what ended is asked for at once again.
+        sent_at = time.monotonic()
+        order = dataclasses.replace(order, wait_ms=0)
+        self.link.hold(
+            order,
+            LOOK_AGAIN_PATIENCE_S,
+            lambda found: self._take_last(order, sent_at, found),
+        )
+
+    def _take_last(self, order: orders.Hold, sent_at: float, answer) -> None:
+        own = self._own
+        if self.is_over():
+            return
         at = time.monotonic()
         if isinstance(answer, outcomes.Failed):
-            with self._recorded:
-                self._misses += 1
-                self._clock.allowed = False
+            self._misses += 1
+            self._clock.allowed = False
             if answer.reason == "fenced":
                 own.lose("worker-fenced")
             own.post(events.Unheard(at, self.worker.name, answer.reason))
-            return False
+            self._resume = own.run_later(UNREACHED_S, self.look)
+            return
         report = answer.value
         if report.born_ms != self._born_ms:
-            with self._recorded:
-                self._born_ms, self._seen = report.born_ms, 0
+            self._born_ms, self._seen = report.born_ms, 0
         self._clock.ms, self._clock.at = report.clock_ms, at
         own.post(
             events.Reported(
@@ -128,24 +176,25 @@
                 own.wall_ms(),
                 self.worker.name,
                 sent_at,
-                until_ms,
+                order.until_ms,
                 report,
                 self._misses,
             )
         )
-        if report.ended:
-            self._await_recorded(max(end.number for end in report.ended))
-        return True
-
-    def _await_recorded(self, number: int) -> None:
-        """Waits until ends are recorded, so that they aren't listed again."""
-        deadline = time.monotonic() + RECORDED_S
-        with self._recorded:
-            while self._seen < number:
-                left_s = deadline - time.monotonic()
-                if left_s <= 0 or self._own.over.is_set():
-                    return
-                self._recorded.wait(left_s)
+        newest = max((end.number for end in report.ended), default=0)
+        if newest > self._seen:
+            # Ends that are not recorded yet would only be listed again.
+            self._awaited = newest
+            self._resume = own.run_later(RECORDED_S, self._look_next)
+        else:
+            self._look_next()
+
+    def _look_next(self) -> None:
+        self._awaited = 0
+        if self._clock.allowed:
+            self.look(self.wait_ms)
+        else:
+            self._resume = self._own.run_later(UNALLOWED_S, self.look)
 
 
 def choose_wait(hand: views.Hand) -> int:
--- a/poplarspindle/platform/__main__.py
+++ b/poplarspindle/platform/__main__.py
@@ -17,6 +17,7 @@
     return ports.Platform(
         store.Store(own_settings.store_address),
         store.FLEET_TOPIC,
+        store.PROGRESS_TOPIC,
         store.OPERATORS_TOPIC,
         store.WORKERS_TOPIC,
         operators.read_wish,
--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -3,10 +3,13 @@
 The platform's minion is the product's worker: it runs tasks under leases.
 """
 
+import functools
 import json
+from collections.abc import Callable
 
 from poplarspindle import outcomes, resources
 from poplarspindle.fleet import orders, records, work
+from poplarspindle.node import exchange
 from poplarspindle.platform import transport
 
 STATES = {
@@ -14,6 +17,7 @@
     "draining": work.Presence.LEAVING,
 }
 ORDER_S = 0.25  # Minions answer orders in a few milliseconds.
+NAMES_MOST = 32768  # Tasks that run at a time, with room to spare.
 REFUSALS = {
     "fence": orders.Refusal.FENCED,
     "old": orders.Refusal.ENDED,
@@ -68,6 +72,7 @@
     return f"{name.job}.{name.time}.{name.step}.{name.index}"
 
 
+@functools.lru_cache(NAMES_MOST)
 def parse_task(text: str) -> work.TaskName:
     """Parses a task's name; raises ValueError where it is malformed."""
     job, time, step, index = text.split(".")
@@ -94,84 +99,51 @@
 
 
 class Minion:
-    """Orders to one minion.
+    """Orders to one minion; answers come on the exchange's thread.
 
     Args:
+        calls: Carries the calls.
         worker: Its entry.
     """
 
-    def __init__(self, worker: work.Worker) -> None:
+    def __init__(self, calls: exchange.Exchange, worker: work.Worker) -> None:
         self.worker = worker
-        self._headers = transport.JSON_HEADERS | {
-            "Expected-Instance": worker.name
-        }
-        self._calls = transport.Transport(worker.address)
-
-    def start(self, order: orders.Start) -> orders.Answer:
-        """Starts a run."""
-        fields: dict[str, object] = {
-            "task": format_task(order.task),
-            "attempt": order.attempt,
-            "spec": order.spec,
-            "deadline_ms": order.until_ms,
-            "fencing_token": order.epoch,
-        }
-        if order.saved:
-            fields["checkpoint"] = order.saved
-        return self._order(outcomes.Step.START, "/api/run-start", fields)
+        self._calls = calls
+        self._headers = (
+            "Content-Type: application/json",
+            f"Expected-Instance: {worker.name}",
+        )
 
-    def stop(self, order: orders.Stop) -> orders.Answer:
-        """Stops a run; one that is not there is refused from then on."""
-        fields = {
-            "task": format_task(order.task),
-            "attempt": order.attempt,
-            "fencing_token": order.epoch,
-        }
-        return self._order(outcomes.Step.STOP, "/api/run-stop", fields)
-
-    def pace(self, order: orders.Pace) -> orders.Answer:
-        """Sets the share of its speed that a run may work at."""
-        fields = {
-            "task": format_task(order.task),
-            "attempt": order.attempt,
-            "percent": order.percent,
-            "fencing_token": order.epoch,
-        }
-        return self._order(outcomes.Step.PACE, "/api/pace", fields)
+    def send(
+        self, order: orders.Order, done: Callable[[orders.Answer], None]
+    ) -> None:
+        """Sends an order.
 
-    def _order(self, step, target, fields) -> orders.Answer:
-        answer = self._calls.post(
-            step, target, fields, ORDER_S, headers=self._headers
+        Args:
+            order: The order.
+            done: Takes the answer.
+        """
+        step, target = TARGETS[type(order)]
+        self._post(
+            step,
+            target,
+            write_order(order),
+            ORDER_S,
+            lambda outcome: done(read_answer(outcome)),
         )
-        if isinstance(answer, outcomes.Failed):
-            refusal = (
-                orders.Refusal.SILENT
-                if answer.may_have_acted
-                else orders.Refusal.UNREACHABLE
-            )
-            return orders.Answer(refusal)
-        status, found = answer.value.status, answer.value.read_fields()
-        clock_ms = found.get("clock_ms")
-        clock_ms = clock_ms if isinstance(clock_ms, int) else 0
-        if status == 200:
-            return orders.Answer(None, clock_ms)
-        if status == 409:
-            reason = REFUSALS.get(found.get("reason"), orders.Refusal.MALFORMED)
-            return orders.Answer(reason, clock_ms)
-        if status == 421:
-            return orders.Answer(orders.Refusal.OTHER_LIFE)
-        if status in (429, 503):
-            return orders.Answer(orders.Refusal.BUSY)
-        return orders.Answer(orders.Refusal.MALFORMED)
 
     def hold(
-        self, order: orders.Hold, patience_s: float = ORDER_S
-    ) -> outcomes.Ok[work.Report] | outcomes.Failed:
+        self,
+        order: orders.Hold,
+        patience_s: float,
+        done: Callable[[outcomes.Ok[work.Report] | outcomes.Failed], None],
+    ) -> None:
         """Renews the leases and looks at what runs and ended.
 
         Args:
             order: The order.
             patience_s: Time for the answer beyond the wait asked for.
+            done: Takes the report or the failure.
         """
         fields: dict[str, object] = {
             "fencing_token": order.epoch,
@@ -180,31 +152,90 @@
         }
         if order.until_ms:
             fields["deadline_ms"] = order.until_ms
-        answer = self._calls.post(
+        self._post(
             outcomes.Step.HOLD,
             "/api/hold",
             fields,
             patience_s + order.wait_ms / 1000,
-            headers=self._headers,
+            lambda outcome: done(read_hold(self.worker.name, outcome)),
+        )
+
+    def _post(self, step, target, fields, timeout_s, done) -> None:
+        call = exchange.Call(
+            step,
+            self.worker.name,
+            f"http://{self.worker.address}{target}",
+            self._headers,
+            json.dumps(fields, separators=(",", ":")).encode(),
+            timeout_s,
+        )
+        self._calls.send(call, done)
+
+
+TARGETS = {
+    orders.Start: (outcomes.Step.START, "/api/run-start"),
+    orders.Stop: (outcomes.Step.STOP, "/api/run-stop"),
+    orders.Pace: (outcomes.Step.PACE, "/api/pace"),
+}
+
+
+def write_order(order: orders.Order) -> dict[str, object]:
+    """Writes an order's fields."""
+    fields: dict[str, object] = {
+        "task": format_task(order.task),
+        "attempt": order.attempt,
+        "fencing_token": order.epoch,
+    }
+    if isinstance(order, orders.Start):
+        fields |= {"spec": order.spec, "deadline_ms": order.until_ms}
+        if order.saved:
+            fields["checkpoint"] = order.saved
+    elif isinstance(order, orders.Pace):
+        fields["percent"] = order.percent
+    return fields
+
+
+def read_answer(outcome: exchange.Outcome) -> orders.Answer:
+    """Reads the answer to an order."""
+    if isinstance(outcome, outcomes.Failed):
+        return orders.Answer(
+            orders.Refusal.SILENT
+            if outcome.may_have_acted
+            else orders.Refusal.UNREACHABLE
+        )
+    status = outcome.value.status
+    found = transport.read_fields(outcome.value.body)
+    clock_ms = found.get("clock_ms")
+    clock_ms = clock_ms if isinstance(clock_ms, int) else 0
+    if status == 200:
+        return orders.Answer(None, clock_ms)
+    if status == 409:
+        reason = REFUSALS.get(found.get("reason"), orders.Refusal.MALFORMED)
+        return orders.Answer(reason, clock_ms)
+    if status == 421:
+        return orders.Answer(orders.Refusal.OTHER_LIFE)
+    if status in (429, 503):
+        return orders.Answer(orders.Refusal.BUSY)
+    return orders.Answer(orders.Refusal.MALFORMED)
+
+
+def read_hold(
+    peer: str, outcome: exchange.Outcome
+) -> outcomes.Ok[work.Report] | outcomes.Failed:
+    """Reads the answer to a hold."""
+    if isinstance(outcome, outcomes.Failed):
+        return outcome
+    status = outcome.value.status
+    found = transport.read_fields(outcome.value.body)
+    if status == 409 and found.get("reason") == "fence":
+        return outcomes.Failed(outcomes.Step.HOLD, peer, "fenced")
+    if status == 421:
+        return outcomes.Failed(outcomes.Step.HOLD, peer, "other-life")
+    if status != 200:
+        return outcomes.Failed(outcomes.Step.HOLD, peer, f"status-{status}")
+    try:
+        return outcomes.Ok(read_report(found))
+    except ValueError as error:
+        return outcomes.Failed(
+            outcomes.Step.HOLD, peer, "malformed", str(error), True
         )
-        if isinstance(answer, outcomes.Failed):
-            return answer
-        peer = self.worker.name
-        found = answer.value.read_fields()
-        if answer.value.status == 409 and found.get("reason") == "fence":
-            return outcomes.Failed(outcomes.Step.HOLD, peer, "fenced")
-        if answer.value.status == 421:
-            return outcomes.Failed(outcomes.Step.HOLD, peer, "other-life")
-        if answer.value.status != 200:
-            reason = f"status-{answer.value.status}"
-            return outcomes.Failed(outcomes.Step.HOLD, peer, reason)
-        try:
-            return outcomes.Ok(read_report(found))
-        except ValueError as error:
-            return outcomes.Failed(
-                outcomes.Step.HOLD, peer, "malformed", str(error), True
-            )
-
-    def close(self) -> None:
-        """Closes idle connections."""
-        self._calls.close()
--- a/poplarspindle/platform/settings.py
+++ b/poplarspindle/platform/settings.py
@@ -62,4 +62,7 @@
         notice_ms=int(number("bounds.notice_ms", 4500)),
         remote_factor=number("bounds.remote_factor", 1.5),
         gang_wait_ms=int(number("bounds.gang_timeout_ms", 3000)),
+        processors=number("limits.cpu_share", 1) * number("limits.cores", 1),
+        link_mbps=number("limits.link_mbps", 1000),
+        memory_mb=number("limits.memory_mb", 300),
     )
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -11,6 +11,7 @@
 from poplarspindle.platform import transport
 
 FLEET_TOPIC = "keyed.poplarspindle"
+PROGRESS_TOPIC = "keyed.poplarspindle-progress"
 OPERATORS_TOPIC = "keyed.op"
 WORKERS_TOPIC = "keyed.servers"
 GROUP = "poplarspindle-owner"
@@ -74,7 +75,7 @@
         timeout_s: float,
         epoch: int = 0,
         sequence: int = 0,
-        topic: str = FLEET_TOPIC,
+        topic: str = "",
     ) -> outcomes.Ok[int] | outcomes.Failed:
         """Appends records, all or none.
 
@@ -83,13 +84,13 @@
             timeout_s: Time for the answer.
             epoch: Epoch of the owner that appends, 0 for anybody.
             sequence: Number of this append in the epoch.
-            topic: Topic to append to.
+            topic: Topic to append to, the one that all nodes follow if empty.
 
         Returns:
             Offset of the first record, or the failure. Its reason is
             `fenced` where a higher epoch was seen.
         """
-        query: dict[str, object] = {"topic": topic, "part": 0}
+        query: dict[str, object] = {"topic": topic or FLEET_TOPIC, "part": 0}
         if epoch:
             query |= {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
         answer = self._calls.call(
--- a/poplarspindle/platform/transport.py
+++ b/poplarspindle/platform/transport.py
@@ -22,11 +22,16 @@
 
     def read_fields(self) -> dict:
         """Returns the body's fields, none where it is no JSON object."""
-        try:
-            found = json.loads(self.body)
-        except (ValueError, RecursionError):
-            return {}
-        return found if isinstance(found, dict) else {}
+        return read_fields(self.body)
+
+
+def read_fields(body: bytes) -> dict:
+    """Reads a JSON object's fields; none where the body is no such."""
+    try:
+        found = json.loads(body)
+    except (ValueError, RecursionError):
+        return {}
+    return found if isinstance(found, dict) else {}
 
 
 class Transport:
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -1,5 +1,7 @@
 """The owner's pure decisions, each against the load that it answers."""
 
+import dataclasses
+
 import pytest
 
 from poplarspindle import resources
@@ -13,6 +15,7 @@
     placing,
     ranking,
     records,
+    takeover,
     views,
     work,
 )
@@ -316,24 +319,44 @@
 
 
 def test_progress_is_round():
-    job = make_job("a", make_step(3))
+    job = make_job("a", make_step(20))
     tasks = job.runs[0][0]
     tasks[0].phase = book.Phase.DONE
-    tasks[1] = job.runs[0][0][1] = book.Task(
-        book.Phase.PLACED, 2, 1, "w", 77, "s"
-    )
+    tasks[17] = book.Task(book.Phase.PLACED, 2, 1, "w", 77, "s")
     job.state = book.State.ACTIVE
-    other = book.Job(job.submission)
-    records.apply_progress(other, records.encode_progress(job).value)
+    known = book.Book()
+    other = book.add_job(known, job.submission)
+    found = [records.encode_group(job, (0, 0, first)) for first in (0, 16)]
+    found.append(records.encode_progress(job))
+    stale = dataclasses.replace(found[0], key="r/a/7/0/0")
+    stray = dataclasses.replace(found[-1], key="s/b")
+    drops, malformed = takeover.load_progress(known, [stray, *found, stale])
+    assert [record.key for record in drops] == ["s/b", "r/a/7/0/0"]
+    assert malformed == []
     assert [
         (t.phase, t.attempt, t.failures, t.worker, t.born_ms, t.saved)
         for t in other.runs[0][0]
     ] == [
-        (book.Phase.DONE, 0, 0, "", 0, ""),
-        (book.Phase.PLACED, 2, 1, "w", 77, "s"),
-        (book.Phase.QUEUED, 0, 0, "", 0, ""),
+        (t.phase, t.attempt, t.failures, t.worker, t.born_ms, t.saved)
+        for t in tasks
     ]
-    assert other.shown is book.State.ACTIVE
+    assert other.state is book.State.ACTIVE
+    assert other.written == {(0, 0, 0), (0, 0, 16)}
+    bad = [dataclasses.replace(found[0], value=b"x")]
+    _, malformed = takeover.load_progress(known, [found[-1], *bad])
+    assert malformed == ["r/a/0/0/0"]
+
+
+def test_state_is_round():
+    job = make_job("a", make_step(3))
+    job.shown, job.ended_ms = book.State.COMPLETED, 5
+    other = book.Job(job.submission)
+    records.apply_state(other, records.encode_state(job).value)
+    assert (other.state, other.shown, other.ended_ms) == (
+        book.State.COMPLETED,
+        book.State.COMPLETED,
+        5,
+    )
 
 
 def test_memory_keeps_what_was_learned():
--- a/poplarspindle/tests/test_followers.py
+++ b/poplarspindle/tests/test_followers.py
@@ -78,8 +78,8 @@
     follower = followers.Follower(
         store,
         "t",
-        lambda rows: found.extend(row.value for row in rows),
-        lambda rows, tail: found.extend(row.value for row in rows),
+        lambda rows, end: found.extend(row.value for row in rows),
+        lambda rows, end, tail: found.extend(row.value for row in rows),
         lambda: 0.0,
     )
     follower.start()
@@ -92,7 +92,7 @@
     empty = outcomes.Ok(storage.Page((), 1, 1))
     store = Store([make_newest(b"1", 1)], [empty])
     follower = followers.Follower(
-        store, "t", lambda rows: None, lambda rows, tail: None, lambda: 0.0
+        store, "t", lambda *_: None, lambda *_: None, lambda: 0.0
     )
     follower.start()
     assert store.idle.wait(30)
--- a/poplarspindle/tests/test_owning.py
+++ b/poplarspindle/tests/test_owning.py
@@ -1,10 +1,21 @@
 """The owner's threads: nothing of an ownership that is over arrives."""
 
+import dataclasses
 import threading
 
 from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import effects, records
-from poplarspindle.node import owning, storage
+from poplarspindle.node import appending, owning, storage
+from poplarspindle.platform import __main__ as program
+from poplarspindle.platform import settings
+
+SETTINGS = settings.read_settings("""
+node_name=n
+zone=z
+listen_addrs.frontend=127.0.0.1:1
+listen_addrs.readiness=127.0.0.1:2
+platform.address=127.0.0.1:3
+""")
 
 
 class Store:
@@ -14,9 +25,11 @@
         self.begun = threading.Event()
         self.let_go = threading.Event()
         self.answered = threading.Event()
+        self.calls = []
 
-    def append(self, found, timeout_s, epoch=0, sequence=0):
+    def append(self, found, timeout_s, epoch=0, sequence=0, topic=""):
         """Answers once it is let go."""
+        self.calls.append((topic, sequence, [r.key for r in found]))
         self.begun.set()
         self.let_go.wait()
         self.answered.set()
@@ -32,18 +45,18 @@
 
 
 def start_owning(store, post):
-    return owning.Owning(
-        store,
+    platform = program.connect(SETTINGS)
+    found = owning.Owning(
+        dataclasses.replace(platform, store=store),
+        SETTINGS,
         metrics.Metrics(),
-        "workers",
-        lambda record: None,
-        lambda worker: None,
         16,
         post,
         lambda: 0.0,
         lambda: 0,
-        6000,
     )
+    found.start()
+    return found
 
 
 def test_append_of_an_ended_ownership_is_not_told():
@@ -57,3 +70,51 @@
     assert store.answered.wait(30)
     own.post("late")
     assert found == []
+
+
+def make_appender(store, over, most_bytes=1000):
+    return appending.Appender(
+        store, "t", 16, most_bytes, over, lambda why: None, metrics.Metrics()
+    )
+
+
+def test_what_waits_for_an_append_goes_together_the_newest_counts():
+    store, over, done = Store(), threading.Event(), threading.Semaphore(0)
+    own = make_appender(store, over)
+    own.start()
+    own.put([records.Record("a", b"1")])
+    assert store.begun.wait(30)
+    own.put([records.Record("b", b"1"), records.Record("c", b"1")])
+    own.put([records.Record("b", b"2")], lambda at: done.release())
+    store.let_go.set()
+    assert done.acquire(timeout=30)
+    over.set()
+    own.stop()
+    assert store.calls == [("t", 1, ["a"]), ("t", 2, ["c", "b"])]
+
+
+def test_records_beyond_one_call_go_in_several_in_order():
+    store, over, done = Store(), threading.Event(), threading.Semaphore(0)
+    store.let_go.set()
+    own = make_appender(store, over, 100)
+    own.start()
+    found = [records.Record(key, b"x" * 40) for key in "abc"]
+    own.put(found, lambda at: done.release())
+    assert done.acquire(timeout=30)
+    over.set()
+    own.stop()
+    assert store.calls == [("t", 1, ["a"]), ("t", 2, ["b"]), ("t", 3, ["c"])]
+
+
+def test_job_is_dropped_from_what_all_read_before_its_progress():
+    """A job that is left without its progress would begin anew."""
+    store = Store()
+    store.let_go.set()
+    own = start_owning(store, lambda event: None)
+    dropped = threading.Event()
+    put = own._progress.put
+    own._progress.put = lambda found: (put(found), dropped.set())
+    own.carry_out(effects.Drop(("a",)))
+    assert dropped.wait(30)
+    own.stop()
+    assert store.calls[0][2] == ["t/a", "c/a", "j/a"]
--- a/poplarspindle/tests/test_watches.py
+++ b/poplarspindle/tests/test_watches.py
@@ -6,7 +6,7 @@
 import pytest
 
 from poplarspindle import outcomes, resources
-from poplarspindle.fleet import events, work
+from poplarspindle.fleet import events, orders, work
 from poplarspindle.node import watches
 
 WORKER = work.Worker("w", "a:1", "pool", "dc", resources.NOTHING)
@@ -24,22 +24,27 @@
     def __init__(self, answers):
         self._answers = list(answers)
         self.waits = []
-        self.idle = threading.Event()
 
-    def hold(self, order, patience_s):
+    def hold(self, order, patience_s, done):
         """Answers the next look of the script."""
         self.waits.append(order.wait_ms)
         if self._answers:
-            return self._answers.pop(0)
-        self.idle.set()
-        threading.Event().wait()
+            done(self._answers.pop(0))
 
-    def close(self):
-        """Does nothing."""
+
+class Timer:
+    """A function that runs later."""
+
+    def __init__(self, job):
+        self.job = job
+
+    def cancel(self):
+        """Keeps it from running."""
+        self.job = None
 
 
 class Own:
-    """What a watch asks of its owner."""
+    """What a watch asks of its owner; time passes when it is told to."""
 
     epoch = 16
     lease_most_ms = 6000
@@ -48,6 +53,7 @@
         self._link = link
         self.over = threading.Event()
         self.posted = []
+        self.timers = []
 
     def connect(self, worker):
         """Returns the scripted link."""
@@ -69,6 +75,18 @@
         """Notes that ownership is over."""
         self.posted.append(why)
 
+    def run_later(self, delay_s, job):
+        """Keeps a function for later."""
+        self.timers.append(Timer(job))
+        return self.timers[-1]
+
+    def pass_time(self):
+        """Runs all that was to run later, until nothing is left."""
+        while self.timers:
+            job = self.timers.pop(0).job
+            if job is not None:
+                job()
+
 
 SCRIPTS = [
     pytest.param([make_report(5)], ["Reported"], id="calm"),
@@ -86,9 +104,8 @@
 def test_look_is_repeated_before_a_worker_counts_as_unheard(answers, expected):
     link = Link(answers)
     own = Own(link)
-    watches.Watch(own, WORKER)
-    assert link.idle.wait(30)
-    own.over.set()
+    watches.Watch(own, WORKER).look()
+    own.pass_time()
     seen = [
         type(event).__name__
         for event in own.posted
@@ -102,6 +119,54 @@
     own = Own(link)
     watch = watches.Watch(own, WORKER)
     watch.allow(0)
-    assert link.idle.wait(30)
+    watch.look()
+    own.pass_time()
+    assert link.waits == [0, watches.HOLD_WAIT_MS, 0, watches.HOLD_WAIT_MS]
+
+
+def test_next_look_waits_until_the_ends_are_recorded():
+    end = work.Ended(1, work.TaskName("j", 0, 0, 0), 1, work.How.DONE)
+    link = Link([outcomes.Ok(work.Report(5, 7, (), (end,)))])
+    own = Own(link)
+    watch = watches.Watch(own, WORKER)
+    watch.look()
+    assert len(link.waits) == 1
+    watch.record(8, 1)
+    assert len(link.waits) == 1
+    watch.allow(0)
+    watch.record(7, 1)
+    assert len(link.waits) == 2
+    own.pass_time()
+    assert len(link.waits) == 2
+
+
+def test_nothing_is_asked_once_the_ownership_is_over():
+    link = Link([LOST])
+    own = Own(link)
+    watch = watches.Watch(own, WORKER)
     own.over.set()
-    assert link.waits[2] == 0
+    watch.look()
+    own.pass_time()
+    assert (link.waits, own.posted) == ([], [])
+
+
+def test_orders_beyond_some_wait_for_answers():
+    """A step of many tasks on one worker must not take all its connections."""
+
+    class Slow(Link):
+        sent = ()
+
+        def send(self, order, done):
+            """Keeps an order's answer back."""
+            self.sent = (*self.sent, done)
+
+    link = Slow([])
+    own = Own(link)
+    watch = watches.Watch(own, WORKER)
+    name = work.TaskName("j", 0, 0, 0)
+    for attempt in range(watches.ORDERS_MOST + 2):
+        watch.order(orders.Stop(name, attempt, 16))
+    assert len(link.sent) == watches.ORDERS_MOST
+    link.sent[0](orders.Answer(None))
+    assert len(link.sent) == watches.ORDERS_MOST + 1
+    assert [event.order.attempt for event in own.posted] == [0]
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -22,6 +22,7 @@
     orders,
     owner,
     records,
+    takeover,
     work,
 )
 from poplarspindle.tools.fakes import fleet_workers
@@ -133,10 +134,14 @@
             kind, _, name = key.partition("/")
             if kind == records.CANCELLED:
                 book.cancel_job(known.jobs[name])
-        for key, record in self.log.items():
-            kind, _, name = key.partition("/")
-            if kind == records.PROGRESS:
-                records.apply_progress(known.jobs[name], record.value)
+            if kind == records.STATE:
+                records.apply_state(known.jobs[name], self.log[key].value)
+        progress = [
+            record
+            for key, record in self.log.items()
+            if key.partition("/")[0] in (records.PROGRESS, records.TASKS)
+        ]
+        assert takeover.load_progress(known, progress) == ([], [])
         self.own = fleet.Fleet(known, self.lease_most_ms)
         self._looks = {}
         silent = {}
@@ -200,6 +205,8 @@
             self.notes[effect.event] += 1
         elif isinstance(effect, effects.Append):
             self.call_later(APPEND_S, lambda: self._append(own, effect))
+        elif isinstance(effect, effects.Publish):
+            self.call_later(APPEND_S, lambda: self._publish(own, effect))
         elif isinstance(effect, effects.Order):
             self.call_later(ORDER_S, lambda: self._deliver(own, effect))
         elif isinstance(effect, effects.Allow):
@@ -217,16 +224,33 @@
         if not self.store_up:
             self.call_later(0.2, lambda: self._append(own, effect))
             return
-        for record in effect.found:
-            self.log[record.key] = record
-            if record.key == dark.DARK_KEY:
-                self.dark_read_at = self.now
+        self._write(effect.found)
         self._do(events.Appended(self.now, effect.number))
         for name, job in own.book.jobs.items():
             if job.shown is book.State.COMPLETED:
                 self.completed_at.setdefault(name, self.now)
         self._settle()
 
+    def _publish(self, own: fleet.Fleet, effect: effects.Publish) -> None:
+        if own is not self.own:
+            return
+        if not self.store_up:
+            self.call_later(0.2, lambda: self._publish(own, effect))
+            return
+        self._write(effect.found)
+        if effect.silent:
+            self._do(events.Published(self.now))
+            self._settle()
+
+    def _write(self, found) -> None:
+        for record in found:
+            if record.value:
+                self.log[record.key] = record
+            else:
+                self.log.pop(record.key, None)
+            if record.key == dark.DARK_KEY:
+                self.dark_read_at = self.now
+
     def _deliver(self, own: fleet.Fleet, effect: effects.Order) -> None:
         worker = self.workers.get(effect.worker)
         if worker is None or not worker.up or not worker.reached:
