--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -59,7 +59,6 @@
 def _list_workers(own: fleet.Fleet, event: events.WorkersListed) -> list:
     found = []
     own.listed_at = event.at
-    own.stirred = True
     listed = {worker.name: worker for worker in event.workers}
     for name, worker in listed.items():
         hand = own.hands.get(name)
@@ -71,11 +70,11 @@
             found.append(_note_worker("listed-again", worker))
         elif hand.worker.presence is not worker.presence:
             found.append(_note_worker("presence", worker))
-        hand.listed = True
-        if hand.worker is not worker:
-            hand.worker = worker
+        if hand.worker is not worker or not hand.listed:
             hand.room = None
-        hand.changed = True
+            hand.changed = own.stirred = True
+        hand.listed = True
+        hand.worker = worker
         if worker.presence is work.Presence.LEAVING:
             leaves_at = event.at + worker.leaves_ms / 1000
             hand.leaves_at = min(hand.leaves_at, leaves_at)
--- /dev/null
+++ b/poplarspindle/tests/test_exchange.py
@@ -0,0 +1,144 @@
+"""Many calls on one thread, against peers that fail in each way."""
+
+import socket
+import threading
+
+import pytest
+
+from poplarspindle import outcomes, serving
+from poplarspindle.node import exchange
+
+PATIENCE_S = 30
+
+
+class Peer:
+    """Answers each target in its own way."""
+
+    def __init__(self):
+        self.go_on = threading.Event()
+        self.server = serving.Server("127.0.0.1:0", self.handle, 16)
+        self.address = self.server.start()
+
+    def handle(self, request):
+        """Answers one request."""
+        if request.path == "/slow":
+            self.go_on.wait(PATIENCE_S)
+        if request.path == "/refuse":
+            return serving.Response(409, b'{"reason":"room"}')
+        return serving.Response(200, request.body)
+
+    def stop(self):
+        """Stops serving."""
+        self.go_on.set()
+        self.server.stop()
+
+
+@pytest.fixture
+def peer():
+    found = Peer()
+    yield found
+    found.stop()
+
+
+@pytest.fixture
+def calls():
+    found = exchange.Exchange()
+    found.start()
+    yield found
+    found.stop()
+
+
+def make_call(address, target="/", body=b"x", timeout_s=PATIENCE_S):
+    return exchange.Call(
+        outcomes.Step.HOLD,
+        "w",
+        f"http://{address}{target}",
+        ("Content-Type: text/plain",),
+        body,
+        timeout_s,
+    )
+
+
+def send_all(calls, made):
+    """Sends calls at once; returns their outcomes in the calls' order."""
+    found, ended = {}, threading.Semaphore(0)
+
+    def take(index, outcome):
+        found[index] = outcome
+        ended.release()
+
+    def send():
+        for index, call in enumerate(made):
+            calls.send(call, lambda outcome, i=index: take(i, outcome))
+
+    calls.run_soon(send)
+    for _ in made:
+        assert ended.acquire(timeout=PATIENCE_S)
+    return [found[index] for index in range(len(made))]
+
+
+def test_each_call_gets_its_own_answer(calls, peer):
+    bodies = [b"%d" % number for number in range(50)]
+    found = send_all(calls, [make_call(peer.address, "/", b) for b in bodies])
+    assert [outcome.value.body for outcome in found] == bodies
+    (refused,) = send_all(calls, [make_call(peer.address, "/refuse")])
+    assert refused.value.status == 409
+
+
+def find_closed_address():
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{found.getsockname()[1]}"
+
+
+def test_refused_connection_surely_did_nothing(calls):
+    (found,) = send_all(calls, [make_call(find_closed_address())])
+    assert (found.reason, found.may_have_acted) == ("unreachable", False)
+
+
+def test_silent_peer_may_have_acted_and_holds_nobody_up(calls, peer):
+    made = [make_call(peer.address, "/slow", timeout_s=0.2)]
+    made += [make_call(peer.address) for _ in range(20)]
+    slow, *others = send_all(calls, made)
+    assert (slow.reason, slow.may_have_acted) == ("timeout", True)
+    assert all(isinstance(outcome, outcomes.Ok) for outcome in others)
+
+
+def test_broken_connection_may_have_acted(calls):
+    """A worker that dies with an order on its way may have carried it out."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+
+        def close_after_reading():
+            connection, _ = listening.accept()
+            connection.recv(1000)
+            connection.close()
+
+        thread = threading.Thread(target=close_after_reading)
+        thread.start()
+        (found,) = send_all(calls, [make_call(address)])
+        thread.join()
+    assert (found.reason, found.may_have_acted) == ("broken", True)
+
+
+def test_callback_that_raises_ends_nothing(calls, peer):
+    calls.run_soon(lambda: 1 / 0)
+    raised = threading.Event()
+
+    def fail(outcome):
+        raised.set()
+        raise ValueError("defect")
+
+    calls.run_soon(lambda: calls.send(make_call(peer.address), fail))
+    assert raised.wait(PATIENCE_S)
+    (found,) = send_all(calls, [make_call(peer.address)])
+    assert isinstance(found, outcomes.Ok)
+
+
+def test_stopped_exchange_makes_no_more_calls(peer):
+    calls = exchange.Exchange()
+    calls.start()
+    calls.stop()
+    calls._thread.join(PATIENCE_S)
+    calls.run_soon(lambda: 1 / 0)
+    assert not calls._thread.is_alive()
--- /dev/null
+++ b/poplarspindle/tests/test_rounds.py
@@ -0,0 +1,137 @@
+"""Rounds of placing choose as the plain scan does, at less cost."""
+
+import random
+
+import pytest
+
+from poplarspindle import resources
+from poplarspindle.fleet import book, placing, rounds, views, work
+from poplarspindle.tools.fakes import fleets
+
+SEEDS = range(30)
+
+
+def make_hands(rng, count):
+    hands = []
+    for number in range(count):
+        worker = work.Worker(
+            f"w{number}",
+            f"a:{number}",
+            "pool",
+            "dc",
+            resources.Resources(rng.choice((16000, 24000)), 64000, 0),
+            frozenset({rng.choice("ab")}),
+            f"r{number // 8}",
+        )
+        hands.append(views.Hand(worker))
+        fill_hand(rng, hands[-1])
+    return hands
+
+
+def fill_hand(rng, hand):
+    queue = work.Queue("q", "h", "/q/", "pool")
+    for index in range(rng.randrange(4)):
+        step = work.Step(
+            1,
+            resources.Resources(rng.choice((1800, 3200)), 3000, 0),
+            image=rng.choice("xy"),
+            target_ms=rng.choice((0, 10)),
+        )
+        name = f"{hand.worker.name}-{index}"
+        job = book.Job(work.Submission(name, queue, "", (step,)))
+        book.open_run(job)
+        task = job.runs[0][0][0]
+        name = work.TaskName(job.submission.job, 0, 0, 0)
+        views.add_run(hand, views.Run(name, job, task, 0.0, True))
+
+
+def make_step(rng):
+    fills = rng.random() < 0.4
+    return work.Step(
+        rng.randrange(1, 60),
+        resources.Resources(rng.choice((1800, 5000)), 3200, 0),
+        1000,
+        label=rng.choice(("", "", "a")),
+        rack=rng.choice(("", "r1")),
+        one_rack=rng.random() < 0.2,
+        most_per_worker=rng.choice((0, 0, 2)),
+        image=rng.choice("xyz"),
+        target_ms=0 if fills else rng.choice((0, 10)),
+        fills=fills,
+    )
+
+
+def place(hands, step, choose):
+    """Places a step's tasks; returns the workers' names in order."""
+    queue = work.Queue("q", "h", "/q/", "pool")
+    job = book.Job(work.Submission("j", queue, "", (step,)))
+    book.open_run(job)
+    chosen = []
+    for index, task in enumerate(job.runs[0][0]):
+        hand = choose(chosen)
+        if hand is None:
+            break
+        name = work.TaskName("j", 0, 0, index)
+        views.add_run(hand, views.Run(name, job, task, 0.0, True))
+        chosen.append(hand)
+    return [hand.worker.name for hand in chosen]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_choices_are_those_of_the_plain_scan(seed):
+    def find_harm(hand):
+        return hand.serving / 20000
+
+    step = make_step(random.Random(seed))
+    key = ("j", 0, 0)
+    plain = make_hands(random.Random(seed), 60)
+
+    def scan(chosen):
+        rack = chosen[0].worker.rack if chosen and step.one_rack else ""
+        return placing.choose_worker(plain, step, key, rack, find_harm)
+
+    expected = place(plain, step, scan)
+    hands = make_hands(random.Random(seed), 60)
+    choice = rounds.Choice(hands, step, key, find_harm)
+
+    def choose(chosen):
+        if chosen:
+            choice.note_placed(chosen[-1])
+        return choice.choose()
+
+    assert place(hands, step, choose) == expected
+
+
+def test_steps_that_wait_cost_little_until_something_changes(monkeypatch):
+    """Load: all room is taken, and a hundred steps more are handed in."""
+    world = fleets.World(1, 40, run_s=lambda rng: 60.0)
+    world.run(1)
+    step = work.Step(60, resources.Resources(1000, 1000, 0), 500)
+    fitted = []
+    monkeypatch.setattr(
+        views,
+        "get_room",
+        lambda hand, plain=views.get_room: fitted.append(1) or plain(hand),
+    )
+    for number in range(100):
+        world.submit(f"{number:016x}", step)
+    # Room is for 320 tasks: so many choices, and one scan a step at first.
+    assert sum(map(len, world.own.ready.values())) == 100 * 60 - 320
+    fitted.clear()
+    world.run(1)
+    # In a second all 40 workers are tried twice by the first step, and once
+    # by each step after each of their four reports; all steps on all workers
+    # at each of 20 ticks would be 80,000.
+    assert len(fitted) <= 2 * 40 + 100 * 40 * 4
+    assert world.list_broken() == []
+
+
+def test_room_is_used_as_soon_as_it_comes():
+    world = fleets.World(1, 8, run_s=lambda rng: 1.0)
+    step = work.Step(40, resources.Resources(1000, 1000, 0), 500)
+    for number in range(8):
+        world.submit(f"{number:016x}", step)
+    world.run(12)
+    # 320 tasks of a second on 64 processors, each start soon after an end.
+    assert len(world.completed_at) == 8
+    assert max(world.completed_at.values()) < 1.8 * 320 / 64
