--- a/poplarspindle/tests/test_exchange.py
+++ b/poplarspindle/tests/test_exchange.py
@@ -4,6 +4,7 @@
 import threading
 
 import pytest
+from structlog import testing
 
 from poplarspindle import outcomes, serving
 from poplarspindle.node import exchange
@@ -122,17 +123,19 @@
 
 
 def test_callback_that_raises_ends_nothing(calls, peer):
-    calls.run_soon(lambda: 1 / 0)
     raised = threading.Event()
 
     def fail(outcome):
         raised.set()
         raise ValueError("defect")
 
-    calls.run_soon(lambda: calls.send(make_call(peer.address), fail))
-    assert raised.wait(PATIENCE_S)
-    (found,) = send_all(calls, [make_call(peer.address)])
+    with testing.capture_logs() as lines:
+        calls.run_soon(lambda: 1 / 0)
+        calls.run_soon(lambda: calls.send(make_call(peer.address), fail))
+        assert raised.wait(PATIENCE_S)
+        (found,) = send_all(calls, [make_call(peer.address)])
     assert isinstance(found, outcomes.Ok)
+    assert [line["event"] for line in lines] == ["raised", "raised"]
 
 
 def test_stopped_exchange_makes_no_more_calls(peer):
