--- a/poplarspindle/fleet/book.py
+++ b/poplarspindle/fleet/book.py
@@ -1,5 +1,6 @@
 """State of all jobs, as recorded; equal on every node that read as far."""
 
+import dataclasses
 import enum
 
 from poplarspindle.fleet import work
@@ -28,6 +29,19 @@
 ENDED = frozenset({State.COMPLETED, State.FAILED, State.CANCELLED})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shown:
+    """What all nodes know of a job.
+
+    Attributes:
+        state: Its state, as the owner told it.
+        queue: Name of its queue.
+    """
+
+    state: State
+    queue: str
+
+
 class Task:
     """One task.
 
@@ -153,14 +167,6 @@
     )
 
 
-def count_pending(book: Book, queue: str) -> int:
-    """Counts a queue's accepted jobs of which no task was started."""
-    return sum(
-        job.shown is State.QUEUED and job.submission.queue.name == queue
-        for job in list(book.jobs.values())  # Other threads add to it.
-    )
-
-
 def list_placed(job: Job) -> list[tuple[work.TaskName, Task]]:
     """Lists a job's tasks that a worker holds or may hold."""
     return [
--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -7,7 +7,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from poplarspindle.fleet import dark, orders, work
+from poplarspindle.fleet import book, dark, orders, work
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,12 +17,16 @@
     Attributes:
         epoch: Number of the ownership.
         silent: Silent workers, as the log says.
+        shown: What all nodes know of jobs, as the log says.
+        read: Offsets up to which the book holds the hand-ins, by part.
     """
 
     at: float
     wall_ms: int
     epoch: int
     silent: Mapping[str, dark.Dark] = dataclasses.field(default_factory=dict)
+    shown: Mapping[str, book.Shown] = dataclasses.field(default_factory=dict)
+    read: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +46,15 @@
     job: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandInsRead:
+    """All hand-ins of one part were read up to an offset."""
+
+    at: float
+    part: int
+    next: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkersListed:
     """The list of workers was read.
@@ -138,6 +151,7 @@
     Claimed
     | JobRead
     | CancelRead
+    | HandInsRead
     | WorkersListed
     | Configured
     | Reported
--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -17,6 +17,7 @@
 )
 
 LOAD_S = 0.5
+READ_S = 0.1  # Until then other nodes read the hand-ins themselves.
 LATE_ORDER_S = 15.0  # An order without an answer may be done that late.
 
 
@@ -40,6 +41,10 @@
         freed_at: When the last worker was freed or task moved for it.
         open_jobs: Ids of jobs that have not ended.
         dirty: Ids of jobs whose progress is to be recorded.
+        untold: Ids of jobs of whose state the shared log has no word.
+        read: Offsets up to which hand-ins were read, by part.
+        read_told: The same, as last told.
+        read_told_at: When that was told.
         touched: Groups of tasks that are to be recorded, with their job.
         waiting: Effects that follow the next append.
         fresh_runs: Runs that the next append records.
@@ -92,6 +97,10 @@
         self.chosen_at = float("-inf")
         self.open_jobs: dict[str, None] = {}
         self.dirty: dict[str, None] = {}
+        self.untold: dict[str, None] = {}
+        self.read: list[int] = []
+        self.read_told: list[int] = []
+        self.read_told_at = float("-inf")
         self.touched: dict[tuple[str, book.Group], None] = {}
         self.waiting: list[effects.Effect] = []
         self.fresh_runs: list[views.Run] = []
@@ -322,7 +331,7 @@
 
 def flush(own: Fleet) -> list:
     """Records all that changed, unless an append is in flight."""
-    found = _tell_load(own) + _tell_silent(own)
+    found = _tell_load(own) + _tell_silent(own) + _tell_read(own)
     if own.sent or not (own.dirty or own.touched or own.waiting):
         return found
     changed = _list_groups(own)
@@ -381,6 +390,20 @@
     return [effects.Publish((admission.encode_load(sum_load(own)),))]
 
 
+def _tell_read(own: Fleet) -> list:
+    """Tells of new jobs, and up to where all hand-ins are told of."""
+    if own.at - own.read_told_at < READ_S:
+        return []
+    if not own.untold and own.read == own.read_told:
+        return []
+    own.read_told_at = own.at
+    own.read_told = list(own.read)
+    jobs = [own.book.jobs[n] for n in own.untold if n in own.book.jobs]
+    own.untold.clear()
+    told = [records.encode_state(job) for job in jobs]
+    return [effects.Publish((*told, records.encode_read(own.read)))]
+
+
 def _tell_silent(own: Fleet) -> list:
     if not own.dark_changed or own.told_dark is not None:
         return []
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -42,6 +42,7 @@
     job = own.book.jobs.get(event.job)
     if job is None or job.state in book.ENDED or event.job in own.open_jobs:
         return []
+    own.untold[event.job] = None
     if job.cancelled:
         return fleet.end_job(own, job, book.State.CANCELLED)
     own.open_jobs[event.job] = None
@@ -49,10 +50,16 @@
     return []
 
 
+def _read_hand_ins(own: fleet.Fleet, event: events.HandInsRead) -> list:
+    own.read[event.part] = event.next
+    return []
+
+
 def _read_cancel(own: fleet.Fleet, event: events.CancelRead) -> list:
     job = own.book.jobs.get(event.job)
     if job is None or job.state in book.ENDED:
         return []
+    own.untold[event.job] = None
     return fleet.end_job(own, job, book.State.CANCELLED)
 
 
@@ -250,6 +257,7 @@
     events.Claimed: takeover.take_over,
     events.JobRead: _read_job,
     events.CancelRead: _read_cancel,
+    events.HandInsRead: _read_hand_ins,
     events.WorkersListed: _list_workers,
     events.Configured: _configure,
     events.Reported: reports.take_report,
--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -1,7 +1,9 @@
-"""Records of the fleet's two logs; the newest of each key counts.
+"""Records of the fleet's logs; the newest of each key counts.
 
-All nodes follow the shared log. There a job has up to three keys: what its
-caller handed in, that it was cancelled, and its state, which the owner writes.
+What callers hand in, jobs and cancellings, goes into parts by the job's id, so
+that a slow store takes many at a time; only the owner follows them. In the
+shared log, which all nodes follow, the owner tells each job's state, and up to
+where it has read the hand-ins.
 
 The progress log is the owner's alone; the next owner reads it when it begins.
 There a job has one key for itself and one for each group of a step's tasks, so
@@ -9,6 +11,8 @@
 """
 
 import dataclasses
+import zlib
+from collections.abc import Iterable
 
 import msgpack
 
@@ -20,6 +24,7 @@
 STATE = "t"
 PROGRESS = "s"
 TASKS = "r"
+READ_KEY = "read"
 GROUP_TASKS = 16  # One record is a kilobyte; a wide step has ten groups.
 OWNER_KEY = "owner"
 RESIGNED_KEY = "resigned"
@@ -140,17 +145,30 @@
 
 def encode_state(job: book.Job) -> Record:
     """Encodes a job's state, for all nodes."""
-    value = msgpack.packb([FORM, job.shown.value, job.ended_ms])
-    return Record(f"{STATE}/{job.submission.job}", value)
+    value = [FORM, job.shown.value, job.submission.queue.name]
+    return Record(f"{STATE}/{job.submission.job}", msgpack.packb(value))
 
 
-def apply_state(job: book.Job, value: bytes) -> None:
-    """Sets a job's state; raises ValueError where it is malformed."""
-    _, state, ended_ms = unpack(value)
-    job.state = book.State(state)
-    job.ended_ms = ended_ms
-    if job.state in book.ENDED or not job.cancelled:
-        job.shown = job.state
+def decode_state(value: bytes) -> book.Shown:
+    """Decodes a job's state; raises ValueError where it is malformed."""
+    _, state, queue = unpack(value)
+    return book.Shown(book.State(state), queue)
+
+
+def encode_read(offsets: Iterable[int]) -> Record:
+    """Encodes up to where the owner has told of hand-ins, by part."""
+    return Record(READ_KEY, msgpack.packb([FORM, *offsets]))
+
+
+def decode_read(value: bytes) -> tuple[int, ...]:
+    """Decodes the offsets; raises ValueError where they are malformed."""
+    _, *offsets = unpack(value)
+    return tuple(map(int, offsets))
+
+
+def choose_part(job: str, parts: int) -> int:
+    """Returns the part that a job's hand-ins go into."""
+    return zlib.crc32(job.encode()) % parts
 
 
 def encode_progress(job: book.Job) -> Record:
@@ -226,10 +244,13 @@
 
 
 def list_drops(job: str) -> list[Record]:
-    """Returns the records that drop a job from the shared log."""
-    return [
-        Record(f"{kind}/{job}", b"") for kind in (STATE, CANCELLED, SUBMITTED)
-    ]
+    """Returns the records that drop a job's hand-ins."""
+    return [Record(f"{kind}/{job}", b"") for kind in (CANCELLED, SUBMITTED)]
+
+
+def drop_state(job: str) -> Record:
+    """Returns the record that drops an ended job from the shared log."""
+    return Record(f"{STATE}/{job}", b"")
 
 
 def drop_progress(job: str) -> Record:
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -21,9 +21,13 @@
     own.dark_changed = bool(event.silent)
     unsure_at = event.at + leases.TAKEOVER_GRANT_S
     unsure_at += own.lease_most_ms / 1000 * views.CLOCK_DRIFT
+    own.read = list(event.read)
     for name, job in own.book.jobs.items():
-        if job.shown is not job.state:
-            own.dirty[name] = None  # The last owner may not have told it.
+        if job.state in book.ENDED or not job.cancelled:
+            job.shown = job.state
+        told = event.shown.get(name)
+        if told is None or told.state is not job.shown:
+            own.untold[name] = None  # The last owner may not have told it.
         if job.state in book.ENDED:
             own.drops[name] = None
             continue
@@ -64,6 +68,33 @@
     return found
 
 
+def load_hand_ins(
+    found: Iterable[records.Record],
+) -> tuple[book.Book, list[str]]:
+    """Makes the book of all jobs from the newest records of all hand-ins.
+
+    Returns:
+        The book, and the keys of records that can't be read.
+    """
+    known = book.Book()
+    malformed: list[str] = []
+    for record in found:
+        kind, _, name = record.key.partition("/")
+        if kind == records.SUBMITTED and record.value:
+            try:
+                submission = records.decode_submission(name, record.value)
+            except (ValueError, TypeError, KeyError, IndexError):
+                malformed.append(record.key)
+                continue
+            book.add_job(known, submission)
+        elif kind == records.CANCELLED and record.value:
+            if name in known.jobs:
+                book.cancel_job(known.jobs[name])
+            else:
+                known.early_cancels.add(name)
+    return known, malformed
+
+
 def load_progress(
     known: book.Book, found: Iterable[records.Record]
 ) -> tuple[list[records.Record], list[str]]:
--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -9,9 +9,8 @@
 
 from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import storage, threads
+from poplarspindle.node import threads
 
-APPEND_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
 RETRY_S = 0.05
 RETRY_MOST_S = 0.4
 RECORD_HEAD_BYTES = 16  # What the store counts for a record besides its value.
@@ -19,6 +18,9 @@
 _log = structlog.get_logger(part="owner")
 
 Done = Callable[[float], None]
+Append = Callable[
+    [list[records.Record], int], outcomes.Ok[int] | outcomes.Failed
+]
 
 
 class Appender:
@@ -28,9 +30,9 @@
     of records with the same key the newest counts.
 
     Args:
-        store: The store.
-        topic: The topic.
-        epoch: Epoch of the owner that appends.
+        name: Name of the log, for log lines.
+        append: Makes one append, given the records and the number of the
+            append; a repeat with the same number appends nothing more.
         most_bytes: Most bytes of one call.
         over: Set when the ownership is over.
         lose: Called with a reason where another owner was seen.
@@ -42,17 +44,15 @@
 
     def __init__(
         self,
-        store: storage.Store,
-        topic: str,
-        epoch: int,
+        name: str,
+        append: Append,
         most_bytes: int,
         over: threading.Event,
         lose: Callable[[str], None],
         counters: metrics.Metrics,
     ) -> None:
-        self._store = store
-        self._topic = topic
-        self._epoch = epoch
+        self._name = name
+        self._call = append
         self._most_bytes = most_bytes
         self._over = over
         self._lose = lose
@@ -120,9 +120,7 @@
         backoff_s = RETRY_S
         while not self._over.is_set():
             began = time.monotonic()
-            answer = self._store.append(
-                found, APPEND_S, self._epoch, self._sequence, self._topic
-            )
+            answer = self._call(found, self._sequence)
             if isinstance(answer, outcomes.Ok):
                 self.ok_at = time.monotonic()
                 self._counters.observe(
@@ -136,7 +134,7 @@
                 return False
             _log.warning(
                 "append-failed",
-                topic=self._topic,
+                log=self._name,
                 why=answer.reason,
                 sequence=self._sequence,
             )
--- a/poplarspindle/node/commits.py
+++ b/poplarspindle/node/commits.py
@@ -1,4 +1,11 @@
-"""Group commit of what callers hand in: one append for all that wait."""
+"""Group commit of what callers hand in: one append for all that wait.
+
+Load pattern: the store turns slow by a factor of a hundred, and each part of
+a log takes one append at a time. Hand-ins go into parts by their job, so that
+as many appends go on side by side; and the time after which an append counts
+as unanswered follows what appends took lately, since a second one of what is
+only slow would add to the load.
+"""
 
 import dataclasses
 import threading
@@ -7,9 +14,11 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import storage, threads
+from poplarspindle.node import ports, storage, threads
 
-APPEND_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
+PATIENCE_LEAST_S = 0.5  # An append takes 10 ms; an answer may be lost.
+PATIENCE_MOST_S = 2.6  # The store refuses what would wait for over 2 s.
+PATIENCE_FACTOR = 6  # Times what the last append took.
 BACKOFF_S = 0.05
 BACKOFF_MOST_S = 0.4
 BATCH_RECORDS = 200
@@ -36,20 +45,62 @@
     reason: str = ""
 
 
+class HandIns:
+    """Appends what callers hand in, each job's to its part.
+
+    Args:
+        platform: What the node runs on.
+        applied: Called with the records of each acknowledged append.
+    """
+
+    def __init__(
+        self,
+        platform: ports.Platform,
+        applied: Callable[[list[records.Record]], None],
+    ) -> None:
+        self._platform = platform
+        self._applied = applied
+        self._parts: dict[int, Commits] = {}
+        self._lock = threading.Lock()
+
+    def commit(self, record: records.Record, deadline: float) -> Entry:
+        """Appends a record; returns its outcome at the deadline at latest."""
+        job = record.key.partition("/")[2]
+        part = records.choose_part(job, self._platform.parts)
+        with self._lock:
+            commits = self._parts.get(part)
+            if commits is None:
+                commits = self._parts[part] = Commits(
+                    self._platform.store,
+                    self._platform.hand_ins_topic,
+                    part,
+                    self._applied,
+                )
+                commits.start()
+        return commits.commit(record, deadline)
+
+
 class Commits:
-    """Appends records of many callers together.
+    """Appends records of many callers together to one part of a topic.
 
     Args:
         store: The store.
+        topic: The topic.
+        part: The part.
         applied: Called with the records of each acknowledged append.
     """
 
     def __init__(
         self,
         store: storage.Store,
+        topic: str,
+        part: int,
         applied: Callable[[list[records.Record]], None],
     ) -> None:
         self._store = store
+        self._topic = topic
+        self._part = part
+        self._patience_s = PATIENCE_LEAST_S
         self._applied = applied
         self._waiting: list[Entry] = []
         self._changed = threading.Condition()
@@ -91,7 +142,14 @@
         if left_s <= 0:
             return self._give_up(batch, "late")
         answer = self._store.append(
-            [entry.record for entry in batch], min(APPEND_S, left_s)
+            [entry.record for entry in batch],
+            min(self._patience_s, left_s),
+            topic=self._topic,
+            part=self._part,
+        )
+        took_s = time.monotonic() - now
+        self._patience_s = choose_patience(
+            self._patience_s, took_s, isinstance(answer, outcomes.Ok)
         )
         if isinstance(answer, outcomes.Ok):
             self._applied([entry.record for entry in batch])
@@ -117,3 +175,15 @@
             entry.reason = entry.reason or reason
             entry.done.set()
         return []
+
+
+def choose_patience(before_s: float, took_s: float, answered: bool) -> float:
+    """Chooses how long the next append is waited for.
+
+    Args:
+        before_s: How long the last one was waited for at most.
+        took_s: How long it took.
+        answered: Whether it was carried out.
+    """
+    wanted_s = PATIENCE_FACTOR * took_s if answered else 2 * before_s
+    return min(PATIENCE_MOST_S, max(PATIENCE_LEAST_S, wanted_s))
--- a/poplarspindle/node/desk.py
+++ b/poplarspindle/node/desk.py
@@ -2,14 +2,24 @@
 
 import dataclasses
 import time
+from collections.abc import Callable
 
 import structlog
 
 from poplarspindle import metrics, outcomes, serving
 from poplarspindle.fleet import admission, book, records
-from poplarspindle.node import calls, clocks, commits, followers, known, ports
+from poplarspindle.node import (
+    calls,
+    clocks,
+    commits,
+    followers,
+    known,
+    ports,
+    storage,
+)
 
 READY_FRESH_S = 3.0
+OWNER_SILENT_S = 1.2  # The owner tells of hand-ins within that time.
 ANSWER_MARGIN_S = 0.15
 RETRY_S = 1
 
@@ -24,7 +34,8 @@
         counters: The node's figures.
         what: What the node knows.
         hand_ins: Appends what callers hand in.
-        jobs: Follows the log.
+        shared: Follows the shared log.
+        heard_at: Returns when the owner was last heard, monotonic seconds.
     """
 
     def __init__(
@@ -32,18 +43,20 @@
         platform: ports.Platform,
         counters: metrics.Metrics,
         what: known.Known,
-        hand_ins: commits.Commits,
-        jobs: followers.Follower,
+        hand_ins: commits.HandIns,
+        shared: followers.Follower,
+        heard_at: Callable[[], float],
     ) -> None:
         self._platform = platform
         self._counters = counters
         self._known = what
         self._commits = hand_ins
-        self._jobs = jobs
+        self._shared = shared
+        self._heard_at = heard_at
 
     def is_ready(self) -> bool:
         """Tells whether this node can take callers' work."""
-        stale_s = time.monotonic() - self._jobs.fresh_at
+        stale_s = time.monotonic() - self._shared.fresh_at
         return (
             not self._known.leaving
             and self._known.loaded
@@ -110,7 +123,7 @@
         return _ANSWERS[call.kind](self, call, deadline), call
 
     def _submit(self, call: calls.Call, deadline: float) -> calls.Answer:
-        if call.job in self._known.book.jobs:
+        if known.find_job(self._known, call.job) is not None:
             return calls.Answer(200)
         if not self._known.loaded:
             return _refuse(503, "The log is not read yet.")
@@ -126,50 +139,97 @@
         return _answer_entry(entry)
 
     def _cancel(self, call: calls.Call, deadline: float) -> calls.Answer:
-        known = self._known.book.jobs.get(call.job)
-        if known is None:
+        found = known.find_job(self._known, call.job)
+        if found is None:
             absent = self._confirm_absent(call.job)
             if absent is not None:
                 return absent
-        if known is not None and known.cancelled:
+        elif found.state is book.State.CANCELLED:
             return calls.Answer(200)
         entry = self._commits.commit(records.encode_cancel(call.job), deadline)
         return _answer_entry(entry)
 
     def _show(self, call: calls.Call, deadline: float) -> calls.Answer:
-        known = self._known.book.jobs.get(call.job)
-        if known is None:
+        found = known.find_job(self._known, call.job)
+        if found is None:
             absent = self._confirm_absent(call.job)
             if absent is not None:
                 return absent
-            known = self._known.book.jobs.get(call.job)
-        state = known.shown if known else book.State.QUEUED
+            found = known.find_job(self._known, call.job)
+        state = found.state if found else book.State.QUEUED
         return calls.Answer(200, state=state.value)
 
     def _confirm_absent(self, job: str) -> calls.Answer | None:
-        """Reads to the log's tail; returns the answer if a job isn't there."""
-        offset = self._known.applied
-        if not self._known.loaded or offset < 0:
+        """Reads on from where the owner told of hand-ins.
+
+        Returns:
+            The answer if a job surely isn't there or can't be looked for,
+            None where it is there.
+        """
+        if not self._known.loaded:
             return _refuse(503, "The log is not read yet.")
-        topic = self._platform.fleet_topic
-        page = self._platform.store.read(topic, offset, 0)
-        if isinstance(page, outcomes.Failed):
-            return _refuse(503, "The log does not answer.")
+        part = records.choose_part(job, self._platform.parts)
+        found = self._read_untold(part)
+        if isinstance(found, outcomes.Failed):
+            return _refuse(503, f"The log does not answer: {found.reason}.")
         key = f"{records.SUBMITTED}/{job}"
-        if job in self._known.book.jobs or any(
-            record.key == key for record in page.value.found
+        if known.find_job(self._known, job) is not None or any(
+            record.key == key and record.value for record in found
         ):
             return None
-        if page.value.next < page.value.end:
-            return _refuse(503, "The log is not read to its end.")
         return calls.Answer(410, error="There is no such job.")
 
+    def _read_untold(
+        self, part: int
+    ) -> tuple[records.Record, ...] | outcomes.Failed:
+        """Reads the hand-ins of which the owner has not told, to the end."""
+        store, topic = self._platform.store, self._platform.hand_ins_topic
+        told = self._known.read
+        offset = told[part] if part < len(told) else 0
+        page = store.read(topic, offset, 0, part)
+        if isinstance(page, outcomes.Failed):
+            if page.reason != "expired":
+                return page
+            newest = storage.load_newest(store, topic, part)
+            if isinstance(newest, outcomes.Failed):
+                return newest
+            return newest.value.found
+        if page.value.next < page.value.end:
+            return outcomes.Failed(
+                outcomes.Step.READ, topic, "not-read-to-its-end"
+            )
+        return page.value.found
+
     def _count(self, call: calls.Call, deadline: float) -> calls.Answer:
         if not self._known.loaded:
             return _refuse(503, "The log is not read yet.")
-        pending = book.count_pending(self._known.book, call.queue.name)
+        pending = known.count_pending(self._known, call.queue.name)
+        if time.monotonic() - self._heard_at() >= OWNER_SILENT_S:
+            untold = self._count_untold(call.queue.name)
+            if isinstance(untold, outcomes.Failed):
+                reason = f"The log does not answer: {untold.reason}."
+                return _refuse(503, reason)
+            pending += untold
         return calls.Answer(200, pending=pending)
 
+    def _count_untold(self, queue: str) -> int | outcomes.Failed:
+        """Counts jobs that no owner has told of, while none is heard."""
+        count = 0
+        for part in range(self._platform.parts):
+            found = self._read_untold(part)
+            if isinstance(found, outcomes.Failed):
+                return found
+            for record in found:
+                kind, _, job = record.key.partition("/")
+                if (
+                    kind == records.SUBMITTED
+                    and record.value
+                    and known.find_job(self._known, job) is None
+                ):
+                    submission = records.decode_submission(job, record.value)
+                    count += submission.queue.name == queue
+        return count
+
 
 _ANSWERS = {
     calls.Kind.SUBMIT: Desk._submit,
--- a/poplarspindle/node/followers.py
+++ b/poplarspindle/node/followers.py
@@ -28,6 +28,9 @@
         apply: Called with the records of each page read after that, the
             offset behind them, and whether that is the tail.
         pause_s: Returns the least time between two pages, seconds.
+        part: Part of the topic.
+        first: Offset to begin at, -1 to read all newest records first.
+        over: Ends the following when set.
 
     Attributes:
         next: Offset to read next, -1 before the newest records were read.
@@ -41,7 +44,12 @@
         reset: Callable[[tuple[records.Record, ...], int], None],
         apply: Callable[[tuple[records.Record, ...], int, bool], None],
         pause_s: Callable[[], float],
+        part: int = 0,
+        first: int = -1,
+        over: threading.Event | None = None,
     ) -> None:
+        self._part = part
+        self._over = over or threading.Event()
         self._store = store
         self._topic = topic
         self._reset = reset
@@ -49,12 +57,12 @@
         self._pause_s = pause_s
         self._reload = threading.Event()
         self._reached_tail = False
-        self.next = -1
+        self.next = first
         self.fresh_at = float("-inf")
 
     def start(self) -> None:
         """Starts the reading thread."""
-        threads.start(self._run)
+        threads.start(self._run, self._over)
 
     def reload(self) -> None:
         """Has all newest records read again."""
@@ -62,7 +70,7 @@
 
     def _run(self) -> None:
         failures = 0
-        while True:
+        while not self._over.is_set():
             if self.next < 0 or self._reload.is_set():
                 self._reload.clear()
                 failure = self._load()
@@ -93,7 +101,7 @@
             time.sleep(min(BACKOFF_MOST_S, BACKOFF_S * failures))
 
     def _load(self) -> outcomes.Failed | None:
-        found = storage.load_newest(self._store, self._topic)
+        found = storage.load_newest(self._store, self._topic, self._part)
         if isinstance(found, outcomes.Failed):
             return found
         self._reset(found.value.found, found.value.end)
@@ -104,7 +112,9 @@
     def _read(self) -> outcomes.Failed | None:
         # On a calm log the first read would wait in vain to show the tail.
         wait_ms = WAIT_MS if self._reached_tail else 0
-        page = self._store.read(self._topic, self.next, wait_ms)
+        page = self._store.read(self._topic, self.next, wait_ms, self._part)
+        if self._over.is_set():
+            return None
         if isinstance(page, outcomes.Failed):
             return page
         self.next = page.value.next
--- a/poplarspindle/node/known.py
+++ b/poplarspindle/node/known.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from poplarspindle.fleet import admission, book, dark, work
+from poplarspindle.fleet import admission, book, dark, records, work
 from poplarspindle.node import wishes
 
 _log = structlog.get_logger(part="node")
@@ -12,9 +12,10 @@
     """What a node has read.
 
     Attributes:
-        book: All jobs.
-        loaded: Whether the book holds all up to the log's tail.
-        applied: Offset in the log up to which the book holds all.
+        shown: Jobs and their states, as the owner told them.
+        taken: Jobs handed in here of which the owner has not told yet.
+        read: Offsets up to which the owner told of hand-ins, by part.
+        loaded: Whether all up to the shared log's tail is known.
         leaving: Whether the node was asked to stop.
         configuration: The operators' configuration, None before it is read.
         out: Data centres that get no more work.
@@ -23,9 +24,10 @@
     """
 
     def __init__(self) -> None:
-        self.book = book.Book()
+        self.shown: dict[str, book.Shown] = {}
+        self.taken: dict[str, book.Shown] = {}
+        self.read: tuple[int, ...] = ()
         self.loaded = False
-        self.applied = -1
         self.leaving = False
         self.configuration: work.Configuration | None = None
         self.out: frozenset[str] = frozenset()
@@ -33,6 +35,53 @@
         self.silent: dict[str, dark.Dark] = {}
 
 
+def find_job(known: Known, job: str) -> book.Shown | None:
+    """Returns what is known of a job, None where it is not known."""
+    return known.shown.get(job) or known.taken.get(job)
+
+
+def apply_shared(known: Known, record: records.Record, at: float) -> None:
+    """Takes a record of the shared log in, read at `at`, own clock.
+
+    Raises:
+        ValueError: The record is malformed.
+    """
+    kind, _, job = record.key.partition("/")
+    if kind == records.STATE:
+        known.taken.pop(job, None)
+        if record.value:
+            known.shown[job] = records.decode_state(record.value)
+        else:
+            known.shown.pop(job, None)
+    elif kind == records.READ_KEY:
+        known.read = records.decode_read(record.value)
+    elif kind == admission.LOAD_KEY:
+        known.load = admission.decode_load(record.value)
+    elif kind == dark.DARK_KEY:
+        known.silent = dark.decode_dark(record.value, at)
+
+
+def note_taken(known: Known, record: records.Record) -> None:
+    """Notes what was handed in here and is in the log."""
+    kind, _, job = record.key.partition("/")
+    before = find_job(known, job)
+    if kind == records.SUBMITTED and before is None:
+        queue = records.decode_submission(job, record.value).queue.name
+        known.taken[job] = book.Shown(book.State.QUEUED, queue)
+    elif kind == records.CANCELLED and job in known.taken:
+        queue = known.taken[job].queue
+        known.taken[job] = book.Shown(book.State.CANCELLED, queue)
+
+
+def count_pending(known: Known, queue: str) -> int:
+    """Counts a queue's accepted jobs of which no task was started."""
+    # Other threads add to them.
+    return sum(
+        found.state is book.State.QUEUED and found.queue == queue
+        for found in (*known.shown.values(), *known.taken.values())
+    )
+
+
 def apply_wish(known: Known, wish: wishes.Wish) -> None:
     """Takes in what operators wish; an older configuration is passed over."""
     if isinstance(wish, wishes.Configured):
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -8,11 +8,10 @@
 
 import structlog
 
-from poplarspindle import metrics, outcomes, serving
+from poplarspindle import metrics, serving
 from poplarspindle.fleet import (
     admission,
     book,
-    dark,
     effects,
     events,
     fitness,
@@ -23,6 +22,7 @@
     takeover,
 )
 from poplarspindle.node import (
+    claims,
     clocks,
     commits,
     desk,
@@ -32,20 +32,17 @@
     ports,
     settings,
     standing,
-    storage,
     threads,
 )
 
 CALLER_THREADS = 24
 TICK_S = 0.05
 BATCH_EVENTS = 200
-FOLLOW_PAUSE_S = 0.15  # Each read is priced; states may be shown as late.
+FOLLOW_PAUSE_S = 0.25  # Each read is priced; states may be shown as late.
 LEAVE_ROTATION_S = 2.5
 STORE_AWAY_S = 0.8  # Joins and appends confirm the store more often.
 HAND_OVER_POLL_S = 0.05
 HAND_OVER_S = 0.3  # Time for the state thread to give ownership up.
-PREPARE_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
-PREPARE_PAUSE_S = 0.1
 PLACE_SHARE = 3  # For each second of placing, so many for what comes in.
 SETTLE_EVERY_S = 0.004  # Under load, decisions are made for many events.
 
@@ -56,33 +53,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reset:
+    """All newest records of the shared log, and where more follows."""
+
     found: tuple[records.Record, ...]
-    next: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Read:
-    """Records of a page, up to an offset; own ones have no offset."""
+    """Records of a page of the shared log."""
 
     found: tuple[records.Record, ...]
-    next: int = -1
-    at_tail: bool = False
+    at_tail: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Prepared:
-    """What a claim needs before it is an ownership.
-
-    Attributes:
-        epoch: Epoch of the claim.
-        progress: Newest records of the progress log, which takes appends of
-            this epoch only.
-        end: End of the shared log after that: the last owner read no more.
-    """
+class _Taken:
+    """Hand-ins of this node's callers that are in the log."""
+
+    found: tuple[records.Record, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HandIns:
+    """Hand-ins of one part, read by the owner of an epoch."""
 
     epoch: int
-    progress: tuple[records.Record, ...]
-    end: int
+    part: int
+    found: tuple[records.Record, ...]
+    next: int
 
 
 class Node:
@@ -108,7 +106,6 @@
         self._known = known.Known()
         self._fleet: fleet.Fleet | None = None
         self._owning: owning.Owning | None = None
-        self._prepared: _Prepared | None = None
         self._preparing = 0
         self._stepping_down = False
         self._standing = standing.Standing(
@@ -122,12 +119,14 @@
                 own_settings.memory_mb,
             ),
         )
-        self._commits = commits.Commits(platform.store, self._take_committed)
-        self._jobs = followers.Follower(
+        self._commits = commits.HandIns(
+            platform, lambda found: self._events.put(_Taken(tuple(found)))
+        )
+        self._shared = followers.Follower(
             platform.store,
             platform.fleet_topic,
-            lambda found, end: self._events.put(_Reset(found, end)),
-            lambda found, end, tail: self._events.put(_Read(found, end, tail)),
+            lambda found, _: self._events.put(_Reset(found)),
+            lambda found, _, tail: self._events.put(_Read(found, tail)),
             lambda: (
                 0.0
                 if self._standing.owning or self._preparing
@@ -142,7 +141,12 @@
             lambda: 0.0,
         )
         self.desk = desk.Desk(
-            platform, counters, self._known, self._commits, self._jobs
+            platform,
+            counters,
+            self._known,
+            self._commits,
+            self._shared,
+            lambda: self._standing.heard_at,
         )
         self._servers = [
             serving.Server(
@@ -159,8 +163,7 @@
     def start(self) -> None:
         """Starts all threads and servers."""
         threads.start(self._run)
-        self._commits.start()
-        self._jobs.start()
+        self._shared.start()
         self._operators.start()
         self._standing.start()
         for server in self._servers:
@@ -230,11 +233,12 @@
             try:
                 self._take_batch(batch)
             except Exception:
-                # Part of the batch is lost: the book is read anew.
+                # Part of the batch is lost: what is known is read anew.
                 _log.exception("state-failed", events=len(batch))
                 self._give_up_ownership("state-failed")
+                self._standing.withdraw()
                 self._known.loaded = self._standing.able = False
-                self._jobs.reload()
+                self._shared.reload()
 
     def _next_events(self) -> list:
         found = []
@@ -310,12 +314,16 @@
                 event.at - event.sent_at,
             )
         if isinstance(event, _Reset):
-            self._reset_book(event)
+            self._reset_known(event)
         elif isinstance(event, _Read):
-            self._read_records(event)
-        elif isinstance(event, _Prepared):
-            self._prepared = event
-            self._become_owner()
+            self._read_shared(event)
+        elif isinstance(event, _Taken):
+            for record in event.found:
+                known.note_taken(self._known, record)
+        elif isinstance(event, _HandIns):
+            self._read_hand_ins(event)
+        elif isinstance(event, claims.Prepared):
+            self._become_owner(event)
         elif isinstance(event, owning.Lost):
             if self._fleet and event.epoch in (0, self._fleet.epoch):
                 self._give_up_ownership(event.why)
@@ -346,27 +354,15 @@
             else:
                 self._owning.carry_out(effect)
 
-    def _reset_book(self, event: _Reset) -> None:
-        if self._fleet is not None:
-            self._give_up_ownership("log-expired")
+    def _reset_known(self, event: _Reset) -> None:
         self._known.loaded = False
         self._standing.able = False
-        self._known.book = book.Book()
-        # A job's other records need the job: it comes first.
-        for kind in (records.SUBMITTED, records.CANCELLED, records.STATE):
-            for record in event.found:
-                if record.key.startswith(f"{kind}/"):
-                    self._apply(record)
+        self._known.shown = {}
         for record in event.found:
-            if "/" not in record.key:
-                self._apply(record)
-        self._known.applied = event.next
+            self._apply(record)
         self._standing.heard_at = self._find_heard_at()
         _log.info(
-            "loaded",
-            records=len(event.found),
-            jobs=len(self._known.book.jobs),
-            next=event.next,
+            "loaded", records=len(event.found), jobs=len(self._known.shown)
         )
 
     def _find_heard_at(self) -> float:
@@ -380,73 +376,61 @@
         age_ms = clocks.tell_wall_ms() - self._known.load.at_ms
         return time.monotonic() - max(0, age_ms) / 1000
 
-    def _read_records(self, event: _Read) -> None:
-        mine = event.next < 0
+    def _read_shared(self, event: _Read) -> None:
         for record in event.found:
             self._apply(record)
-            if record.key in OWNERS_KEYS and not mine:
+            if record.key in OWNERS_KEYS:
                 self._standing.heard_at = time.monotonic()
-        if mine:
-            return
-        self._known.applied = event.next
         if event.at_tail:
             self._known.loaded = True
             self._standing.able = self._known.configuration is not None
-        self._become_owner()
 
     def _apply(self, record: records.Record) -> None:
-        kind, _, job = record.key.partition("/")
         try:
-            if kind == records.SUBMITTED:
-                self._apply_submission(job, record.value)
-            elif kind == records.OWNER_KEY:
+            if record.key == records.OWNER_KEY:
                 self._read_owner(record)
-            elif kind == records.RESIGNED_KEY:
+            elif record.key == records.RESIGNED_KEY:
                 epoch = records.decode_resignation(record.value)
                 self._standing.note_resigned(epoch)
-            elif kind == admission.LOAD_KEY:
-                self._known.load = admission.decode_load(record.value)
-            elif kind == dark.DARK_KEY:
-                self._known.silent = dark.decode_dark(
-                    record.value, time.monotonic()
-                )
-            elif kind == fitness.MARK_KEY:
+            elif record.key == fitness.MARK_KEY:
                 self._standing.best = fitness.decode_mark(record.value)
-            elif kind == fitness.CANDIDATE_KEY:
+            elif record.key == fitness.CANDIDATE_KEY:
                 self._weigh_candidate(fitness.decode_candidate(record.value))
-            elif kind == records.CANCELLED and record.value:
-                self._apply_cancel(job)
-            elif kind == records.STATE and self._fleet is None:
-                known = self._known.book.jobs.get(job)
-                if known is not None and record.value:
-                    records.apply_state(known, record.value)
+            else:
+                known.apply_shared(self._known, record, time.monotonic())
         except (ValueError, TypeError, KeyError, IndexError) as error:
-            self._counters.add("poplarspindle_records_total", "malformed")
-            _log.warning("malformed", key=record.key, why=repr(error))
+            self._note_malformed(record.key, repr(error))
 
-    def _apply_submission(self, job: str, value: bytes) -> None:
-        if not value:
-            if self._fleet is None:
-                self._known.book.jobs.pop(job, None)
-            return
-        if job in self._known.book.jobs:
-            return
-        submission = records.decode_submission(job, value)
-        book.add_job(self._known.book, submission)
-        if self._fleet is not None:
-            self._reduce(events.JobRead(time.monotonic(), job))
+    def _note_malformed(self, key: str, why: str) -> None:
+        self._counters.add("poplarspindle_records_total", "malformed")
+        _log.warning("malformed", key=key, why=why)
 
-    def _apply_cancel(self, job: str) -> None:
-        known = self._known.book.jobs.get(job)
-        if known is None:
-            self._known.book.early_cancels.add(job)
+    def _read_hand_ins(self, event: _HandIns) -> None:
+        """Takes in what callers handed in at all nodes."""
+        own = self._fleet
+        if own is None or event.epoch != own.epoch:
             return
-        if known.cancelled:
-            return
-        book.cancel_job(known)
-        if self._fleet is not None:
-            now = time.monotonic()
-            self._reduce(events.CancelRead(now, clocks.tell_wall_ms(), job))
+        now, wall_ms = time.monotonic(), clocks.tell_wall_ms()
+        for record in event.found:
+            kind, _, job = record.key.partition("/")
+            if not record.value:
+                continue
+            if kind == records.CANCELLED:
+                found = own.book.jobs.get(job)
+                if found is None:
+                    own.book.early_cancels.add(job)
+                elif not found.cancelled:
+                    book.cancel_job(found)
+                    self._reduce(events.CancelRead(now, wall_ms, job))
+            elif kind == records.SUBMITTED and job not in own.book.jobs:
+                try:
+                    submission = records.decode_submission(job, record.value)
+                except (ValueError, TypeError, KeyError, IndexError) as error:
+                    self._note_malformed(record.key, repr(error))
+                    continue
+                book.add_job(own.book, submission)
+                self._reduce(events.JobRead(now, job))
+        self._reduce(events.HandInsRead(now, event.part, event.next))
 
     def _weigh_candidate(self, found: fitness.Candidate) -> None:
         if (
@@ -464,68 +448,26 @@
             return
         self._standing.owner = found
         if found.instance == self.incarnation:
-            if (
-                self._fleet is None
-                and self._preparing < found.epoch
-                and not self._known.leaving
-            ):
+            if self._fleet is None and self._preparing < found.epoch:
                 self._preparing = found.epoch
                 threads.start(lambda: self._prepare(found))
         elif self._fleet is not None:
             self._give_up_ownership("other-owner")
 
     def _prepare(self, claim: records.Owner) -> None:
-        """Reads what a claim needs; raises _Prepared unless it is lost.
+        def is_wanted() -> bool:
+            return self._standing.owner is claim and not self._known.leaving
 
-        The progress log first refuses all others, so what is read from it is
-        all that the last owner could append; and what that one knew of jobs
-        stands before the end that the shared log has then.
-        """
-        store, topics = self._platform.store, self._platform
-        began = time.monotonic()
-        fence = records.encode_owner(claim)
-        while self._standing.owner is claim and not self._known.leaving:
-            answer = store.append(
-                [fence], PREPARE_S, claim.epoch, 0, topics.progress_topic
-            )
-            if isinstance(answer, outcomes.Ok):
-                answer = storage.load_newest(store, topics.progress_topic)
-                progress = answer
-            if isinstance(answer, outcomes.Ok):
-                answer = store.read(
-                    topics.fleet_topic, max(0, self._known.applied), 0
-                )
-            if isinstance(answer, outcomes.Ok):
-                _log.info(
-                    "prepared",
-                    about="ownership",
-                    epoch=claim.epoch,
-                    records=len(progress.value.found),
-                    took_ms=int((time.monotonic() - began) * 1000),
-                )
-                self._events.put(
-                    _Prepared(
-                        claim.epoch, progress.value.found, answer.value.end
-                    )
-                )
-                return
-            _log.warning(
-                "not-prepared",
-                about="ownership",
-                epoch=claim.epoch,
-                why=answer.reason,
-            )
-            if answer.reason in ("fenced", "seq"):
-                break
-            time.sleep(PREPARE_PAUSE_S)
-        self._preparing = 0
+        found = claims.prepare(self._platform, claim, is_wanted)
+        if found is not None:
+            self._events.put(found)
+        else:
+            self._preparing = 0
 
-    def _become_owner(self) -> None:
-        """Begins to own the fleet once all that is needed was read."""
-        found, claim = self._prepared, self._standing.owner
-        if found is None or self._known.applied < found.end:
-            return
-        self._prepared, self._preparing = None, 0
+    def _become_owner(self, found: claims.Prepared) -> None:
+        """Begins to own the fleet, unless the claim was lost meanwhile."""
+        self._preparing = 0
+        claim = self._standing.owner
         if (
             self._fleet is not None
             or self._known.leaving
@@ -534,15 +476,13 @@
             or claim.epoch != found.epoch
         ):
             return
-        drops, malformed = takeover.load_progress(
-            self._known.book, found.progress
-        )
-        for key in malformed:
-            self._counters.add("poplarspindle_records_total", "malformed")
-            _log.warning("malformed", key=key, why="progress")
+        jobs, malformed = takeover.load_hand_ins(found.hand_ins)
+        drops, unread = takeover.load_progress(jobs, found.progress)
+        for key in (*malformed, *unread):
+            self._note_malformed(key, "takeover")
         now = time.monotonic()
         self._fleet = fleet.Fleet(
-            self._known.book,
+            jobs,
             self._settings.lease_most_ms,
             self._settings.early_ms,
             self._settings.keep_ended_s,
@@ -569,7 +509,12 @@
             self._owning.carry_out(effects.Append(0, tuple(drops)))
         self._reduce(
             events.Claimed(
-                now, clocks.tell_wall_ms(), found.epoch, self._known.silent
+                now,
+                clocks.tell_wall_ms(),
+                found.epoch,
+                self._known.silent,
+                self._known.shown,
+                found.ends,
             )
         )
         if self._known.configuration is not None:
@@ -578,6 +523,25 @@
                     now, self._known.configuration, self._known.out
                 )
             )
+        self._follow_hand_ins(found)
+
+    def _follow_hand_ins(self, found: claims.Prepared) -> None:
+        """Reads the hand-ins of all nodes for as long as this one owns."""
+        for part, end in enumerate(found.ends):
+
+            def take(rows, offset, *_, part=part) -> None:
+                self._events.put(_HandIns(found.epoch, part, rows, offset))
+
+            followers.Follower(
+                self._platform.store,
+                self._platform.hand_ins_topic,
+                take,
+                take,
+                lambda: 0.0,
+                part,
+                end,
+                self._owning.over,
+            ).start()
 
     def _give_up_ownership(self, why: str) -> None:
         if self._fleet is None:
@@ -589,9 +553,6 @@
         self._owning.stop()
         self._owning = None
         self._standing.owning = False
-        self._standing.able = False
-        self._known.loaded = False
-        self._jobs.reload()
 
     # What operators write.
 
@@ -614,6 +575,3 @@
                     time.monotonic(), self._known.configuration, self._known.out
                 )
             )
-
-    def _take_committed(self, found: list[records.Record]) -> None:
-        self._events.put(_Read(tuple(found)))
--- a/poplarspindle/node/owning.py
+++ b/poplarspindle/node/owning.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from poplarspindle import metrics
+from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import effects, events, records, views, work
 from poplarspindle.node import (
     appending,
@@ -19,6 +19,7 @@
     watches,
 )
 
+APPEND_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
 EXTEND_S = 0.4  # Workers answer in milliseconds; a stop must go on.
 
 _log = structlog.get_logger(part="owner")
@@ -65,17 +66,20 @@
         self._watches: dict[str, watches.Watch] = {}
         self._orders: collections.deque[effects.Order] = collections.deque()
         self._exchange = exchange.Exchange()
-        self._progress, self._shared = (
+        self._progress, self._shared, self._hand_ins = (
             appending.Appender(
-                platform.store,
-                topic,
-                epoch,
+                name,
+                append,
                 own_settings.batch_most_bytes,
                 self.over,
                 self.lose,
                 counters,
             )
-            for topic in (platform.progress_topic, platform.fleet_topic)
+            for name, append in (
+                ("progress", _fence(platform, platform.progress_topic, epoch)),
+                ("shared", _fence(platform, platform.fleet_topic, epoch)),
+                ("hand-ins", _part(platform)),
+            )
         )
         self._list = listing.Listing(
             platform.store,
@@ -89,9 +93,12 @@
 
     def start(self) -> None:
         """Starts all threads."""
-        for part in (self._exchange, self._progress, self._shared, self._list):
+        for part in (self._exchange, self._list, *self._appenders()):
             part.start()
 
+    def _appenders(self) -> tuple[appending.Appender, ...]:
+        return self._progress, self._shared, self._hand_ins
+
     def connect(self, worker: work.Worker):
         """Makes a client of a worker."""
         return self._connect(self._exchange, worker)
@@ -118,8 +125,8 @@
     def stop(self) -> None:
         """Ends all threads; orders not yet sent are dropped."""
         self.over.set()
-        self._progress.stop()
-        self._shared.stop()
+        for appender in self._appenders():
+            appender.stop()
         self._exchange.stop()
 
     def extend_leases(self) -> None:
@@ -175,9 +182,14 @@
 
     def _drop(self, jobs: tuple[str, ...]) -> None:
         """Drops ended jobs: a job without its progress would begin anew."""
-        self._shared.put(
+
+        def drop_rest(_: float) -> None:
+            self._progress.put(map(records.drop_progress, jobs))
+            self._shared.put(map(records.drop_state, jobs))
+
+        self._hand_ins.put(
             [record for job in jobs for record in records.list_drops(job)],
-            lambda _: self._progress.put(map(records.drop_progress, jobs)),
+            drop_rest,
         )
 
     def flush(self) -> None:
@@ -219,6 +231,38 @@
             self._exchange.run_soon(lambda: [w.look() for w in fresh])
 
 
+def _fence(
+    platform: ports.Platform, topic: str, epoch: int
+) -> appending.Append:
+    """Makes appends that the store refuses once there is a later owner."""
+
+    def append(found, sequence):
+        return platform.store.append(found, APPEND_S, epoch, sequence, topic)
+
+    return append
+
+
+def _part(platform: ports.Platform) -> appending.Append:
+    """Makes appends to the hand-ins, each record to its job's part."""
+
+    def append(found, sequence):
+        parts = collections.defaultdict(list)
+        for record in found:
+            job = record.key.partition("/")[2]
+            part = records.choose_part(job, platform.parts)
+            parts[part].append(record)
+        answer: outcomes.Ok[int] | outcomes.Failed = outcomes.Ok(0)
+        for part, rows in parts.items():
+            answer = platform.store.append(
+                rows, APPEND_S, topic=platform.hand_ins_topic, part=part
+            )
+            if isinstance(answer, outcomes.Failed):
+                break
+        return answer
+
+    return append
+
+
 def _tell(
     watch: watches.Watch, effect: effects.Allow | effects.Acknowledge
 ) -> None:
--- a/poplarspindle/node/settings.py
+++ b/poplarspindle/node/settings.py
@@ -17,6 +17,7 @@
         store_reads_per_s: Reads that the store takes from all nodes.
         record_most_bytes: Largest record.
         batch_most_bytes: Most bytes of records in one append.
+        log_parts: Parts of a log that take appends side by side.
         member_ttl_least_ms: Least time after which a silent member is out.
         lease_most_ms: Longest lease that a worker grants.
         stop_grace_ms: Most time that a stopped run takes to end.
@@ -43,6 +44,7 @@
     store_reads_per_s: float
     record_most_bytes: int
     batch_most_bytes: int
+    log_parts: int
     member_ttl_least_ms: int
     lease_most_ms: int
     stop_grace_ms: int
--- a/poplarspindle/node/standing.py
+++ b/poplarspindle/node/standing.py
@@ -91,6 +91,7 @@
         self._woken = threading.Event()
         self._claimed_at = float("-inf")
         self._chosen = self._failed = False
+        self._able_since = self._began_at
         self.owner: records.Owner | None = None
         self.owning = False
         self.store_ok_at = float("-inf")
@@ -158,7 +159,10 @@
                     best=self.best,
                     ok=isinstance(answer, outcomes.Ok),
                 )
-            if self.able:
+            if not self.able:
+                self._able_since = now
+            elif now - self._able_since >= JOIN_S:
+                # By then all that others told at the same time was read.
                 self._tell_fitness(now)
             self._woken.wait(JOIN_S)
             self._woken.clear()
@@ -185,7 +189,7 @@
         self._chosen = answer.value.chosen
         if self._chosen:
             self.store_ok_at = now
-            if not self.owning and self.able:
+            if not self.owning and self.able and self._may_own(now):
                 self._claim_vacant(now)
 
     def _tell_fitness(self, now: float) -> None:
@@ -210,7 +214,7 @@
                 "told-fitness",
                 fitness=self.fitness,
                 best=self.best,
-                candidate=len(found) > 1 or self.fitness <= self.best,
+                records=[record.key for record in found],
                 ok=isinstance(answer, outcomes.Ok),
             )
 
--- a/poplarspindle/platform/__main__.py
+++ b/poplarspindle/platform/__main__.py
@@ -18,6 +18,8 @@
         store.Store(own_settings.store_address),
         store.FLEET_TOPIC,
         store.PROGRESS_TOPIC,
+        store.HAND_INS_TOPIC,
+        own_settings.log_parts,
         store.OPERATORS_TOPIC,
         store.WORKERS_TOPIC,
         operators.read_wish,
--- a/poplarspindle/platform/settings.py
+++ b/poplarspindle/platform/settings.py
@@ -5,6 +5,7 @@
 from poplarspindle.node import settings
 
 PATH_VARIABLE = "POPLARSPINDLE_CONFIG"
+PARTS_MOST = 8  # The owner waits at each part; a call each.
 PATH_DEFAULT = "/etc/poplarspindle/settings.conf"
 
 
@@ -50,6 +51,7 @@
         store_reads_per_s=number("platform.reads_per_s", 2000),
         record_most_bytes=int(number("platform.record_bytes", 262_144)),
         batch_most_bytes=int(number("platform.request_bytes", 2_097_152)),
+        log_parts=max(1, min(PARTS_MOST, int(number("platform.parts", 8)))),
         member_ttl_least_ms=int(number("platform.ttl_min_ms", 1000)),
         lease_most_ms=int(number("bounds.hold_max_ms", 6000)),
         stop_grace_ms=int(number("bounds.stop_grace_ms", 900)),
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -12,6 +12,7 @@
 
 FLEET_TOPIC = "keyed.poplarspindle"
 PROGRESS_TOPIC = "keyed.poplarspindle-progress"
+HAND_INS_TOPIC = "keyed.poplarspindle-jobs"
 OPERATORS_TOPIC = "keyed.op"
 WORKERS_TOPIC = "keyed.servers"
 GROUP = "poplarspindle-owner"
@@ -76,6 +77,7 @@
         epoch: int = 0,
         sequence: int = 0,
         topic: str = "",
+        part: int = 0,
     ) -> outcomes.Ok[int] | outcomes.Failed:
         """Appends records, all or none.
 
@@ -85,12 +87,16 @@
             epoch: Epoch of the owner that appends, 0 for anybody.
             sequence: Number of this append in the epoch.
             topic: Topic to append to, the one that all nodes follow if empty.
+            part: Partition of it.
 
         Returns:
             Offset of the first record, or the failure. Its reason is
             `fenced` where a higher epoch was seen.
         """
-        query: dict[str, object] = {"topic": topic or FLEET_TOPIC, "part": 0}
+        query: dict[str, object] = {
+            "topic": topic or FLEET_TOPIC,
+            "part": part,
+        }
         if epoch:
             query |= {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
         answer = self._calls.call(
@@ -118,7 +124,7 @@
         return outcomes.Failed(step, self._calls.address, reason, "", acted)
 
     def read(
-        self, topic: str, offset: int, wait_ms: int
+        self, topic: str, offset: int, wait_ms: int, part: int = 0
     ) -> outcomes.Ok[storage.Page] | outcomes.Failed:
         """Reads records from an offset on, waiting where there are none.
 
@@ -127,7 +133,12 @@
             are gone.
         """
         query = urllib.parse.urlencode(
-            {"topic": topic, "part": 0, "from": offset, "wait_ms": wait_ms}
+            {
+                "topic": topic,
+                "part": part,
+                "from": offset,
+                "wait_ms": wait_ms,
+            }
         )
         answer = self._calls.call(
             outcomes.Step.READ,
@@ -158,16 +169,17 @@
         return outcomes.Ok(storage.Page(found, offset + len(found), end))
 
     def read_newest(
-        self, topic: str, after: str = ""
+        self, topic: str, after: str = "", part: int = 0
     ) -> outcomes.Ok[storage.Newest] | outcomes.Failed:
         """Reads a page of the newest record of each key.
 
         Args:
             topic: The topic.
             after: Last key of the page before, empty for the first page.
+            part: Partition of the topic.
         """
         # The wire names the key to continue behind `depends_on`.
-        query = {"topic": topic, "part": 0}
+        query: dict[str, object] = {"topic": topic, "part": part}
         query |= {"depends_on": after} if after else {}
         answer = self._calls.call(
             outcomes.Step.READ,
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -349,14 +349,28 @@
 
 def test_state_is_round():
     job = make_job("a", make_step(3))
-    job.shown, job.ended_ms = book.State.COMPLETED, 5
-    other = book.Job(job.submission)
-    records.apply_state(other, records.encode_state(job).value)
-    assert (other.state, other.shown, other.ended_ms) == (
-        book.State.COMPLETED,
-        book.State.COMPLETED,
-        5,
-    )
+    job.shown = book.State.COMPLETED
+    found = records.decode_state(records.encode_state(job).value)
+    assert found == book.Shown(book.State.COMPLETED, "q")
+    offsets = (3, 0, 7)
+    value = records.encode_read(offsets).value
+    assert records.decode_read(value) == offsets
+
+
+def test_hand_ins_make_the_book():
+    job = make_job("a", make_step(3))
+    found = [
+        records.encode_submission(job.submission),
+        records.encode_cancel("a"),
+        records.encode_cancel("b"),
+        records.Record("j/c", b"x"),
+        records.Record("j/d", b""),
+    ]
+    known, malformed = takeover.load_hand_ins(found)
+    assert list(known.jobs) == ["a"]
+    assert known.jobs["a"].cancelled
+    assert known.early_cancels == {"b"}
+    assert malformed == ["j/c"]
 
 
 def test_memory_keeps_what_was_learned():
--- /dev/null
+++ b/poplarspindle/tests/test_hand_ins.py
@@ -0,0 +1,187 @@
+"""Hand-ins by part: appended side by side, looked up before they are told."""
+
+import dataclasses
+import threading
+import time
+
+import pytest
+
+from poplarspindle import metrics, outcomes, resources
+from poplarspindle.fleet import book, records, work
+from poplarspindle.node import calls, commits, desk, known, storage
+from poplarspindle.platform import __main__ as program
+from poplarspindle.platform import settings
+
+SETTINGS = settings.read_settings("""
+node_name=n
+zone=z
+listen_addrs.frontend=127.0.0.1:1
+listen_addrs.readiness=127.0.0.1:2
+platform.address=127.0.0.1:3
+""")
+QUEUE = work.Queue("q", "h", "/q/", "pool")
+STEP = work.Step(1, resources.Resources(1000, 1, 0))
+PATIENCES = [
+    pytest.param(0.5, 0.01, True, 0.5, id="store is well"),
+    pytest.param(0.5, 0.5, False, 1.0, id="no answer"),
+    pytest.param(2.0, 2.0, False, 2.6, id="not longer than a caller waits"),
+    pytest.param(2.6, 0.2, True, 1.2, id="slow, but answers"),
+    pytest.param(2.6, 0.01, True, 0.5, id="well again"),
+]
+
+
+@pytest.mark.parametrize(
+    ("before_s", "took_s", "answered", "expected"), PATIENCES
+)
+def test_patience_follows_the_store(before_s, took_s, answered, expected):
+    found = commits.choose_patience(before_s, took_s, answered)
+    assert found == pytest.approx(expected)
+
+
+class Store:
+    """Parts of the hand-ins; some of them do not answer."""
+
+    def __init__(self, parts=8):
+        self.parts = {part: [] for part in range(parts)}
+        self.first = 0
+        self.stuck = set()
+        self.go_on = threading.Event()
+        self.down = False
+
+    def append(self, found, timeout_s, epoch=0, sequence=0, topic="", part=0):
+        """Appends, unless the part is stuck."""
+        if part in self.stuck:
+            self.go_on.wait(30)
+        self.parts[part] += found
+        return outcomes.Ok(0)
+
+    def read(self, topic, offset, wait_ms, part=0):
+        """Reads a part to its end."""
+        if self.down:
+            return outcomes.Failed(outcomes.Step.READ, "s", "timeout")
+        if offset < self.first:
+            return outcomes.Failed(outcomes.Step.READ, "s", "expired")
+        rows = self.parts[part][offset:]
+        end = len(self.parts[part])
+        return outcomes.Ok(storage.Page(tuple(rows), end, end))
+
+    def read_newest(self, topic, after="", part=0):
+        """Reads all of a part."""
+        rows = tuple(self.parts[part])
+        return outcomes.Ok(storage.Newest(rows, False, len(rows)))
+
+
+def make_submission(job, queue=QUEUE):
+    return work.Submission(job, queue, "", (STEP,))
+
+
+def find_jobs_of_two_parts():
+    names = [f"{number:016x}" for number in range(100)]
+    parts = {records.choose_part(name, 8): name for name in names}
+    return list(parts.items())[:2]
+
+
+def make_platform(store):
+    return dataclasses.replace(program.connect(SETTINGS), store=store)
+
+
+def test_part_that_does_not_answer_holds_up_no_other():
+    """Load: each part takes one append at a time, and one takes seconds."""
+    store = Store()
+    (stuck, first), (_, second) = find_jobs_of_two_parts()
+    store.stuck = {stuck}
+    own = commits.HandIns(make_platform(store), lambda found: None)
+    deadline = time.monotonic() + 60
+    slow = threading.Thread(
+        target=own.commit,
+        args=(records.encode_submission(make_submission(first)), deadline),
+    )
+    slow.start()
+    record = records.encode_submission(make_submission(second))
+    assert own.commit(record, deadline).appended
+    assert slow.is_alive()
+    store.go_on.set()
+    slow.join()
+
+
+def make_desk(store, heard_ago_s=0.0):
+    what = known.Known()
+    what.loaded = True
+    platform = make_platform(store)
+    found = desk.Desk(
+        platform,
+        metrics.Metrics(),
+        what,
+        commits.HandIns(platform, lambda rows: None),
+        None,
+        lambda: time.monotonic() - heard_ago_s,
+    )
+    return found, what
+
+
+def hand_in(store, *jobs):
+    for job in jobs:
+        part = records.choose_part(job, 8)
+        record = records.encode_submission(make_submission(job))
+        store.parts[part].append(record)
+
+
+def ask(own, kind, job=""):
+    call = calls.Call(kind, QUEUE, job, 3.0)
+    return desk._ANSWERS[kind](own, call, time.monotonic() + 3)
+
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def test_job_taken_elsewhere_is_shown_before_the_owner_tells_of_it():
+    store = Store()
+    own, what = make_desk(store)
+    assert ask(own, calls.Kind.SHOW, JOB).status == 410
+    hand_in(store, JOB)
+    assert ask(own, calls.Kind.SHOW, JOB).state == "queued"
+    what.shown[JOB] = book.Shown(book.State.COMPLETED, "q")
+    assert ask(own, calls.Kind.SHOW, JOB).state == "completed"
+
+
+def test_job_is_not_said_to_be_absent_while_the_log_is_silent():
+    store = Store()
+    own, _ = make_desk(store)
+    store.down = True
+    answer = ask(own, calls.Kind.SHOW, JOB)
+    assert (answer.status, answer.retry_s) == (503, desk.RETRY_S)
+
+
+def test_job_is_found_though_the_history_is_gone():
+    """No owner has told of hand-ins for longer than the store keeps them."""
+    store = Store()
+    own, _ = make_desk(store)
+    hand_in(store, JOB)
+    store.first = 1
+    assert ask(own, calls.Kind.SHOW, JOB).state == "queued"
+
+
+def test_waiting_jobs_are_counted_though_no_owner_tells_of_them():
+    store = Store()
+    own, what = make_desk(store, heard_ago_s=5.0)
+    names = [f"{number:016x}" for number in range(20)]
+    hand_in(store, *names)
+    assert ask(own, calls.Kind.COUNT).pending == 20
+    told = records.encode_state(book.Job(make_submission(names[0])))
+    known.apply_shared(what, told, 0.0)
+    assert ask(own, calls.Kind.COUNT).pending == 20
+
+
+def test_what_the_owner_tells_replaces_what_was_taken_here():
+    what = known.Known()
+    known.note_taken(what, records.encode_submission(make_submission(JOB)))
+    assert known.find_job(what, JOB).state is book.State.QUEUED
+    known.note_taken(what, records.encode_cancel(JOB))
+    assert known.find_job(what, JOB).state is book.State.CANCELLED
+    job = book.Job(make_submission(JOB))
+    job.shown = book.State.COMPLETED
+    known.apply_shared(what, records.encode_state(job), 0.0)
+    assert known.find_job(what, JOB).state is book.State.COMPLETED
+    assert what.taken == {}
+    known.apply_shared(what, records.drop_state(JOB), 0.0)
+    assert known.find_job(what, JOB) is None
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -139,7 +139,7 @@
         assert found.call(method, path, fields).status == status
     assert not any(
         key.startswith("j/")
-        for key in found.store.read_keys("keyed.poplarspindle")
+        for key in found.store.read_keys("keyed.poplarspindle-jobs")
     )
 
 
@@ -196,7 +196,7 @@
         lambda: node.dataclasses.replace(changed, store_address=second.address)
     )
     assert found.call("POST", f"/q/{ID}", JOB).status == 200
-    assert f"j/{ID}" in second.read_keys("keyed.poplarspindle")
+    assert f"j/{ID}" in second.read_keys("keyed.poplarspindle-jobs")
     found.store.stop()
     found.store = second
 
--- a/poplarspindle/tests/test_owning.py
+++ b/poplarspindle/tests/test_owning.py
@@ -27,7 +27,7 @@
         self.answered = threading.Event()
         self.calls = []
 
-    def append(self, found, timeout_s, epoch=0, sequence=0, topic=""):
+    def append(self, found, timeout_s, epoch=0, sequence=0, topic="", part=0):
         """Answers once it is let go."""
         self.calls.append((topic, sequence, [r.key for r in found]))
         self.begun.set()
@@ -35,11 +35,11 @@
         self.answered.set()
         return outcomes.Ok(0)
 
-    def read_newest(self, topic, after=""):
+    def read_newest(self, topic, after="", part=0):
         """Knows no workers."""
         return outcomes.Ok(storage.Newest((), False, 0))
 
-    def read(self, topic, offset, wait_ms):
+    def read(self, topic, offset, wait_ms, part=0):
         """Knows no changes."""
         return outcomes.Ok(storage.Page((), offset, offset))
 
@@ -74,7 +74,12 @@
 
 def make_appender(store, over, most_bytes=1000):
     return appending.Appender(
-        store, "t", 16, most_bytes, over, lambda why: None, metrics.Metrics()
+        "t",
+        lambda found, sequence: store.append(found, 1.0, 16, sequence, "t"),
+        most_bytes,
+        over,
+        lambda why: None,
+        metrics.Metrics(),
     )
 
 
@@ -106,15 +111,15 @@
     assert store.calls == [("t", 1, ["a"]), ("t", 2, ["b"]), ("t", 3, ["c"])]
 
 
-def test_job_is_dropped_from_what_all_read_before_its_progress():
+def test_job_is_dropped_from_the_hand_ins_before_its_progress():
     """A job that is left without its progress would begin anew."""
     store = Store()
     store.let_go.set()
     own = start_owning(store, lambda event: None)
     dropped = threading.Event()
-    put = own._progress.put
-    own._progress.put = lambda found: (put(found), dropped.set())
+    put = own._shared.put
+    own._shared.put = lambda found: (put(found), dropped.set())
     own.carry_out(effects.Drop(("a",)))
     assert dropped.wait(30)
     own.stop()
-    assert store.calls[0][2] == ["t/a", "c/a", "j/a"]
+    assert store.calls[0][2] == ["c/a", "j/a"]
--- a/poplarspindle/tools/fakes/deployment.py
+++ b/poplarspindle/tools/fakes/deployment.py
@@ -65,15 +65,22 @@
             self._lock.notify_all()
 
     def read_keys(self, topic: str) -> dict[str, bytes]:
-        """Returns the newest value of each key."""
+        """Returns the newest value of each key, of all parts."""
         with self._lock:
-            return dict(self._topics.get(topic, ()))
+            return {
+                key: value
+                for name, rows in self._topics.items()
+                if name.partition(":")[0] == topic
+                for key, value in rows
+            }
 
     def _handle(self, request: serving.Request) -> serving.Response:
         if not self.up:
             return answer(503)
         query = dict(urllib.parse.parse_qsl(request.query))
         name = request.path.removeprefix("/api/log-").replace("-", "_")
+        if int(query.get("part", 0)):
+            query["topic"] += f":{query['part']}"
         handle = getattr(self, f"_{name}", None)
         return handle(query, request.body) if handle else answer(404)
 
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -124,18 +124,8 @@
     def take_over(self) -> None:
         """Lets another owner begin from the log alone."""
         epoch = (self.own.epoch if self.own else 0) + 16
-        known = book.Book()
-        for name, submission in self.submissions.items():
-            if f"j/{name}" in self.log:
-                value = self.log[f"j/{name}"].value
-                book.add_job(known, records.decode_submission(name, value))
-                assert known.jobs[name].submission == submission
-        for key in self.log:
-            kind, _, name = key.partition("/")
-            if kind == records.CANCELLED:
-                book.cancel_job(known.jobs[name])
-            if kind == records.STATE:
-                records.apply_state(known.jobs[name], self.log[key].value)
+        known, malformed = takeover.load_hand_ins(self.log.values())
+        assert not malformed
         progress = [
             record
             for key, record in self.log.items()
@@ -150,7 +140,12 @@
             silent = dark.decode_dark(
                 self.log[dark.DARK_KEY].value, self.dark_read_at
             )
-        self._do(events.Claimed(self.now, self.wall_ms(), epoch, silent))
+        shown = {
+            key.partition("/")[2]: records.decode_state(record.value)
+            for key, record in self.log.items()
+            if key.partition("/")[0] == records.STATE
+        }
+        self._do(events.Claimed(self.now, self.wall_ms(), epoch, silent, shown))
         self._do(events.Configured(self.now, self.configuration, self.out))
         self.list_workers()
 
