--- a/poplarspindle/node/commits.py
+++ b/poplarspindle/node/commits.py
@@ -16,7 +16,7 @@
 from poplarspindle.fleet import records
 from poplarspindle.node import ports, storage, threads
 
-PATIENCE_LEAST_S = 0.5  # An append takes 10 ms; an answer may be lost.
+PATIENCE_LEAST_S = 1.2  # A slow store takes hundreds of milliseconds.
 PATIENCE_MOST_S = 2.6  # The store refuses what would wait for over 2 s.
 PATIENCE_FACTOR = 6  # Times what the last append took.
 BACKOFF_S = 0.05
