--- /dev/null
+++ b/poplarspindle/tests/test_overrun.py
@@ -0,0 +1,94 @@
+"""An owner that is overrun may be late, but never wrong."""
+
+import time
+
+from poplarspindle import metrics, resources
+from poplarspindle.fleet import book, events, fitness, fleet, views, work
+from poplarspindle.node import node
+from poplarspindle.platform import __main__ as program
+from poplarspindle.platform import settings
+
+SETTINGS = settings.read_settings("""
+node_name=n
+zone=z
+listen_addrs.frontend=127.0.0.1:0
+listen_addrs.readiness=127.0.0.1:0
+platform.address=127.0.0.1:3
+""")
+QUEUE = work.Queue("q", "h", "/q/", "pool")
+
+
+class Owning:
+    """Takes an owner's effects, and carries none out."""
+
+    epoch = 16
+
+    def keep_watches(self, hands):
+        """Watches nothing."""
+
+    def carry_out(self, effect):
+        """Does nothing."""
+
+    def flush(self):
+        """Sends nothing."""
+
+
+def make_owner(now):
+    """Makes a node that owns a fleet of one worker with one run."""
+    found = node.Node(SETTINGS, program.connect(SETTINGS), metrics.Metrics())
+    own = found._fleet = fleet.Fleet(book.Book())
+    found._owning = Owning()
+    found._lateness = fitness.Lateness(now)
+    found._ticked_at = found._settled_at = found._place_after = now - 10
+    step = work.Step(1, resources.Resources(1000, 1, 0))
+    job = book.add_job(own.book, work.Submission("a" * 16, QUEUE, "", (step,)))
+    book.open_run(job)
+    own.open_jobs["a" * 16] = None
+    worker = work.Worker("w", "a:1", "pool", "dc", resources.NOTHING)
+    hand = own.hands["w"] = views.Hand(worker)
+    task = job.runs[0][0][0]
+    task.phase, task.attempt, task.worker = book.Phase.PLACED, 1, "w"
+    name = work.TaskName("a" * 16, 0, 0, 0)
+    run = views.Run(name, job, task, now - 3, True)
+    views.add_run(hand, run)
+    hand.heard_at = hand.clock_at = now - 3
+    hand.clock_ms = 1000
+    views.note_grant(hand, 1000 + 2000)
+    return found, hand
+
+
+def test_renewals_not_yet_taken_in_let_no_lease_lapse():
+    """Load: events come faster than they are taken in.
+
+    The lease known so far is over; its renewal waits behind 200 events.
+    """
+    now = time.monotonic()
+    found, hand = make_owner(now)
+    assert hand.lapse_at < now
+    behind = [
+        events.Granted(now - 2.0, "other", 1) for _ in range(node.BATCH_EVENTS)
+    ]
+    found._take_batch(behind)
+    assert len(hand.runs) == 1
+    found._take_batch([events.Granted(now - 1.9, "w", 1000 + 60_000)])
+    assert len(hand.runs) == 1
+
+
+def test_lease_that_was_not_renewed_lapses():
+    now = time.monotonic()
+    found, hand = make_owner(now)
+    found._take_batch([events.Granted(now - 1.9, "other", 1)])
+    assert hand.runs == {}
+
+
+def test_owner_that_stays_late_gives_the_fleet_up(monkeypatch):
+    now = time.monotonic()
+    found, _ = make_owner(now)
+    asked = []
+    monkeypatch.setattr(found, "_step_down", asked.append)
+    monkeypatch.setattr(fitness, "SETTLE_S", 0.0)
+    monkeypatch.setattr(fitness, "OVERRUN_S", 0.0)
+    found._take_batch([events.Granted(now - 0.2, "w", 1)])
+    assert asked == []
+    found._take_batch([events.Granted(now - 1.5, "w", 1)])
+    assert asked == ["overrun"]
