--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -12,6 +12,7 @@
     fleet,
     orders,
     placing,
+    recording,
     reports,
     rounds,
     takeover,
@@ -35,7 +36,7 @@
 
 def settle(own: fleet.Fleet) -> list[effects.Effect]:
     """Places what is ready and records what changed."""
-    return rounds.place_ready(own) + fleet.flush(own)
+    return rounds.place_ready(own) + recording.flush(own)
 
 
 def _read_job(own: fleet.Fleet, event: events.JobRead) -> list:
@@ -163,7 +164,7 @@
 
 
 def _append(own: fleet.Fleet, event: events.Appended) -> list:
-    return fleet.take_appended(own, event.number)
+    return recording.take_appended(own, event.number)
 
 
 def _tick(own: fleet.Fleet, event: events.Ticked) -> list:
@@ -265,6 +266,6 @@
     events.Unheard: _miss,
     events.Ordered: reports.take_answer,
     events.Appended: _append,
-    events.Published: lambda own, _: fleet.take_published(own),
+    events.Published: lambda own, _: recording.take_published(own),
     events.Ticked: _tick,
 }
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -8,8 +8,8 @@
 import structlog
 
 from poplarspindle import outcomes
-from poplarspindle.fleet import records
-from poplarspindle.node import ports, storage
+from poplarspindle.fleet import fleet, memory, records, takeover
+from poplarspindle.node import ports, settings, storage
 
 APPEND_S = 1.2  # An append to a slow store takes hundreds of milliseconds.
 PAUSE_S = 0.1
@@ -106,3 +106,36 @@
         tuple(record for part in parts for record in part.found),
         tuple(part.end for part in parts),
     )
+
+
+def make_fleet(
+    found: Prepared, own_settings: settings.Settings, now: float
+) -> tuple[fleet.Fleet, list[records.Record], list[str]]:
+    """Makes the state that an owner begins with.
+
+    Args:
+        found: What was read for its claim.
+        own_settings: The node's settings.
+        now: Own clock.
+
+    Returns:
+        The state, records that drop what belongs to no job from the progress
+        log, and the keys of records that can't be read.
+    """
+    jobs, malformed = takeover.load_hand_ins(found.hand_ins)
+    drops, unread = takeover.load_progress(jobs, found.progress)
+    own = fleet.Fleet(
+        jobs,
+        own_settings.lease_most_ms,
+        own_settings.early_ms,
+        own_settings.keep_ended_s,
+        own_settings.harm_ms,
+    )
+    for record in found.progress:
+        if record.key != memory.MEMORY_KEY or not record.value:
+            continue
+        try:
+            own.tails.pairs = memory.decode_memory(record.value, now)
+        except (ValueError, TypeError):
+            unread.append(record.key)
+    return own, drops, malformed + unread
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -11,15 +11,13 @@
 from poplarspindle import metrics, serving
 from poplarspindle.fleet import (
     admission,
-    book,
     effects,
     events,
     fitness,
     fleet,
-    memory,
     owner,
+    recording,
     records,
-    takeover,
 )
 from poplarspindle.node import (
     claims,
@@ -27,6 +25,7 @@
     commits,
     desk,
     followers,
+    intake,
     known,
     owning,
     ports,
@@ -73,16 +72,6 @@
     found: tuple[records.Record, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _HandIns:
-    """Hand-ins of one part, read by the owner of an epoch."""
-
-    epoch: int
-    part: int
-    found: tuple[records.Record, ...]
-    next: int
-
-
 class Node:
     """One node.
 
@@ -277,7 +266,7 @@
             took_s = time.monotonic() - began
             self._place_after = now + PLACE_SHARE * took_s
         else:
-            self._carry_out(fleet.flush(self._fleet))
+            self._carry_out(recording.flush(self._fleet))
         self._owning.flush()
         self._settled_at = time.monotonic()
 
@@ -320,7 +309,7 @@
         elif isinstance(event, _Taken):
             for record in event.found:
                 known.note_taken(self._known, record)
-        elif isinstance(event, _HandIns):
+        elif isinstance(event, intake.HandIns):
             self._read_hand_ins(event)
         elif isinstance(event, claims.Prepared):
             self._become_owner(event)
@@ -405,32 +394,17 @@
         self._counters.add("poplarspindle_records_total", "malformed")
         _log.warning("malformed", key=key, why=why)
 
-    def _read_hand_ins(self, event: _HandIns) -> None:
+    def _read_hand_ins(self, event: intake.HandIns) -> None:
         """Takes in what callers handed in at all nodes."""
         own = self._fleet
         if own is None or event.epoch != own.epoch:
             return
         now, wall_ms = time.monotonic(), clocks.tell_wall_ms()
-        for record in event.found:
-            kind, _, job = record.key.partition("/")
-            if not record.value:
-                continue
-            if kind == records.CANCELLED:
-                found = own.book.jobs.get(job)
-                if found is None:
-                    own.book.early_cancels.add(job)
-                elif not found.cancelled:
-                    book.cancel_job(found)
-                    self._reduce(events.CancelRead(now, wall_ms, job))
-            elif kind == records.SUBMITTED and job not in own.book.jobs:
-                try:
-                    submission = records.decode_submission(job, record.value)
-                except (ValueError, TypeError, KeyError, IndexError) as error:
-                    self._note_malformed(record.key, repr(error))
-                    continue
-                book.add_job(own.book, submission)
-                self._reduce(events.JobRead(now, job))
-        self._reduce(events.HandInsRead(now, event.part, event.next))
+        for found in intake.list_events(own.book, event, now, wall_ms):
+            if isinstance(found, intake.Malformed):
+                self._note_malformed(found.key, found.why)
+            else:
+                self._reduce(found)
 
     def _weigh_candidate(self, found: fitness.Candidate) -> None:
         if (
@@ -476,24 +450,14 @@
             or claim.epoch != found.epoch
         ):
             return
-        jobs, malformed = takeover.load_hand_ins(found.hand_ins)
-        drops, unread = takeover.load_progress(jobs, found.progress)
-        for key in (*malformed, *unread):
-            self._note_malformed(key, "takeover")
         now = time.monotonic()
-        self._fleet = fleet.Fleet(
-            jobs,
-            self._settings.lease_most_ms,
-            self._settings.early_ms,
-            self._settings.keep_ended_s,
-            self._settings.harm_ms,
+        self._fleet, drops, malformed = claims.make_fleet(
+            found, self._settings, now
         )
+        for key in malformed:
+            self._note_malformed(key, "takeover")
         self._ticked_at = self._settled_at = self._place_after = now
         self._lateness = fitness.Lateness(now)
-        for record in found.progress:
-            if record.key == memory.MEMORY_KEY and record.value:
-                pairs = memory.decode_memory(record.value, now)
-                self._fleet.tails.pairs = pairs
         self._owning = owning.Owning(
             self._platform,
             self._settings,
@@ -523,25 +487,9 @@
                     now, self._known.configuration, self._known.out
                 )
             )
-        self._follow_hand_ins(found)
-
-    def _follow_hand_ins(self, found: claims.Prepared) -> None:
-        """Reads the hand-ins of all nodes for as long as this one owns."""
-        for part, end in enumerate(found.ends):
-
-            def take(rows, offset, *_, part=part) -> None:
-                self._events.put(_HandIns(found.epoch, part, rows, offset))
-
-            followers.Follower(
-                self._platform.store,
-                self._platform.hand_ins_topic,
-                take,
-                take,
-                lambda: 0.0,
-                part,
-                end,
-                self._owning.over,
-            ).start()
+        intake.follow(
+            self._platform, found, self._owning.over, self._events.put
+        )
 
     def _give_up_ownership(self, why: str) -> None:
         if self._fleet is None:
