A call that this thread let run out of time before it was sent begins anew

Their tasks were placed anew, which cost more of what was short. Change: such a call, never sent and handled over 0.1 s late, begins anew, twice at most; calls are begun by sixteen before answers are looked at. A line and a count tell of it. Test red without it.

--- a/poplarspindle/node/exchange.py
+++ b/poplarspindle/node/exchange.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 import threading
+import time
 from collections.abc import Callable
 
 import pycurl
@@ -19,6 +20,10 @@
 
 CONNECT_MS = 400  # Every peer is a few milliseconds away.
 CONNECTIONS_MOST = 2500  # Idle connections kept; below the descriptors.
+BEGIN_MOST = 16  # Calls begun before answers are looked at: a few ms.
+TRIES_MOST = 3
+OWN_DELAY_S = 0.1  # Timers on time fire within a few milliseconds.
+TELL_S = 1.0
 BODY_MOST_BYTES = 8 * 1024 * 1024
 _EVENTS = {
     pycurl.POLL_IN: (True, False),
@@ -64,15 +69,29 @@
 
 @dataclasses.dataclass(slots=True)
 class _Transfer:
-    """One call in flight."""
+    """One call in flight.
+
+    Attributes:
+        call: The call.
+        done: Takes its outcome.
+        parts: What came of the answer's body.
+        began_at: When it began, monotonic seconds.
+        tries: How often it began.
+    """
 
     call: Call
     done: Done
     parts: list[bytes]
+    began_at: float
+    tries: int
 
 
 class Exchange:
-    """Calls peers over HTTP; all callbacks run on its one thread."""
+    """Calls peers over HTTP; all callbacks run on its one thread.
+
+    Attributes:
+        delays: Calls begun anew since this thread let their time pass.
+    """
 
     def __init__(self) -> None:
         self._loop = asyncio.new_event_loop()
@@ -84,9 +103,14 @@
         self._watched: set[int] = set()
         self._idle: list[pycurl.Curl] = []
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
+        self._pending: collections.deque[tuple[Call, Done, int]] = (
+            collections.deque()
+        )
         self._inbox: collections.deque[Callable[[], None]] = collections.deque()
         self._woken = False
         self._stopping = False
+        self._told_at = float("-inf")
+        self.delays = 0
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -121,8 +145,28 @@
             done: Takes the answer, whatever its status, or the failure;
                 `may_have_acted` is false only where nothing was sent.
         """
+        self._queue(call, done, 1)
+
+    def _queue(self, call: Call, done: Done, tries: int) -> None:
+        self._pending.append((call, done, tries))
+        if len(self._pending) == 1:
+            self._loop.call_soon(self._begin_some)
+
+    def _begin_some(self) -> None:
+        """Begins some calls and sends them, then looks at answers again.
+
+        Load pattern: hundreds of orders come at once; answers to those
+        begun first are not to wait until all are.
+        """
         if self._stopping:
             return
+        for _ in range(min(BEGIN_MOST, len(self._pending))):
+            self._begin(*self._pending.popleft())
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
+        if self._pending:
+            self._loop.call_soon(self._begin_some)
+
+    def _begin(self, call: Call, done: Done, tries: int) -> None:
         handle = self._idle.pop() if self._idle else _make_handle()
         parts: list[bytes] = []
         handle.setopt(pycurl.URL, call.url)
@@ -130,7 +174,9 @@
         handle.setopt(pycurl.POSTFIELDS, call.body)
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
         handle.setopt(pycurl.WRITEFUNCTION, parts.append)
-        self._transfers[handle] = _Transfer(call, done, parts)
+        self._transfers[handle] = _Transfer(
+            call, done, parts, time.monotonic(), tries
+        )
         self._multi.add_handle(handle)
 
     def _run(self) -> None:
@@ -198,17 +244,41 @@
     def _finish(self, handle: pycurl.Curl, code: int, text: str) -> None:
         transfer = self._transfers.pop(handle)
         self._multi.remove_handle(handle)
-        if code:
-            sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
-            outcome: Outcome = _describe_failure(
-                transfer.call, code, text, sent
-            )
-        else:
-            status = handle.getinfo(pycurl.RESPONSE_CODE)
-            outcome = outcomes.Ok(Answer(status, b"".join(transfer.parts)))
+        sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
         self._idle.append(handle)
+        call = transfer.call
+        if not code:
+            body = b"".join(transfer.parts)
+            outcome: Outcome = outcomes.Ok(Answer(status, body))
+        elif not sent and self._was_late(transfer, code):
+            self._queue(call, transfer.done, transfer.tries + 1)
+            return
+        else:
+            outcome = _describe_failure(call, code, text, sent)
         _guard(lambda: transfer.done(outcome))
 
+    def _was_late(self, transfer: _Transfer, code: int) -> bool:
+        """Tells whether this thread, not the peer, let a call's time pass.
+
+        Load pattern: the machine turns slow, and calls run out of time before
+        they are sent. Taken for workers out of reach, their tasks would be
+        placed anew, which costs more of what is short.
+        """
+        if code != pycurl.E_OPERATION_TIMEDOUT or transfer.tries >= TRIES_MOST:
+            return False
+        now = time.monotonic()
+        late_s = now - transfer.began_at - transfer.call.timeout_s
+        if late_s < OWN_DELAY_S:
+            return False
+        self.delays += 1
+        if now - self._told_at >= TELL_S:
+            self._told_at = now
+            _log.warning(
+                "late", late_s=round(late_s, 3), calls_begun_anew=self.delays
+            )
+        return True
+
 
 def _describe_failure(
     call: Call, code: int, text: str, sent: bool
--- a/poplarspindle/tests/test_exchange.py
+++ b/poplarspindle/tests/test_exchange.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 import pytest
 from structlog import testing
@@ -105,6 +106,25 @@
     assert all(isinstance(outcome, outcomes.Ok) for outcome in others)
 
 
+def test_own_delay_does_not_pass_for_a_peer_out_of_reach(calls, peer):
+    """Load: this machine turns slow just as a connection is made."""
+    found = []
+    ended = threading.Event()
+
+    def take(outcome):
+        found.append(outcome)
+        ended.set()
+
+    def send():
+        calls.send(make_call(peer.address, timeout_s=0.5), take)
+        calls._loop.call_soon(time.sleep, 1.0)
+
+    calls.run_soon(send)
+    assert ended.wait(PATIENCE_S)
+    assert isinstance(found[0], outcomes.Ok)
+    assert calls.delays == 1
+
+
 def test_broken_connection_may_have_acted(calls):
     """A worker that dies with an order on its way may have carried it out."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
