--- a/poplarspindle/platform/__main__.py
+++ b/poplarspindle/platform/__main__.py
@@ -9,17 +9,19 @@
 from poplarspindle.node import settings as node_settings
 from poplarspindle.platform import callers, minions, operators, settings, store
 
+# A slow store takes 2.6 appends a second in a part, callers hand in 20.
+HAND_INS_TOPICS = 3
 RELOAD_S = 1.0  # The file may change without a signal.
 
 
 def connect(own_settings) -> ports.Platform:
     """Returns the calls of the platform that the settings describe."""
     return ports.Platform(
-        store.Store(own_settings.store_address),
+        store.Store(own_settings.store_address, own_settings.log_parts),
         store.FLEET_TOPIC,
         store.PROGRESS_TOPIC,
         store.HAND_INS_TOPIC,
-        own_settings.log_parts,
+        own_settings.log_parts * HAND_INS_TOPICS,
         store.OPERATORS_TOPIC,
         store.WORKERS_TOPIC,
         operators.read_wish,
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -58,12 +58,16 @@
 class Store:
     """Calls of the store.
 
+    Parts beyond those of a topic are parts of further topics of its name.
+
     Args:
         address: `host:port` of the store.
+        parts: Partitions of a topic.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, parts: int = 1) -> None:
         self._calls = transport.Transport(address)
+        self._parts = parts
 
     def move(self, address: str) -> None:
         """Sends all further calls to another address."""
@@ -93,10 +97,7 @@
             Offset of the first record, or the failure. Its reason is
             `fenced` where a higher epoch was seen.
         """
-        query: dict[str, object] = {
-            "topic": topic or FLEET_TOPIC,
-            "part": part,
-        }
+        query = self._place(topic or FLEET_TOPIC, part)
         if epoch:
             query |= {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
         answer = self._calls.call(
@@ -114,6 +115,11 @@
             return outcomes.Ok(fields["offset"])
         return self._refuse(outcomes.Step.APPEND, answer.value, fields)
 
+    def _place(self, topic: str, part: int) -> dict[str, object]:
+        """Returns the query for a part, in the topic that has it."""
+        number, part = divmod(part, self._parts)
+        return {"topic": f"{topic}-{number}" if number else topic, "part": part}
+
     def _refuse(self, step, answer, fields) -> outcomes.Failed:
         """Returns the failure for an answer that is no success."""
         reason = fields.get("reason")
@@ -134,8 +140,7 @@
         """
         query = urllib.parse.urlencode(
             {
-                "topic": topic,
-                "part": part,
+                **self._place(topic, part),
                 "from": offset,
                 "wait_ms": wait_ms,
             }
@@ -179,7 +184,7 @@
             part: Partition of the topic.
         """
         # The wire names the key to continue behind `depends_on`.
-        query: dict[str, object] = {"topic": topic, "part": part}
+        query = self._place(topic, part)
         query |= {"depends_on": after} if after else {}
         answer = self._calls.call(
             outcomes.Step.READ,
--- a/poplarspindle/tests/test_adapter.py
+++ b/poplarspindle/tests/test_adapter.py
@@ -17,6 +17,7 @@
     settings,
     store,
 )
+from poplarspindle.tools.fakes import deployment
 
 QUEUE = work.Queue("q", "a.example", "/p/", "pool", 0, 3, 1.5, 250, 3000)
 DEEP = work.Queue("deep", "a.example", "/p/deep/", "pool")
@@ -379,3 +380,20 @@
 
 def test_orders_know_every_refusal_of_the_wire():
     assert set(minions.REFUSALS.values()) <= set(orders.Refusal)
+
+
+def test_parts_beyond_a_topic_are_parts_of_further_topics():
+    fake = deployment.FakeStore()
+    try:
+        own = store.Store(fake.address, 2)
+        for part in range(5):
+            record = records.Record(f"k{part}", b"v")
+            own.append([record], 5.0, topic="keyed.t", part=part)
+            page = own.read("keyed.t", 0, 0, part)
+            assert page.value.found == (record,)
+            newest = own.read_newest("keyed.t", part=part)
+            assert newest.value.found == (record,)
+        assert fake.read_keys("keyed.t").keys() == {"k0", "k1"}
+        assert fake.read_keys("keyed.t-2").keys() == {"k4"}
+    finally:
+        fake.stop()
--- a/poplarspindle/tests/test_hand_ins.py
+++ b/poplarspindle/tests/test_hand_ins.py
@@ -19,6 +19,7 @@
 listen_addrs.readiness=127.0.0.1:2
 platform.address=127.0.0.1:3
 """)
+PARTS = program.connect(SETTINGS).parts
 QUEUE = work.Queue("q", "h", "/q/", "pool")
 STEP = work.Step(1, resources.Resources(1000, 1, 0))
 PATIENCES = [
@@ -41,8 +42,8 @@
 class Store:
     """Parts of the hand-ins; some of them do not answer."""
 
-    def __init__(self, parts=8):
-        self.parts = {part: [] for part in range(parts)}
+    def __init__(self):
+        self.parts = {part: [] for part in range(PARTS)}
         self.first = 0
         self.stuck = set()
         self.go_on = threading.Event()
@@ -77,7 +78,7 @@
 
 def find_jobs_of_two_parts():
     names = [f"{number:016x}" for number in range(100)]
-    parts = {records.choose_part(name, 8): name for name in names}
+    parts = {records.choose_part(name, PARTS): name for name in names}
     return list(parts.items())[:2]
 
 
@@ -121,7 +122,7 @@
 
 def hand_in(store, *jobs):
     for job in jobs:
-        part = records.choose_part(job, 8)
+        part = records.choose_part(job, PARTS)
         record = records.encode_submission(make_submission(job))
         store.parts[part].append(record)
 
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -15,6 +15,7 @@
 from poplarspindle.node import node, standing
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
+from poplarspindle.platform import store as platform_store
 from poplarspindle.tools.fakes import deployment
 
 PATIENCE_S = 60.0
@@ -96,6 +97,17 @@
         yield make
 
 
+def list_handed_in(store):
+    """Lists the keys of all hand-ins, whichever topic has their part."""
+    return [
+        key
+        for number in range(program.HAND_INS_TOPICS)
+        for key in store.read_keys(
+            platform_store.HAND_INS_TOPIC + (f"-{number}" if number else "")
+        )
+    ]
+
+
 def list_runs(found):
     return [run for minion in found.minions for run in minion.ledger]
 
@@ -137,10 +149,7 @@
     found = house()
     for method, path, fields, status in ANSWERS:
         assert found.call(method, path, fields).status == status
-    assert not any(
-        key.startswith("j/")
-        for key in found.store.read_keys("keyed.poplarspindle-jobs")
-    )
+    assert not any(key.startswith("j/") for key in list_handed_in(found.store))
 
 
 def test_cancelled_job_is_shown_so_everywhere(house):
@@ -196,7 +205,7 @@
         lambda: node.dataclasses.replace(changed, store_address=second.address)
     )
     assert found.call("POST", f"/q/{ID}", JOB).status == 200
-    assert f"j/{ID}" in second.read_keys("keyed.poplarspindle-jobs")
+    assert f"j/{ID}" in list_handed_in(second)
     found.store.stop()
     found.store = second
 
