--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -59,6 +59,7 @@
         self._counters = counters
         self._sequence = 0  # The claim was number 0.
         self._waiting: queue.SimpleQueue = queue.SimpleQueue()
+        self._items: list = []
         self.ok_at = float("-inf")
 
     def start(self) -> None:
@@ -81,8 +82,12 @@
         self._waiting.put(None)
 
     def _run(self) -> None:
+        # What was taken stays until the store has it: a defect that ends this
+        # function lets it begin anew with the same items.
+        items = self._items
         while not self._over.is_set():
-            items = [self._waiting.get()]
+            if not items:
+                items.append(self._waiting.get())
             while not self._waiting.empty():
                 items.append(self._waiting.get())
             if None in items or self._over.is_set():
@@ -94,7 +99,9 @@
                     newest[record.key] = record
             if not all(map(self._append, self._split(newest.values()))):
                 return
-            for _, done in items:
+            told = items[:]
+            items.clear()
+            for _, done in told:
                 if done is not None and not self._over.is_set():
                     done(self.ok_at)
 
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -96,6 +96,7 @@
         self._fleet: fleet.Fleet | None = None
         self._owning: owning.Owning | None = None
         self._preparing = 0
+        self._reset_due = False  # Pages on their way do not make up for it.
         self._stepping_down = False
         self._standing = standing.Standing(
             platform.store,
@@ -218,16 +219,19 @@
 
     def _run(self) -> None:
         while True:
-            batch = self._next_events()
-            try:
-                self._take_batch(batch)
-            except Exception:
-                # Part of the batch is lost: what is known is read anew.
-                _log.exception("state-failed", events=len(batch))
-                self._give_up_ownership("state-failed")
-                self._standing.withdraw()
-                self._known.loaded = self._standing.able = False
-                self._shared.reload()
+            self._take_or_reload(self._next_events())
+
+    def _take_or_reload(self, batch: list) -> None:
+        try:
+            self._take_batch(batch)
+        except Exception:
+            # Part of the batch is lost: what is known is read anew.
+            _log.exception("state-failed", events=len(batch))
+            self._give_up_ownership("state-failed")
+            self._standing.withdraw()
+            self._known.loaded = self._standing.able = False
+            self._reset_due = True
+            self._shared.reload()
 
     def _next_events(self) -> list:
         found = []
@@ -344,6 +348,7 @@
                 self._owning.carry_out(effect)
 
     def _reset_known(self, event: _Reset) -> None:
+        self._reset_due = False
         self._known.loaded = False
         self._standing.able = False
         self._known.shown = {}
@@ -370,7 +375,7 @@
             self._apply(record)
             if record.key in OWNERS_KEYS:
                 self._standing.heard_at = time.monotonic()
-        if event.at_tail:
+        if event.at_tail and not self._reset_due:
             self._known.loaded = True
             self._standing.able = self._known.configuration is not None
 
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -2,6 +2,8 @@
 
 import time
 
+from structlog import testing
+
 from poplarspindle import metrics, resources
 from poplarspindle.fleet import book, events, fitness, fleet, views, work
 from poplarspindle.node import node
@@ -92,3 +94,18 @@
     assert asked == []
     found._take_batch([events.Granted(now - 1.5, "w", 1)])
     assert asked == ["overrun"]
+
+
+def test_pages_behind_a_failed_batch_do_not_make_a_node_whole():
+    """Part of a batch was lost: what it told of would be said to be absent."""
+    found = node.Node(SETTINGS, program.connect(SETTINGS), metrics.Metrics())
+    found._known.configuration = work.Configuration(1, {})
+    found._take_batch([node._Read((), True)])
+    assert found._known.loaded
+    with testing.capture_logs():
+        found._take_or_reload([node._Reset(None)])
+    assert not found._known.loaded
+    found._take_batch([node._Read((), True)])
+    assert not found._known.loaded
+    found._take_batch([node._Reset(()), node._Read((), True)])
+    assert found._known.loaded
--- a/poplarspindle/tests/test_owning.py
+++ b/poplarspindle/tests/test_owning.py
@@ -3,6 +3,8 @@
 import dataclasses
 import threading
 
+from structlog import testing
+
 from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import effects, records
 from poplarspindle.node import appending, owning, storage
@@ -98,6 +100,29 @@
     assert store.calls == [("t", 1, ["a"]), ("t", 2, ["c", "b"])]
 
 
+def test_defect_in_an_append_loses_no_record():
+    """All nodes would be told that a job which was never named is absent."""
+    store, over, done = Store(), threading.Event(), threading.Semaphore(0)
+    store.let_go.set()
+    own = make_appender(store, over)
+    append, failed = own._call, threading.Event()
+
+    def fail_once(found, sequence):
+        if not failed.is_set():
+            failed.set()
+            raise MemoryError("defect")
+        return append(found, sequence)
+
+    own._call = fail_once
+    with testing.capture_logs():
+        own.start()
+        own.put([records.Record("a", b"1")], lambda at: done.release())
+        assert done.acquire(timeout=30)
+    over.set()
+    own.stop()
+    assert [keys for _, _, keys in store.calls] == [["a"]]
+
+
 def test_records_beyond_one_call_go_in_several_in_order():
     store, over, done = Store(), threading.Event(), threading.Semaphore(0)
     store.let_go.set()
