Keep as many connections to the store as the owner's waits need

Cause: the pool to the store kept 8 connections; an owner waits at 24 parts of hand-ins, so most waits made a new connection (seen as 'Connection pool is full' in the log of a test that failed). Change: 64 are kept. Test red before (8 is less than 48).

--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -19,6 +19,8 @@
 PRODUCER = "owner"
 OWNED_PART = 0
 RAW_HEADERS = {"Content-Type": "application/octet-stream"}
+# An owner waits at each part of the hand-ins; appends and reads come on top.
+CONNECTIONS = 64
 READ_ANSWER_S = 2.0  # A slow store takes hundreds of milliseconds.
 _OFFSETS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
@@ -66,12 +68,13 @@
     """
 
     def __init__(self, address: str, parts: int = 1) -> None:
-        self._calls = transport.Transport(address)
+        self._calls = transport.Transport(address, CONNECTIONS)
         self._parts = parts
 
     def move(self, address: str) -> None:
         """Sends all further calls to another address."""
-        before, self._calls = self._calls, transport.Transport(address)
+        before = self._calls
+        self._calls = transport.Transport(address, CONNECTIONS)
         before.close()
 
     def append(
--- a/poplarspindle/tests/test_hand_ins.py
+++ b/poplarspindle/tests/test_hand_ins.py
@@ -186,3 +186,9 @@
     assert what.taken == {}
     known.apply_shared(what, records.drop_state(JOB), 0.0)
     assert known.find_job(what, JOB) is None
+
+
+def test_connections_to_the_store_are_kept_for_all_that_wait():
+    """An owner waits at every part; else each wait is a new connection."""
+    found = program.connect(SETTINGS)
+    assert found.store._calls._pool.pool.maxsize >= 2 * found.parts
