Hear a claim as well as a load; split the hand-over and notes off the node

Since logs are apart, a claimant also reads before it begins, longer on a slow store; after 1.2 s others would claim, and it would begin anew. Change: the claim counts as heard; one that has not begun yet has 3 s. Ruled out: nothing else written to the log in between.

--- a/poplarspindle/fleet/rounds.py
+++ b/poplarspindle/fleet/rounds.py
@@ -10,6 +10,7 @@
 import heapq
 from collections.abc import Callable
 
+from poplarspindle import resources
 from poplarspindle.fleet import (
     book,
     effects,
--- /dev/null
+++ b/poplarspindle/node/handover.py
@@ -0,0 +1,56 @@
+"""How an owner gives the fleet to another node."""
+
+import time
+from collections.abc import Callable
+
+import structlog
+
+from poplarspindle.node import owning, standing
+
+STORE_AWAY_S = 0.8  # Joins and appends confirm the store more often.
+POLL_S = 0.05
+GIVE_UP_S = 0.3  # Time for the state thread to give ownership up.
+
+_log = structlog.get_logger(part="ownership")
+
+
+def leave(
+    held: owning.Owning | None,
+    own: standing.Standing,
+    put: Callable[[owning.Lost], None],
+    until: float,
+) -> None:
+    """Gives ownership up for good; not while nobody could take it.
+
+    Args:
+        held: The ownership, None where this node does not own the fleet.
+        own: This node's standing.
+        put: Takes events for the node's state.
+        until: When to give it up at the latest, monotonic seconds.
+    """
+    while held is not None and not held.over.is_set():
+        away_s = time.monotonic() - held.store_ok_at()
+        if away_s < STORE_AWAY_S or time.monotonic() >= until:
+            held.extend_leases()
+            break
+        held.over.wait(POLL_S)
+    put(owning.Lost(0, "leaving"))
+    if held is not None:
+        held.over.wait(GIVE_UP_S)
+        own.resign(held.epoch)
+    own.leave()
+
+
+def step_down(
+    held: owning.Owning,
+    own: standing.Standing,
+    put: Callable[[owning.Lost], None],
+    why: str,
+) -> None:
+    """Gives the fleet to another node and stands back for some time."""
+    _log.info("steps-down", why=why, epoch=held.epoch)
+    own.withdraw()
+    held.extend_leases()
+    put(owning.Lost(held.epoch, why))
+    held.over.wait(GIVE_UP_S)
+    own.resign(held.epoch)
--- a/poplarspindle/node/known.py
+++ b/poplarspindle/node/known.py
@@ -1,5 +1,7 @@
 """What a node knows: written by its one state thread, read by callers'."""
 
+from collections.abc import Callable, Iterable
+
 import structlog
 
 from poplarspindle.fleet import admission, book, dark, records, work
@@ -94,3 +96,43 @@
         change = {wish.data_centre}
         known.out = known.out | change if wish.out else known.out - change
         _log.info("data-centre", name=wish.data_centre, out=wish.out)
+
+
+def take_wishes(
+    known: Known,
+    read_wish: Callable[[records.Record], wishes.Wish | None],
+    found: Iterable[records.Record],
+) -> None:
+    """Takes in what operators wrote; what can't be read is passed over."""
+    for record in found:
+        try:
+            wish = read_wish(record)
+        except ValueError as error:
+            _log.warning("malformed", key=record.key, why=str(error))
+            continue
+        apply_wish(known, wish)
+
+
+def find_heard_at(
+    known: Known, owner: records.Owner | None, at: float, wall_ms: int
+) -> tuple[float, bool]:
+    """Returns when the owner was last heard of, by its claim or newest load.
+
+    Clocks of nodes differ: one that is ahead claims sooner, one that is
+    behind waits as if the owner had just been heard.
+
+    Args:
+        known: What was read.
+        owner: The newest owner that was read, None for none.
+        at: Present time, own clock.
+        wall_ms: Unix time in milliseconds.
+
+    Returns:
+        Own clock's time, and whether the owner was heard since it claimed.
+    """
+    claimed_ms = owner.claimed_ms if owner else 0
+    load_ms = known.load.at_ms if known.load else 0
+    heard_ms = max(claimed_ms, load_ms)
+    if not heard_ms:
+        return float("-inf"), False
+    return at - max(0, wall_ms - heard_ms) / 1000, load_ms > claimed_ms
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -25,8 +25,10 @@
     commits,
     desk,
     followers,
+    handover,
     intake,
     known,
+    notes,
     owning,
     ports,
     settings,
@@ -39,9 +41,6 @@
 BATCH_EVENTS = 200
 FOLLOW_PAUSE_S = 0.25  # Each read is priced; states may be shown as late.
 LEAVE_ROTATION_S = 2.5
-STORE_AWAY_S = 0.8  # Joins and appends confirm the store more often.
-HAND_OVER_POLL_S = 0.05
-HAND_OVER_S = 0.3  # Time for the state thread to give ownership up.
 PLACE_SHARE = 3  # For each second of placing, so many for what comes in.
 SETTLE_EVERY_S = 0.004  # Under load, decisions are made for many events.
 
@@ -196,24 +195,7 @@
         _log.info("stopped")
 
     def _hand_over(self, until: float) -> None:
-        """Gives ownership up; while the store is away nobody could take it.
-
-        Args:
-            until: When to give it up at the latest, monotonic seconds.
-        """
-        held = self._owning
-        owned = held.epoch if held is not None else 0
-        while held is not None and not held.over.is_set():
-            away_s = time.monotonic() - held.store_ok_at()
-            if away_s < STORE_AWAY_S or time.monotonic() >= until:
-                held.extend_leases()
-                break
-            held.over.wait(HAND_OVER_POLL_S)
-        self._events.put(owning.Lost(0, "leaving"))
-        if held is not None:
-            held.over.wait(HAND_OVER_S)
-            self._standing.resign(owned)
-        self._standing.leave()
+        handover.leave(self._owning, self._standing, self._events.put, until)
 
     # State thread.
 
@@ -285,15 +267,10 @@
             return
         self._stepping_down = True
         held = self._owning
-        _log.info("steps-down", about="ownership", why=why, epoch=held.epoch)
 
         def hand_over() -> None:
             try:
-                self._standing.withdraw()
-                held.extend_leases()
-                self._events.put(owning.Lost(held.epoch, why))
-                held.over.wait(HAND_OVER_S)
-                self._standing.resign(held.epoch)
+                handover.step_down(held, self._standing, self._events.put, why)
             finally:
                 self._stepping_down = False
 
@@ -331,19 +308,7 @@
     def _carry_out(self, found: list) -> None:
         for effect in found:
             if isinstance(effect, effects.Note):
-                self._counters.add(
-                    "poplarspindle_fleet_total", f"{effect.part}-{effect.event}"
-                )
-                fields = dict(effect.fields)
-                if effect.event == "placed" and "first_ms" in fields:
-                    self._counters.observe(
-                        "poplarspindle_first_start_seconds",
-                        fields["queue"],
-                        fields["first_ms"] / 1000,
-                    )
-                if effect.job:
-                    fields["job"] = effect.job
-                _log.info(effect.event, about=effect.part, **fields)
+                notes.write(self._counters, effect)
             else:
                 self._owning.carry_out(effect)
 
@@ -354,27 +319,22 @@
         self._known.shown = {}
         for record in event.found:
             self._apply(record)
-        self._standing.heard_at = self._find_heard_at()
+        self._standing.heard_at, self._standing.at_work = known.find_heard_at(
+            self._known,
+            self._standing.owner,
+            time.monotonic(),
+            clocks.tell_wall_ms(),
+        )
         _log.info(
             "loaded", records=len(event.found), jobs=len(self._known.shown)
         )
 
-    def _find_heard_at(self) -> float:
-        """Returns when the owner was last heard of, by its newest load.
-
-        Clocks of nodes differ: one that is ahead claims sooner, one that is
-        behind waits as if the owner had just been heard.
-        """
-        if self._known.load is None:
-            return float("-inf")
-        age_ms = clocks.tell_wall_ms() - self._known.load.at_ms
-        return time.monotonic() - max(0, age_ms) / 1000
-
     def _read_shared(self, event: _Read) -> None:
         for record in event.found:
             self._apply(record)
             if record.key in OWNERS_KEYS:
                 self._standing.heard_at = time.monotonic()
+                self._standing.at_work = record.key == admission.LOAD_KEY
         if event.at_tail and not self._reset_due:
             self._known.loaded = True
             self._standing.able = self._known.configuration is not None
@@ -514,13 +474,7 @@
         self._take_wishes(found)
 
     def _take_wishes(self, found: tuple[records.Record, ...]) -> None:
-        for record in found:
-            try:
-                wish = self._platform.read_wish(record)
-            except ValueError as error:
-                _log.warning("malformed", key=record.key, why=str(error))
-                continue
-            known.apply_wish(self._known, wish)
+        known.take_wishes(self._known, self._platform.read_wish, found)
         if found and self._known.configuration is not None:
             self._standing.able = self._known.loaded
             self._events.put(
--- /dev/null
+++ b/poplarspindle/node/notes.py
@@ -0,0 +1,23 @@
+"""Notes of the owner's decisions, to the log and the counters."""
+
+import structlog
+
+from poplarspindle import metrics
+from poplarspindle.fleet import effects
+
+_log = structlog.get_logger(part="node")
+
+
+def write(counters: metrics.Metrics, note: effects.Note) -> None:
+    """Writes one line, counts it, and observes what it measured."""
+    counters.add("poplarspindle_fleet_total", f"{note.part}-{note.event}")
+    fields = dict(note.fields)
+    if note.event == "placed" and "first_ms" in fields:
+        counters.observe(
+            "poplarspindle_first_start_seconds",
+            fields["queue"],
+            fields["first_ms"] / 1000,
+        )
+    if note.job:
+        fields["job"] = note.job
+    _log.info(note.event, about=note.part, **fields)
--- a/poplarspindle/node/standing.py
+++ b/poplarspindle/node/standing.py
@@ -20,6 +20,9 @@
 # An owner appends its load twice a second; a dead one is out of the group
 # after about a second.
 OWNER_SILENT_S = 1.2
+# A claimant first reads what it needs; a slow store takes hundreds of
+# milliseconds for each page.
+CLAIM_SILENT_S = 3.0
 
 _log = structlog.get_logger(part="ownership")
 
@@ -30,12 +33,15 @@
     resigned: int,
     heard_at: float,
     now: float,
+    at_work: bool = True,
 ) -> bool:
     """Tells whether the chosen member may claim the fleet.
 
     Load pattern: nodes start, stop or join one after the other, or the group
     deals everything anew, and another member is chosen each time although
-    the owner is well; each change of hands costs all nodes a takeover.
+    the owner is well; each change of hands costs all nodes a takeover. Or a
+    claimant takes long to begin since the store is slow, and others that claim
+    meanwhile would only have it begin anew.
 
     Args:
         owner: The newest owner that was read, None for none.
@@ -43,10 +49,12 @@
         resigned: Newest epoch that was given up, 0 for none.
         heard_at: When the owner was last heard of, monotonic seconds.
         now: Present time, monotonic seconds.
+        at_work: Whether it was heard as owner since it claimed.
     """
     if owner is None or resigned >= owner.epoch or owner.instance == member:
         return True
-    return now - heard_at >= OWNER_SILENT_S
+    silent_s = OWNER_SILENT_S if at_work else CLAIM_SILENT_S
+    return now - heard_at >= silent_s
 
 
 class Standing:
@@ -67,6 +75,7 @@
         store_ok_at: When the store last confirmed this member's standing.
         resigned: Newest epoch that its owner gave up, 0 for none.
         heard_at: When the owner was last heard of, monotonic seconds.
+        at_work: Whether it was heard as owner since it claimed.
     """
 
     def __init__(
@@ -98,6 +107,7 @@
         self._able = False
         self.resigned = 0
         self.heard_at = float("-inf")
+        self.at_work = False
 
     def start(self) -> None:
         """Starts the joining thread."""
@@ -220,7 +230,12 @@
 
     def _claim_vacant(self, now: float) -> None:
         if is_vacant(
-            self.owner, self._member, self.resigned, self.heard_at, now
+            self.owner,
+            self._member,
+            self.resigned,
+            self.heard_at,
+            now,
+            self.at_work,
         ):
             self._claim(now)
 
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -11,8 +11,8 @@
 import urllib3
 
 from poplarspindle import metrics
-from poplarspindle.fleet import leases, records
-from poplarspindle.node import node, standing
+from poplarspindle.fleet import admission, leases, records
+from poplarspindle.node import handover, known, node, standing
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 from poplarspindle.platform import store as platform_store
@@ -243,7 +243,9 @@
     stopped._settings = dataclasses.replace(stopped._settings, leave_s=120)
     found.store.up = False
     confirmed_at = stopped._owning.store_ok_at
-    await_that(lambda: time.monotonic() - confirmed_at() > node.STORE_AWAY_S)
+    await_that(
+        lambda: time.monotonic() - confirmed_at() > handover.STORE_AWAY_S
+    )
     until = time.monotonic() + PATIENCE_S
     thread = threading.Thread(target=stopped._hand_over, args=(until,))
     stopped._known.leaving = True
@@ -309,3 +311,35 @@
 @pytest.mark.parametrize(("owner", "resigned", "heard_at", "vacant"), VACANCIES)
 def test_vacancy(owner, resigned, heard_at, vacant):
     assert standing.is_vacant(owner, "m", resigned, heard_at, 9.5) is vacant
+
+
+BEGINNINGS = [
+    pytest.param(9.0, False, id="has just claimed"),
+    pytest.param(7.0, False, id="reads from a slow store"),
+    pytest.param(6.4, True, id="never began"),
+]
+
+
+@pytest.mark.parametrize(("heard_at", "vacant"), BEGINNINGS)
+def test_claimant_is_given_time_to_begin(heard_at, vacant):
+    owner = records.Owner(32, "a", 0)
+    found = standing.is_vacant(owner, "m", 0, heard_at, 9.5, at_work=False)
+    assert found is vacant
+
+
+HEARD = [
+    pytest.param(None, None, (float("-inf"), False), id="nobody"),
+    pytest.param(9_000, None, (99.0, False), id="claimed, not begun"),
+    pytest.param(5_000, 9_500, (99.5, True), id="at work"),
+    pytest.param(9_000, 4_000, (99.0, False), id="load of the one before"),
+    pytest.param(20_000, None, (100.0, False), id="clocks differ"),
+]
+
+
+@pytest.mark.parametrize(("claimed_ms", "load_ms", "expected"), HEARD)
+def test_node_that_starts_hears_a_claim_too(claimed_ms, load_ms, expected):
+    """Load: nodes start just when another one has claimed the fleet."""
+    what = known.Known()
+    owner = claimed_ms and records.Owner(16, "a", claimed_ms)
+    what.load = load_ms and admission.Load(load_ms, {}, {})
+    assert known.find_heard_at(what, owner, 100.0, 10_000) == expected
