Log the ends that workers list of runs no longer placed there; what a lapse compared

Now stale-end says the run, how it ended and where its task is; given-up says when the run was placed, when its worker was last heard and its lease over, and whether it was sent.

Test: the line is written (fails without it).

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -1,5 +1,7 @@
 """State of the fleet's owner, and the small steps that change it."""
 
+import math
+
 from poplarspindle import interference, resources
 from poplarspindle.fleet import (
     book,
@@ -237,10 +239,19 @@
             attempt=run.attempt,
             worker=hand.worker.name,
             why=why,
+            asked=run.asked,
+            placed_ms_ago=_count_ms(own.at - run.placed_at),
+            heard_ms_ago=_count_ms(own.at - hand.heard_at),
+            lapsed_ms_ago=_count_ms(own.at - hand.lapse_at),
         )
     ]
 
 
+def _count_ms(seconds: float) -> int | None:
+    """Returns whole milliseconds, None for a time that never was."""
+    return int(seconds * 1000) if math.isfinite(seconds) else None
+
+
 def stop_run(own: Fleet, hand: views.Hand, run: views.Run) -> list:
     """Has a run stopped; one whose start was never sent just ends."""
     if not run.asked:
--- a/poplarspindle/fleet/owner.py
+++ b/poplarspindle/fleet/owner.py
@@ -220,9 +220,9 @@
 def _tick_hand(own: fleet.Fleet, hand: views.Hand) -> list:
     found = []
     if own.at >= hand.lapse_at and own.at - hand.heard_at > 1.0:
-        hand.heard_at = float("-inf")
         for run in list(hand.runs.values()):
             found += fleet.drop_run(own, hand, run, "lease-lapsed")
+        hand.heard_at = float("-inf")
         return found
     left_ms = (hand.leaves_at - own.at) * 1000
     leaving = left_ms < DRAIN_MARGIN_MS + 900
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -93,8 +93,10 @@
         run = hand.runs.get((end.task, end.attempt))
         if run is not None:
             found += end_run(own, hand, run, end.how, end.saved)
-        elif end.how is work.How.DONE:
-            found += _take_late_end(own, hand, end)
+        else:
+            found.append(_note_stale_end(own, hand, end))
+            if end.how is work.How.DONE:
+                found += _take_late_end(own, hand, end)
     if hand.noted > hand.recorded:
         hand.recorded = hand.noted
         own.waiting.append(
@@ -103,6 +105,28 @@
     return found
 
 
+def _note_stale_end(
+    own: fleet.Fleet, hand: views.Hand, end: work.Ended
+) -> effects.Note:
+    """Notes the end of a run that is not placed on this worker any more."""
+    task = book.find_task(own.book, end.task)
+    job = own.book.jobs.get(end.task.job)
+    return fleet.note(
+        "runs",
+        "stale-end",
+        end.task.job,
+        task=fleet.format_task(end.task),
+        attempt=end.attempt,
+        worker=hand.worker.name,
+        how=end.how.value,
+        number=end.number,
+        job_state=job.state.value if job else "unknown",
+        phase=task.phase.name.lower() if task else "unknown",
+        last_attempt=task.attempt if task else 0,
+        placed_on=task.worker if task else "",
+    )
+
+
 def _take_late_end(own: fleet.Fleet, hand: views.Hand, end) -> list:
     """Takes in that a run is done which was given up but not replaced."""
     task = book.find_task(own.book, end.task)
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -268,6 +268,27 @@
     assert world.starts == 8
 
 
+def place_again_before_the_end_is_known(world):
+    """Places a task anew whose run ended before; returns its first worker."""
+    world.submit("a" * 16, make_step(1))
+    while not world.starts:
+        world.run(fleets.TICK_S)
+    (name,) = [n for n, worker in world.workers.items() if worker.runs]
+    world.hold_back(name)
+    while world.notes["placed"] < 2:
+        world.run(fleets.TICK_S)
+    return name
+
+
+def test_end_that_comes_too_late_has_a_log_line():
+    world = fleets.World(1)
+    name = place_again_before_the_end_is_known(world)
+    before = world.notes["given-up"], world.notes["stale-end"]
+    world.catch_up(name)
+    assert before == (1, 0)
+    assert world.notes["stale-end"] == 1
+
+
 WALKS = range(40)
 
 
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -93,6 +93,7 @@
         self.out: frozenset[str] = frozenset()
         self.own: fleet.Fleet | None = None
         self._looks: dict[str, dict] = {}
+        self._held_back: dict[str, list[events.Event]] = {}
         self.notes: collections.Counter = collections.Counter()
         self.take_over()
 
@@ -302,13 +303,13 @@
             clock, self.now, confirmed_at, self.lease_most_ms
         )
         if until_ms:
-            self._do(events.Granted(self.now, name, until_ms))
+            self._tell(name, events.Granted(self.now, name, until_ms))
         if not worker.up or not worker.reached:
             clock.allowed = False
             look["misses"] = look.get("misses", 0) + 1
             refusal = orders.Refusal.OTHER_LIFE
             why = refusal.value if worker.replaced else "timeout"
-            self._do(events.Unheard(self.now, name, why))
+            self._tell(name, events.Unheard(self.now, name, why))
             return
         seen = look.get("seen", 0) if look.get("born") == worker.born_ms else 0
         hold = orders.Hold(self.own.epoch, seen, until_ms, 0)
@@ -318,7 +319,8 @@
         if look.get("born") != report.born_ms:
             look |= {"born": report.born_ms, "seen": 0}
         clock.ms, clock.at = report.clock_ms, self.now
-        self._do(
+        self._tell(
+            name,
             events.Reported(
                 self.now,
                 self.wall_ms(),
@@ -327,10 +329,29 @@
                 until_ms,
                 report,
                 look.get("misses", 0),
-            )
+            ),
         )
         self._settle()
 
+    def _tell(self, worker: str, event: events.Event) -> None:
+        if worker in self._held_back:
+            self._held_back[worker].append(event)
+        else:
+            self._do(event)
+
+    def hold_back(self, worker: str) -> None:
+        """Lets the owner fall behind with all that comes from a worker.
+
+        The worker is looked at as before, and its leases are renewed.
+        """
+        self._held_back.setdefault(worker, [])
+
+    def catch_up(self, worker: str) -> None:
+        """Lets the owner take in what was held back."""
+        for event in self._held_back.pop(worker):
+            self._do(event)
+        self._settle()
+
     # Time.
 
     def call_later(self, delay_s: float, call: Callable[[], None]) -> None:
