--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -280,6 +280,16 @@
     return name
 
 
+def test_task_done_in_a_run_given_up_is_not_run_again():
+    """TWICE: the end was acknowledged to the worker and forgotten."""
+    world = fleets.World(1)
+    world.catch_up(place_again_before_the_end_is_known(world))
+    world.run(6)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 1
+    assert world.list_broken() == []
+
+
 def test_end_that_comes_too_late_has_a_log_line():
     world = fleets.World(1)
     name = place_again_before_the_end_is_known(world)
