Take a run's end as done for its task, whatever later attempt was placed

Cause: the owner read the end of a run that it had given up, acknowledged it to the worker and, since a later attempt was placed or had been, did not take it for the task; the worker forgets what is acknowledged, and the task ran again. The class: a message is acknowledged before what it says has had its effect. Ruled out: progress lost between calls or at a takeover (attempts would begin at 1). Change: done is done; a later attempt not yet sent is taken back, one that was sent is stopped, for a gang those of all members. Its end is not counted any more. Tests: task and gang, 2 and 8 starts before, 1 and 4 now; a later attempt at work is stopped and the job shown as completed at once (before: at its end).

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -1,5 +1,7 @@
 """What workers report and answer, taken in by the owner."""
 
+import dataclasses
+
 from poplarspindle import resources
 from poplarspindle.fleet import (
     book,
@@ -128,23 +130,47 @@
 
 
 def _take_late_end(own: fleet.Fleet, hand: views.Hand, end) -> list:
-    """Takes in that a run is done which was given up but not replaced."""
+    """Takes in that a run is done which was given up, or even replaced.
+
+    The worker forgets an end that is acknowledged; the task would run again.
+    """
     task = book.find_task(own.book, end.task)
     job = own.book.jobs.get(end.task.job)
     if (
         task is None
-        or task.phase is not book.Phase.QUEUED
-        or task.attempt != end.attempt
+        or task.phase is book.Phase.DONE
+        or job.state in book.ENDED
         or job.submission.steps[end.task.step].lasting
     ):
         return []
-    key = (end.task.job, end.task.time, end.task.step)
+    run = views.Run(end.task, job, task, own.at, True)
+    found = _judge_worker(own, hand, run, end.how) + _take_back(own, run)
+    own.stirred = True
+    fleet.touch_run(own, run)
+    return found + _finish_task(own, run)
+
+
+def _take_back(own: fleet.Fleet, done: views.Run) -> list:
+    """Takes later attempts of a task back, with a gang those of all members.
+
+    What was sent is stopped; what was not, or waits for a worker, just ends.
+    """
+    found = []
+    name = done.name
+    tasks = done.job.runs[name.time][name.step]
+    members = range(len(tasks)) if done.step.gang else [name.index]
+    for index in members:
+        member = dataclasses.replace(name, index=index)
+        holder = own.hands.get(tasks[index].worker)
+        later = holder and holder.runs.get((member, tasks[index].attempt))
+        if later is not None:
+            found += fleet.stop_run(own, holder, later)
+    key = (name.job, name.time, name.step)
     waiting = own.ready.get(key, set())
-    waiting.discard(end.task.index)
+    waiting.difference_update(members)
     if not waiting:
         own.ready.pop(key, None)
-    run = views.Run(end.task, job, task, own.at, True)
-    return end_run(own, hand, run, end.how, end.saved)
+    return found
 
 
 def end_run(
@@ -174,6 +200,8 @@
     task = run.task
     if task.attempt != run.attempt or run.job.state in book.ENDED:
         return found
+    if task.phase is book.Phase.DONE:
+        return found
     fleet.touch_run(own, run)
     if saved:
         _save(run, saved)
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -15,7 +15,7 @@
     views,
     work,
 )
-from poplarspindle.tools.fakes import fleets
+from poplarspindle.tools.fakes import fleet_workers, fleets
 
 CORE = resources.Resources(1000, 1000, 0)
 
@@ -268,31 +268,56 @@
     assert world.starts == 8
 
 
-def place_again_before_the_end_is_known(world):
-    """Places a task anew whose run ended before; returns its first worker."""
-    world.submit("a" * 16, make_step(1))
-    while not world.starts:
+def place_again_before_the_end_is_known(world, step):
+    """Places a step anew that ended before; returns its first workers."""
+    world.submit("a" * 16, step)
+    while world.starts < step.tasks:
         world.run(fleets.TICK_S)
-    (name,) = [n for n, worker in world.workers.items() if worker.runs]
-    world.hold_back(name)
+    names = [name for name, worker in world.workers.items() if worker.runs]
+    for name in names:
+        world.hold_back(name)
     while world.notes["placed"] < 2:
         world.run(fleets.TICK_S)
-    return name
+    return names
 
 
-def test_task_done_in_a_run_given_up_is_not_run_again():
+@pytest.mark.parametrize(
+    "step",
+    [
+        pytest.param(make_step(1), id="task"),
+        pytest.param(make_step(4, gang=True), id="gang"),
+    ],
+)
+def test_task_done_in_a_run_given_up_is_not_run_again(step):
     """TWICE: the end was acknowledged to the worker and forgotten."""
-    world = fleets.World(1)
-    world.catch_up(place_again_before_the_end_is_known(world))
+    world = fleets.World(1, workers=5)
+    for name in place_again_before_the_end_is_known(world, step):
+        world.catch_up(name)
     world.run(6)
     assert world.get_state("a" * 16) == "completed"
-    assert world.starts == 1
+    assert world.starts == step.tasks
     assert world.list_broken() == []
 
 
+def test_later_attempt_is_stopped_when_an_earlier_one_is_known_to_be_done():
+    world = fleets.World(1)
+    (name,) = place_again_before_the_end_is_known(world, make_step(1))
+    world.run(0.1)
+    assert world.starts == 2
+    world.catch_up(name)
+    world.run(0.1)
+    assert world.get_state("a" * 16) == "completed"
+    world.run(fleet_workers.STOP_S + 0.1)
+    last = max(
+        (run for w in world.workers.values() for run in w.ledger),
+        key=lambda run: run.attempt,
+    )
+    assert last.how is work.How.STOPPED
+
+
 def test_end_that_comes_too_late_has_a_log_line():
     world = fleets.World(1)
-    name = place_again_before_the_end_is_known(world)
+    (name,) = place_again_before_the_end_is_known(world, make_step(1))
     before = world.notes["given-up"], world.notes["stale-end"]
     world.catch_up(name)
     assert before == (1, 0)
