Take time to have passed only up to where all events were taken in

Callers would see: a task started again while its run is at work or done (TWICE), on an owner that is slow: a tick took a lease to be over though it was renewed. Cause: the time of a tick was read after a batch was handled, and a renewal posted meanwhile waits in the queue; and after a full batch the time was that of its last event, or the present where that has none (a page of the log, hand-ins). Evidence: three tests, each ends with the run given up ('lease-lapsed') on the code before: a batch that takes longer than the lease has left, and a full batch that ends in a page, or in hand-ins. Fix: a tick's time is when the queue was last seen empty, or the latest time in what was taken in. A renewal is posted before it is sent, so none before that is unknown. The tests of leases take their batches through the queue now, as the node does.

--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -1,5 +1,6 @@
 """The node: one thread owns its state, threads around it do input, output."""
 
+import contextlib
 import dataclasses
 import queue
 import time
@@ -94,6 +95,7 @@
         self._known = known.Known()
         self._fleet: fleet.Fleet | None = None
         self._owning: owning.Owning | None = None
+        self._emptied_at = float("-inf")
         self._preparing = 0
         self._reset_due = False  # Pages on their way do not make up for it.
         self._stepping_down = False
@@ -221,13 +223,16 @@
             pause_s = self._settled_at + SETTLE_EVERY_S - time.monotonic()
             if pause_s > 0:
                 time.sleep(pause_s)
-        try:
+        with contextlib.suppress(queue.Empty):
             timeout = TICK_S if self._fleet else None
             found.append(self._events.get(timeout=timeout))
-            while len(found) < BATCH_EVENTS:
+        while len(found) < BATCH_EVENTS:
+            at = time.monotonic()
+            try:
                 found.append(self._events.get_nowait())
-        except queue.Empty:
-            pass
+            except queue.Empty:
+                self._emptied_at = at
+                break
         return found
 
     def _take_batch(self, batch: list) -> None:
@@ -236,14 +241,14 @@
         if self._fleet is None:
             return
         now, wall_ms = time.monotonic(), clocks.tell_wall_ms()
-        if len(batch) >= BATCH_EVENTS:
-            # More is waiting, renewals of leases among it: as far as this
-            # node can tell, no more time has passed than up to here.
-            now = min(now, getattr(batch[-1], "at", now))
         self._check_lateness(getattr(batch[0], "at", now) if batch else now)
-        if now - self._ticked_at >= TICK_S:
-            self._ticked_at = now
-            self._reduce(events.Ticked(now, wall_ms))
+        # Renewals of leases may wait by now: only up to here is all taken in.
+        known_at = max(
+            [self._emptied_at, *(e.at for e in batch if hasattr(e, "at"))]
+        )
+        if known_at - self._ticked_at >= TICK_S:
+            self._ticked_at = known_at
+            self._reduce(events.Ticked(known_at, wall_ms))
             self._owning.keep_watches(self._fleet.hands)
         self._fleet.at, self._fleet.wall_ms = now, wall_ms
         if now >= self._place_after:
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -2,11 +2,12 @@
 
 import time
 
+import pytest
 from structlog import testing
 
 from poplarspindle import metrics, resources
 from poplarspindle.fleet import book, events, fitness, fleet, views, work
-from poplarspindle.node import node
+from poplarspindle.node import intake, node
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 
@@ -59,6 +60,13 @@
     return found, hand
 
 
+def take(found, behind):
+    """Lets a node take a batch in, as it comes."""
+    for event in behind:
+        found._events.put(event)
+    found._take_batch(found._next_events())
+
+
 def test_renewals_not_yet_taken_in_let_no_lease_lapse():
     """Load: events come faster than they are taken in.
 
@@ -70,16 +78,49 @@
     behind = [
         events.Granted(now - 2.0, "other", 1) for _ in range(node.BATCH_EVENTS)
     ]
-    found._take_batch(behind)
+    take(found, behind)
+    assert len(hand.runs) == 1
+    take(found, [events.Granted(now - 1.9, "w", 1000 + 60_000)])
+    assert len(hand.runs) == 1
+
+
+@pytest.mark.parametrize(
+    "last",
+    [
+        pytest.param(node._Read((), True), id="page of the shared log"),
+        pytest.param(intake.HandIns(16, 0, (), 1), id="hand-ins"),
+    ],
+)
+def test_full_batch_that_ends_in_a_page_lets_no_lease_lapse(last):
+    """A page has no time of its own; renewals wait behind it."""
+    now = time.monotonic()
+    found, hand = make_owner(now)
+    behind = [events.Granted(now - 2.0, "other", 1)] * (node.BATCH_EVENTS - 1)
+    take(found, [*behind, last])
+    assert len(hand.runs) == 1
+    take(found, [events.Granted(now - 1.9, "w", 1000 + 60_000)])
+    assert len(hand.runs) == 1
+
+
+def test_renewal_posted_while_a_batch_is_taken_in_lets_no_lease_lapse():
+    """Taking a batch in may take longer than a lease has left."""
+    now = time.monotonic()
+    found, hand = make_owner(now)
+    hand.lapse_at = now + 0.05
+    found._events.put(events.Granted(now, "other", 1))
+    batch = found._next_events()
+    time.sleep(0.1)
+    found._events.put(events.Granted(now + 0.04, "w", 1000 + 60_000))
+    found._take_batch(batch)
     assert len(hand.runs) == 1
-    found._take_batch([events.Granted(now - 1.9, "w", 1000 + 60_000)])
+    found._take_batch(found._next_events())
     assert len(hand.runs) == 1
 
 
 def test_lease_that_was_not_renewed_lapses():
     now = time.monotonic()
     found, hand = make_owner(now)
-    found._take_batch([events.Granted(now - 1.9, "other", 1)])
+    take(found, [events.Granted(now - 1.9, "other", 1)])
     assert hand.runs == {}
 
 
