Record that a time of a job is over before its groups of tasks are dropped

Callers would see: a whole job run again (TWICE) after an owner died while an append that went out in several calls was half done. Cause: one append held the drops of the groups before the job's own record; where a call ends between them, the next owner finds the time open and all its tasks queued. Evidence: virtual fleet, the owner dies after 1, 2 or 3 records of the append that ends a job: 59 starts of 38 tasks on the code before (3 of 3 tests fail). Fix: the drops go last; groups that are left over are dropped at a takeover.

--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -53,8 +53,10 @@
         for name in own.dirty
         if (job := own.book.jobs.get(name)) is not None
     ]
-    # Where all don't go into one call, a job's end comes after its tasks.
+    # Not all may go into one call, and an owner may die between two: a job's
+    # end comes after its tasks, and before what would be missed without it.
     changed += [records.encode_progress(job) for job in shown]
+    changed += _list_drops(shown)
     if own.remember_due and own.slowdown.weights:
         changed.append(memory.encode_memory(own.slowdown))
         own.remember_due = False
@@ -71,21 +73,24 @@
 
 
 def _list_groups(own: fleet.Fleet) -> list[records.Record]:
-    """Lists the records of changed groups, and drops those that are over."""
+    """Lists the records of changed groups."""
     found = []
     for name, group in own.touched:
         job = own.book.jobs.get(name)
         if job is not None and group[0] in job.runs:
             job.written.add(group)
             found.append(records.encode_group(job, group))
-    for name in own.dirty:
-        job = own.book.jobs.get(name)
-        if job is None:
-            continue
+    return found
+
+
+def _list_drops(jobs: list[book.Job]) -> list[records.Record]:
+    """Lists records that drop the groups of times that are over."""
+    found = []
+    for job in jobs:
         over = [group for group in job.written if group[0] not in job.runs]
         job.written.difference_update(over)
         found += [
-            records.Record(records.name_group(name, group), b"")
+            records.Record(records.name_group(job.submission.job, group), b"")
             for group in over
         ]
     return found
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -204,6 +204,21 @@
     assert world.list_broken() == []
 
 
+@pytest.mark.parametrize("stored", [1, 2, 3])
+def test_owner_that_dies_between_calls_of_a_jobs_end_runs_nothing_again(stored):
+    """TWICE: its groups were dropped before the job was said to be over."""
+    world = fleets.World(1, workers=5, run_s=lambda rng: rng.uniform(0.1, 3))
+    world.submit("a" * 16, make_step(20), make_step(18))
+    world.tear = lambda found: (
+        stored if any(not record.value for record in found) else None
+    )
+    world.run(9)
+    assert world.torn
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 38
+    assert world.list_broken() == []
+
+
 def test_takeover_waits_for_a_worker_that_may_still_run():
     world = fleets.World(1, run_s=lambda rng: 30.0)
     world.submit("a" * 16, make_step(8))
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -35,6 +35,10 @@
 WALL_MS = 1_700_000_000_000
 
 
+def _tear_nothing(found: tuple[records.Record, ...]) -> None:
+    """Lets all records of an append be stored."""
+
+
 class World:
     """Workers, a log and one owner at a time, in virtual time.
 
@@ -44,6 +48,11 @@
         run_s: Returns the time that a task takes, seconds.
         fail: Tells whether a run fails by itself.
         late: Share of orders that get no answer and are carried out late.
+
+    Attributes:
+        tear: Tells of how many records of an append are stored before the
+            owner dies, None where it lives; it dies so once.
+        torn: Whether it did.
     """
 
     def __init__(
@@ -59,6 +68,10 @@
         self.now = 0.0
         self.lease_most_ms = 6000
         self.late = late
+        self.tear: Callable[[tuple[records.Record, ...]], int | None] = (
+            _tear_nothing
+        )
+        self.torn = False
         self.starts = 0
         self.room_refusals = 0
         self.fail_on: set[str] = set()
@@ -132,7 +145,10 @@
             for key, record in self.log.items()
             if key.partition("/")[0] in (records.PROGRESS, records.TASKS)
         ]
-        assert takeover.load_progress(known, progress) == ([], [])
+        drops, malformed = takeover.load_progress(known, progress)
+        assert not malformed
+        assert not drops or self.torn
+        self._write(drops)
         self.own = fleet.Fleet(known, self.lease_most_ms)
         self._looks = {}
         silent = {}
@@ -220,6 +236,12 @@
         if not self.store_up:
             self.call_later(0.2, lambda: self._append(own, effect))
             return
+        stored = self.tear(effect.found)
+        if stored is not None:
+            self.torn, self.tear = True, _tear_nothing
+            self._write(effect.found[:stored])
+            self.take_over()
+            return
         self._write(effect.found)
         self._do(events.Appended(self.now, effect.number))
         for name, job in own.book.jobs.items():
