Take all members of a gang that is done out of the queue

Callers would see: nothing is decided until another node owns the fleet. The owner gave up ('state-failed', KeyError in place_step) where a time of a job with several times was over while a member of its gang was queued. In a job with one time the step stays among the ready ones until the job ends: counted, ranked, and waited for. Cause: one member's end stands for all, but a member whose worker was lost just before was left in the queue. Evidence: virtual fleet, a member's worker crashes between the end and the next look: KeyError on the code before. Fix: whatever ends a task takes it, and with a gang all members, out of the queue.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -1,6 +1,7 @@
 """State of the fleet's owner, and the small steps that change it."""
 
 import math
+from collections.abc import Iterable
 
 from poplarspindle import interference, resources
 from poplarspindle.fleet import (
@@ -215,6 +216,15 @@
     own.stirred = True
 
 
+def unqueue(own: Fleet, run: views.Run, indexes: Iterable[int]) -> None:
+    """Takes tasks of a run's step out of those that are ready."""
+    key = (run.name.job, run.name.time, run.name.step)
+    waiting = own.ready.get(key, set())
+    waiting.difference_update(indexes)
+    if not waiting:
+        own.ready.pop(key, None)
+
+
 def list_ghosts(own: Fleet, worker: str) -> list[tuple[work.TaskName, int]]:
     """Lists runs given up whose start a worker may still carry out."""
     ghosts = own.ghosts.get(worker, {})
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -153,7 +153,7 @@
 def _take_back(own: fleet.Fleet, done: views.Run) -> list:
     """Takes later attempts of a task back, with a gang those of all members.
 
-    What was sent is stopped; what was not, or waits for a worker, just ends.
+    What was sent is stopped; what was not just ends.
     """
     found = []
     name = done.name
@@ -165,11 +165,6 @@
         later = holder and holder.runs.get((member, tasks[index].attempt))
         if later is not None:
             found += fleet.stop_run(own, holder, later)
-    key = (name.job, name.time, name.step)
-    waiting = own.ready.get(key, set())
-    waiting.difference_update(members)
-    if not waiting:
-        own.ready.pop(key, None)
     return found
 
 
@@ -264,10 +259,11 @@
     job, number, step = run.job, run.name.time, run.name.step
     own.efforts.pop((run.name.job, number), None)
     tasks = job.runs[number][step]
-    run.task.phase = book.Phase.DONE
-    if run.step.gang:
-        for task in tasks:
-            task.phase = book.Phase.DONE
+    # Members of a gang that were lost just before its end wait again.
+    members = range(len(tasks)) if run.step.gang else [run.name.index]
+    for index in members:
+        tasks[index].phase = book.Phase.DONE
+    fleet.unqueue(own, run, members)
     if not book.is_step_done(tasks):
         return []
     if all(map(book.is_step_done, job.runs[number])):
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -86,6 +86,31 @@
     assert {run.attempt for run in runs} == {1}
 
 
+def test_gang_in_one_of_several_times_ends_that_time_once():
+    """The owner fell over the second member's end."""
+    world = fleets.World(1)
+    times = {"times": 2, "first_ms": world.wall_ms(), "every_ms": 2000}
+    world.submit("a" * 16, make_step(4, gang=True), **times)
+    world.run(4)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 8
+
+
+def test_gang_is_done_though_the_worker_of_a_member_is_lost():
+    """The lost member stayed in the queue, and its time was no more."""
+    world = fleets.World(1, workers=5)
+    times = {"times": 2, "first_ms": world.wall_ms(), "every_ms": 2000}
+    world.submit("a" * 16, make_step(4, gang=True), **times)
+    while not any(run.how for w in world.workers.values() for run in w.ledger):
+        world.run(fleets.TICK_S)
+    next(w for w in world.workers.values() if w.ledger).crash()
+    world.run(1)
+    assert world.own.ready == {}
+    world.run(3)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 8
+
+
 def test_gang_waits_for_room_for_all():
     world = fleets.World(1, workers=1)
     world.submit("a" * 16, make_step(6))
