Give no run up as not listed while a worker may have more ends to list

Callers would see: a task done and started again (TWICE), where a worker holds 500 ends or more that are not acknowledged, as after the store was away for long. Cause: a worker lists 500 ends at a time; a run that ended and is not among them is not among the running ones either, and was taken to be over without its end. Fix: the report says whether its list of ends is whole; a full one proves nothing.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -314,7 +314,7 @@
     for run in [r for key, r in hand.runs.items() if key not in listed]:
         if (first and run.recorded and not run.stopping) or _is_unsent(run):
             found += fleet.send_start(own, hand, run)
-        elif event.sent_at > run.answered_at:
+        elif event.sent_at > run.answered_at and event.report.whole:
             found += fleet.drop_run(own, hand, run, "not-listed", True)
     return found
 
--- a/poplarspindle/fleet/work.py
+++ b/poplarspindle/fleet/work.py
@@ -236,10 +236,12 @@
         clock_ms: The worker's own clock.
         born_ms: When its present life began, 0 if unsaid.
         running: All runs.
-        ended: Ends not yet acknowledged.
+        ended: Ends not yet acknowledged, oldest first.
+        whole: Whether there are no more ends than those.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[Running, ...]
     ended: tuple[Ended, ...]
+    whole: bool = True
--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -17,6 +17,7 @@
     "draining": work.Presence.LEAVING,
 }
 ORDER_S = 0.25  # Minions answer orders in a few milliseconds.
+ENDS_MOST = 500  # A report lists so many ends at a time.
 NAMES_MOST = 32768  # Tasks that run at a time, with room to spare.
 REFUSALS = {
     "fence": orders.Refusal.FENCED,
@@ -93,6 +94,7 @@
                 work.Ended(number, parse_task(name), run, work.How(how), saved)
                 for number, name, run, how, saved in fields["finished"]
             ),
+            len(fields["finished"]) < ENDS_MOST,
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"malformed report: {error!r}") from error
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -308,6 +308,21 @@
     assert world.starts == 8
 
 
+def test_run_whose_end_has_no_place_in_the_list_is_not_run_again(monkeypatch):
+    """TWICE: a worker lists so many ends at a time, and no run it ended."""
+    monkeypatch.setattr(fleet_workers, "ENDS_MOST", 2)
+    world = fleets.World(1, workers=1)
+    world.submit("a" * 16, make_step(6))
+    world.run(0.4)
+    world.store_up = False
+    world.run(2)
+    world.store_up = True
+    world.run(5)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 6
+    assert world.list_broken() == []
+
+
 def place_again_before_the_end_is_known(world, step):
     """Places a step anew that ended before; returns its first workers."""
     world.submit("a" * 16, step)
--- a/poplarspindle/tools/fakes/fleet_workers.py
+++ b/poplarspindle/tools/fakes/fleet_workers.py
@@ -9,6 +9,7 @@
 from poplarspindle.fleet import orders, views, work
 
 STOP_S = 0.3
+ENDS_MOST = 500  # Listed at a time.
 
 
 class World(typing.Protocol):
@@ -183,6 +184,7 @@
             tuple(work.Running(r.name, r.attempt) for r in self.runs.values()),
             tuple(
                 work.Ended(number, run.name, run.attempt, run.how, "")
-                for number, run in self.ends
+                for number, run in self.ends[:ENDS_MOST]
             ),
+            len(self.ends) < ENDS_MOST,
         )
