Answer the orders that wait for a worker whose address changed

Callers would see: a task that never runs again until another node owns the fleet, after its worker came back at another address while more than eight orders to it were out. Cause: the orders that waited behind them were dropped without an answer; a stop that is taken to be on its way is never sent again. Fix: they are answered as not sent: a start is given back, a stop is sent anew.

--- a/poplarspindle/node/watches.py
+++ b/poplarspindle/node/watches.py
@@ -107,16 +107,24 @@
 
         def take(answer: orders.Answer) -> None:
             self._sending -= 1
-            self._own.post(
-                events.Ordered(
-                    time.monotonic(), self.worker.name, sent_at, order, answer
-                )
-            )
-            if self._waiting and not self.is_over():
-                self.order(self._waiting.popleft())
+            self._tell(order, sent_at, answer)
+            if not self.is_over():
+                if self._waiting:
+                    self.order(self._waiting.popleft())
+                return
+            while self._waiting:
+                # The worker has another address now; none of these was sent.
+                unsent = self._waiting.popleft()
+                self._tell(unsent, time.monotonic(), UNREACHABLE)
 
         self.link.send(order, take)
 
+    def _tell(
+        self, order: orders.Order, sent_at: float, answer: orders.Answer
+    ) -> None:
+        now, name = time.monotonic(), self.worker.name
+        self._own.post(events.Ordered(now, name, sent_at, order, answer))
+
     def is_over(self) -> bool:
         """Tells whether this worker is to be looked at no more."""
         return self.over or self._own.over.is_set()
--- a/poplarspindle/tests/test_watches.py
+++ b/poplarspindle/tests/test_watches.py
@@ -150,16 +150,36 @@
     assert (link.waits, own.posted) == ([], [])
 
 
-def test_orders_beyond_some_wait_for_answers():
-    """A step of many tasks on one worker must not take all its connections."""
+class Slow(Link):
+    """Keeps the answers to orders back."""
+
+    sent = ()
+
+    def send(self, order, done):
+        """Keeps an order's answer back."""
+        self.sent = (*self.sent, done)
 
-    class Slow(Link):
-        sent = ()
 
-        def send(self, order, done):
-            """Keeps an order's answer back."""
-            self.sent = (*self.sent, done)
+def test_orders_that_wait_for_a_worker_at_its_old_address_are_answered():
+    """A stop without an answer is never sent again, and its task waits."""
+    link = Slow([])
+    own = Own(link)
+    watch = watches.Watch(own, WORKER)
+    name = work.TaskName("j", 0, 0, 0)
+    for attempt in range(watches.ORDERS_MOST + 2):
+        watch.order(orders.Stop(name, attempt, 16))
+    watch.over = True
+    for done in link.sent:
+        done(orders.Answer(orders.Refusal.SILENT))
+    assert len(link.sent) == watches.ORDERS_MOST
+    answers = {event.order.attempt: event.answer for event in own.posted}
+    assert len(own.posted) == len(answers) == watches.ORDERS_MOST + 2
+    assert answers[watches.ORDERS_MOST] == watches.UNREACHABLE
+    assert answers[watches.ORDERS_MOST + 1] == watches.UNREACHABLE
+
 
+def test_orders_beyond_some_wait_for_answers():
+    """A step of many tasks on one worker must not take all its connections."""
     link = Slow([])
     own = Own(link)
     watch = watches.Watch(own, WORKER)
