Tell the owner of the last leases before they are asked for

Callers would see: a task started again while its run is at work, when an owner that is late hands the fleet over: it asks workers for the longest leases, and its own books, which it keeps deciding by until it gives up, had no word of them. Cause: each look tells of the lease it asks for before it is sent; the last did not. Evidence: the test finds no such event on the code before. Fix: it is told in the same way.

--- a/poplarspindle/node/watches.py
+++ b/poplarspindle/node/watches.py
@@ -92,6 +92,7 @@
             self._clock, now, own.store_ok_at(), own.lease_most_ms, last=True
         )
         if until_ms:
+            own.post(events.Granted(now, self.worker.name, until_ms))
             hold = orders.Hold(own.epoch, self._seen, until_ms, 0)
             self.link.hold(hold, LOOK_AGAIN_PATIENCE_S, lambda _: done())
         else:
--- a/poplarspindle/tests/test_watches.py
+++ b/poplarspindle/tests/test_watches.py
@@ -140,6 +140,20 @@
     assert len(link.waits) == 2
 
 
+def test_owner_is_told_of_the_last_leases_before_they_are_asked_for():
+    """Until it gives the fleet up, it must take no such lease to be over."""
+    own = Own(Link([make_report(5)]))
+    watch = watches.Watch(own, WORKER)
+    watch.allow(0)
+    watch.look()
+    own.posted.clear()
+    asked = []
+    watch.link.hold = lambda order, *_: asked.append((order, *own.posted))
+    watch.extend(lambda: None)
+    ((order, granted),) = asked
+    assert granted.until_ms == order.until_ms > 6000
+
+
 def test_nothing_is_asked_once_the_ownership_is_over():
     link = Link([LOST])
     own = Own(link)
