Measure an owner's lateness by events that have a time

Callers would see: a slow machine keeps the fleet, and all is late. Cause: a batch that begins with a page of the log or with hand-ins counted as taken in at once, which ended the second for which an owner has to be late before it steps down. Evidence: a late batch, then one that begins with a page, and with hand-ins: the owner was not asked to step down on the code before. Fix: the first event that has a time counts; a batch without one says nothing.

--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -241,11 +241,11 @@
         if self._fleet is None:
             return
         now, wall_ms = time.monotonic(), clocks.tell_wall_ms()
-        self._check_lateness(getattr(batch[0], "at", now) if batch else now)
+        times = [event.at for event in batch if hasattr(event, "at")]
+        if times or not batch:
+            self._check_lateness(times[0] if times else now)
         # Renewals of leases may wait by now: only up to here is all taken in.
-        known_at = max(
-            [self._emptied_at, *(e.at for e in batch if hasattr(e, "at"))]
-        )
+        known_at = max([self._emptied_at, *times])
         if known_at - self._ticked_at >= TICK_S:
             self._ticked_at = known_at
             self._reduce(events.Ticked(known_at, wall_ms))
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -19,6 +19,10 @@
 platform.address=127.0.0.1:3
 """)
 QUEUE = work.Queue("q", "h", "/q/", "pool")
+PAGES = [
+    pytest.param(node._Read((), True), id="page of the shared log"),
+    pytest.param(intake.HandIns(16, 0, (), 1), id="hand-ins"),
+]
 
 
 class Owning:
@@ -84,13 +88,7 @@
     assert len(hand.runs) == 1
 
 
-@pytest.mark.parametrize(
-    "last",
-    [
-        pytest.param(node._Read((), True), id="page of the shared log"),
-        pytest.param(intake.HandIns(16, 0, (), 1), id="hand-ins"),
-    ],
-)
+@pytest.mark.parametrize("last", PAGES)
 def test_full_batch_that_ends_in_a_page_lets_no_lease_lapse(last):
     """A page has no time of its own; renewals wait behind it."""
     now = time.monotonic()
@@ -137,6 +135,23 @@
     assert asked == ["overrun"]
 
 
+@pytest.mark.parametrize("first", PAGES)
+def test_page_before_late_events_does_not_make_the_owner_timely(
+    monkeypatch, first
+):
+    """A page has no time of its own; the owner was never found overrun."""
+    now = time.monotonic()
+    found, _ = make_owner(now)
+    asked = []
+    monkeypatch.setattr(found, "_step_down", asked.append)
+    monkeypatch.setattr(fitness, "SETTLE_S", 0.0)
+    monkeypatch.setattr(fitness, "OVERRUN_S", 0.01)
+    found._take_batch([events.Granted(now - 1.5, "w", 1)])
+    time.sleep(0.02)
+    found._take_batch([first, events.Granted(now - 1.5, "w", 1)])
+    assert asked == ["overrun"]
+
+
 def test_pages_behind_a_failed_batch_do_not_make_a_node_whole():
     """Part of a batch was lost: what it told of would be said to be absent."""
     found = node.Node(SETTINGS, program.connect(SETTINGS), metrics.Metrics())
