--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -86,6 +86,31 @@
     assert {run.attempt for run in runs} == {1}
 
 
+def test_gang_in_one_of_several_times_ends_that_time_once():
+    """The owner fell over the second member's end."""
+    world = fleets.World(1)
+    times = {"times": 2, "first_ms": world.wall_ms(), "every_ms": 2000}
+    world.submit("a" * 16, make_step(4, gang=True), **times)
+    world.run(4)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 8
+
+
+def test_gang_is_done_though_the_worker_of_a_member_is_lost():
+    """The lost member stayed in the queue, and its time was no more."""
+    world = fleets.World(1, workers=5)
+    times = {"times": 2, "first_ms": world.wall_ms(), "every_ms": 2000}
+    world.submit("a" * 16, make_step(4, gang=True), **times)
+    while not any(run.how for w in world.workers.values() for run in w.ledger):
+        world.run(fleets.TICK_S)
+    next(w for w in world.workers.values() if w.ledger).crash()
+    world.run(1)
+    assert world.own.ready == {}
+    world.run(3)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 8
+
+
 def test_gang_waits_for_room_for_all():
     world = fleets.World(1, workers=1)
     world.submit("a" * 16, make_step(6))
@@ -204,6 +229,21 @@
     assert world.list_broken() == []
 
 
+@pytest.mark.parametrize("stored", [1, 2, 3])
+def test_owner_that_dies_between_calls_of_a_jobs_end_runs_nothing_again(stored):
+    """TWICE: its groups were dropped before the job was said to be over."""
+    world = fleets.World(1, workers=5, run_s=lambda rng: rng.uniform(0.1, 3))
+    world.submit("a" * 16, make_step(20), make_step(18))
+    world.tear = lambda found: (
+        stored if any(not record.value for record in found) else None
+    )
+    world.run(9)
+    assert world.torn
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 38
+    assert world.list_broken() == []
+
+
 def test_takeover_waits_for_a_worker_that_may_still_run():
     world = fleets.World(1, run_s=lambda rng: 30.0)
     world.submit("a" * 16, make_step(8))
@@ -268,6 +308,21 @@
     assert world.starts == 8
 
 
+def test_run_whose_end_has_no_place_in_the_list_is_not_run_again(monkeypatch):
+    """TWICE: a worker lists so many ends at a time, and no run it ended."""
+    monkeypatch.setattr(fleet_workers, "ENDS_MOST", 2)
+    world = fleets.World(1, workers=1)
+    world.submit("a" * 16, make_step(6))
+    world.run(0.4)
+    world.store_up = False
+    world.run(2)
+    world.store_up = True
+    world.run(5)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 6
+    assert world.list_broken() == []
+
+
 def place_again_before_the_end_is_known(world, step):
     """Places a step anew that ended before; returns its first workers."""
     world.submit("a" * 16, step)
@@ -315,6 +370,41 @@
     assert last.how is work.How.STOPPED
 
 
+@pytest.mark.parametrize(
+    "change", [False, True], ids=["same owner", "other owner"]
+)
+def test_run_given_up_that_failed_counts_as_an_attempt(change):
+    """BUDGET: the end was acknowledged to the worker and not counted."""
+    world = fleets.World(1, fail=lambda run: True)
+    (name,) = place_again_before_the_end_is_known(world, make_step(1))
+    if change:
+        world.run(0.1)
+        world.take_over()
+    world.catch_up(name)
+    world.run(6)
+    assert world.get_state("a" * 16) == "failed"
+    assert world.starts == world.queue.attempts
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.1, 0.3])
+@pytest.mark.parametrize("given_up", [True, False])
+def test_failed_run_is_counted_once_by_owners_in_turn(given_up, after_s):
+    """The next owner is listed ends that were recorded, not acknowledged."""
+    world = fleets.World(1, fail=lambda run: run.attempt <= 2)
+    if given_up:
+        (name,) = place_again_before_the_end_is_known(world, make_step(1))
+        world.catch_up(name)
+    else:
+        world.submit("a" * 16, make_step(1))
+        while not world.notes["ended"]:
+            world.run(fleets.TICK_S)
+    world.run(after_s)
+    world.take_over()
+    world.run(6)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 3
+
+
 def test_end_that_comes_too_late_has_a_log_line():
     world = fleets.World(1)
     (name,) = place_again_before_the_end_is_known(world, make_step(1))
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -2,11 +2,12 @@
 
 import time
 
+import pytest
 from structlog import testing
 
 from poplarspindle import metrics, resources
 from poplarspindle.fleet import book, events, fitness, fleet, views, work
-from poplarspindle.node import node
+from poplarspindle.node import intake, node
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 
@@ -18,6 +19,10 @@
 platform.address=127.0.0.1:3
 """)
 QUEUE = work.Queue("q", "h", "/q/", "pool")
+PAGES = [
+    pytest.param(node._Read((), True), id="page of the shared log"),
+    pytest.param(intake.HandIns(16, 0, (), 1), id="hand-ins"),
+]
 
 
 class Owning:
@@ -59,6 +64,13 @@
     return found, hand
 
 
+def take(found, behind):
+    """Lets a node take a batch in, as it comes."""
+    for event in behind:
+        found._events.put(event)
+    found._take_batch(found._next_events())
+
+
 def test_renewals_not_yet_taken_in_let_no_lease_lapse():
     """Load: events come faster than they are taken in.
 
@@ -70,16 +82,43 @@
     behind = [
         events.Granted(now - 2.0, "other", 1) for _ in range(node.BATCH_EVENTS)
     ]
-    found._take_batch(behind)
+    take(found, behind)
+    assert len(hand.runs) == 1
+    take(found, [events.Granted(now - 1.9, "w", 1000 + 60_000)])
+    assert len(hand.runs) == 1
+
+
+@pytest.mark.parametrize("last", PAGES)
+def test_full_batch_that_ends_in_a_page_lets_no_lease_lapse(last):
+    """A page has no time of its own; renewals wait behind it."""
+    now = time.monotonic()
+    found, hand = make_owner(now)
+    behind = [events.Granted(now - 2.0, "other", 1)] * (node.BATCH_EVENTS - 1)
+    take(found, [*behind, last])
     assert len(hand.runs) == 1
-    found._take_batch([events.Granted(now - 1.9, "w", 1000 + 60_000)])
+    take(found, [events.Granted(now - 1.9, "w", 1000 + 60_000)])
+    assert len(hand.runs) == 1
+
+
+def test_renewal_posted_while_a_batch_is_taken_in_lets_no_lease_lapse():
+    """Taking a batch in may take longer than a lease has left."""
+    now = time.monotonic()
+    found, hand = make_owner(now)
+    hand.lapse_at = now + 0.05
+    found._events.put(events.Granted(now, "other", 1))
+    batch = found._next_events()
+    time.sleep(0.1)
+    found._events.put(events.Granted(now + 0.04, "w", 1000 + 60_000))
+    found._take_batch(batch)
+    assert len(hand.runs) == 1
+    found._take_batch(found._next_events())
     assert len(hand.runs) == 1
 
 
 def test_lease_that_was_not_renewed_lapses():
     now = time.monotonic()
     found, hand = make_owner(now)
-    found._take_batch([events.Granted(now - 1.9, "other", 1)])
+    take(found, [events.Granted(now - 1.9, "other", 1)])
     assert hand.runs == {}
 
 
@@ -96,6 +135,23 @@
     assert asked == ["overrun"]
 
 
+@pytest.mark.parametrize("first", PAGES)
+def test_page_before_late_events_does_not_make_the_owner_timely(
+    monkeypatch, first
+):
+    """A page has no time of its own; the owner was never found overrun."""
+    now = time.monotonic()
+    found, _ = make_owner(now)
+    asked = []
+    monkeypatch.setattr(found, "_step_down", asked.append)
+    monkeypatch.setattr(fitness, "SETTLE_S", 0.0)
+    monkeypatch.setattr(fitness, "OVERRUN_S", 0.01)
+    found._take_batch([events.Granted(now - 1.5, "w", 1)])
+    time.sleep(0.02)
+    found._take_batch([first, events.Granted(now - 1.5, "w", 1)])
+    assert asked == ["overrun"]
+
+
 def test_pages_behind_a_failed_batch_do_not_make_a_node_whole():
     """Part of a batch was lost: what it told of would be said to be absent."""
     found = node.Node(SETTINGS, program.connect(SETTINGS), metrics.Metrics())
