Send no start that waits in line once its run is to stop

Callers would see: a task begun again after it was known to be done (TWICE), or after its job was cancelled (UNASKED). Cause: at most eight orders go to a worker at a time; a stop went behind the start that it is for, and both were sent. Change: a start that still waits is dropped when its stop comes; the stop goes out.

--- a/poplarspindle/node/watches.py
+++ b/poplarspindle/node/watches.py
@@ -99,7 +99,14 @@
             done()
 
     def order(self, order: orders.Order) -> None:
-        """Sends an order; beyond some at a time they wait for each other."""
+        """Sends an order; beyond some at a time they wait for each other.
+
+        A start that still waits is not sent once its run is to stop.
+        """
+        if isinstance(order, orders.Stop):
+            self._waiting = collections.deque(
+                row for row in self._waiting if not _starts_same(row, order)
+            )
         if self._sending >= ORDERS_MOST:
             self._waiting.append(order)
             return
@@ -206,6 +213,14 @@
             self._resume = self._own.run_later(UNALLOWED_S, self.look)
 
 
+def _starts_same(order: orders.Order, stop: orders.Stop) -> bool:
+    """Tells whether an order is to start the run that another is to stop."""
+    return isinstance(order, orders.Start) and (order.task, order.attempt) == (
+        stop.task,
+        stop.attempt,
+    )
+
+
 def choose_wait(hand: views.Hand) -> int:
     """Returns how long a look at a worker waits for an end."""
     if hand.serving and hand.filling:
--- a/poplarspindle/tests/test_watches.py
+++ b/poplarspindle/tests/test_watches.py
@@ -192,6 +192,25 @@
     assert answers[watches.ORDERS_MOST + 1] == watches.UNREACHABLE
 
 
+def test_start_that_waits_is_not_sent_once_its_run_is_to_stop():
+    """TWICE: the task was known to be done in an earlier run."""
+    link = Slow([])
+    own = Own(link)
+    watch = watches.Watch(own, WORKER)
+    sent = []
+    send, link.send = link.send, lambda *row: (sent.append(row[0]), send(*row))
+    name = work.TaskName("j", 0, 0, 0)
+    for attempt in range(watches.ORDERS_MOST + 2):
+        watch.order(orders.Start(name, attempt, 16, "", 9000))
+    watch.order(orders.Stop(name, watches.ORDERS_MOST, 16))
+    while link.sent:
+        done, *link.sent = link.sent
+        done(orders.Answer(None))
+    started = {o.attempt for o in sent if isinstance(o, orders.Start)}
+    assert started == {*range(watches.ORDERS_MOST + 2)} - {watches.ORDERS_MOST}
+    assert sum(isinstance(order, orders.Stop) for order in sent) == 1
+
+
 def test_orders_beyond_some_wait_for_answers():
     """A step of many tasks on one worker must not take all its connections."""
     link = Slow([])
