Tell of hand-ins read only after the states that they cover

What callers saw: 410 for an accepted job, until the next append, where an owner's records of one append do not fit one call or one page (2 MB, 1 MB), or a node looks a job up while it takes such a page in. Cause: of records with the same key the newest counts and moves to the end of what waits. A job that is told of as queued, together with the offsets that cover it, and as active before that was appended, moved behind these offsets. If the ownership ended between the calls, the state was never told by it. Evidence: test_read_offsets_are_in_no_earlier_call_than_the_states_they_cover got load, read, t/a. Ruled out: the first place for each key would do for states, not for the offsets (theirs are newer than the states before them) nor for a job's end in the progress log, which has to come after its tasks. Why it works: the offsets kept are the newest, and all states that they cover were queued before or with them, so they are in the same merge or in the log.

--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -27,7 +27,8 @@
     """Appends to one topic on a thread of its own.
 
     What waits while an append is in flight goes into the next one together;
-    of records with the same key the newest counts.
+    of records with the same key the newest counts. The offsets up to which
+    jobs are told of come last.
 
     Args:
         name: Name of the log, for log lines.
@@ -97,6 +98,10 @@
                 for record in found:
                     newest.pop(record.key, None)
                     newest[record.key] = record
+            # A state that a later publish replaced moved behind the offsets
+            # that cover its job: nodes would take the job for absent.
+            if records.READ_KEY in newest:
+                newest[records.READ_KEY] = newest.pop(records.READ_KEY)
             if not all(map(self._append, self._split(newest.values()))):
                 return
             told = items[:]
--- a/poplarspindle/tests/test_owning.py
+++ b/poplarspindle/tests/test_owning.py
@@ -136,6 +136,25 @@
     assert store.calls == [("t", 1, ["a"]), ("t", 2, ["b"]), ("t", 3, ["c"])]
 
 
+def test_read_offsets_are_in_no_earlier_call_than_the_states_they_cover():
+    """A node that reads the calls one by one would answer 410 in between."""
+    store, over, done = Store(), threading.Event(), threading.Semaphore(0)
+    own = make_appender(store, over, 60)
+    own.start()
+    own.put([records.Record("load", b"")])
+    assert store.begun.wait(30)
+    queued = records.Record("t/a", b"queued")
+    own.put([queued, records.encode_read([1])])
+    active = records.Record("t/a", b"active" * 6)
+    own.put([active], lambda at: done.release())
+    store.let_go.set()
+    assert done.acquire(timeout=30)
+    over.set()
+    own.stop()
+    told = [key for _, _, keys in store.calls for key in keys]
+    assert told == ["load", "t/a", records.READ_KEY]
+
+
 def test_job_is_dropped_from_the_hand_ins_before_its_progress():
     """A job that is left without its progress would begin anew."""
     store = Store()
