Keep what was told of a job known while the shared log is read anew

What callers saw: possibly 410 for an accepted job, where a node reads all newest records again (its history expired, or a batch failed) between a look-up's read of the hand-ins and its last look at what was told. Cause: the node first forgot all jobs and then took the records in one by one; 'read' is listed before 't/ID', so for that time it was ahead of the states. 'loaded' is asked before the look-up reads the log only. Evidence: test_job_told_of_stays_known_while_the_log_is_read_anew failed: with 'read' in force both jobs were unknown. The test shows the state that callers' threads can see, not the interleaving of threads; no run showed that. Ruled out: a second look at 'loaded' (a short reload ends before it); the order of the two keys on separate pages (the node is not loaded before the tail). Why it works: a job leaves only if the log no longer names it, and the offsets are taken in after all states, so at no time is a covered job unknown.

--- a/poplarspindle/node/known.py
+++ b/poplarspindle/node/known.py
@@ -63,6 +63,14 @@
         known.silent = dark.decode_dark(record.value, at)
 
 
+def forget_dropped(known: Known, found: Iterable[records.Record]) -> None:
+    """Forgets jobs that are not among all newest records of the shared log."""
+    kept = {record.key for record in found}
+    for job in list(known.shown):
+        if f"{records.STATE}/{job}" not in kept:
+            del known.shown[job]
+
+
 def note_taken(known: Known, record: records.Record) -> None:
     """Notes what was handed in here and is in the log."""
     kind, _, job = record.key.partition("/")
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -316,8 +316,11 @@
         self._reset_due = False
         self._known.loaded = False
         self._standing.able = False
-        self._known.shown = {}
-        for record in event.found:
+        known.forget_dropped(self._known, event.found)
+        # Callers' threads look on: no job that the offsets cover may miss.
+        for record in sorted(
+            event.found, key=lambda record: record.key == records.READ_KEY
+        ):
             self._apply(record)
         self._standing.heard_at, self._standing.at_work = known.find_heard_at(
             self._known,
--- a/poplarspindle/tests/test_hand_ins.py
+++ b/poplarspindle/tests/test_hand_ins.py
@@ -8,7 +8,7 @@
 
 from poplarspindle import metrics, outcomes, resources
 from poplarspindle.fleet import book, records, work
-from poplarspindle.node import calls, commits, desk, known, storage
+from poplarspindle.node import calls, commits, desk, known, node, storage
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 
@@ -188,6 +188,34 @@
     assert known.find_job(what, JOB) is None
 
 
+def test_job_told_of_stays_known_while_the_log_is_read_anew(monkeypatch):
+    """A look-up that began before would find it neither here nor behind."""
+    own = node.Node(SETTINGS, program.connect(SETTINGS), metrics.Metrics())
+    ended = f"{7:016x}"
+    names = [JOB, f"{8:016x}"]
+    states = [
+        records.encode_state(book.Job(make_submission(name))) for name in names
+    ]
+    # The store lists keys in their order: `read` is before the states.
+    rows = (records.encode_read([1] * PARTS), *states)
+    for name in (ended, JOB):
+        told = records.encode_state(book.Job(make_submission(name)))
+        known.apply_shared(own._known, told, 0.0)
+    apply = known.apply_shared
+    seen = []
+
+    def look(what, record, at):
+        apply(what, record, at)
+        absent = [n for n in names if known.find_job(what, n) is None]
+        seen.append((bool(what.read), absent))
+
+    monkeypatch.setattr(known, "apply_shared", look)
+    own._reset_known(node._Reset(rows))
+    assert [absent for covered, absent in seen if covered] == [[]]
+    assert not any(JOB in absent for _, absent in seen)
+    assert known.find_job(own._known, ended) is None
+
+
 def test_connections_to_the_store_are_kept_for_all_that_wait():
     """An owner waits at every part; else each wait is a new connection."""
     found = program.connect(SETTINGS)
