Read the log anew though an ownership failed while it was being made

What callers saw: 410 from one node, for good, for jobs that it was told of in the batch in which it failed to begin as owner; it went on as if it knew all. Cause: the fleet is made before its appenders and calls. Evidence: test_node_that_fails_to_begin_as_owner_is_not_taken_for_whole ended with AttributeError: 'NoneType' object has no attribute 'stop' from the handler. Ruled out: the same in a start that fails half-way (stop takes parts that did not start). Why it works: the node is marked first, and giving up takes an ownership that was not made.

--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -208,12 +208,12 @@
             self._take_batch(batch)
         except Exception:
             # Part of the batch is lost: what is known is read anew.
-            _log.exception("state-failed", events=len(batch))
-            self._give_up_ownership("state-failed")
-            self._standing.withdraw()
             self._known.loaded = self._standing.able = False
             self._reset_due = True
             self._shared.reload()
+            _log.exception("state-failed", events=len(batch))
+            self._give_up_ownership("state-failed")
+            self._standing.withdraw()
 
     def _next_events(self) -> list:
         found = []
@@ -466,7 +466,8 @@
             "gave-up", about="ownership", why=why, epoch=self._fleet.epoch
         )
         self._fleet = None
-        self._owning.stop()
+        if self._owning is not None:  # None where its making failed.
+            self._owning.stop()
         self._owning = None
         self._standing.owning = False
 
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -5,8 +5,16 @@
 from structlog import testing
 
 from poplarspindle import metrics, resources
-from poplarspindle.fleet import book, events, fitness, fleet, views, work
-from poplarspindle.node import node
+from poplarspindle.fleet import (
+    book,
+    events,
+    fitness,
+    fleet,
+    records,
+    views,
+    work,
+)
+from poplarspindle.node import claims, node
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 
@@ -76,6 +84,27 @@
     assert len(hand.runs) == 1
 
 
+def test_node_that_fails_to_begin_as_owner_is_not_taken_for_whole(monkeypatch):
+    """Load: thousands of connections; a socket more is refused."""
+    found = node.Node(SETTINGS, program.connect(SETTINGS), metrics.Metrics())
+    found._known.configuration = work.Configuration(1, {})
+    claim = records.Owner(16, found.incarnation, 0)
+    found._standing.owner = claim
+
+    def refuse(*_):
+        raise OSError(24, "too many open files")
+
+    monkeypatch.setattr(node.owning, "Owning", refuse)
+    found._take_batch([node._Read((), True)])
+    ready = claims.Prepared(claim.epoch, (), (), (0,))
+    state = records.Record("t/a", b"")
+    with testing.capture_logs():
+        found._take_or_reload([ready, node._Read((state,), True)])
+    assert not found._known.loaded
+    assert found._fleet is None
+    assert not found._standing.owning
+
+
 def test_lease_that_was_not_renewed_lapses():
     now = time.monotonic()
     found, hand = make_owner(now)
