Accept and deny no job where the owner's version has other parts

What callers saw (trial, two nodes, owner with 8 parts beside a node with 24): 49 of 49 jobs accepted by the second; 5 s later the owner's node answered 410 for 39 of them and counted none as pending, the second one 39, and none of the 39 ever ran. Evidence: test_job_that_the_owner_does_not_follow_is_not_accepted failed (24 of 24 accepted), test_job_is_not_said_to_be_absent_where_parts_differ got 410. Ruled out: handing in to as many parts as the owner has (a node that has not yet read of a new owner would still differ from it); not being ready (an update that waits for readiness would never reach the owner). Why it works: 'read' has an offset for each part that the owner follows; what goes elsewhere, jobs and cancels, is refused with 503, and a job that may be elsewhere is not denied. Before the first 'read' nothing is known of parts.

--- a/poplarspindle/node/desk.py
+++ b/poplarspindle/node/desk.py
@@ -135,8 +135,7 @@
             return calls.Answer(
                 429, error="No room for more that lasts.", retry_s=retry_s
             )
-        entry = self._commits.commit(records.encode_submission(job), deadline)
-        return _answer_entry(entry)
+        return self._hand_in(records.encode_submission(job), job.job, deadline)
 
     def _cancel(self, call: calls.Call, deadline: float) -> calls.Answer:
         found = known.find_job(self._known, call.job)
@@ -146,8 +145,16 @@
                 return absent
         elif found.state is book.State.CANCELLED:
             return calls.Answer(200)
-        entry = self._commits.commit(records.encode_cancel(call.job), deadline)
-        return _answer_entry(entry)
+        record = records.encode_cancel(call.job)
+        return self._hand_in(record, call.job, deadline)
+
+    def _hand_in(
+        self, record: records.Record, job: str, deadline: float
+    ) -> calls.Answer:
+        told = self._known.read
+        if told and records.choose_part(job, self._platform.parts) >= len(told):
+            return _refuse(503, "The owner's version does not follow the part.")
+        return _answer_entry(self._commits.commit(record, deadline))
 
     def _show(self, call: calls.Call, deadline: float) -> calls.Answer:
         found = known.find_job(self._known, call.job)
@@ -185,7 +192,10 @@
         """Reads the hand-ins of which the owner has not told, to the end."""
         store, topic = self._platform.store, self._platform.hand_ins_topic
         told = self._known.read
-        offset = told[part] if part < len(told) else 0
+        if told and len(told) != self._platform.parts:
+            # Another version hands jobs in where this one does not look.
+            return outcomes.Failed(outcomes.Step.READ, topic, "parts-differ")
+        offset = told[part] if told else 0
         page = store.read(topic, offset, 0, part)
         if isinstance(page, outcomes.Failed):
             if page.reason != "expired":
--- a/poplarspindle/tests/test_hand_ins.py
+++ b/poplarspindle/tests/test_hand_ins.py
@@ -153,6 +153,16 @@
     assert (answer.status, answer.retry_s) == (503, desk.RETRY_S)
 
 
+@pytest.mark.parametrize("parts", [PARTS // 3, 2 * PARTS])
+def test_job_is_not_said_to_be_absent_where_parts_differ(parts):
+    """Nodes of another version hand jobs in where this one does not look."""
+    store = Store()
+    own, what = make_desk(store)
+    what.read = (0,) * parts
+    assert ask(own, calls.Kind.SHOW, JOB).status == 503
+    assert ask(own, calls.Kind.CANCEL, JOB).status == 503
+
+
 def test_job_is_found_though_the_history_is_gone():
     """No owner has told of hand-ins for longer than the store keeps them."""
     store = Store()
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -56,12 +56,13 @@
         for number in range(nodes):
             self.add_node(f"n{number}")
 
-    def add_node(self, name):
+    def add_node(self, name, **changes):
         """Starts a node and waits until it is ready."""
         ports = find_port(), find_port()
         text = deployment.write_settings(self.store, name, ports)
         own = settings.read_settings(text)
-        found = node.Node(own, program.connect(own), metrics.Metrics())
+        platform = dataclasses.replace(program.connect(own), **changes)
+        found = node.Node(own, platform, metrics.Metrics())
         found.start()
         self.nodes.append(found)
         await_that(found.desk.is_ready)
@@ -135,6 +136,30 @@
     assert len(list_runs(found)) == 5
 
 
+def test_job_that_the_owner_does_not_follow_is_not_accepted(house):
+    """Load: an update adds parts, old and new versions run side by side."""
+    found = house(0)
+    owner = found.add_node("n0", parts=8)
+    await_that(lambda: owner._standing.owning and owner._known.read)
+    found.add_node("n1")
+    await_that(lambda: found.nodes[1]._known.read)
+    names = [f"{number:016x}" for number in range(24)]
+    accepted = [
+        name
+        for name in names
+        if found.call("POST", f"/q/{name}", JOB, 1).status == 200
+    ]
+    assert 0 < len(accepted) < len(names)
+    assert None not in [found.get_state(name) for name in accepted]
+    refused = next(name for name in names if name not in accepted)
+    assert found.call("POST", f"/q/{refused}", JOB).status == 200
+    await_that(lambda: found.get_state(refused, 1) is not None)
+    assert found.call("DELETE", f"/q/{refused}", number=1).status == 503
+    await_that(
+        lambda: {found.get_state(name) for name in accepted} == {"completed"}
+    )
+
+
 ANSWERS = [
     ("GET", f"/q/{ID}", None, 410),
     ("DELETE", f"/q/{ID}", None, 410),
