Log by what a job is said to be absent, and the parts that a node uses

For each 410 one line 'absent': the job, its part, the node's number of parts and the owner's, the offset read from (-1: all newest records), the part's end, records in between, jobs known, the owner's epoch and when it was last heard. 'started' tells the number of parts.

--- a/poplarspindle/node/desk.py
+++ b/poplarspindle/node/desk.py
@@ -26,6 +26,22 @@
 _log = structlog.get_logger(part="desk")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Untold:
+    """Hand-ins of a part of which the owner has not told.
+
+    Attributes:
+        found: The records.
+        first: Offset that they were read from, -1 where its history is gone
+            and all newest records of the part were read.
+        end: Offset that the part's next append will get.
+    """
+
+    found: tuple[records.Record, ...]
+    first: int
+    end: int
+
+
 class Desk:
     """Answers callers.
 
@@ -36,6 +52,7 @@
         hand_ins: Appends what callers hand in.
         shared: Follows the shared log.
         heard_at: Returns when the owner was last heard, monotonic seconds.
+        epoch: Returns the epoch of the newest owner that was read, 0 for none.
     """
 
     def __init__(
@@ -46,6 +63,7 @@
         hand_ins: commits.HandIns,
         shared: followers.Follower,
         heard_at: Callable[[], float],
+        epoch: Callable[[], int],
     ) -> None:
         self._platform = platform
         self._counters = counters
@@ -53,6 +71,7 @@
         self._commits = hand_ins
         self._shared = shared
         self._heard_at = heard_at
+        self._epoch = epoch
 
     def is_ready(self) -> bool:
         """Tells whether this node can take callers' work."""
@@ -181,14 +200,26 @@
             return _refuse(503, f"The log does not answer: {found.reason}.")
         key = f"{records.SUBMITTED}/{job}"
         if known.find_job(self._known, job) is not None or any(
-            record.key == key and record.value for record in found
+            record.key == key and record.value for record in found.found
         ):
             return None
+        _log.info(
+            "absent",
+            about="callers",
+            job=job,
+            hand_ins_part=part,
+            parts=self._platform.parts,
+            first=found.first,
+            end=found.end,
+            records=len(found.found),
+            owner_parts=len(self._known.read),
+            epoch=self._epoch(),
+            heard_s=round(time.monotonic() - self._heard_at(), 3),
+            jobs=len(self._known.shown),
+        )
         return calls.Answer(410, error="There is no such job.")
 
-    def _read_untold(
-        self, part: int
-    ) -> tuple[records.Record, ...] | outcomes.Failed:
+    def _read_untold(self, part: int) -> _Untold | outcomes.Failed:
         """Reads the hand-ins of which the owner has not told, to the end."""
         store, topic = self._platform.store, self._platform.hand_ins_topic
         told = self._known.read
@@ -203,12 +234,12 @@
             newest = storage.load_newest(store, topic, part)
             if isinstance(newest, outcomes.Failed):
                 return newest
-            return newest.value.found
+            return _Untold(newest.value.found, -1, newest.value.end)
         if page.value.next < page.value.end:
             return outcomes.Failed(
                 outcomes.Step.READ, topic, "not-read-to-its-end"
             )
-        return page.value.found
+        return _Untold(page.value.found, offset, page.value.end)
 
     def _count(self, call: calls.Call, deadline: float) -> calls.Answer:
         if not self._known.loaded:
@@ -229,7 +260,7 @@
             found = self._read_untold(part)
             if isinstance(found, outcomes.Failed):
                 return found
-            for record in found:
+            for record in found.found:
                 kind, _, job = record.key.partition("/")
                 if (
                     kind == records.SUBMITTED
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -136,6 +136,7 @@
             self._commits,
             self._shared,
             lambda: self._standing.heard_at,
+            self._tell_epoch,
         )
         self._servers = [
             serving.Server(
@@ -157,7 +158,11 @@
         self._standing.start()
         for server in self._servers:
             server.start()
-        _log.info("started", incarnation=self.incarnation)
+        _log.info(
+            "started",
+            incarnation=self.incarnation,
+            parts=self._platform.parts,
+        )
 
     def reload(self, read: Callable[[], settings.Settings]) -> None:
         """Takes changed settings over; bad ones are logged and not taken.
@@ -194,6 +199,10 @@
             server.stop()
         _log.info("stopped")
 
+    def _tell_epoch(self) -> int:
+        claim = self._standing.owner
+        return claim.epoch if claim else 0
+
     def _hand_over(self, until: float) -> None:
         handover.leave(self._owning, self._standing, self._events.put, until)
 
--- a/poplarspindle/tests/test_hand_ins.py
+++ b/poplarspindle/tests/test_hand_ins.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from structlog import testing
 
 from poplarspindle import metrics, outcomes, resources
 from poplarspindle.fleet import book, records, work
@@ -116,6 +117,7 @@
         commits.HandIns(platform, lambda rows: None),
         None,
         lambda: time.monotonic() - heard_ago_s,
+        lambda: 16,
     )
     return found, what
 
@@ -153,6 +155,22 @@
     assert (answer.status, answer.retry_s) == (503, desk.RETRY_S)
 
 
+def test_log_tells_what_a_job_was_said_to_be_absent_by():
+    store = Store()
+    own, what = make_desk(store, heard_ago_s=0.5)
+    hand_in(store, JOB)
+    part = records.choose_part(JOB, PARTS)
+    what.read = tuple(int(number == part) for number in range(PARTS))
+    with testing.capture_logs() as lines:
+        assert ask(own, calls.Kind.SHOW, JOB).status == 410
+    (line,) = (line for line in lines if line["event"] == "absent")
+    assert (line["job"], line["hand_ins_part"]) == (JOB, part)
+    assert (line["first"], line["end"], line["records"]) == (1, 1, 0)
+    assert line["epoch"] == 16
+    assert line["parts"] == line["owner_parts"] == PARTS
+    assert line["heard_s"] >= 0.5
+
+
 @pytest.mark.parametrize("parts", [PARTS // 3, 2 * PARTS])
 def test_job_is_not_said_to_be_absent_where_parts_differ(parts):
     """Nodes of another version hand jobs in where this one does not look."""
