--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -138,6 +138,7 @@
             self._commits,
             self._shared,
             lambda: self._standing.heard_at,
+            self._tell_epoch,
         )
         self._servers = [
             serving.Server(
@@ -159,7 +160,11 @@
         self._standing.start()
         for server in self._servers:
             server.start()
-        _log.info("started", incarnation=self.incarnation)
+        _log.info(
+            "started",
+            incarnation=self.incarnation,
+            parts=self._platform.parts,
+        )
 
     def reload(self, read: Callable[[], settings.Settings]) -> None:
         """Takes changed settings over; bad ones are logged and not taken.
@@ -196,6 +201,10 @@
             server.stop()
         _log.info("stopped")
 
+    def _tell_epoch(self) -> int:
+        claim = self._standing.owner
+        return claim.epoch if claim else 0
+
     def _hand_over(self, until: float) -> None:
         handover.leave(self._owning, self._standing, self._events.put, until)
 
@@ -210,12 +219,12 @@
             self._take_batch(batch)
         except Exception:
             # Part of the batch is lost: what is known is read anew.
-            _log.exception("state-failed", events=len(batch))
-            self._give_up_ownership("state-failed")
-            self._standing.withdraw()
             self._known.loaded = self._standing.able = False
             self._reset_due = True
             self._shared.reload()
+            _log.exception("state-failed", events=len(batch))
+            self._give_up_ownership("state-failed")
+            self._standing.withdraw()
 
     def _next_events(self) -> list:
         found = []
@@ -321,8 +330,11 @@
         self._reset_due = False
         self._known.loaded = False
         self._standing.able = False
-        self._known.shown = {}
-        for record in event.found:
+        known.forget_dropped(self._known, event.found)
+        # Callers' threads look on: no job that the offsets cover may miss.
+        for record in sorted(
+            event.found, key=lambda record: record.key == records.READ_KEY
+        ):
             self._apply(record)
         self._standing.heard_at, self._standing.at_work = known.find_heard_at(
             self._known,
@@ -468,7 +480,8 @@
             "gave-up", about="ownership", why=why, epoch=self._fleet.epoch
         )
         self._fleet = None
-        self._owning.stop()
+        if self._owning is not None:  # None where its making failed.
+            self._owning.stop()
         self._owning = None
         self._standing.owning = False
 
--- a/poplarspindle/tests/test_hand_ins.py
+++ b/poplarspindle/tests/test_hand_ins.py
@@ -5,10 +5,11 @@
 import time
 
 import pytest
+from structlog import testing
 
 from poplarspindle import metrics, outcomes, resources
 from poplarspindle.fleet import book, records, work
-from poplarspindle.node import calls, commits, desk, known, storage
+from poplarspindle.node import calls, commits, desk, known, node, storage
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 
@@ -116,6 +117,7 @@
         commits.HandIns(platform, lambda rows: None),
         None,
         lambda: time.monotonic() - heard_ago_s,
+        lambda: 16,
     )
     return found, what
 
@@ -153,6 +155,32 @@
     assert (answer.status, answer.retry_s) == (503, desk.RETRY_S)
 
 
+def test_log_tells_what_a_job_was_said_to_be_absent_by():
+    store = Store()
+    own, what = make_desk(store, heard_ago_s=0.5)
+    hand_in(store, JOB)
+    part = records.choose_part(JOB, PARTS)
+    what.read = tuple(int(number == part) for number in range(PARTS))
+    with testing.capture_logs() as lines:
+        assert ask(own, calls.Kind.SHOW, JOB).status == 410
+    (line,) = (line for line in lines if line["event"] == "absent")
+    assert (line["job"], line["hand_ins_part"]) == (JOB, part)
+    assert (line["first"], line["end"], line["records"]) == (1, 1, 0)
+    assert line["epoch"] == 16
+    assert line["parts"] == line["owner_parts"] == PARTS
+    assert line["heard_s"] >= 0.5
+
+
+@pytest.mark.parametrize("parts", [PARTS // 3, 2 * PARTS])
+def test_job_is_not_said_to_be_absent_where_parts_differ(parts):
+    """Nodes of another version hand jobs in where this one does not look."""
+    store = Store()
+    own, what = make_desk(store)
+    what.read = (0,) * parts
+    assert ask(own, calls.Kind.SHOW, JOB).status == 503
+    assert ask(own, calls.Kind.CANCEL, JOB).status == 503
+
+
 def test_job_is_found_though_the_history_is_gone():
     """No owner has told of hand-ins for longer than the store keeps them."""
     store = Store()
@@ -188,6 +216,34 @@
     assert known.find_job(what, JOB) is None
 
 
+def test_job_told_of_stays_known_while_the_log_is_read_anew(monkeypatch):
+    """A look-up that began before would find it neither here nor behind."""
+    own = node.Node(SETTINGS, program.connect(SETTINGS), metrics.Metrics())
+    ended = f"{7:016x}"
+    names = [JOB, f"{8:016x}"]
+    states = [
+        records.encode_state(book.Job(make_submission(name))) for name in names
+    ]
+    # The store lists keys in their order: `read` is before the states.
+    rows = (records.encode_read([1] * PARTS), *states)
+    for name in (ended, JOB):
+        told = records.encode_state(book.Job(make_submission(name)))
+        known.apply_shared(own._known, told, 0.0)
+    apply = known.apply_shared
+    seen = []
+
+    def look(what, record, at):
+        apply(what, record, at)
+        absent = [n for n in names if known.find_job(what, n) is None]
+        seen.append((bool(what.read), absent))
+
+    monkeypatch.setattr(known, "apply_shared", look)
+    own._reset_known(node._Reset(rows))
+    assert [absent for covered, absent in seen if covered] == [[]]
+    assert not any(JOB in absent for _, absent in seen)
+    assert known.find_job(own._known, ended) is None
+
+
 def test_connections_to_the_store_are_kept_for_all_that_wait():
     """An owner waits at every part; else each wait is a new connection."""
     found = program.connect(SETTINGS)
