Fakes: gangs that work and end together, and what an owner knew judged

The fake workers ran a gang's members each for itself, so no walk could have gangs. Now members wait for each other, end together and break together, as the protocol says. Late orders may reach a worker's next life, leases of late starts may begin when they come, and answers to orders wait behind reports where the owner is behind, as in a node's one queue.

--- a/poplarspindle/tools/fakes/fleet_workers.py
+++ b/poplarspindle/tools/fakes/fleet_workers.py
@@ -7,6 +7,7 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import orders, views, work
+from poplarspindle.tools.fakes import gangs
 
 STOP_S = 0.3
 ENDS_MOST = 500  # Listed at a time.
@@ -19,6 +20,7 @@
     lease_most_ms: int
     starts: int
     room_refusals: int
+    gangs: gangs.Gangs
 
     def call_later(self, delay_s: float, call: Callable[[], None]) -> None:
         """Calls a function later in virtual time."""
@@ -45,6 +47,7 @@
     how: work.How | None = None
     noted: float = float("inf")
     lapsed: bool = False
+    planned: work.How | None = None
 
 
 class FakeWorker:
@@ -84,26 +87,36 @@
             return
         now = self.world.now
         for run in list(self.runs.values()):
-            if run.ends <= now:
-                how = self.world.judge_run(run, self.description.name)
-                self._end(run, how)
+            if run.ends <= now and run.how is None:
+                self.end(run, run.planned or self._judge(run))
         if self.clock_ms() > self.until_ms:
             # An end counts as noted only if the lease held until then.
             for _, run in self.ends:
                 run.lapsed = True
         if self.runs and self.clock_ms() > self.until_ms:
             for run in list(self.runs.values()):
-                self._end(run, work.How.LAPSED)
+                if run.how is None:
+                    self.end(run, work.How.LAPSED)
 
-    def _end(self, run: FakeRun, how: work.How) -> None:
+    def _judge(self, run: FakeRun) -> work.How:
+        return self.world.judge_run(run, self.description.name)
+
+    def end(self, run: FakeRun, how: work.How) -> None:
+        """Ends a run, with a gang at work those of its other members."""
         run.how, run.ended = how, self.world.now
         del self.runs[run.name, run.attempt]
         self.ends.append((next(self.numbers), run))
+        if self.world.find_step(run.name).gang:
+            self.world.gangs.leave(run)
 
     def crash(self) -> None:
         """Ends this life; the next one knows nothing of it."""
-        for run in self.runs.values():
+        for run in list(self.runs.values()):
+            if run.how is not None:
+                continue
             run.ended = self.world.now
+            if self.world.find_step(run.name).gang:
+                self.world.gangs.leave(run)
         self.runs.clear()
         self.ends.clear()
         self.highest.clear()
@@ -145,12 +158,15 @@
             self.world.room_refusals += 1
             return orders.Answer(orders.Refusal.ROOM, self.clock_ms())
         now = self.world.now
-        ends = now + self.world.choose_time(order.task)
-        run = FakeRun(order.task, order.attempt, now, ends)
+        run = FakeRun(order.task, order.attempt, now, float("inf"))
         self.runs[order.task, order.attempt] = run
         self.highest[order.task] = order.attempt
         self.ledger.append(run)
         self.world.starts += 1
+        if step.gang:
+            self.world.gangs.join(self, run)
+        else:
+            run.ends = now + self.world.choose_time(order.task)
         return orders.Answer(None, self.clock_ms())
 
     def stop(self, order: orders.Stop) -> orders.Answer:
@@ -166,7 +182,7 @@
 
     def _stop(self, run: FakeRun) -> None:
         if self.runs.get((run.name, run.attempt)) is run:
-            self._end(run, work.How.STOPPED)
+            self.end(run, work.How.STOPPED)
 
     def hold(self, order: orders.Hold) -> work.Report | None:
         """Carries out a hold."""
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -25,7 +25,7 @@
     takeover,
     work,
 )
-from poplarspindle.tools.fakes import fleet_workers
+from poplarspindle.tools.fakes import fleet_workers, gangs, judging
 
 TICK_S = 0.05
 APPEND_S = 0.01
@@ -48,6 +48,9 @@
         run_s: Returns the time that a task takes, seconds.
         fail: Tells whether a run fails by itself.
         late: Share of orders that get no answer and are carried out late.
+        late_s: How much later that is, at least and at most.
+        late_lives: Whether the worker's next life carries them out too.
+        late_leases: Whether the leases of late starts begin when they come.
 
     Attributes:
         tear: Tells of how many records of an append are stored before the
@@ -63,6 +66,9 @@
         run_s: Callable[[random.Random], float] = lambda rng: 0.5,
         fail: Callable[[fleet_workers.FakeRun], bool] = lambda run: False,
         late: float = 0.0,
+        late_s: tuple[float, float] = (2.0, 12.0),
+        late_lives: bool = False,
+        late_leases: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
@@ -72,6 +78,10 @@
             _tear_nothing
         )
         self.torn = False
+        self._late_s = late_s
+        self._late_lives = late_lives
+        self._late_leases = late_leases
+        self.gangs = gangs.Gangs(self)
         self.starts = 0
         self.room_refusals = 0
         self.fail_on: set[str] = set()
@@ -108,6 +118,7 @@
         self._looks: dict[str, dict] = {}
         self._held_back: dict[str, list[events.Event]] = {}
         self.notes: collections.Counter = collections.Counter()
+        self.witness = judging.Witness(self)
         self.take_over()
 
     def allow_attempts(self, attempts: int) -> None:
@@ -136,7 +147,11 @@
     # The owner.
 
     def take_over(self) -> None:
-        """Lets another owner begin from the log alone."""
+        """Lets another owner begin from the log alone.
+
+        It is behind with no worker: what was held back is lost with the
+        owner before it, and its own looks begin anew.
+        """
         epoch = (self.own.epoch if self.own else 0) + 16
         known, malformed = takeover.load_hand_ins(self.log.values())
         assert not malformed
@@ -151,6 +166,8 @@
         self._write(drops)
         self.own = fleet.Fleet(known, self.lease_most_ms)
         self._looks = {}
+        self._held_back.clear()
+        self.witness.begin()
         silent = {}
         if dark.DARK_KEY in self.log:
             # The log is followed, so the record was read when it came.
@@ -203,7 +220,10 @@
         self._settle()
 
     def _do(self, event: events.Event) -> None:
-        for effect in owner.reduce(self.own, event):
+        found = owner.reduce(self.own, event)
+        if isinstance(event, events.Reported):
+            self.witness.note_report(event)
+        for effect in found:
             self._carry_out(effect)
 
     def _settle(self) -> None:
@@ -220,6 +240,7 @@
         elif isinstance(effect, effects.Publish):
             self.call_later(APPEND_S, lambda: self._publish(own, effect))
         elif isinstance(effect, effects.Order):
+            self.witness.note_sent(effect.order)
             self.call_later(ORDER_S, lambda: self._deliver(own, effect))
         elif isinstance(effect, effects.Allow):
             look = self._looks.setdefault(effect.worker, {})
@@ -275,12 +296,14 @@
             self._answer(own, effect, orders.Answer(orders.Refusal.SILENT))
             return
         if self.rng.random() < self.late:
-            delay_s = self.rng.uniform(2.0, 12.0)
+            delay_s = self.rng.uniform(*self._late_s)
             born_ms = worker.born_ms
 
             def carry_out_late() -> None:
-                if worker.up and worker.born_ms == born_ms:
-                    self._execute(worker, effect.order)
+                # What comes before any owner spoke to a life none can refuse.
+                next_life = self._late_lives and worker.fence
+                if worker.up and (worker.born_ms == born_ms or next_life):
+                    self._execute(worker, self._delay(effect.order, delay_s))
 
             self.call_later(delay_s, carry_out_late)
             self._answer(own, effect, orders.Answer(orders.Refusal.SILENT))
@@ -288,12 +311,22 @@
         answer = self._execute(worker, effect.order)
         self._answer(own, effect, answer)
 
+    def _delay(self, order: orders.Order, delay_s: float) -> orders.Order:
+        if not self._late_leases or not isinstance(order, orders.Start):
+            return order
+        until_ms = order.until_ms + int(delay_s * 1000)
+        return dataclasses.replace(order, until_ms=until_ms)
+
     def _execute(
         self, worker: fleet_workers.FakeWorker, order
     ) -> orders.Answer:
         worker.advance()
         if isinstance(order, orders.Start):
-            return worker.start(order)
+            before = self.starts
+            answer = worker.start(order)
+            if self.starts > before:
+                self.witness.note_begun(order)
+            return answer
         if isinstance(order, orders.Stop):
             return worker.stop(order)
         return orders.Answer(None, worker.clock_ms())
@@ -305,10 +338,11 @@
         def arrive() -> None:
             if own is not self.own:
                 return
-            self._do(
+            self._tell(
+                effect.worker,
                 events.Ordered(
                     self.now, effect.worker, sent_at, effect.order, answer
-                )
+                ),
             )
             self._settle()
 
@@ -364,13 +398,14 @@
     def hold_back(self, worker: str) -> None:
         """Lets the owner fall behind with all that comes from a worker.
 
-        The worker is looked at as before, and its leases are renewed.
+        The worker is looked at as before, and its leases are renewed: that a
+        renewal goes out waits in the same queue as reports and answers.
         """
         self._held_back.setdefault(worker, [])
 
     def catch_up(self, worker: str) -> None:
-        """Lets the owner take in what was held back."""
-        for event in self._held_back.pop(worker):
+        """Lets the owner take in what was held back, in its order."""
+        for event in self._held_back.pop(worker, ()):
             self._do(event)
         self._settle()
 
@@ -407,36 +442,4 @@
 
     def list_broken(self) -> list[str]:
         """Lists the promises that the workers' ledgers show as broken."""
-        by_task = collections.defaultdict(list)
-        for worker in self.workers.values():
-            for run in worker.ledger:
-                by_task[run.name].append(run)
-        found = []
-        for name, runs in by_task.items():
-            runs.sort(key=lambda run: run.began)
-            for first, second in itertools.combinations(runs, 2):
-                if second.began < first.ended:
-                    found.append(f"two runs at once: {name}")
-                if (
-                    first.how is work.How.DONE
-                    and first.noted < float("inf")
-                    and not first.lapsed
-                    and second.began > first.ended
-                ):
-                    found.append(f"started after done: {name}")
-            found += self._check_order(name, runs, by_task)
-        return found
-
-    def _check_order(self, name, runs, by_task) -> list[str]:
-        submission = self.submissions[name.job]
-        for before in submission.steps[name.step].after:
-            for index in range(submission.steps[before].tasks):
-                earlier = work.TaskName(name.job, name.time, before, index)
-                done = [
-                    run.ended
-                    for run in by_task.get(earlier, ())
-                    if run.how is work.How.DONE
-                ]
-                if not done or min(done) > runs[0].began:
-                    return [f"started too early: {name}"]
-        return []
+        return judging.list_broken(self)
--- /dev/null
+++ b/poplarspindle/tools/fakes/judging.py
@@ -0,0 +1,183 @@
+"""What the workers' ledgers and the owner's orders show as broken."""
+
+import collections
+import itertools
+import typing
+
+from poplarspindle.fleet import book, events, orders, work
+
+if typing.TYPE_CHECKING:
+    from poplarspindle.tools.fakes import fleets
+
+# What starts, fails and is done as one: a task, or a gang with index -1.
+Unit = work.TaskName
+
+
+def list_broken(world: "fleets.World") -> list[str]:
+    """Lists the promises that the workers' ledgers show as broken."""
+    by_task = _sort_ledgers(world)
+    found = []
+    for name, runs in by_task.items():
+        for first, second in itertools.combinations(runs, 2):
+            if second.began < first.ended:
+                found.append(f"two runs at once: {name}")
+            if (
+                first.how is work.How.DONE
+                and first.noted < float("inf")
+                and not first.lapsed
+                and second.began > first.ended
+            ):
+                found.append(f"started after done: {name}")
+    return found + list_out_of_order(world) + _list_over_budget(world)
+
+
+def list_out_of_order(world: "fleets.World") -> list[str]:
+    """Lists tasks that started before the steps that they wait for."""
+    by_task = _sort_ledgers(world)
+    return [
+        f"started too early: {name}"
+        for name, runs in by_task.items()
+        if not _is_in_order(world, name, runs[0].began, by_task)
+    ]
+
+
+def list_wrong_states(world: "fleets.World") -> list[str]:
+    """Lists jobs shown as ended that their runs do not show as such."""
+    done, failed = collections.defaultdict(set), collections.Counter()
+    for name, runs in _sort_ledgers(world).items():
+        unit = find_unit(world, name)
+        for run in runs:
+            if run.how is work.How.DONE:
+                done[name.job].add(unit)
+            failed[unit] += run.how is work.How.FAILED
+    found = []
+    for name, job in world.own.book.jobs.items():
+        most = max((n for u, n in failed.items() if u.job == name), default=0)
+        if job.shown is book.State.FAILED and most < world.queue.attempts:
+            found.append(f"shown as failed after {most} failed runs: {name}")
+        units = _count_units(job.submission)
+        if job.shown is book.State.COMPLETED and len(done[name]) < units:
+            found.append(f"shown as completed before it was done: {name}")
+    return found
+
+
+def find_unit(world: "fleets.World", name: work.TaskName) -> Unit:
+    """Returns what a task counts as a part of."""
+    if not world.find_step(name).gang:
+        return name
+    return work.TaskName(name.job, name.time, name.step, -1)
+
+
+def _count_units(submission: work.Submission) -> int:
+    once = sum(1 if step.gang else step.tasks for step in submission.steps)
+    return once * max(1, submission.times)
+
+
+def _sort_ledgers(world: "fleets.World") -> dict:
+    by_task = collections.defaultdict(list)
+    for worker in world.workers.values():
+        for run in worker.ledger:
+            by_task[run.name].append(run)
+    for runs in by_task.values():
+        runs.sort(key=lambda run: run.began)
+    return by_task
+
+
+def _is_in_order(world, name, began: float, by_task) -> bool:
+    submission = world.submissions[name.job]
+    for before in submission.steps[name.step].after:
+        for index in range(submission.steps[before].tasks):
+            earlier = work.TaskName(name.job, name.time, before, index)
+            done = [
+                run.ended
+                for run in by_task.get(earlier, ())
+                if run.how is work.How.DONE
+            ]
+            if not done or min(done) > began:
+                return False
+    return True
+
+
+def _list_over_budget(world: "fleets.World") -> list[str]:
+    """Lists starts after as many failed runs as a task may have."""
+    by_unit = collections.defaultdict(list)
+    for name, runs in _sort_ledgers(world).items():
+        if not world.find_step(name).lasting:
+            by_unit[find_unit(world, name)] += runs
+    found = []
+    for unit, runs in by_unit.items():
+        ends = sorted(
+            run.ended
+            for run in runs
+            if run.how is work.How.FAILED
+            and run.noted < float("inf")
+            and not run.lapsed
+        )
+        last = max(run.began for run in runs)
+        most = world.queue.attempts
+        if len(ends) >= most and last > ends[most - 1]:
+            found.append(f"started after its last attempt failed: {unit}")
+    return found
+
+
+class Witness:
+    """Judges starts by the ends that an owner had taken in before.
+
+    This holds even for an owner that is wrongly sure that a lease is over. It
+    may start a task whose end it has not seen, but none whose end it knows,
+    or had acknowledged by the worker.
+
+    Attributes:
+        broken: What was found.
+    """
+
+    def __init__(self, world: "fleets.World") -> None:
+        self.broken: list[str] = []
+        self._world = world
+        self._ends: dict[Unit, list] = collections.defaultdict(list)
+        self._faults: dict[int, tuple[orders.Start, str]] = {}
+
+    def begin(self) -> None:
+        """Forgets, with a new owner, what was not acknowledged."""
+        self._ends.clear()
+        for worker in self._world.workers.values():
+            for run in worker.ledger:
+                if run.noted < float("inf"):
+                    self._ends[find_unit(self._world, run.name)].append(run)
+
+    def note_report(self, event: events.Reported) -> None:
+        """Notes the ends that the owner has taken in from a report."""
+        hand = self._world.own.hands.get(event.worker)
+        if hand is None or hand.born_ms != event.report.born_ms:
+            return
+        ledger = self._world.workers[event.worker].ledger
+        runs = {(run.name, run.attempt): run for run in ledger}
+        for end in event.report.ended:
+            if end.number <= hand.noted:
+                unit = find_unit(self._world, end.task)
+                self._ends[unit].append(runs[end.task, end.attempt])
+
+    def note_sent(self, order: orders.Order) -> None:
+        """Judges a start when it is sent."""
+        if not isinstance(order, orders.Start):
+            return
+        if self._world.find_step(order.task).lasting:
+            return
+        ends = self._ends[find_unit(self._world, order.task)]
+        failed = {
+            run.attempt
+            for run in ends
+            if run.how is work.How.FAILED and not run.lapsed
+        }
+        if any(run.how is work.How.DONE for run in ends):
+            fault = f"started though known to be done: {order.task}"
+        elif len(failed) >= self._world.queue.attempts:
+            fault = f"started though known to have failed: {order.task}"
+        else:
+            return
+        self._faults[id(order)] = order, fault
+
+    def note_begun(self, order: orders.Start) -> None:
+        """Counts a start against the owner once a run has begun by it."""
+        if id(order) in self._faults:
+            self.broken.append(self._faults[id(order)][1])
--- /dev/null
+++ b/poplarspindle/tools/fakes/walks.py
@@ -0,0 +1,185 @@
+"""Seeded random walks of a virtual fleet: jobs of all kinds, and faults."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from poplarspindle import resources
+from poplarspindle.fleet import book, work
+from poplarspindle.tools.fakes import fleets, judging
+
+CORE = resources.Resources(1000, 1000, 0)
+JOBS = 14
+FAILING_SHARE = 0.25  # Of the runs of jobs that may fail.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What befalls a fleet on a walk, beside the strikes of each walk.
+
+    Attributes:
+        behind_s: For how long the owner falls behind with workers at most.
+        sure: Whether that is too short to make it wrongly sure of a lapse.
+        late: Share of orders that are carried out late.
+        late_s: How late, at least and at most.
+        late_lives: Whether a worker's next life carries them out too.
+        late_leases: Whether leases of late starts begin when they come.
+        strikes: Further strikes.
+        widest: Most tasks of a step.
+    """
+
+    behind_s: float = 0.0
+    sure: bool = True
+    late: float = 0.0
+    late_s: tuple[float, float] = (2.0, 12.0)
+    late_lives: bool = False
+    late_leases: bool = False
+    strikes: tuple[Callable[[fleets.World], None], ...] = ()
+    widest: int = 8
+
+
+def cut_two(world: fleets.World) -> None:
+    """Cuts two workers off at once, for a while."""
+    names = world.rng.sample(sorted(world.workers), 2)
+    _cut(world, names, world.rng.uniform(0.5, 9.0))
+
+
+def crash_behind_cut(world: fleets.World) -> None:
+    """Lets a worker begin another life while it is cut off."""
+    (name,) = world.rng.sample(sorted(world.workers), 1)
+    cut_s = world.rng.uniform(0.5, 9.0)
+    _cut(world, [name], cut_s)
+    crash_s = world.rng.uniform(0.0, cut_s)
+    world.call_later(crash_s, world.workers[name].crash)
+
+
+def die_in_append(world: fleets.World) -> None:
+    """Lets the owner die between the calls of its next wide append."""
+    calls = world.rng.choice([1, 1, 2, 3])
+    world.tear = lambda found: calls if calls < len(found) else None
+
+
+def _cut(world: fleets.World, names: list[str], seconds: float) -> None:
+    def mend() -> None:
+        for name in names:
+            world.workers[name].reached = True
+
+    for name in names:
+        world.workers[name].reached = False
+    world.call_later(seconds, mend)
+
+
+def list_faults(seed: int, plan: Plan) -> list[str]:
+    """Walks, and lists what was broken.
+
+    An owner that is wrongly sure of a lapse can't help two runs at once, nor
+    a start after an end that it has not read. Such walks are judged by what
+    it knows: no start of a task once an end `done`, or its last failed one,
+    was taken in; order, states and the end of all jobs as in all walks.
+    """
+    world = _walk(seed, plan)
+    found = judging.list_out_of_order(world)
+    if plan.sure:
+        found = judging.list_broken(world)
+    found += world.witness.broken + judging.list_wrong_states(world)
+    jobs = world.own.book.jobs
+    found += [
+        f"not ended: {name}"
+        for name, job in jobs.items()
+        if job.state not in book.ENDED
+    ]
+    found += [
+        f"still runs: {name}"
+        for worker in world.workers.values()
+        for name, _ in worker.runs
+    ]
+    return found
+
+
+def _walk(seed: int, plan: Plan) -> fleets.World:
+    chance = random.Random(seed)
+
+    def fail(run) -> bool:
+        return _may_fail(run.name) and chance.random() < FAILING_SHARE
+
+    world = fleets.World(
+        seed,
+        run_s=lambda rng: rng.uniform(0.1, 2.5),
+        fail=fail,
+        late=plan.late,
+        late_s=plan.late_s,
+        late_lives=plan.late_lives,
+        late_leases=plan.late_leases,
+    )
+    for number in range(JOBS):
+        _submit(world, f"{number:016x}", plan.widest)
+        world.run(world.rng.uniform(0.05, 0.8))
+        _strike(world)
+        if plan.behind_s and world.rng.random() < 0.3:
+            _fall_behind(world, plan.behind_s)
+        if plan.strikes and world.rng.random() < 0.3:
+            world.rng.choice(plan.strikes)(world)
+    _recover(world)
+    return world
+
+
+def _may_fail(name: work.TaskName) -> bool:
+    return int(name.job, 16) % 3 == 0
+
+
+def _submit(world: fleets.World, name: str, widest: int) -> None:
+    rng = world.rng
+    steps = [_make_step(rng.randint(1, widest), (), rng.random() < 0.3)]
+    if rng.random() < 0.5:
+        gang = rng.random() < 0.3
+        steps.append(_make_step(rng.randint(1, 6), (0,), gang))
+    options = {}
+    kind = rng.random()
+    if kind < 0.15:
+        steps = [dataclasses.replace(steps[0], gang=False, lasting=True)]
+    elif kind < 0.35:
+        first_ms = world.wall_ms() + rng.randint(0, 2000)
+        every_ms = rng.randint(300, 1500)
+        options = {"times": 3, "first_ms": first_ms, "every_ms": every_ms}
+    world.submit(name, *steps, **options)
+
+
+def _make_step(tasks: int, after: tuple[int, ...], gang: bool) -> work.Step:
+    return work.Step(tasks, CORE, 500, after, gang=gang)
+
+
+def _strike(world: fleets.World) -> None:
+    worker = world.rng.choice(list(world.workers.values()))
+    chance = world.rng.random()
+    if chance < 0.15:
+        worker.crash()
+    elif chance < 0.3:
+        worker.reached = not worker.reached
+    elif chance < 0.45:
+        world.take_over()
+    elif chance < 0.55:
+        world.store_up = not world.store_up
+    elif chance < 0.62:
+        world.cancel(world.rng.choice(list(world.own.book.jobs)))
+
+
+def _fall_behind(world: fleets.World, most_s: float) -> None:
+    count = world.rng.randint(1, len(world.workers))
+    for name in world.rng.sample(sorted(world.workers), count):
+        # One is caught up with while others are not.
+        behind_s = world.rng.uniform(0.1, most_s)
+        world.hold_back(name)
+        world.call_later(behind_s, lambda name=name: world.catch_up(name))
+
+
+def _recover(world: fleets.World) -> None:
+    for name, worker in world.workers.items():
+        worker.reached = True
+        world.catch_up(name)
+    world.store_up = True
+    world.run(20)
+    # Tasks that last may hold all room; the rest has to end without them.
+    for job in list(world.own.book.jobs.values()):
+        if job.submission.steps[0].lasting:
+            world.cancel(job.submission.job)
+    world.run(40)
