Note every start that may still arrive when its run is over

Callers would see: a task runs again, or twice at once, on a worker that began another life under its name: a start that had got no answer arrives there seconds later (TWICE, and UNASKED if its job is over). Cause: the owner has such starts refused in the next life, but noted them only of runs that it gave up after a silence: not of runs that ended, and not of those whose start was still without an answer when they were given up. A start that comes before any owner spoke to that life can't be refused; the fake lets only later ones through. Change: end_run notes as drop_run does; a start under way counts as one without answer. Tests: 2 starts before, 1 now, in both.

--- a/poplarspindle/fleet/fleet.py
+++ b/poplarspindle/fleet/fleet.py
@@ -55,8 +55,8 @@
         keep_ended_s: Time for which an ended job's state is kept.
         harm_ms: Time for which a lasting task may miss its target.
         tails: What was learned of tails and of fills beside what serves.
-        ghosts: Runs given up whose start may still arrive, by worker, with
-            the time until which it may.
+        ghosts: Runs that are over whose start may still arrive, by worker,
+            with the time until which it may.
         told_dark: Workers called dark by records in flight, or None.
         silent: Workers that the log may call dark.
         dark_changed: Whether the log has to hear of silent workers.
@@ -226,13 +226,20 @@
 
 
 def list_ghosts(own: Fleet, worker: str) -> list[tuple[work.TaskName, int]]:
-    """Lists runs given up whose start a worker may still carry out."""
+    """Lists runs that are over whose start may still be carried out."""
     ghosts = own.ghosts.get(worker, {})
     for key in [key for key, at in ghosts.items() if at <= own.at]:
         del ghosts[key]
     return list(ghosts)
 
 
+def note_late_start(own: Fleet, hand: views.Hand, run: views.Run) -> None:
+    """Notes that a start of a run that is over may still arrive."""
+    if run.silences or run.sending:
+        ghosts = own.ghosts.setdefault(hand.worker.name, {})
+        ghosts[run.key] = own.at + LATE_ORDER_S
+
+
 def drop_run(
     own: Fleet,
     hand: views.Hand,
@@ -252,9 +259,7 @@
     views.remove_run(hand, run)
     if may_end and run.asked and not run.step.lasting:
         run.task.open_attempts += (run.attempt,)
-    if run.silences:
-        ghosts = own.ghosts.setdefault(hand.worker.name, {})
-        ghosts[run.key] = own.at + LATE_ORDER_S
+    note_late_start(own, hand, run)
     requeue(own, run)
     return [
         note(
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -194,6 +194,7 @@
 ) -> list:
     """Takes the end of a run in."""
     views.remove_run(hand, run)
+    fleet.note_late_start(own, hand, run)
     own.stirred = True
     pressure.note_end(hand, run, own.at)
     found = [
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -295,6 +295,69 @@
     assert sum(len(w.runs) for w in world.workers.values() if w.up) == 8
 
 
+def make_world_of_late_starts():
+    """Makes a world in which a start gets no answer and comes 3 s late."""
+    return fleets.World(
+        1,
+        workers=2,
+        run_s=lambda rng: 1.0,
+        late=1.0,
+        late_s=(3.0, 3.0),
+        late_lives=True,
+    )
+
+
+def begin_by_a_repeated_start(world):
+    """Has a task begin by its second start; returns its worker."""
+    world.submit("a" * 16, make_step(1))
+    while not world.notes["start-refused"]:
+        world.run(fleets.TICK_S)
+    world.late = 0.0
+    while not world.starts:
+        world.run(fleets.TICK_S)
+    return next(w for w in world.workers.values() if w.runs)
+
+
+def begin_next_life(world, worker, late):
+    """Lets a worker begin anew as one that gets no more work.
+
+    Its first orders may get no answer.
+    """
+    worker.crash()
+    worker.description = fleets.dataclasses.replace(
+        worker.description, presence=work.Presence.LEAVING, leaves_ms=9000
+    )
+    world.late = late
+    world.run(0.35)
+    world.late = 0.0
+
+
+def test_start_of_a_run_that_ended_is_refused_in_the_next_life():
+    world = make_world_of_late_starts()
+    worker = begin_by_a_repeated_start(world)
+    world.run(1.5)
+    assert world.get_state("a" * 16) == "completed"
+    worker.crash()
+    world.run(4)
+    assert world.starts == 1
+
+
+def test_start_on_its_way_through_two_lives_is_refused_in_the_last():
+    """The run was given up before its start had no answer for long enough."""
+    world = make_world_of_late_starts()
+    world.run(0.35)
+    world.submit("a" * 16, make_step(1))
+    world.run(0.1)
+    (name,) = [n for n, hand in world.own.hands.items() if hand.runs]
+    begin_next_life(world, world.workers[name], late=0.0)
+    assert world.notes["given-up"] == 1
+    assert world.notes["start-refused"] == 0
+    world.workers[name].crash()
+    world.run(4)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 1
+
+
 def test_store_outage_keeps_leases_and_records_ends_later():
     world = fleets.World(1, run_s=lambda rng: 3.0)
     world.submit("a" * 16, make_step(4), make_step(4, (0,)))
