Make sure of the stop that refuses a late start in a worker's next life

Cause: the stop of a run that is over went out once. And a run whose second start was answered was given up as soon as its worker began another life, though its first start might still arrive there: the earlier life's answer was taken for this one's. Change: such a stop without an answer is repeated for as long as the start may arrive, unless looks are missed as well; a run with a start without an answer is queued again only after the new life has refused it, as docs/design/deployment.md (Runs) says.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -73,7 +73,9 @@
         if run.key in listed:
             run.task.born_ms = born_ms
             fleet.touch_task(own, run.name)
-        elif run.asked and run.answered_at == float("inf"):
+        elif run.asked and (run.silences or run.answered_at == float("inf")):
+            # What the earlier life answered refuses nothing in this one.
+            run.answered_at = float("inf")
             found += fleet.stop_run(own, hand, run)
         else:
             found += fleet.drop_run(own, hand, run, "worker-born-again")
@@ -358,7 +360,7 @@
         views.note_clock(hand, event.answer.clock_ms, event.at)
     run = hand.runs.get((event.order.task, event.order.attempt))
     if run is None:
-        return []
+        return _repeat_stop(own, hand, event)
     if isinstance(event.order, orders.Pace):
         if event.answer.refusal is not None:
             run.percent = views.PACE_UNKNOWN
@@ -368,6 +370,18 @@
     return _take_start(own, hand, run, event)
 
 
+def _repeat_stop(own, hand, event) -> list:
+    """Repeats the stop of a run that is over, as a start may still arrive."""
+    order = event.order
+    silent = event.answer.refusal is orders.Refusal.SILENT
+    if not isinstance(order, orders.Stop) or not silent or hand.missed:
+        return []
+    ghosts = fleet.list_ghosts(own, hand.worker.name)
+    if (order.task, order.attempt) not in ghosts:
+        return []
+    return [effects.Order(hand.worker.name, order)]
+
+
 def _take_stop(own, hand, run, event) -> list:
     run.stop_asked = False
     if event.answer.refusal is None:
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -358,6 +358,25 @@
     assert world.starts == 1
 
 
+def test_stop_of_a_run_that_ended_is_repeated_in_the_next_life():
+    world = make_world_of_late_starts()
+    worker = begin_by_a_repeated_start(world)
+    world.run(1.3)
+    begin_next_life(world, worker, late=1.0)
+    world.run(4)
+    assert world.starts == 1
+
+
+def test_task_waits_until_its_start_is_refused_in_the_next_life():
+    """The start that was answered began the run, another may still arrive."""
+    world = make_world_of_late_starts()
+    worker = begin_by_a_repeated_start(world)
+    begin_next_life(world, worker, late=1.0)
+    world.run(5)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.list_broken() == []
+
+
 def test_store_outage_keeps_leases_and_records_ends_later():
     world = fleets.World(1, run_s=lambda rng: 3.0)
     world.submit("a" * 16, make_step(4), make_step(4, (0,)))
