Make gangs whole at a takeover whose records are of different appends

Callers would see: a job that never ends (LOST): of a gang of more than 16 tasks, one group is recorded as done and the other as placed, and the worker of the latter has begun another life; its members are queued, fewer than the gang, and wait for ever. Or, with a part of a placement recorded, a part starts and waits for the others in vain (runs end alone). Or its members are started with different checkpoints. Cause: a gang's tasks are in one record for each 16 of them; an owner that dies between the calls of one append leaves them apart. Change: a member that is done stands for all; members placed with a higher attempt than others were never sent, since starts follow the whole append, and are queued; all carry one checkpoint. What was changed is recorded again. Tests: fail before (runs alone; active; the checkpoints have no function before).

--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -32,6 +32,7 @@
             own.drops[name] = None
             continue
         own.open_jobs[name] = None
+        mend_gangs(own, job)
         for number in job.runs:
             fleet.queue_run(own, job, number)
         for task_name, task in book.list_placed(job):
@@ -68,6 +69,37 @@
     return found
 
 
+def mend_gangs(own: fleet.Fleet, job: book.Job) -> None:
+    """Makes gangs whole whose records are of different appends.
+
+    An owner may have died between the calls of one append. A member that is
+    done stands for all; a placement of which a part is recorded was not sent;
+    a checkpoint of one member is valid for all.
+    """
+    for number, run in job.runs.items():
+        for step, tasks in enumerate(run):
+            if not job.submission.steps[step].gang:
+                continue
+            before = [(t.phase, t.attempt, t.saved) for t in tasks]
+            _mend_gang(tasks)
+            if before != [(t.phase, t.attempt, t.saved) for t in tasks]:
+                name = work.TaskName(job.submission.job, number, step, 0)
+                member = views.Run(name, job, tasks[0], own.at, True)
+                fleet.touch_run(own, member)
+
+
+def _mend_gang(tasks: list[book.Task]) -> None:
+    saved = next((task.saved for task in tasks if task.saved), "")
+    done = any(task.phase is book.Phase.DONE for task in tasks)
+    torn = len({task.attempt for task in tasks}) > 1
+    for task in tasks:
+        task.saved = saved
+        if done:
+            task.phase = book.Phase.DONE
+        elif torn and task.phase is book.Phase.PLACED:
+            task.phase, task.worker = book.Phase.QUEUED, ""
+
+
 def load_hand_ins(
     found: Iterable[records.Record],
 ) -> tuple[book.Book, list[str]]:
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -12,6 +12,8 @@
     orders,
     owner,
     pacing,
+    records,
+    takeover,
     views,
     work,
 )
@@ -244,6 +246,60 @@
     assert world.list_broken() == []
 
 
+WIDE = records.GROUP_TASKS + 1
+
+
+def store_one(found):
+    """Lets an owner die after the first of several records is stored."""
+    return 1 if len(found) > 1 else None
+
+
+def test_gang_whose_placement_is_recorded_in_part_is_placed_whole():
+    """Its first group was started, and waited for a member in vain."""
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(WIDE, gang=True))
+    world.run(0.2)
+    world.tear = store_one
+    world.run(6)
+    runs = [r for w in world.workers.values() for r in w.ledger]
+    assert world.torn
+    assert {run.how for run in runs} == {work.How.DONE}
+    assert world.get_state("a" * 16) == "completed"
+
+
+def test_gang_whose_end_is_recorded_in_part_is_over():
+    """A last member crashed: placed alone, it would wait for ever."""
+    world = fleets.World(1)
+    step = make_step(WIDE, gang=True)
+    world.submit("a" * 16, step, make_step(1, (0,)))
+    while world.starts < WIDE:
+        world.run(fleets.TICK_S)
+    world.tear = store_one
+    while not world.torn:
+        world.run(fleets.TICK_S)
+    last = next(
+        worker
+        for worker in world.workers.values()
+        for run in worker.ledger
+        if run.name.index == WIDE - 1
+    )
+    last.crash()
+    world.run(6)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == WIDE + 1
+
+
+def test_gang_recorded_with_two_checkpoints_goes_on_from_one():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(WIDE, gang=True))
+    job = world.own.book.jobs["a" * 16]
+    tasks = job.runs[0][0]
+    tasks[-1].saved = "newer"
+    takeover.mend_gangs(world.own, job)
+    assert {task.saved for task in tasks} == {"newer"}
+    assert len(world.own.touched) == 2
+
+
 def test_takeover_waits_for_a_worker_that_may_still_run():
     world = fleets.World(1, run_s=lambda rng: 30.0)
     world.submit("a" * 16, make_step(8))
