Walks of an owner that is behind, of late starts, cuts and deaths in an append

Beside the 40 walks of test_fleet.py: seven kinds of 20 seeds, with gangs, several times, failing tasks and workers that are missing from the list for a while. An owner that is wrongly sure of a lapse is judged by what it knows (walks.list_faults says which promise).

--- /dev/null
+++ b/poplarspindle/tests/test_walks.py
@@ -0,0 +1,38 @@
+"""Random walks of the fleet's owner, each with faults of its own kind."""
+
+import pytest
+
+from poplarspindle.tools.fakes import walks
+
+SEEDS = range(20)
+LATE_S = (0.3, 6.0)  # Shorter and longer than the leases of late starts.
+PLANS = {
+    "behind-briefly": walks.Plan(behind_s=2.0),
+    "behind": walks.Plan(behind_s=9.0, sure=False),
+    "late": walks.Plan(late=0.1, late_s=LATE_S),
+    "late-lives": walks.Plan(late=0.1, late_s=LATE_S, late_lives=True),
+    "cuts": walks.Plan(
+        strikes=(walks.cut_two, walks.crash_behind_cut, walks.unlist)
+    ),
+    "dies-in-append": walks.Plan(strikes=(walks.die_in_append,), widest=24),
+    "all": walks.Plan(
+        behind_s=9.0,
+        sure=False,
+        late=0.05,
+        late_s=LATE_S,
+        late_lives=True,
+        strikes=(
+            walks.cut_two,
+            walks.crash_behind_cut,
+            walks.unlist,
+            walks.die_in_append,
+        ),
+        widest=24,
+    ),
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("plan", PLANS.values(), ids=PLANS.keys())
+def test_walk_keeps_the_promises(plan, seed):
+    assert walks.list_faults(seed, plan) == []
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -56,6 +56,7 @@
         tear: Tells of how many records of an append are stored before the
             owner dies, None where it lives; it dies so once.
         torn: Whether it did.
+        unlisted: Workers that are up and missing from the list.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
             _tear_nothing
         )
         self.torn = False
+        self.unlisted: set[str] = set()
         self._late_s = late_s
         self._late_lives = late_lives
         self._late_leases = late_leases
@@ -190,7 +192,9 @@
     def list_workers(self) -> None:
         """Lets the owner read the list."""
         listed = tuple(
-            worker.description for worker in self.workers.values() if worker.up
+            worker.description
+            for name, worker in self.workers.items()
+            if worker.up and name not in self.unlisted
         )
         self._do(events.WorkersListed(self.now, listed))
 
--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -53,6 +53,14 @@
     world.call_later(crash_s, world.workers[name].crash)
 
 
+def unlist(world: fleets.World) -> None:
+    """Lets a worker that is up be missing from the list for a while."""
+    (name,) = world.rng.sample(sorted(world.workers), 1)
+    world.unlisted.add(name)
+    unlisted_s = world.rng.uniform(0.2, 6.0)
+    world.call_later(unlisted_s, lambda: world.unlisted.discard(name))
+
+
 def die_in_append(world: fleets.World) -> None:
     """Lets the owner die between the calls of its next wide append."""
     calls = world.rng.choice([1, 1, 2, 3])
