--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -12,6 +12,8 @@
     orders,
     owner,
     pacing,
+    records,
+    takeover,
     views,
     work,
 )
@@ -244,6 +246,60 @@
     assert world.list_broken() == []
 
 
+WIDE = records.GROUP_TASKS + 1
+
+
+def store_one(found):
+    """Lets an owner die after the first of several records is stored."""
+    return 1 if len(found) > 1 else None
+
+
+def test_gang_whose_placement_is_recorded_in_part_is_placed_whole():
+    """Its first group was started, and waited for a member in vain."""
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(WIDE, gang=True))
+    world.run(0.2)
+    world.tear = store_one
+    world.run(6)
+    runs = [r for w in world.workers.values() for r in w.ledger]
+    assert world.torn
+    assert {run.how for run in runs} == {work.How.DONE}
+    assert world.get_state("a" * 16) == "completed"
+
+
+def test_gang_whose_end_is_recorded_in_part_is_over():
+    """A last member crashed: placed alone, it would wait for ever."""
+    world = fleets.World(1)
+    step = make_step(WIDE, gang=True)
+    world.submit("a" * 16, step, make_step(1, (0,)))
+    while world.starts < WIDE:
+        world.run(fleets.TICK_S)
+    world.tear = store_one
+    while not world.torn:
+        world.run(fleets.TICK_S)
+    last = next(
+        worker
+        for worker in world.workers.values()
+        for run in worker.ledger
+        if run.name.index == WIDE - 1
+    )
+    last.crash()
+    world.run(6)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == WIDE + 1
+
+
+def test_gang_recorded_with_two_checkpoints_goes_on_from_one():
+    world = fleets.World(1)
+    world.submit("a" * 16, make_step(WIDE, gang=True))
+    job = world.own.book.jobs["a" * 16]
+    tasks = job.runs[0][0]
+    tasks[-1].saved = "newer"
+    takeover.mend_gangs(world.own, job)
+    assert {task.saved for task in tasks} == {"newer"}
+    assert len(world.own.touched) == 2
+
+
 def test_takeover_waits_for_a_worker_that_may_still_run():
     world = fleets.World(1, run_s=lambda rng: 30.0)
     world.submit("a" * 16, make_step(8))
@@ -295,6 +351,88 @@
     assert sum(len(w.runs) for w in world.workers.values() if w.up) == 8
 
 
+def make_world_of_late_starts():
+    """Makes a world in which a start gets no answer and comes 3 s late."""
+    return fleets.World(
+        1,
+        workers=2,
+        run_s=lambda rng: 1.0,
+        late=1.0,
+        late_s=(3.0, 3.0),
+        late_lives=True,
+    )
+
+
+def begin_by_a_repeated_start(world):
+    """Has a task begin by its second start; returns its worker."""
+    world.submit("a" * 16, make_step(1))
+    while not world.notes["start-refused"]:
+        world.run(fleets.TICK_S)
+    world.late = 0.0
+    while not world.starts:
+        world.run(fleets.TICK_S)
+    return next(w for w in world.workers.values() if w.runs)
+
+
+def begin_next_life(world, worker, late):
+    """Lets a worker begin anew as one that gets no more work.
+
+    Its first orders may get no answer.
+    """
+    worker.crash()
+    worker.description = fleets.dataclasses.replace(
+        worker.description, presence=work.Presence.LEAVING, leaves_ms=9000
+    )
+    world.late = late
+    world.run(0.35)
+    world.late = 0.0
+
+
+def test_start_of_a_run_that_ended_is_refused_in_the_next_life():
+    world = make_world_of_late_starts()
+    worker = begin_by_a_repeated_start(world)
+    world.run(1.5)
+    assert world.get_state("a" * 16) == "completed"
+    worker.crash()
+    world.run(4)
+    assert world.starts == 1
+
+
+def test_start_on_its_way_through_two_lives_is_refused_in_the_last():
+    """The run was given up before its start had no answer for long enough."""
+    world = make_world_of_late_starts()
+    world.run(0.35)
+    world.submit("a" * 16, make_step(1))
+    world.run(0.1)
+    (name,) = [n for n, hand in world.own.hands.items() if hand.runs]
+    begin_next_life(world, world.workers[name], late=0.0)
+    assert world.notes["given-up"] == 1
+    assert world.notes["start-refused"] == 0
+    world.workers[name].crash()
+    world.run(4)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.starts == 1
+
+
+def test_stop_of_a_run_that_ended_is_repeated_in_the_next_life():
+    world = make_world_of_late_starts()
+    worker = begin_by_a_repeated_start(world)
+    world.run(1.3)
+    begin_next_life(world, worker, late=1.0)
+    world.run(4)
+    assert world.starts == 1
+
+
+def test_task_waits_until_its_start_is_refused_in_the_next_life():
+    """The start that was answered began the run, another may still arrive."""
+    world = make_world_of_late_starts()
+    worker = begin_by_a_repeated_start(world)
+    begin_next_life(world, worker, late=1.0)
+    world.run(5)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.list_broken() == []
+
+
 def test_store_outage_keeps_leases_and_records_ends_later():
     world = fleets.World(1, run_s=lambda rng: 3.0)
     world.submit("a" * 16, make_step(4), make_step(4, (0,)))
