--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -433,6 +433,30 @@
     assert world.list_broken() == []
 
 
+def test_late_start_whose_lease_counts_from_its_arrival():
+    """The task was placed elsewhere after the lapse that its owner knew of."""
+    world = fleets.World(
+        1,
+        workers=2,
+        run_s=lambda rng: 4.0,
+        late=1.0,
+        late_s=(5.5, 5.5),
+        late_leases=True,
+    )
+    world.submit("a" * 16, make_step(1))
+    while not world.own.hands or not any(
+        run.silences
+        for hand in world.own.hands.values()
+        for run in hand.runs.values()
+    ):
+        world.run(fleets.TICK_S)
+    (name,) = [n for n, hand in world.own.hands.items() if hand.runs]
+    world.late = 0.0
+    world.workers[name].reached = False
+    world.run(12)
+    assert world.list_broken() == []
+
+
 def test_store_outage_keeps_leases_and_records_ends_later():
     world = fleets.World(1, run_s=lambda rng: 3.0)
     world.submit("a" * 16, make_step(4), make_step(4, (0,)))
