--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -1,16 +1,14 @@
 """What workers report and answer, taken in by the owner."""
 
-import dataclasses
-
 from poplarspindle import resources
 from poplarspindle.fleet import (
     book,
     effects,
+    ends,
     events,
     fleet,
     orders,
     pacing,
-    pressure,
     views,
     work,
 )
@@ -19,9 +17,6 @@
 FULL_S = 0.3  # Room that others take is seen with the next report.
 BUSY_S = 1.0
 SILENCES_MOST = 3
-BAD_JOBS_MOST = 2
-CLOSED_FIRST_S = 3.0
-CLOSED_MOST_S = 24.0
 
 
 def take_report(own: fleet.Fleet, event: events.Reported) -> list:
@@ -51,7 +46,7 @@
         found.append(fleet.note("workers", "heard-again", worker=event.worker))
     if event.until_ms:
         views.note_grant(hand, event.until_ms)
-    found += _take_ends(own, hand, report)
+    found += ends.take_ends(own, hand, report)
     found += _take_running(own, hand, event, first)
     return found + pacing.review(own, hand)
 
@@ -89,213 +84,6 @@
     return found
 
 
-def _take_ends(own: fleet.Fleet, hand: views.Hand, report: work.Report) -> list:
-    found = []
-    news = [end for end in report.ended if end.number > hand.noted]
-    for end in sorted(news, key=lambda end: end.number):
-        hand.noted = end.number
-        run = hand.runs.get((end.task, end.attempt))
-        if run is not None:
-            found += end_run(own, hand, run, end.how, end.saved)
-        else:
-            found.append(_note_stale_end(own, hand, end))
-            found += _take_late_end(own, hand, end)
-    if hand.noted > hand.recorded:
-        hand.recorded = hand.noted
-        own.waiting.append(
-            effects.Acknowledge(hand.worker.name, hand.born_ms, hand.noted)
-        )
-    return found
-
-
-def _note_stale_end(
-    own: fleet.Fleet, hand: views.Hand, end: work.Ended
-) -> effects.Note:
-    """Notes the end of a run that is not placed on this worker any more."""
-    task = book.find_task(own.book, end.task)
-    job = own.book.jobs.get(end.task.job)
-    return fleet.note(
-        "runs",
-        "stale-end",
-        end.task.job,
-        task=fleet.format_task(end.task),
-        attempt=end.attempt,
-        worker=hand.worker.name,
-        how=end.how.value,
-        number=end.number,
-        job_state=job.state.value if job else "unknown",
-        phase=task.phase.name.lower() if task else "unknown",
-        last_attempt=task.attempt if task else 0,
-        placed_on=task.worker if task else "",
-    )
-
-
-def _take_late_end(own: fleet.Fleet, hand: views.Hand, end) -> list:
-    """Takes in how a run ended which was given up, or even replaced.
-
-    The worker forgets an end that is acknowledged: the task would run again,
-    or once too often.
-    """
-    task = book.find_task(own.book, end.task)
-    job = own.book.jobs.get(end.task.job)
-    if (
-        task is None
-        or task.phase is book.Phase.DONE
-        or job.state in book.ENDED
-        or job.submission.steps[end.task.step].lasting
-    ):
-        return []
-    run = views.Run(end.task, job, task, own.at, True)
-    if end.how is work.How.DONE:
-        own.stirred = True
-        fleet.touch_run(own, run)
-        found = _judge_worker(own, hand, run, end.how) + _take_back(own, run)
-        return found + _finish_task(own, run)
-    if end.attempt not in task.open_attempts:
-        return []  # It was counted, if it failed; maybe by an earlier owner.
-    left = tuple(a for a in task.open_attempts if a != end.attempt)
-    task.open_attempts = left
-    fleet.touch_task(own, end.task)
-    if end.how is not work.How.FAILED:
-        return []
-    return _judge_worker(own, hand, run, end.how) + _count_failure(own, run)
-
-
-def _count_failure(own: fleet.Fleet, run: views.Run) -> list:
-    """Counts a failed run; the job fails with the last one allowed."""
-    run.task.failures += 1
-    if _count_failures(run) < fleet.find_queue(own, run.job).attempts:
-        return []
-    return fleet.end_job(own, run.job, book.State.FAILED)
-
-
-def _take_back(own: fleet.Fleet, done: views.Run) -> list:
-    """Takes later attempts of a task back, with a gang those of all members.
-
-    What was sent is stopped; what was not just ends.
-    """
-    found = []
-    name = done.name
-    tasks = done.job.runs[name.time][name.step]
-    members = range(len(tasks)) if done.step.gang else [name.index]
-    for index in members:
-        member = dataclasses.replace(name, index=index)
-        holder = own.hands.get(tasks[index].worker)
-        later = holder and holder.runs.get((member, tasks[index].attempt))
-        if later is not None:
-            found += fleet.stop_run(own, holder, later)
-    return found
-
-
-def end_run(
-    own: fleet.Fleet,
-    hand: views.Hand,
-    run: views.Run,
-    how: work.How,
-    saved: str,
-) -> list:
-    """Takes the end of a run in."""
-    views.remove_run(hand, run)
-    fleet.note_late_start(own, hand, run)
-    own.stirred = True
-    pressure.note_end(hand, run, own.at)
-    found = [
-        fleet.note(
-            "runs",
-            "ended",
-            run.name.job,
-            task=fleet.format_task(run.name),
-            attempt=run.attempt,
-            worker=hand.worker.name,
-            how=how.value,
-            took_ms=int((own.at - run.placed_at) * 1000),
-        )
-    ]
-    found += _judge_worker(own, hand, run, how)
-    task = run.task
-    if task.attempt != run.attempt or run.job.state in book.ENDED:
-        return found
-    if task.phase is book.Phase.DONE:
-        return found
-    fleet.touch_run(own, run)
-    if saved:
-        _save(run, saved)
-    if how is work.How.DONE and not run.step.lasting:
-        return found + _finish_task(own, run)
-    if how is work.How.FAILED and not run.step.lasting:
-        found += _count_failure(own, run)
-    fleet.requeue(own, run)
-    return found
-
-
-def _judge_worker(own, hand, run, how) -> list:
-    """Closes a worker for a while that fails the work of several jobs.
-
-    Load pattern: a worker that fails all it starts is soon empty, and so
-    draws all that comes. One job's failures are held against the job.
-    """
-    if how is work.How.DONE:
-        hand.bad_jobs.clear()
-        hand.closed_s = 0.0
-        return []
-    if how is not work.How.FAILED:
-        return []
-    own.failed_on.setdefault(run.name, set()).add(hand.worker.name)
-    hand.bad_jobs.add(run.name.job)
-    if len(hand.bad_jobs) < BAD_JOBS_MOST:
-        return []
-    hand.closed_s = min(CLOSED_MOST_S, max(CLOSED_FIRST_S, 2 * hand.closed_s))
-    hand.full_until = max(hand.full_until, own.at + hand.closed_s)
-    return [
-        fleet.note(
-            "workers",
-            "closed",
-            worker=hand.worker.name,
-            jobs=len(hand.bad_jobs),
-            for_s=hand.closed_s,
-        )
-    ]
-
-
-def _save(run: views.Run, saved: str) -> None:
-    """Keeps a checkpoint; any member's is valid for its whole gang."""
-    members = [run.task]
-    if run.step.gang:
-        members = run.job.runs[run.name.time][run.name.step]
-    for task in members:
-        task.saved = saved
-
-
-def _count_failures(run: views.Run) -> int:
-    if not run.step.gang:
-        return run.task.failures
-    members = run.job.runs[run.name.time][run.name.step]
-    return sum(task.failures for task in members)
-
-
-def _finish_task(own: fleet.Fleet, run: views.Run) -> list:
-    job, number, step = run.job, run.name.time, run.name.step
-    own.efforts.pop((run.name.job, number), None)
-    tasks = job.runs[number][step]
-    # Members of a gang that were lost just before its end wait again.
-    members = range(len(tasks)) if run.step.gang else [run.name.index]
-    for index in members:
-        tasks[index].phase = book.Phase.DONE
-    fleet.unqueue(own, run, members)
-    if not book.is_step_done(tasks):
-        return []
-    if all(map(book.is_step_done, job.runs[number])):
-        del job.runs[number]
-        own.dirty[run.name.job] = None
-    else:
-        for later, spec in enumerate(job.submission.steps):
-            if step in spec.after:
-                fleet.queue_step(own, job, number, later)
-    if not job.runs and job.opened >= max(1, job.submission.times):
-        return fleet.end_job(own, job, book.State.COMPLETED)
-    return []
-
-
 def _take_running(own, hand, event, first: bool) -> list:
     """Compares what a worker lists with what was placed on it."""
     found = []
