Claim the fleet once while its logs are being read

What callers saw: jobs accepted and none run, for as long as reading the logs takes over a second (a slow store, many pages, a weak machine); further 503s once hand-ins do not fit one page. Cause: a chosen member whose own claim is the newest takes the fleet for vacant, since it may have given it up; each second it claimed under a higher epoch, and what was read for the claim before was thrown away. Ruled out: a longer CLAIM_S (any reading can take longer; a claim that was lost has to be repeated soon). Why it works: from reading its claim back until it owns, or until its reading ends in vain, the node claims no more; others still may after 3 s of silence.

--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -94,7 +94,6 @@
         self._known = known.Known()
         self._fleet: fleet.Fleet | None = None
         self._owning: owning.Owning | None = None
-        self._preparing = 0
         self._reset_due = False  # Pages on their way do not make up for it.
         self._stepping_down = False
         self._standing = standing.Standing(
@@ -118,7 +117,7 @@
             lambda found, _, tail: self._events.put(_Read(found, tail)),
             lambda: (
                 0.0
-                if self._standing.owning or self._preparing
+                if self._standing.owning or self._standing.preparing
                 else FOLLOW_PAUSE_S
             ),
         )
@@ -218,6 +217,7 @@
         except Exception:
             # Part of the batch is lost: what is known is read anew.
             self._known.loaded = self._standing.able = False
+            self._standing.preparing = 0
             self._reset_due = True
             self._shared.reload()
             _log.exception("state-failed", events=len(batch))
@@ -399,8 +399,8 @@
             return
         self._standing.owner = found
         if found.instance == self.incarnation:
-            if self._fleet is None and self._preparing < found.epoch:
-                self._preparing = found.epoch
+            if self._fleet is None and self._standing.preparing < found.epoch:
+                self._standing.preparing = found.epoch
                 threads.start(lambda: self._prepare(found))
         elif self._fleet is not None:
             self._give_up_ownership("other-owner")
@@ -412,12 +412,13 @@
         found = claims.prepare(self._platform, claim, is_wanted)
         if found is not None:
             self._events.put(found)
-        else:
-            self._preparing = 0
+        elif self._standing.preparing == claim.epoch:
+            self._standing.preparing = 0
 
     def _become_owner(self, found: claims.Prepared) -> None:
         """Begins to own the fleet, unless the claim was lost meanwhile."""
-        self._preparing = 0
+        if self._standing.preparing == found.epoch:
+            self._standing.preparing = 0
         claim = self._standing.owner
         if (
             self._fleet is not None
--- a/poplarspindle/node/standing.py
+++ b/poplarspindle/node/standing.py
@@ -72,6 +72,7 @@
         best: The best fitness that any node noted in the log.
         owner: The newest owner's record that was read, None for none.
         owning: Whether this process is that owner.
+        preparing: Epoch of its claim for which it reads the logs, 0 for none.
         store_ok_at: When the store last confirmed this member's standing.
         resigned: Newest epoch that its owner gave up, 0 for none.
         heard_at: When the owner was last heard of, monotonic seconds.
@@ -103,6 +104,7 @@
         self._able_since = self._began_at
         self.owner: records.Owner | None = None
         self.owning = False
+        self.preparing = 0
         self.store_ok_at = float("-inf")
         self._able = False
         self.resigned = 0
@@ -229,7 +231,8 @@
             )
 
     def _claim_vacant(self, now: float) -> None:
-        if is_vacant(
+        # A second claim would end the first one before it is an ownership.
+        if not self.preparing and is_vacant(
             self.owner,
             self._member,
             self.resigned,
--- a/poplarspindle/tests/test_node.py
+++ b/poplarspindle/tests/test_node.py
@@ -12,7 +12,7 @@
 
 from poplarspindle import metrics
 from poplarspindle.fleet import admission, leases, records
-from poplarspindle.node import handover, known, node, standing
+from poplarspindle.node import claims, handover, known, node, standing
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 from poplarspindle.platform import store as platform_store
@@ -352,6 +352,20 @@
     assert found is vacant
 
 
+def test_claimant_that_reads_for_long_does_not_claim_anew(house, monkeypatch):
+    """Load: a slow store, pages take seconds; each claim begins anew."""
+    prepare = claims.prepare
+
+    def prepare_late(*args):
+        time.sleep(2 * standing.CLAIM_S)
+        return prepare(*args)
+
+    monkeypatch.setattr(claims, "prepare", prepare_late)
+    found = house()
+    await_that(lambda: found.nodes[0]._owning is not None)
+    assert found.nodes[0]._owning.epoch < 2 * standing.EPOCH_STEP
+
+
 HEARD = [
     pytest.param(None, None, (float("-inf"), False), id="nobody"),
     pytest.param(9_000, None, (99.0, False), id="claimed, not begun"),
