Name the owner's mechanisms in one data class that the decisions receive

Cause: to measure what each mechanism is worth, or to embed the decisions without one, the code had to be patched. Decisions are unchanged with all on.

--- a/poplarspindle/fleet/consolidation.py
+++ b/poplarspindle/fleet/consolidation.py
@@ -36,6 +36,8 @@
 
 def review_consolidation(fleet: fleet_state.FleetState) -> list[effects.Effect]:
     """Continues to vacate the current worker, or chooses the next one."""
+    if not fleet.mechanisms.vacate_workers:
+        return []
     worker = fleet.workers.get(fleet.vacating_worker)
     if worker is None:
         fleet.vacating_worker = ""
--- a/poplarspindle/fleet/ends.py
+++ b/poplarspindle/fleet/ends.py
@@ -212,7 +212,10 @@
         return []
     fleet.failed_on.setdefault(run.name, set()).add(worker.info.name)
     worker.failing_jobs.add(run.name.job)
-    if len(worker.failing_jobs) < MAX_FAILING_JOBS:
+    if (
+        not fleet.mechanisms.exclude_failing
+        or len(worker.failing_jobs) < MAX_FAILING_JOBS
+    ):
         return []
     worker.exclusion_s = min(
         MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * worker.exclusion_s)
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -8,6 +8,7 @@
     effects,
     job_store,
     leases,
+    mechanisms,
     orders,
     ranking,
     records,
@@ -85,6 +86,7 @@
             occurrence.
         load_logged_at: When a summary of the fleet was last logged.
         expiring_jobs: Ids of ended jobs in the order in which they ended.
+        mechanisms: Mechanisms by which the owner decides.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         early_ms: int = 250,
         keep_ended_s: float = 120.0,
         harm_ms: int = 4000,
+        used_mechanisms: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
         self.epoch = 0
         self.job_store = recorded_jobs
@@ -128,6 +131,7 @@
         self.early_ms = early_ms
         self.keep_ended_s = keep_ended_s
         self.harm_ms = harm_ms
+        self.mechanisms = used_mechanisms
         self.tail_model = tail_model.Model()
         self.expiring_jobs: dict[str, None] = {}
         self.unreachable_changed = False
--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -61,7 +61,11 @@
     """
     if worker.headroom_by_image is None:
         headroom = tail_model.compute_headroom(
-            fleet.tail_model, worker, fleet.now, PLACEMENT_TAIL_SHARE
+            fleet.tail_model,
+            worker,
+            fleet.now,
+            PLACEMENT_TAIL_SHARE,
+            fleet.mechanisms,
         )
         best_effort_runs = [
             run for run in worker.runs.values() if run.step.best_effort
@@ -174,8 +178,10 @@
         return []
     over_s = fleet.now - worker.target_missed_since
     pause = over_s >= PAUSE_AFTER_SHARE * fleet.harm_ms / 1000
-    if pause or not are_pairs_trusted(
-        fleet, latency_critical, best_effort_runs
+    if (
+        pause
+        or not fleet.mechanisms.plan_paces
+        or not are_pairs_trusted(fleet, latency_critical, best_effort_runs)
     ):
         new_paces = choose_paces(
             fleet, latency_critical, best_effort_runs, tail_ratio, pause
@@ -190,7 +196,8 @@
         if run.key in new_paces:
             run.percent = new_paces[run.key]
             effect_list.append(make_pace_order(fleet, worker, run))
-    effect_list += stop_slowed_runs(fleet, worker, best_effort_runs)
+    if fleet.mechanisms.move_slowed:
+        effect_list += stop_slowed_runs(fleet, worker, best_effort_runs)
     effect_list.append(
         fleet_state.make_log_note(
             "pacing",
@@ -239,7 +246,11 @@
         New pace in percent by run, for runs whose pace changes.
     """
     headroom = tail_model.compute_headroom(
-        fleet.tail_model, worker, fleet.now, PACING_TAIL_SHARE
+        fleet.tail_model,
+        worker,
+        fleet.now,
+        PACING_TAIL_SHARE,
+        fleet.mechanisms,
     )
     paces = {run.key: 1.0 for run in best_effort_runs}
     slowdowns = {
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -15,6 +15,7 @@
     effects,
     fleet_state,
     job_store,
+    mechanisms,
     pacing,
     ranking,
     work,
@@ -81,7 +82,13 @@
         return effort
 
     return ranking.rank_step(
-        job, key[1], step, get_effort, fleet.queues, fleet.wall_ms
+        job,
+        key[1],
+        step,
+        get_effort,
+        fleet.queues,
+        fleet.wall_ms,
+        fleet.mechanisms,
     )
 
 
@@ -151,7 +158,11 @@
         else:
             weights = self._weights_by_image.setdefault(step.image, {})
             chooser = WorkerChooser(
-                workers, step, key, pacing.make_predictor(fleet, step, weights)
+                workers,
+                step,
+                key,
+                pacing.make_predictor(fleet, step, weights),
+                fleet.mechanisms,
             )
             effect_list = place_step(fleet, chooser, job, step, key)
         if key in fleet.ready and independent:
@@ -298,6 +309,7 @@
         predict_headroom_use: Predicts which share of a worker's tail-latency
             headroom a best-effort task of the step would use; above 1 is
             too much.
+        used: Mechanisms in use.
     """
 
     def __init__(
@@ -306,11 +318,13 @@
         step: work.Step,
         key: StepKey,
         predict_headroom_use: Callable[[worker_state.WorkerState], float],
+        used: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
         self._workers = workers
         self._step = step
         self._key = key
         self._predict_headroom_use = predict_headroom_use
+        self._used = used
         self._reserved = worker_state.get_reserved(step)
         self._min_free_millicores = (
             worker_selection.MIN_BEST_EFFORT_SHARE * step.need.millicores
@@ -328,13 +342,14 @@
         Args:
             failed_on: Names of workers on which the task failed before.
         """
-        if failed_on:
+        if failed_on and self._used.avoid_failed:
             worker = worker_selection.choose_worker(
                 worker_selection.exclude_failing(self._workers, failed_on),
                 self._step,
                 self._key,
                 self._rack,
                 self._predict_headroom_use,
+                self._used,
             )
             if worker is not None:
                 return worker
@@ -384,7 +399,7 @@
         if headroom_use > worker_selection.MAX_HEADROOM_USE:
             return None
         rank = worker_selection.rank_worker(
-            worker, step, self._rack, headroom_use
+            worker, step, self._rack, headroom_use, self._used
         )
         return rank, worker.info.name, worker
 
--- a/poplarspindle/fleet/ranking.py
+++ b/poplarspindle/fleet/ranking.py
@@ -11,7 +11,7 @@
 import dataclasses
 from collections.abc import Callable, Mapping
 
-from poplarspindle.fleet import job_store, work
+from poplarspindle.fleet import job_store, mechanisms, work
 
 MAX_LATENESS_FACTOR = 3  # After that many objectives a job earns nothing.
 BASE_WORTH = 0.3  # Worth of a job regardless of its size.
@@ -113,21 +113,29 @@
     return ObjectiveTiming(effort, objective_s, (wall_ms - due_ms) / 1000)
 
 
-def rank(timing: ObjectiveTiming) -> tuple[int, float]:
+def rank(
+    timing: ObjectiveTiming, used: mechanisms.Mechanisms = mechanisms.ALL
+) -> tuple[int, float]:
     """Ranks an occurrence within its queue's priority; the lowest goes first.
 
+    Args:
+        timing: The occurrence's work and the time left for it.
+        used: Mechanisms in use.
+
     Returns:
         Stage and remaining work per worth. The stage is 0 if the occurrence can
         meet its objective, 1 if it can only be late, 2 if it is too late to
         earn anything.
     """
     earliest_end_s = timing.age_s + timing.effort.remaining_chain_s
-    if earliest_end_s <= timing.objective_s:
+    if not used.rank_stages or earliest_end_s <= timing.objective_s:
         stage = 0
     elif earliest_end_s <= MAX_LATENESS_FACTOR * timing.objective_s:
         stage = 1
     else:
         stage = 2
+    if not used.rank_worth:
+        return stage, -timing.age_s
     worth = (
         BASE_WORTH
         + (1 - BASE_WORTH) * timing.effort.total_core_s / MEAN_WORK_CORE_S
@@ -143,6 +151,7 @@
     get_effort: Callable[[], RemainingWork],
     queues: Mapping[str, work.Queue],
     wall_ms: int,
+    used: mechanisms.Mechanisms = mechanisms.ALL,
 ) -> tuple:
     """Ranks a ready step; the lowest goes first.
 
@@ -157,10 +166,11 @@
         get_effort: Returns the work of that occurrence.
         queues: Queues by name as configured now.
         wall_ms: Unix time in milliseconds.
+        used: Mechanisms in use.
     """
     submitted_queue = job.submission.queue
     queue = queues.get(submitted_queue.name, submitted_queue)
     if step.until_cancelled:
         return queue.priority, 1, 0, job.submission.accepted_ms
     timing = compute_timing(job, occurrence, get_effort(), queue, wall_ms)
-    return queue.priority, 0, *rank(timing)
+    return queue.priority, 0, *rank(timing, used)
--- a/poplarspindle/fleet/tail_model.py
+++ b/poplarspindle/fleet/tail_model.py
@@ -19,7 +19,7 @@
 import math
 
 from poplarspindle import interference
-from poplarspindle.fleet import work, worker_state
+from poplarspindle.fleet import mechanisms, work, worker_state
 
 INITIAL_LEVEL_VARIANCE = 1.0
 KNOWN_LEVEL_VARIANCE = 0.2  # A level with more is not used.
@@ -218,6 +218,7 @@
     worker: worker_state.WorkerState,
     at: float,
     max_target_share: float,
+    used: mechanisms.Mechanisms = mechanisms.ALL,
 ) -> dict[str, float]:
     """Returns the tail-latency headroom of a worker, by image.
 
@@ -227,6 +228,7 @@
         at: Current time, local clock.
         max_target_share: Share of its target up to which a tail latency may
             rise.
+        used: Mechanisms in use.
 
     Returns:
         Logarithm of the factor by which all best-effort runs together may raise
@@ -241,7 +243,11 @@
         run_headroom = math.log(max_target_share / UNMEASURED_TAIL_SHARE)
         if run.usage:
             undisturbed = estimate_undisturbed_tail(model, run, shares)
-            predicted = predict_undisturbed_tail(model, run, undisturbed, at)
+            predicted = (
+                predict_undisturbed_tail(model, run, undisturbed, at)
+                if used.level_peaks
+                else undisturbed
+            )
             run_headroom = (
                 math.log(max_target_share * run.step.target_ms) - predicted
             )
--- a/poplarspindle/fleet/worker_selection.py
+++ b/poplarspindle/fleet/worker_selection.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from poplarspindle.fleet import work, worker_state
+from poplarspindle.fleet import mechanisms, work, worker_state
 
 MIN_BEST_EFFORT_SHARE = 0.75  # Of a task's processors, must be free.
 # Of reserved processors; the rest is reserved for load peaks.
@@ -92,6 +92,7 @@
     step: work.Step,
     rack: str,
     headroom_use: float,
+    used: mechanisms.Mechanisms = mechanisms.ALL,
 ) -> float:
     """Returns the cost of a worker for one task of a step; lowest is best.
 
@@ -109,6 +110,7 @@
         rack: Rack of the step's other tasks, empty for any.
         headroom_use: Share of the worker's tail-latency headroom that a
             best-effort task would use.
+        used: Mechanisms in use.
     """
     capacity = max(1, worker.info.capacity.millicores)
     wanted_rack = step.rack or rack
@@ -119,33 +121,29 @@
     )
     best_effort_share = worker.best_effort_millicores / capacity
     free_share = compute_free_millicores(worker) / capacity
+    no_critical_cost = (
+        NO_LATENCY_CRITICAL_COST
+        if used.keep_workers_free and not worker.latency_critical_millicores
+        else 0.0
+    )
     if step.best_effort:
-        no_critical_cost = (
-            NO_LATENCY_CRITICAL_COST
-            if not worker.latency_critical_millicores
-            else 0.0
-        )
         return (
             other_rack_cost
             + no_critical_cost
             + HEADROOM_USE_COST * headroom_use
             - free_share
         )
-    if step.target_ms:
-        no_critical_cost = (
-            NO_LATENCY_CRITICAL_COST
-            if not worker.latency_critical_millicores
-            else 0.0
-        )
+    if step.target_ms and used.pack_critical:
         same_image_share = (
             worker.latency_critical_by_image[step.image] / capacity
         )
         other_image_share = (
             worker.latency_critical_millicores / capacity - same_image_share
         )
-        packing_gain = (
-            same_image_share + OTHER_IMAGE_PACKING_SHARE * other_image_share
+        other_image_gain = (
+            OTHER_IMAGE_PACKING_SHARE if used.pack_by_image else 1.0
         )
+        packing_gain = same_image_share + other_image_gain * other_image_share
         return (
             other_rack_cost
             + no_critical_cost
@@ -193,6 +191,7 @@
     key: tuple,
     rack: str,
     predict_headroom_use: Callable[[worker_state.WorkerState], float],
+    used: mechanisms.Mechanisms = mechanisms.ALL,
 ) -> worker_state.WorkerState | None:
     """Chooses the worker for one task of a step, None if no worker has room.
 
@@ -204,6 +203,7 @@
         predict_headroom_use: Predicts which share of a worker's tail-latency
             headroom a best-effort task of the step would use; above 1 is
             too much.
+        used: Mechanisms in use.
     """
     fitting = [
         worker
@@ -217,7 +217,7 @@
     best_entry = min(
         (
             (
-                rank_worker(worker, step, rack, headroom_use),
+                rank_worker(worker, step, rack, headroom_use, used),
                 worker.info.name,
                 worker,
             )
