Keep a quarter of the capacity free of long-running work, also at a start

Each node saw an empty fleet and accepted its part: 830 of 896 processors were reserved, short tasks waited for up to 26 s for the pieces that were left, and best-effort work found no worker without neighbours. Change: at most 75 % (85 % before) of the capacity; a node counts what it accepted until two loads have been read, and gives away an eighth of the room meanwhile. Who is refused for that may return after a second.

--- a/poplarspindle/fleet/admission.py
+++ b/poplarspindle/fleet/admission.py
@@ -1,9 +1,15 @@
 """Admission control: accepts or refuses jobs by the fleet's published load.
 
 Load pattern: long-running tasks hold most of the fleet while more are
-submitted. Each keeps its capacity for minutes, so urgent short tasks find none.
-Capacity for short work is kept free by refusing more long-running work at once,
-with a retry delay, before the fleet is full. Accepted jobs are never dropped.
+submitted. Each keeps its capacity for minutes, so short and best-effort tasks
+find none. Capacity for them is kept free by refusing more long-running work at
+once, with a retry delay, before the fleet is full. Accepted jobs are never
+dropped.
+
+Load pattern: many long-running jobs are submitted at all nodes at the same
+moment, as after a start. Each node sees the same free capacity and fills it by
+itself. So between two loads a node gives away only its part of that capacity,
+and asks further callers to come back when the next load is known.
 """
 
 import dataclasses
@@ -12,8 +18,12 @@
 
 from poplarspindle.fleet import records, work
 
-MAX_LONG_RUNNING_SHARE = 0.85
+MAX_LONG_RUNNING_SHARE = 0.75  # Of a service's capacity.
 LONG_RUNNING_RETRY_S = 8
+# Part of the capacity left for long-running work that one node gives away
+# before it knows what the others gave away.
+MAX_UNSEEN_SHARE = 0.125
+NEXT_LOAD_RETRY_S = 1
 LOAD_KEY = "load"
 MAX_LOAD_AGE_MS = 6000
 
@@ -61,7 +71,10 @@
 
 
 def find_retry_s(
-    load: Load | None, submission: work.Submission, wall_ms: int
+    load: Load | None,
+    submission: work.Submission,
+    wall_ms: int,
+    unseen_millicores: int = 0,
 ) -> int:
     """Decides whether a job is accepted.
 
@@ -71,6 +84,8 @@
         load: The newest load that was read, None if none was.
         submission: The job.
         wall_ms: Unix time in milliseconds.
+        unseen_millicores: Long-running millicores of the service that this
+            node accepted and that the load may not include yet.
 
     Returns:
         0 if the job is accepted, else the retry delay in seconds.
@@ -85,9 +100,13 @@
     service = submission.queue.service
     capacity = load.capacity.get(service, 0)
     held_millicores = load.until_cancelled_millicores.get(service, 0)
+    left_millicores = MAX_LONG_RUNNING_SHARE * capacity - held_millicores
+    if requested_millicores > left_millicores:
+        return LONG_RUNNING_RETRY_S
     if (
-        held_millicores + requested_millicores
-        <= MAX_LONG_RUNNING_SHARE * capacity
+        unseen_millicores
+        and unseen_millicores + requested_millicores
+        > MAX_UNSEEN_SHARE * left_millicores
     ):
-        return 0
-    return LONG_RUNNING_RETRY_S
+        return NEXT_LOAD_RETRY_S
+    return 0
--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -7,8 +7,9 @@
 import structlog
 
 from poplarspindle import http_server, metrics, outcomes
-from poplarspindle.fleet import admission, job_store, records
+from poplarspindle.fleet import job_store, records
 from poplarspindle.node import (
+    admission_ledger,
     caller_calls,
     clocks,
     followers,
@@ -72,6 +73,7 @@
         self._shared = shared
         self._owner_seen_at = owner_seen_at
         self._epoch = epoch
+        self._admission_ledger = admission_ledger.AdmissionLedger()
 
     def is_ready(self) -> bool:
         """Tells whether this node can take callers' work."""
@@ -157,8 +159,11 @@
         job = dataclasses.replace(
             call.submission, accepted_ms=clocks.get_wall_ms()
         )
-        retry_s = admission.find_retry_s(
-            self._shared_state.load, job, job.accepted_ms
+        retry_s = self._admission_ledger.decide(
+            self._shared_state.load,
+            self._shared_state.loads_read,
+            job,
+            job.accepted_ms,
         )
         if retry_s:
             return caller_calls.Answer(
--- a/poplarspindle/node/shared_state.py
+++ b/poplarspindle/node/shared_state.py
@@ -24,6 +24,7 @@
         configuration: The operators' configuration, None before it is read.
         out: Data centres that get no more work.
         load: The owner's newest word on the fleet's load.
+        loads_read: Number of loads read so far.
         silent: Silent workers, as the log says.
     """
 
@@ -36,6 +37,7 @@
         self.configuration: work.Configuration | None = None
         self.evacuated: frozenset[str] = frozenset()
         self.load: admission.Load | None = None
+        self.loads_read = 0
         self.unreachable: dict[str, unreachable.UnreachableWorker] = {}
 
 
@@ -71,6 +73,7 @@
         )
     elif kind == admission.LOAD_KEY:
         shared_state.load = admission.decode_load(record.value)
+        shared_state.loads_read += 1
     elif kind == unreachable.UNREACHABLE_KEY:
         shared_state.unreachable = unreachable.decode_unreachable(
             record.value, at
