--- a/poplarspindle/tools/fakes/fleet_workers.py
+++ b/poplarspindle/tools/fakes/fleet_workers.py
@@ -184,6 +184,10 @@
         if self.runs.get((run.name, run.attempt)) is run:
             self.end(run, work.EndReason.STOPPED)
 
+    def pace(self, order: orders.Pace) -> orders.Answer:
+        """Accepts a change of pace; runs here work at one speed."""
+        return orders.Answer(None, self.clock_ms())
+
     def poll(self, order: orders.Poll) -> work.Report | None:
         """Carries out a hold."""
         if not self._check_fencing_epoch(order.epoch):
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -18,6 +18,7 @@
     fleet_state,
     job_store,
     leases,
+    mechanisms,
     orders,
     records,
     reducer,
@@ -51,6 +52,8 @@
         late_s: How much later that is, at least and at most.
         late_incarnations: Whether the worker's next life carries them out too.
         late_leases: Whether the leases of late starts begin when they come.
+        make_worker: Makes a fake worker from the world and its entry.
+        used_mechanisms: Mechanisms by which the owner decides.
 
     Attributes:
         tear_append: Tells of how many records of an append are stored before
@@ -70,11 +73,15 @@
         late_s: tuple[float, float] = (2.0, 12.0),
         late_incarnations: bool = False,
         late_leases: bool = False,
+        make_worker: Callable = fleet_workers.FakeWorker,
+        used_mechanisms: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.lease_most_ms = 6000
         self.late = late
+        self.append_s = APPEND_S
+        self._used_mechanisms = used_mechanisms
         self.tear_append: Callable[[tuple[records.Record, ...]], int | None] = (
             _store_whole_append
         )
@@ -98,7 +105,7 @@
         self.log: dict[str, records.Record] = {}
         self.submissions: dict[str, work.Submission] = {}
         self.workers = {
-            f"w{i}": fleet_workers.FakeWorker(
+            f"w{i}": make_worker(
                 self,
                 work.WorkerInfo(
                     f"w{i}",
@@ -170,7 +177,11 @@
         assert not malformed
         assert not drops or self.append_torn
         self._write(drops)
-        self.fleet = fleet_state.FleetState(known, self.lease_most_ms)
+        self.fleet = fleet_state.FleetState(
+            known,
+            self.lease_most_ms,
+            used_mechanisms=self._used_mechanisms,
+        )
         self._polls = {}
         self._held_back.clear()
         self.checker.begin()
@@ -249,9 +260,9 @@
         if isinstance(effect, effects.Note):
             self.notes[effect.event] += 1
         elif isinstance(effect, effects.Append):
-            self.call_later(APPEND_S, lambda: self._append(fleet, effect))
+            self.call_later(self.append_s, lambda: self._append(fleet, effect))
         elif isinstance(effect, effects.Publish):
-            self.call_later(APPEND_S, lambda: self._publish(fleet, effect))
+            self.call_later(self.append_s, lambda: self._publish(fleet, effect))
         elif isinstance(effect, effects.Order):
             self.checker.record_sent(effect.order)
             self.call_later(ORDER_S, lambda: self._deliver_order(fleet, effect))
@@ -354,7 +365,7 @@
             return answer
         if isinstance(order, orders.Stop):
             return worker.stop(order)
-        return orders.Answer(None, worker.clock_ms())
+        return worker.pace(order)
 
     def _answer(self, fleet, effect, answer: orders.Answer) -> None:
         silent = answer.refusal is orders.Refusal.NO_ANSWER
