Count best-effort runs with the processors that they use

Change: fleet/usage.py learns the ratio by image from reports of runs at full speed; a run counts with its image's ratio, then with its own measured use. Tests: test_usage replays waiting tasks on one worker; with the mechanism off three run at once instead of four.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -13,6 +13,7 @@
     ranking,
     records,
     tail_model,
+    usage,
     work,
     worker_state,
 )
@@ -67,6 +68,7 @@
         harm_ms: Time for which a latency-critical task may miss its target.
         tail_model: Learned model of tail latencies and of the interference by
             best-effort runs.
+        usage_model: Learned model of the processors that they use.
         possible_late_starts: Runs that are over and whose start may still
             reach the worker, by worker, with the time until which it may.
         unreachable_in_flight: Workers that a record in flight lists as
@@ -133,6 +135,7 @@
         self.harm_ms = harm_ms
         self.mechanisms = used_mechanisms
         self.tail_model = tail_model.Model()
+        self.usage_model = usage.UsageModel()
         self.expiring_jobs: dict[str, None] = {}
         self.unreachable_changed = False
         self.logged_unreachable_workers: set[str] = set()
--- a/poplarspindle/fleet/mechanisms.py
+++ b/poplarspindle/fleet/mechanisms.py
@@ -28,6 +28,8 @@
             resume them elsewhere.
         rank_stages: Places what can end in time before what is late.
         rank_worth: Orders steps by remaining work per worth; else by age.
+        measured_use: Counts best-effort runs with the processors that they
+            use, not with those that they request.
         exclude_failing: Excludes workers that fail runs of several jobs.
         avoid_failed: Retries a failed task on another worker.
     """
@@ -41,6 +43,7 @@
     move_slowed: bool = True
     rank_stages: bool = True
     rank_worth: bool = True
+    measured_use: bool = True
     exclude_failing: bool = True
     avoid_failed: bool = True
 
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -18,6 +18,7 @@
     mechanisms,
     pacing,
     ranking,
+    usage,
     work,
     worker_selection,
     worker_state,
@@ -223,6 +224,7 @@
         return []
     attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
     placements: list[tuple[worker_state.WorkerState, worker_state.Run]] = []
+    expected_millicores = usage.expect_millicores(fleet.usage_model, step)
     for index in indexes:
         task = tasks[index]
         name = work.TaskName(key[0], key[1], key[2], index)
@@ -235,6 +237,8 @@
         task.worker_name = worker.info.name
         task.incarnation_ms = worker.incarnation_ms
         run = worker_state.Run(name, job, task, fleet.now, False)
+        if fleet.mechanisms.measured_use:
+            run.expected_millicores = expected_millicores
         worker_state.add_run(worker, run)
         chooser.update_rank(worker)
         placements.append((worker, run))
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -9,6 +9,7 @@
     job_store,
     orders,
     pacing,
+    usage,
     work,
     worker_state,
 )
@@ -129,6 +130,8 @@
         run.at_full_speed = listed_run.percent >= AT_WORK_PERCENT
         if run.first_seen_at > event.at:
             run.first_seen_at = event.at
+        if fleet.mechanisms.measured_use:
+            usage.record_usage(fleet.usage_model, worker, run, event.at)
         if (
             listed_run.checkpoint
             and listed_run.checkpoint != run.task.checkpoint
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -39,6 +39,8 @@
         usage: Tail latency in milliseconds for a latency-critical task, else
             millicores in use; None if unknown.
         first_seen_at: When a report first listed the run.
+        expected_millicores: Processors that a best-effort run is expected to
+            use at full speed, in thousandths.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "at_full_speed",
         "attempt",
         "confirmed",
+        "expected_millicores",
         "first_seen_at",
         "job",
         "name",
@@ -90,6 +93,7 @@
         self.at_full_speed = False
         self.usage: float | None = None
         self.first_seen_at = float("inf")
+        self.expected_millicores = self.step.need.millicores
 
     @property
     def key(self) -> tuple[work.TaskName, int]:
@@ -124,7 +128,8 @@
         reserved: Resources that its runs reserve, without the processors of
             best-effort runs.
         available: Free resources, None if they have to be computed again.
-        best_effort_millicores: Millicores that its best-effort runs ask for.
+        best_effort_millicores: Millicores that its best-effort runs are
+            expected to use at full speed.
         latency_critical_millicores: Millicores that its latency-critical runs
             reserve.
         no_placement_until: Time before which nothing is placed on it.
@@ -204,7 +209,7 @@
     worker.reserved = worker.reserved + get_reserved(run.step)
     worker.runs_by_step[_get_step_key(run)] += 1
     if run.step.best_effort:
-        worker.best_effort_millicores += run.step.need.millicores
+        worker.best_effort_millicores += run.expected_millicores
     if run.step.target_ms:
         worker.latency_critical_millicores += run.step.need.millicores
         worker.latency_critical_by_image[run.step.image] += (
@@ -224,7 +229,7 @@
     if not worker.runs_by_step[key]:
         del worker.runs_by_step[key]
     if run.step.best_effort:
-        worker.best_effort_millicores -= run.step.need.millicores
+        worker.best_effort_millicores -= run.expected_millicores
     if run.step.target_ms:
         worker.latency_critical_millicores -= run.step.need.millicores
         worker.latency_critical_by_image[run.step.image] -= (
@@ -232,6 +237,14 @@
         )
 
 
+def set_expected_millicores(
+    worker: WorkerState, run: Run, millicores: int
+) -> None:
+    """Changes what a best-effort run on a worker is expected to use."""
+    worker.best_effort_millicores += millicores - run.expected_millicores
+    run.expected_millicores = millicores
+
+
 def _get_step_key(run: Run) -> tuple[str, int, int]:
     return run.name.job, run.name.occurrence, run.name.step
 
--- a/poplarspindle/tools/fleet_replay.py
+++ b/poplarspindle/tools/fleet_replay.py
@@ -226,7 +226,10 @@
                 earned[kind] += worth
             elif took_s <= MAX_LATENESS * objective_s:
                 earned[kind] += LATE_SHARE * worth
-        shares = {kind: earned[kind] / owed[kind] for kind in owed}
+        shares = {
+            kind: earned[kind] / owed[kind] if owed[kind] else 1.0
+            for kind in (loads.SHORT, loads.BATCH)
+        }
         shares[loads.LASTING] = statistics.fmean(self._windows or [0.0])
         return shares
 
