Move WorkerChooser to a module of its own

Change: fleet/worker_chooser.py; no behaviour changes. Result: test_placement_rounds passes unchanged but for the module's name.

--- a/poplarspindle/tests/test_placement_rounds.py
+++ b/poplarspindle/tests/test_placement_rounds.py
@@ -7,8 +7,8 @@
 from poplarspindle import resources
 from poplarspindle.fleet import (
     job_store,
-    placement_rounds,
     work,
+    worker_chooser,
     worker_selection,
     worker_state,
 )
@@ -118,7 +118,7 @@
 
     expected = place_tasks(scanned_workers, step, choose_by_scan)
     workers = make_workers(random.Random(seed), 60)
-    chooser = placement_rounds.WorkerChooser(
+    chooser = worker_chooser.WorkerChooser(
         workers, step, key, predict_headroom_use
     )
 
