Learn the mean size of a queue's jobs for ranking

Change: the mean is learned by queue from accepted jobs; a queue without any uses the job's own size. Kept since it removes a guess.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -35,13 +35,11 @@
         workers: Workers by name.
         ready: Indexes of queued tasks that may start, by job, occurrence and
             step.
-        unplaceable_needs: Smallest need that fits on no worker, by kind of
-            step.
+        unplaceable_needs: Smallest need that fits no worker, by kind of step.
         unplaceable_reset_at: When all kinds of steps were last tried on all
             workers.
         ranks: Rank of each ready step, and when it was computed.
-        unplaceable_since: Since when a ready step fits on no worker, by job,
-            occurrence and step.
+        unplaceable_since: Since when a ready step fits on no worker.
         vacating_worker: Worker whose latency-critical tasks are being moved
             away, empty for none.
         vacating_until: Time after which that is abandoned.
@@ -54,12 +52,11 @@
         intake_offsets: Offsets up to which the intake was read, by partition.
         published_intake_offsets: The offsets that were last published.
         intake_published_at: When they were last published.
-        changed_groups: Task groups that have to be recorded, with their job.
+        changed_groups: Task groups to record, with their job.
         deferred_effects: Effects that follow the next append.
         runs_to_record: Runs that the next append records.
         last_append_number: Number of the last append.
-        appends_in_flight: Job states, runs and effects that follow an append
-            in flight, by its number.
+        appends_in_flight: What follows each append in flight, by its number.
         now: Present time.
         wall_ms: Present time, Unix milliseconds.
         lease_most_ms: Longest lease that a worker grants.
@@ -84,8 +81,8 @@
         listed_at: When the list of workers was last read.
         placement_needed: Whether tasks or free resources were added since the
             last placement round.
-        remaining_work: Estimated work of jobs with ready steps, by job and
-            occurrence.
+        mean_sizes_core_s: Mean work of a job, by queue.
+        remaining_work: Estimated work by job and occurrence, if ready.
         load_logged_at: When a summary of the fleet was last logged.
         expiring_jobs: Ids of ended jobs in the order in which they ended.
         mechanisms: Mechanisms by which the owner decides.
@@ -146,6 +143,7 @@
         self.listed_at = float("-inf")
         self.model_saved_at = float("-inf")
         self.model_save_due = False
+        self.mean_sizes_core_s: dict[str, float] = {}
         self.remaining_work: dict[tuple[str, int], ranking.RemainingWork] = {}
         self.load_logged_at = float("-inf")
         self.possible_late_starts: dict[
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -89,6 +89,7 @@
         get_effort,
         fleet.queues,
         fleet.wall_ms,
+        fleet.mean_sizes_core_s,
         fleet.mechanisms,
     )
 
--- a/poplarspindle/fleet/ranking.py
+++ b/poplarspindle/fleet/ranking.py
@@ -15,7 +15,7 @@
 
 MAX_LATENESS_FACTOR = 3  # After that many objectives a job earns nothing.
 BASE_WORTH = 0.3  # Worth of a job regardless of its size.
-MEAN_WORK_CORE_S = 60.0  # Work of a job of average size.
+SIZE_LEARNING_RATE = 0.05  # Weight of one job in its queue's mean size.
 MAX_WORTH = 4.0
 MIN_WORK_CORE_S = 1.0
 
@@ -113,13 +113,34 @@
     return ObjectiveTiming(effort, objective_s, (wall_ms - due_ms) / 1000)
 
 
+def learn_size(
+    mean_sizes_core_s: dict[str, float], submission: work.Submission
+) -> None:
+    """Learns how much work the jobs of a queue have on average.
+
+    Args:
+        mean_sizes_core_s: Mean work of a job, core-seconds, by queue; changed.
+        submission: A job that was just accepted.
+    """
+    size_core_s = sum(
+        step.tasks * step.estimate_ms * step.need.millicores / 1e6
+        for step in submission.steps
+    )
+    queue = submission.queue.name
+    mean_core_s = mean_sizes_core_s.setdefault(queue, size_core_s)
+    mean_sizes_core_s[queue] += SIZE_LEARNING_RATE * (size_core_s - mean_core_s)
+
+
 def rank(
-    timing: ObjectiveTiming, used: mechanisms.Mechanisms = mechanisms.ALL
+    timing: ObjectiveTiming,
+    mean_size_core_s: float,
+    used: mechanisms.Mechanisms = mechanisms.ALL,
 ) -> tuple[int, float]:
     """Ranks an occurrence within its queue's priority; the lowest goes first.
 
     Args:
         timing: The occurrence's work and the time left for it.
+        mean_size_core_s: Mean work of the queue's jobs.
         used: Mechanisms in use.
 
     Returns:
@@ -136,11 +157,10 @@
         stage = 2
     if not used.rank_worth:
         return stage, -timing.age_s
-    worth = (
-        BASE_WORTH
-        + (1 - BASE_WORTH) * timing.effort.total_core_s / MEAN_WORK_CORE_S
+    relative_size = timing.effort.total_core_s / max(
+        MIN_WORK_CORE_S, mean_size_core_s
     )
-    worth = min(MAX_WORTH, worth)
+    worth = min(MAX_WORTH, BASE_WORTH + (1 - BASE_WORTH) * relative_size)
     return stage, max(MIN_WORK_CORE_S, timing.effort.remaining_core_s) / worth
 
 
@@ -151,6 +171,7 @@
     get_effort: Callable[[], RemainingWork],
     queues: Mapping[str, work.Queue],
     wall_ms: int,
+    mean_sizes_core_s: Mapping[str, float],
     used: mechanisms.Mechanisms = mechanisms.ALL,
 ) -> tuple:
     """Ranks a ready step; the lowest goes first.
@@ -166,6 +187,7 @@
         get_effort: Returns the work of that occurrence.
         queues: Queues by name as configured now.
         wall_ms: Unix time in milliseconds.
+        mean_sizes_core_s: Mean work of a job, by queue.
         used: Mechanisms in use.
     """
     submitted_queue = job.submission.queue
@@ -173,4 +195,7 @@
     if step.until_cancelled:
         return queue.priority, 1, 0, job.submission.accepted_ms
     timing = compute_timing(job, occurrence, get_effort(), queue, wall_ms)
-    return queue.priority, 0, *rank(timing, used)
+    mean_size_core_s = mean_sizes_core_s.get(
+        submitted_queue.name, timing.effort.total_core_s
+    )
+    return queue.priority, 0, *rank(timing, mean_size_core_s, used)
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -12,6 +12,7 @@
     job_store,
     orders,
     placement_rounds,
+    ranking,
     recording,
     reports,
     takeover,
@@ -58,6 +59,7 @@
     if job.cancelled:
         return fleet_state.end_job(fleet, job, job_store.State.CANCELLED)
     fleet.open_jobs[event.job] = None
+    ranking.learn_size(fleet.mean_sizes_core_s, job.submission)
     fleet_state.open_due_occurrences(fleet, job)
     return []
 
--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -75,6 +75,7 @@
 
 # Ranking: for half a minute callers submit more work than the fleet can do.
 
+MEAN_SIZE = 60.0  # Core-seconds of a job of average size.
 RANKS = [
     pytest.param(0, 1, id="in time before late"),
     pytest.param(1, 2, id="late before too late"),
@@ -94,7 +95,9 @@
         job = make_job("j", make_step(), accepted_ms=now_ms - age_ms)
         effort = ranking.compute_effort(job, 0)
         ranks.append(
-            ranking.rank(ranking.compute_timing(job, 0, effort, QUEUE, now_ms))
+            ranking.rank(
+                ranking.compute_timing(job, 0, effort, QUEUE, now_ms), MEAN_SIZE
+            )
         )
     assert ranks[0] < ranks[1]
 
@@ -106,7 +109,39 @@
         ranking.compute_timing(job, 0, ranking.compute_effort(job, 0), QUEUE, 0)
         for job in (small, large)
     ]
-    assert ranking.rank(timings[0]) < ranking.rank(timings[1])
+    assert ranking.rank(timings[0], MEAN_SIZE) < ranking.rank(
+        timings[1], MEAN_SIZE
+    )
+
+
+def test_size_of_a_queue_is_learned_from_its_jobs():
+    """Load: the jobs of a queue become ten times smaller."""
+    large, small = (
+        make_job("a", make_step(tasks)).submission for tasks in (40, 4)
+    )
+    queue, sizes = large.queue.name, {}
+    ranking.learn_size(sizes, large)
+    large_core_s = sizes[queue]
+    for _ in range(200):
+        ranking.learn_size(sizes, small)
+    assert sizes[queue] == pytest.approx(large_core_s / 10, rel=0.01)
+
+
+@pytest.mark.parametrize("scale", [0.1, 1.0, 10.0])
+def test_rank_does_not_depend_on_the_unit_of_a_queue(scale):
+    """The order of jobs is the same where all of them are ten times larger."""
+    ranks = []
+    for size_core_s, left_core_s in (
+        (30.0, 15.0),
+        (60.0, 60.0),
+        (150.0, 90.0),
+    ):
+        effort = ranking.RemainingWork(
+            1.0, 1.0, scale * left_core_s, scale * size_core_s
+        )
+        timing = ranking.ObjectiveTiming(effort, 3.0, 0.0)
+        ranks.append(ranking.rank(timing, scale * MEAN_SIZE)[1] / scale)
+    assert ranks == pytest.approx([15 / 0.65, 60.0, 90 / 2.05])
 
 
 def test_nearly_done_job_has_less_remaining_work_than_a_new_one():
@@ -128,6 +163,7 @@
             lambda job=job: ranking.compute_effort(job, 0),
             {},
             0,
+            {},
         )
         for job in (
             make_job("a", make_step(), accepted_ms=9),
@@ -170,7 +206,7 @@
     def rank_by_objective(job, now_ms):
         effort = ranking.compute_effort(job, 0)
         return ranking.rank(
-            ranking.compute_timing(job, 0, effort, QUEUE, now_ms)
+            ranking.compute_timing(job, 0, effort, QUEUE, now_ms), MEAN_SIZE
         )
 
     first_come_count = count_in_time(lambda job, _: job.submission.accepted_ms)
