Show callers the newest state when they ask for a job

Cause: a node pauses for 0.25 s between two reads of the shared log, since each is priced. Callers ask right after a job's end, are shown a state from before the pause, and ask again much later. Change: a call for a job that has not ended, as far as is known, ends the pause and waits up to 0.1 s for the next page. Kept for callers, who see ends sooner.

--- a/poplarspindle/tests/test_followers.py
+++ b/poplarspindle/tests/test_followers.py
@@ -97,3 +97,43 @@
     follower.start()
     assert store.idle.wait(30)
     assert store.waits == [0, followers.WAIT_MS]
+
+
+class PausedFollower:
+    """A follower that pauses for long after the first of two pages."""
+
+    def __init__(self):
+        self.store = Store(
+            [make_newest(b"1", 1)], [make_page(b"2", 2), make_page(b"3", 3)]
+        )
+        self.found = []
+        self.first_page = threading.Event()
+        self.follower = followers.Follower(
+            self.store, "t", lambda *_: None, self._apply, self._get_pause_s
+        )
+
+    def _apply(self, rows, end, tail):
+        self.found += [row.value for row in rows]
+
+    def _get_pause_s(self):
+        self.first_page.set()
+        return 60.0 if len(self.found) == 1 else 0.0
+
+
+def test_refresh_ends_a_pause_and_waits_for_the_next_page():
+    """Load: callers ask for jobs right after their end, during a pause."""
+    paused = PausedFollower()
+    paused.follower.start()
+    assert paused.first_page.wait(30)
+    assert paused.found == [b"2"]
+    assert paused.follower.refresh(30)
+    assert paused.found == [b"2", b"3"]
+
+
+def test_refresh_does_not_wait_while_the_follower_reads():
+    paused = PausedFollower()
+    paused.follower.start()
+    assert paused.first_page.wait(30)
+    paused.follower.refresh(30)
+    assert paused.store.idle.wait(30)
+    assert not paused.follower.refresh(30)
