--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -7,7 +7,7 @@
 import structlog
 
 from poplarspindle import http_server, metrics, outcomes
-from poplarspindle.fleet import job_store, records
+from poplarspindle.fleet import admission, job_store, records
 from poplarspindle.node import (
     admission_ledger,
     caller_calls,
@@ -171,7 +171,7 @@
         )
         if retry_s:
             return caller_calls.Answer(
-                429, error="No room for more that lasts.", retry_s=retry_s
+                429, error=_REFUSALS[retry_s], retry_s=retry_s
             )
         return self._append_intake(
             records.encode_submission(job), job.job, deadline
@@ -311,6 +311,10 @@
         return count
 
 
+_REFUSALS = {
+    admission.LONG_RUNNING_RETRY_S: "No room for more that lasts.",
+    admission.NEXT_LOAD_RETRY_S: "Room for more that lasts is not known yet.",
+}
 _ANSWERS = {
     caller_calls.Kind.SUBMIT: CallHandlers._submit,
     caller_calls.Kind.CANCEL: CallHandlers._cancel,
