--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -54,8 +54,6 @@
         shared: Follows the shared log.
         owner_seen_at: Returns when the owner was last heard, monotonic seconds.
         epoch: Returns the epoch of the newest owner that was read, 0 for none.
-        refresh: Reads what the owner has published by now; returns after a
-            bounded time in any case.
     """
 
     def __init__(
@@ -67,7 +65,6 @@
         shared: followers.Follower,
         owner_seen_at: Callable[[], float],
         epoch: Callable[[], int],
-        refresh: Callable[[], None],
     ) -> None:
         self._platform = platform
         self._counters = counters
@@ -76,7 +73,6 @@
         self._shared = shared
         self._owner_seen_at = owner_seen_at
         self._epoch = epoch
-        self._refresh = refresh
         self._admission_ledger = admission_ledger.AdmissionLedger()
 
     def is_ready(self) -> bool:
@@ -204,9 +200,6 @@
         self, call: caller_calls.Call, deadline: float
     ) -> caller_calls.Answer:
         published_job = shared_state.find_job(self._shared_state, call.job)
-        if published_job is None or published_job.state not in job_store.ENDED:
-            self._refresh()
-            published_job = shared_state.find_job(self._shared_state, call.job)
         if published_job is None:
             absent = self._confirm_absent(call.job)
             if absent is not None:
--- a/poplarspindle/node/followers.py
+++ b/poplarspindle/node/followers.py
@@ -56,10 +56,6 @@
         self._apply = apply
         self._pause_s = pause_s
         self._reload = threading.Event()
-        self._pausing = False
-        self._hastened = threading.Event()
-        self._page_read = threading.Condition()
-        self._pages = 0
         self._reached_tail = False
         self.next = first
         self.tail_reached_at = float("-inf")
@@ -68,26 +64,6 @@
         """Starts the reading thread."""
         threads.start(self._run, self._stop_event)
 
-    def refresh(self, timeout_s: float) -> bool:
-        """Ends a pause between two pages and waits for the next page.
-
-        Without a pause the follower is reading already: returns at once.
-
-        Args:
-            timeout_s: How long to wait at most, seconds.
-
-        Returns:
-            Whether a page was read.
-        """
-        with self._page_read:
-            if not self._pausing:
-                return False
-            pages = self._pages
-            self._hastened.set()
-            return self._page_read.wait_for(
-                lambda: self._pages > pages, timeout_s
-            )
-
     def reload(self) -> None:
         """Has all newest records read again."""
         self._reload.set()
@@ -149,13 +125,7 @@
         self._apply(page.value.items, page.value.next, at_tail)
         if at_tail:
             self.tail_reached_at = time.monotonic()
-        with self._page_read:
-            self._pages += 1
-            self._page_read.notify_all()
-            pause_s = self._pause_s() if page.value.items else 0.0
-            self._pausing = pause_s > 0
-            self._hastened.clear()
-        if pause_s:
-            self._hastened.wait(pause_s)
-            self._pausing = False
+        pause_s = self._pause_s()
+        if page.value.items and pause_s:
+            time.sleep(pause_s)
         return None
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -3,7 +3,6 @@
 import contextlib
 import dataclasses
 import queue
-import threading
 import time
 import uuid
 from collections.abc import Callable
@@ -41,8 +40,7 @@
 CALLER_THREADS = 24
 TICK_S = 0.05
 BATCH_EVENTS = 200
-FOLLOW_PAUSE_S = 0.25  # Each read is priced.
-REFRESH_TIMEOUT_S = 0.1  # A caller may be shown an older state after that.
+FOLLOW_PAUSE_S = 0.25  # Each read is priced; states may be shown as late.
 LEAVE_ROTATION_S = 2.5
 PLACE_SHARE = 3  # For each second of placing, so many for what comes in.
 SETTLE_INTERVAL_S = 0.004  # Under load, decisions are made for many events.
@@ -74,13 +72,6 @@
     items: tuple[records.Record, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RefreshRequested:
-    """Marks a place in the queue: what was read before it is then known."""
-
-    applied: threading.Event
-
-
 class Node:
     """One node.
 
@@ -150,7 +141,6 @@
             self._shared,
             lambda: self._election.owner_seen_at,
             self._get_epoch,
-            self._refresh_shared_state,
         )
         self._servers = [
             http_server.Server(
@@ -216,19 +206,6 @@
             server.stop()
         _log.info("stopped")
 
-    def _refresh_shared_state(self) -> None:
-        """Reads on in the shared log and waits until that is known here.
-
-        Load pattern: many jobs end within a pause of the follower, and callers
-        ask for them right after their end. Without this they would be shown a
-        state from before the pause and ask again much later.
-        """
-        until = time.monotonic() + REFRESH_TIMEOUT_S
-        if self._shared.refresh(REFRESH_TIMEOUT_S):
-            applied = threading.Event()
-            self._events.put(_RefreshRequested(applied))
-            applied.wait(max(0.0, until - time.monotonic()))
-
     def _get_epoch(self) -> int:
         claim = self._election.owner
         return claim.epoch if claim else 0
@@ -337,8 +314,6 @@
         elif isinstance(event, _IntakeAccepted):
             for record in event.items:
                 shared_state.record_accepted(self._shared_state, record)
-        elif isinstance(event, _RefreshRequested):
-            event.applied.set()
         elif isinstance(event, intake.IntakeBatch):
             self._apply_intake(event)
         elif isinstance(event, claims.PreparedClaim):
