--- a/poplarspindle/fleet/usage.py
+++ b/poplarspindle/fleet/usage.py
@@ -4,10 +4,11 @@
 callers request for the worst moment of a task. If requests were added up,
 processors would stay idle beside tasks that wait. So a run counts with what it
 was measured to use at full speed, and until then with what runs of its image
-usually use.
+usually use. Only a worker whose processors cover all requests teaches:
+elsewhere a run may use little because others leave it little.
 """
 
-from poplarspindle.fleet import work, worker_state
+from poplarspindle.fleet import work, worker_selection, worker_state
 
 MEASURE_AFTER_S = 0.8  # Usage is measured over half a second and read later.
 FULL_SPEED_PERCENT = 100
@@ -52,6 +53,7 @@
         and run.percent == FULL_SPEED_PERCENT
         and requested_millicores
         and at - max(run.first_seen_at, worker.paced_at) >= MEASURE_AFTER_S
+        and _covers_requests(worker)
     )
     if not measured:
         return
@@ -61,3 +63,17 @@
     worker_state.set_expected_millicores(
         worker, run, int(ratio * requested_millicores)
     )
+
+
+def _covers_requests(worker: worker_state.WorkerState) -> bool:
+    """Tells whether a worker's processors cover all best-effort requests."""
+    left_millicores = (
+        worker_selection.compute_free_millicores(worker)
+        + worker.best_effort_millicores
+    )
+    requested_millicores = sum(
+        run.step.need.millicores
+        for run in worker.runs.values()
+        if run.step.best_effort
+    )
+    return requested_millicores <= left_millicores
--- a/poplarspindle/tests/test_usage.py
+++ b/poplarspindle/tests/test_usage.py
@@ -106,6 +106,22 @@
     )
 
 
+def test_run_beside_more_requests_than_processors_teaches_nothing():
+    """Load: runs take processors from each other and so use less."""
+    world = FrugalWorld(mechanisms.ALL)
+    world.submit("a", STEP)
+    world.run(0.5)
+    worker = world.fleet.workers["w0"]
+    worker.info = dataclasses.replace(
+        worker.info, capacity=resources.Resources(CAPACITY - 1, 32_000, 0)
+    )
+    run = next(iter(worker.runs.values()))
+    run.usage, run.first_seen_at = 2000, world.now - 5
+    model = usage.UsageModel()
+    usage.record_usage(model, worker, run, world.now)
+    assert not model.ratios
+
+
 def test_use_of_all_runs_is_given_back_when_they_end():
     world = FrugalWorld(mechanisms.ALL)
     world.submit("a", STEP)
