Start a task of each best-effort job that predicted harm keeps waiting

Result: test_starvation replays a worker near its targets; without the mechanism the job never starts.

--- a/poplarspindle/fleet/mechanisms.py
+++ b/poplarspindle/fleet/mechanisms.py
@@ -30,6 +30,8 @@
         rank_worth: Orders steps by remaining work per worth; else by age.
         measured_use: Counts best-effort runs with the processors that they
             use, not with those that they request.
+        start_starved: Starts a task of a best-effort job of which nothing
+            runs, whatever harm is predicted, after a wait.
         exclude_failing: Excludes workers that fail runs of several jobs.
         avoid_failed: Retries a failed task on another worker.
     """
@@ -44,6 +46,7 @@
     rank_stages: bool = True
     rank_worth: bool = True
     measured_use: bool = True
+    start_starved: bool = True
     exclude_failing: bool = True
     avoid_failed: bool = True
 
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -14,6 +14,7 @@
     job_store,
     pacing,
     ranking,
+    starvation,
     usage,
     work,
     worker_chooser,
@@ -42,13 +43,19 @@
     ):
         return []
     fleet.placement_needed = False
-    if fleet.now - fleet.unplaceable_reset_at >= UNPLACEABLE_RESET_INTERVAL_S:
+    all_due = (
+        fleet.now - fleet.unplaceable_reset_at >= UNPLACEABLE_RESET_INTERVAL_S
+    )
+    if all_due:
         fleet.unplaceable_reset_at = fleet.now
         fleet.unplaceable_needs.clear()
     placement_round = PlacementRound(fleet)
     effect_list: list[effects.Effect] = []
     for key in sort_ready_steps(fleet):
         effect_list += placement_round.place(key)
+    if all_due:
+        for key in starvation.list_starved(fleet):
+            effect_list += placement_round.place_starved(key)
     placement_round.close()
     return effect_list
 
@@ -173,6 +180,26 @@
                 fleet.unplaceable_needs[step_kind] = step.need
         return effect_list
 
+    def place_starved(
+        self, key: worker_chooser.StepKey
+    ) -> list[effects.Effect]:
+        """Places one task of a step that the predicted harm keeps waiting."""
+        fleet = self._fleet
+        job = fleet.job_store.jobs[key[0]]
+        step = job.submission.steps[key[2]]
+        service = fleet_state.find_queue(fleet, job).service
+        predict = pacing.make_predictor(
+            fleet, step, self._weights_by_image.setdefault(step.image, {})
+        )
+        chooser = worker_chooser.WorkerChooser(
+            self._list_accepting_workers(service, False),
+            step,
+            key,
+            starvation.admit_any_harm(predict),
+            fleet.mechanisms,
+        )
+        return place_step(fleet, chooser, job, step, key, 1)
+
     def _list_accepting_workers(
         self, service: str, changed_only: bool
     ) -> list[worker_state.WorkerState]:
@@ -209,6 +236,7 @@
     job: job_store.Job,
     step: work.Step,
     key: worker_chooser.StepKey,
+    max_tasks: int | None = None,
 ) -> list[effects.Effect]:
     """Places tasks of one step on workers; a gang is placed whole or not.
 
@@ -218,9 +246,10 @@
         job: The job.
         step: The step.
         key: Its job id, occurrence and step number.
+        max_tasks: How many tasks to place at most, None for all.
     """
     tasks = job.occurrences[key[1]][key[2]]
-    indexes = sorted(fleet.ready[key])
+    indexes = sorted(fleet.ready[key])[:max_tasks]
     if step.gang and len(indexes) < len(tasks):
         return []
     attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
--- /dev/null
+++ b/poplarspindle/tests/test_starvation.py
@@ -0,0 +1,135 @@
+"""Best-effort jobs that predicted harm keeps from every worker."""
+
+import dataclasses
+
+import pytest
+
+from poplarspindle import resources
+from poplarspindle.fleet import mechanisms, starvation, work
+from poplarspindle.tools.fakes import fleets, load_workers
+
+TARGET_MS = 150
+WITHOUT = dataclasses.replace(mechanisms.ALL, start_starved=False)
+SERVING = work.Step(
+    4,
+    resources.Resources(4000, 100, 0),
+    until_cancelled=True,
+    image="serve",
+    target_ms=TARGET_MS,
+)
+
+
+def make_batch(tasks=3, **changes):
+    step = work.Step(
+        tasks,
+        resources.Resources(3000, 100, 0),
+        estimate_ms=1000,
+        image="batch",
+        best_effort=True,
+    )
+    return dataclasses.replace(step, **changes)
+
+
+class HotWorld(fleets.World):
+    """A worker whose serving tasks are near their targets all the time.
+
+    Args:
+        used: Mechanisms by which the owner decides.
+        calm_from: When their tail latencies fall, seconds.
+    """
+
+    def __init__(self, used=mechanisms.ALL, calm_from=float("inf")):
+        self.calm_from = calm_from
+        super().__init__(
+            1,
+            workers=1,
+            capacity=resources.Resources(16_000, 32_000, 0),
+            run_s=lambda rng: float("inf"),
+            make_worker=load_workers.LoadWorker,
+            used_mechanisms=used,
+        )
+        self.submit("a", SERVING)
+        self.run(2)
+
+    def get_work_s(self, name):
+        """Returns the work of a task, seconds at full speed."""
+        step = self.find_step(name)
+        return float("inf") if step.until_cancelled else 1.0
+
+    def get_load(self, name):
+        """Returns the share of its processors that a task uses."""
+        return 0.5
+
+    def get_tail_ms(self, name, shares):
+        """Returns a task's tail latency beside best-effort runs."""
+        undisturbed_ms = 140.0 if self.now < self.calm_from else 30.0
+        return load_workers.compute_tail_ms(
+            undisturbed_ms, {"batch": 2.0}, shares
+        )
+
+    def count_runs(self, job):
+        """Returns how many runs of a job there are now."""
+        return sum(
+            key[0].job == job
+            for worker in self.workers.values()
+            for key in worker.runs
+        )
+
+
+@pytest.mark.parametrize(
+    ("used", "started"),
+    [
+        pytest.param(mechanisms.ALL, 1, id="started"),
+        pytest.param(WITHOUT, 0, id="waits for ever without"),
+    ],
+)
+def test_job_that_no_worker_admits_starts_after_a_wait(used, started):
+    world = HotWorld(used)
+    world.submit("b", make_batch())
+    world.run(starvation.STARVED_AFTER_S - 0.5)
+    assert world.count_runs("b") == 0
+    world.run(1.5)
+    assert world.count_runs("b") == started
+    world.run(20)
+    assert world.count_runs("b") == started
+
+
+def test_started_task_is_slowed_down_and_uses_what_a_swing_leaves():
+    world = HotWorld(calm_from=15)
+    world.submit("b", make_batch(tasks=1))
+    world.run(10)
+    hot = max(
+        ratio
+        for worker in world.workers.values()
+        for ratio in worker.tail_ratio.values()
+    )
+    assert world.count_runs("b") == 1
+    assert hot < 1
+    world.run(10)
+    assert world.get_state("b") == "completed"
+    assert not world.list_violations()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({"gang": True}, id="gang"),
+        pytest.param(
+            {"need": resources.Resources(20_000, 100, 0)}, id="no processors"
+        ),
+        pytest.param({"label": "b"}, id="no such label"),
+    ],
+)
+def test_what_fits_no_worker_still_waits(changes):
+    world = HotWorld()
+    world.submit("b", make_batch(**changes))
+    world.run(8)
+    assert world.count_runs("b") == 0
+
+
+def test_predictor_that_admits_all_keeps_the_order_of_workers():
+    predict = starvation.admit_any_harm(lambda worker: worker)
+    uses = [0.0, 0.5, 1.0, 4.0, 1000.0]
+    relaxed = [predict(use) for use in uses]
+    assert relaxed == sorted(relaxed)
+    assert max(relaxed) < 1
