--- a/poplarspindle/tests/test_fleet_replay.py
+++ b/poplarspindle/tests/test_fleet_replay.py
@@ -1,12 +1,12 @@
 """The comparison of mechanisms under seeded loads."""
 
+import json
 import math
 
 import pytest
 
 from poplarspindle import settings
-from poplarspindle.fleet import mechanisms
-from poplarspindle.tools import fleet_replay, loads
+from poplarspindle.tools import charts, fleet_replay, loads
 from poplarspindle.tools.fakes import load_workers
 
 
@@ -26,15 +26,17 @@
 
 @pytest.mark.parametrize("kind", loads.KINDS)
 def test_a_play_breaks_no_promise_and_repeats(kind, short_days):
-    shares = fleet_replay.play(kind, 1, ())
-    assert kind != "burst" or shares == fleet_replay.play(kind, 1, ())
-    assert shares["violations"] == 0
-    assert all(0 <= shares[name] <= 1 for name in (loads.SHORT, loads.LASTING))
+    outcome = fleet_replay.play(kind, 1, fleet_replay.ALL_ON)
+    if kind == "burst":
+        assert outcome == fleet_replay.play(kind, 1, fleet_replay.ALL_ON)
+    assert outcome.violations == 0
+    assert min(outcome.short, outcome.batch, outcome.lasting) >= 0
+    assert max(outcome.short, outcome.batch, outcome.lasting) <= 1
 
 
 def test_switching_a_mechanism_off_reaches_the_decisions(short_days):
-    reference = fleet_replay.play("burst", 1, ())
-    assert reference != fleet_replay.play("burst", 1, ("pack_critical",))
+    reference = fleet_replay.play("burst", 1, fleet_replay.ALL_ON)
+    assert reference != fleet_replay.play("burst", 1, "pack_critical")
 
 
 @pytest.mark.parametrize(
@@ -54,7 +56,54 @@
     assert load_workers.compute_tail_ms(20.0, weights, {"b": 0.9}) == 20.0
 
 
-@pytest.mark.parametrize("flags", [{"load": ["calm"]}, {"off": ["magic"]}])
-def test_unknown_names_are_refused_with_the_known_ones(flags, capsys):
+@pytest.mark.parametrize(
+    ("flags", "told"),
+    [
+        ({"load": ["calm"]}, "burst"),
+        ({"off": ["magic"]}, "move_slowed"),
+        ({"report": "chart.txt"}, ".png"),
+    ],
+)
+def test_bad_flags_are_refused_with_what_is_allowed(flags, told, capsys):
     assert fleet_replay.replay(**flags) == settings.EXIT_USAGE
-    assert mechanisms.ALL and "burst" in capsys.readouterr().err
+    assert told in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("argv", "joined"),
+    [
+        (["--seeds", "2"], ["--seeds", "2"]),
+        (
+            ["--off", "a", "--json", "--off", "b"],
+            ["--as-json", "--off", "a", "b"],
+        ),
+    ],
+)
+def test_flags_may_be_given_often(argv, joined):
+    assert fleet_replay._join_lists(argv) == joined
+
+
+def test_rows_of_a_comparison_name_load_and_mechanism(short_days, capsys):
+    code = fleet_replay.replay(
+        load=["steady"], off=["move_slowed"], seeds=2, jobs=1, as_json=True
+    )
+    rows = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    assert code == 0
+    assert [(row["load"], row["off"]) for row in rows] == [
+        ("steady", ""),
+        ("steady", "move_slowed"),
+    ]
+    assert rows[0]["worth"] == 0
+
+
+@pytest.mark.parametrize("suffix", [".png", ".html"])
+def test_chart_is_drawn(tmp_path, suffix):
+    pytest.importorskip("matplotlib")
+    path = tmp_path / f"chart{suffix}"
+    rows = [
+        fleet_replay.Comparison(kind, off, 1, 1, 1, 1, 0.1, 0.05, 0)
+        for kind in ("steady", "burst")
+        for off in (fleet_replay.ALL_ON, "move_slowed")
+    ]
+    charts.draw_comparisons(rows, path)
+    assert path.stat().st_size > 1000
--- a/poplarspindle/tools/charts.py
+++ b/poplarspindle/tools/charts.py
@@ -24,7 +24,35 @@
     Raises:
         ImportError: matplotlib is not there; install the extra `report`.
     """
-    picture = _draw_picture(title, summaries)
+    _write(title, _draw_picture(title, summaries), path)
+
+
+def draw_comparisons(comparisons: list, path: pathlib.Path) -> None:
+    """Draws what each mechanism adds, a panel per load.
+
+    Args:
+        comparisons: `fleet_replay.Comparison` of all loads, in their order.
+        path: Ends in one of SUFFIXES.
+
+    Raises:
+        ImportError: matplotlib is not there; install the extra `report`.
+    """
+    from matplotlib.figure import Figure
+
+    kinds = list(dict.fromkeys(row.load for row in comparisons))
+    figure = Figure(figsize=(SIZE_INCHES[0], 3 * len(kinds)))
+    panels = figure.subplots(len(kinds), 1, squeeze=False).flat
+    for axes, kind in zip(panels, kinds, strict=True):
+        rows = [row for row in comparisons if row.load == kind and row.off]
+        margins = [row.margin for row in rows]
+        axes.barh(
+            [row.off for row in rows], [row.worth for row in rows], xerr=margins
+        )
+        axes.set_title(kind)
+    _write("What mechanisms add", _save(figure), path)
+
+
+def _write(title: str, picture: bytes, path: pathlib.Path) -> None:
     if path.suffix == ".png":
         path.write_bytes(picture)
         return
@@ -54,6 +82,10 @@
     ):
         axes.bar(names, [pick(summary) for summary in summaries])
         axes.set_title(label)
+    return _save(figure)
+
+
+def _save(figure) -> bytes:
     buffer = io.BytesIO()
     figure.savefig(buffer, format="png", dpi=DOTS_PER_INCH)
     return buffer.getvalue()
--- a/poplarspindle/tools/fleet_replay.py
+++ b/poplarspindle/tools/fleet_replay.py
@@ -4,12 +4,11 @@
 show: processor time of the decisions, the network, several nodes at once.
 """
 
-import collections
 import concurrent.futures
 import dataclasses
 import json
 import math
-import random
+import pathlib
 import statistics
 import sys
 
@@ -17,249 +16,84 @@
 
 import poplarspindle
 from poplarspindle import settings
-from poplarspindle.fleet import admission, job_store, mechanisms, work
-from poplarspindle.node import admission_ledger
-from poplarspindle.tools import loads
-from poplarspindle.tools.fakes import fleets, load_workers
-
-LATE_SHARE = 0.15  # Of a job's worth, when it ends late but not too late.
-MAX_LATENESS = 3.0  # In objectives.
-HARM_PENALTY = 4.0  # For tasks over their target because of others.
-WINDOW_S = 2.0
-ATTEMPTS = 5  # Submissions of a job that is refused.
-SLACK = 1.5
-TARGET_S = 0.5
-TAIL_MS = 25.0
-MEAN_LOAD = 0.48
-NODES = 5
+from poplarspindle.fleet import mechanisms
+from poplarspindle.tools import charts, loads
+from poplarspindle.tools.fakes import load_world
+
 CONFIDENCE_SIGMAS = 1.96
+ALL_ON = ""  # Name of the set with no mechanism switched off.
+LIST_FLAGS = ("--load", "--off")
 
 
-class LoadWorld(fleets.World):
-    """A fleet under one load, with its callers.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one play earned, as shares of the worth that was owed.
 
-    Args:
-        load: The load.
-        seed: Seed of run times and of who is hit by faults.
-        used: Mechanisms by which the owner decides.
+    Attributes:
+        short: By short jobs.
+        batch: By batch jobs.
+        lasting: By long-running jobs.
+        violations: Broken promises that the workers' ledgers show.
+    """
+
+    short: float
+    batch: float
+    lasting: float
+    violations: int
+
+    @property
+    def mean(self) -> float:
+        """Mean of the three shares."""
+        return statistics.fmean((self.short, self.batch, self.lasting))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """A load with one mechanism switched off, over all seeds.
+
+    Attributes:
+        load: Kind of load.
+        off: Name of the mechanism, ALL_ON for none.
+        short: Mean share earned by short jobs.
+        batch: Mean share earned by batch jobs.
+        lasting: Mean share earned by long-running jobs.
+        mean: Mean of the three.
+        worth: What the mechanism adds to that mean.
+        margin: Half width of the 95 % interval of `worth`.
+        violations: Broken promises.
     """
 
-    def __init__(
-        self, load: loads.Load, seed: int, used: mechanisms.Mechanisms
-    ) -> None:
-        self._load = load
-        self._work_s: dict[work.TaskName, float] = {}
-        self._kinds: dict[str, str] = {}
-        self._submitted_at: dict[str, float] = {}
-        self._windows: list[float] = []
-        self._draw = random.Random(f"run times {seed}")
-        self._ledgers = [
-            admission_ledger.AdmissionLedger() for _ in range(NODES)
-        ]
-        self._loads_read = 0
-        super().__init__(
-            seed,
-            load.workers,
-            load.capacity,
-            run_s=lambda rng: float("inf"),
-            make_worker=load_workers.LoadWorker,
-            used_mechanisms=used,
-        )
-        for index, arrival in enumerate(load.arrivals):
-            self._submit_later(f"job{index}", arrival, arrival.at, ATTEMPTS)
-        for fault in load.faults:
-            self._schedule_fault(fault)
-        self.call_later(WINDOW_S, self._judge_window)
-
-    # What the workers ask.
-
-    def get_work_s(self, name: work.TaskName) -> float:
-        """Returns the work of a task, seconds at full speed."""
-        step = self.find_step(name)
-        if step.until_cancelled:
-            return float("inf")
-        if name not in self._work_s:
-            spread = self._draw.lognormvariate(0, 0.15)
-            self._work_s[name] = spread * step.estimate_ms / 1000
-        return self._work_s[name]
-
-    def get_load(self, name: work.TaskName) -> float:
-        """Returns the share of its processors that a task uses now."""
-        return MEAN_LOAD * math.exp(self._swing(name.job))
-
-    def get_tail_ms(
-        self, name: work.TaskName, shares: dict[str, float]
-    ) -> float:
-        """Returns a task's tail latency beside best-effort runs."""
-        image = self.find_step(name).image
-        weights = {
-            fill: self._load.weights[image, fill] for fill in shares if fill
-        }
-        undisturbed_ms = TAIL_MS * math.exp(self._swing(name.job))
-        return load_workers.compute_tail_ms(undisturbed_ms, weights, shares)
-
-    def _swing(self, job: str) -> float:
-        phase = int(job[3:]) % 5 / 20
-        return self._load.swing * load_workers.get_swing(
-            self.now, self._load.period_s, phase
-        )
-
-    # Callers and faults.
-
-    def _submit_later(
-        self, job: str, arrival: loads.Arrival, at: float, attempts: int
-    ) -> None:
-        def submit() -> None:
-            self._submitted_at.setdefault(job, self.now)
-            self._kinds[job] = arrival.kind
-            submission = work.Submission(
-                job, self.queue, "", arrival.steps, accepted_ms=self.wall_ms()
-            )
-            retry_s = self._draw.choice(self._ledgers).decide(
-                self._read_load(),
-                self._loads_read,
-                submission,
-                self.wall_ms(),
-            )
-            if retry_s and attempts > 1:
-                self._submit_later(
-                    job, arrival, self.now + retry_s, attempts - 1
-                )
-            elif not retry_s:
-                self.submit(job, *arrival.steps)
-                if arrival.leaves_s < math.inf:
-                    self.call_later(arrival.leaves_s, lambda: self._leave(job))
-
-        self.call_later(at - self.now, submit)
-
-    def _write(self, found) -> None:
-        super()._write(found)
-        self._loads_read += sum(
-            record.key == admission.LOAD_KEY for record in found
-        )
-
-    def _read_load(self) -> admission.Load | None:
-        record = self.log.get(admission.LOAD_KEY)
-        return admission.decode_load(record.value) if record else None
-
-    def _leave(self, job: str) -> None:
-        del self._submitted_at[job]  # Nothing is owed to its caller.
-        if self.fleet.job_store.jobs[job].state not in job_store.ENDED:
-            self.cancel(job)
-
-    def _schedule_fault(self, fault: loads.Fault) -> None:
-        names = self._draw.sample(
-            sorted(self.workers), round(fault.share * len(self.workers))
-        )
-        begin, end = {
-            "slow": (
-                lambda: self._set_speed(names, 1 / fault.factor),
-                lambda: self._set_speed(names, 1.0),
-            ),
-            "fail": (
-                lambda: self.fail_on.update(names),
-                lambda: self.fail_on.difference_update(names),
-            ),
-            "lose": (
-                lambda: self._lose_data_centre(),
-                lambda: self._restore_data_centre(),
-            ),
-            "store": (
-                lambda: self._set_append_s(fault.factor * fleets.APPEND_S),
-                lambda: self._set_append_s(fleets.APPEND_S),
-            ),
-        }.get(fault.kind, (None, None))
-        if begin:
-            self.call_later(fault.at, begin)
-            self.call_later(fault.at + fault.for_s, end)
-
-    def _set_speed(self, names: list[str], speed: float) -> None:
-        for name in names:
-            self.workers[name].speed = speed
-
-    def _set_append_s(self, append_s: float) -> None:
-        self.append_s = append_s
-
-    def _lose_data_centre(self) -> None:
-        for worker in self.workers.values():
-            if worker.description.data_centre == "dc0":
-                worker.crash()
-                worker.up = False
-
-    def _restore_data_centre(self) -> None:
-        for worker in self.workers.values():
-            worker.up = True
-
-    # The judgement.
-
-    def _judge_window(self) -> None:
-        """Records which share of the long-running tasks is in service."""
-        ratios = [
-            ratio
-            for worker in self.workers.values()
-            for key, ratio in worker.tail_ratio.items()
-            if key in worker.runs and worker.up
-        ]
-        owed = sum(
-            submission.steps[0].tasks
-            for submission in self.submissions.values()
-            if submission.steps[0].until_cancelled
-        )
-        if owed:
-            over = sum(ratio > 1 for ratio in ratios)
-            served = len(ratios) - HARM_PENALTY * over
-            self._windows.append(max(0.0, served) / owed)
-        self.call_later(WINDOW_S, self._judge_window)
-
-    def judge(self) -> dict[str, float]:
-        """Returns the share of the worth owed that was earned, by kind."""
-        earned: collections.Counter = collections.Counter()
-        owed: collections.Counter = collections.Counter()
-        for job, at in self._submitted_at.items():
-            kind = self._kinds[job]
-            if kind == loads.LASTING:
-                continue
-            worth, objective_s = self._value(job)
-            owed[kind] += worth
-            took_s = self.completed_at.get(job, math.inf) - at
-            if took_s <= objective_s:
-                earned[kind] += worth
-            elif took_s <= MAX_LATENESS * objective_s:
-                earned[kind] += LATE_SHARE * worth
-        shares = {
-            kind: earned[kind] / owed[kind] if owed[kind] else 1.0
-            for kind in (loads.SHORT, loads.BATCH)
-        }
-        shares[loads.LASTING] = statistics.fmean(self._windows or [0.0])
-        return shares
-
-    def _value(self, job: str) -> tuple[float, float]:
-        """Returns a job's worth and its objective, seconds."""
-        index = int(job[3:])
-        steps = self._load.arrivals[index].steps
-        core_s = sum(
-            step.tasks * step.estimate_ms * step.need.millicores / 1e6
-            for step in steps
-        )
-        chain_s = sum(step.estimate_ms / 1000 for step in steps)
-        return 1 + core_s / 50, SLACK * chain_s + TARGET_S
-
-
-def play(kind: str, seed: int, off: tuple[str, ...]) -> dict[str, float]:
-    """Plays one load and returns the shares earned, by kind of job.
+    load: str
+    off: str
+    short: float
+    batch: float
+    lasting: float
+    mean: float
+    worth: float
+    margin: float
+    violations: int
+
+
+def play(kind: str, seed: int, off: str) -> Outcome:
+    """Plays one load.
 
     Args:
         kind: One of `loads.KINDS`.
         seed: Seed of the load.
-        off: Names of the mechanisms that are switched off.
+        off: Name of the mechanism that is switched off, ALL_ON for none.
     """
-    used = dataclasses.replace(mechanisms.ALL, **dict.fromkeys(off, False))
-    world = LoadWorld(loads.draw_load(kind, seed), seed, used)
+    used = mechanisms.ALL
+    if off:
+        used = dataclasses.replace(used, **{off: False})
+    world = load_world.LoadWorld(loads.draw_load(kind, seed), seed, used)
     world.run(loads.TRAFFIC_S + loads.SETTLE_S)
     shares = world.judge()
-    shares["mean"] = statistics.fmean(shares.values())
-    shares["violations"] = len(world.list_violations())
-    return shares
+    return Outcome(
+        shares[loads.SHORT],
+        shares[loads.BATCH],
+        shares[loads.LASTING],
+        len(world.list_violations()),
+    )
 
 
 def compare(values: list[float], others: list[float]) -> tuple[float, float]:
@@ -278,6 +112,7 @@
     seeds: int = 20,
     jobs: int = 3,
     as_json: bool = False,
+    report: str | None = None,
 ) -> int:
     """Plays loads with all mechanisms and with one switched off at a time.
 
@@ -287,73 +122,89 @@
         seeds: Number of seeds of each load.
         jobs: Number of processes.
         as_json: Print one JSON object per load and mechanism.
+        report: Write a chart of what mechanisms add to this .png or .html file.
     """
     kinds = load or list(loads.KINDS)
     names = [field.name for field in dataclasses.fields(mechanisms.Mechanisms)]
     switched = off or names
-    unknown = [k for k in kinds if k not in loads.KINDS]
+    unknown = [kind for kind in kinds if kind not in loads.KINDS]
     unknown += [name for name in switched if name not in names]
     if unknown:
         allowed = ", ".join((*loads.KINDS, *names))
         print(f"no {unknown[0]}: give one of {allowed}", file=sys.stderr)
         return settings.EXIT_USAGE
-    violations = 0
+    if report and pathlib.Path(report).suffix not in charts.SUFFIXES:
+        print("--report takes a .png or .html file", file=sys.stderr)
+        return settings.EXIT_USAGE
+    comparisons = []
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         for kind in kinds:
-            runs = {
-                name: [
-                    pool.submit(play, kind, seed, (name,) if name else ())
-                    for seed in range(seeds)
-                ]
-                for name in ("", *switched)
-            }
-            results = {
-                name: [run.result() for run in played]
-                for name, played in runs.items()
-            }
-            for name, played in results.items():
-                row = _summarize(kind, name, played, results[""])
-                violations += row["violations"]
-                print(_format(row, as_json), flush=True)
-    return 1 if violations else 0
+            for comparison in _compare_mechanisms(pool, kind, switched, seeds):
+                comparisons.append(comparison)
+                print(_format(comparison, as_json), flush=True)
+    if report:
+        charts.draw_comparisons(comparisons, pathlib.Path(report))
+    return 1 if any(row.violations for row in comparisons) else 0
+
+
+def _compare_mechanisms(
+    pool: concurrent.futures.Executor,
+    kind: str,
+    switched: list[str],
+    seeds: int,
+) -> list[Comparison]:
+    """Plays one load with all mechanisms and without each of `switched`."""
+    plays = {
+        off: [pool.submit(play, kind, seed, off) for seed in range(seeds)]
+        for off in (ALL_ON, *switched)
+    }
+    outcomes = {
+        off: [future.result() for future in futures]
+        for off, futures in plays.items()
+    }
+    return [
+        _summarize(kind, off, played, outcomes[ALL_ON])
+        for off, played in outcomes.items()
+    ]
 
 
 def _summarize(
-    kind: str, name: str, played: list[dict], reference: list[dict]
-) -> dict:
-    difference, margin = compare(
-        [shares["mean"] for shares in reference],
-        [shares["mean"] for shares in played],
+    kind: str, off: str, played: list[Outcome], reference: list[Outcome]
+) -> Comparison:
+    worth, margin = compare(
+        [outcome.mean for outcome in reference],
+        [outcome.mean for outcome in played],
+    )
+    return Comparison(
+        kind,
+        off,
+        statistics.fmean(outcome.short for outcome in played),
+        statistics.fmean(outcome.batch for outcome in played),
+        statistics.fmean(outcome.lasting for outcome in played),
+        statistics.fmean(outcome.mean for outcome in played),
+        worth,
+        margin,
+        sum(outcome.violations for outcome in played),
     )
-    return {
-        "load": kind,
-        "off": name,
-        **{
-            column: statistics.fmean(shares[column] for shares in played)
-            for column in (loads.SHORT, loads.BATCH, loads.LASTING, "mean")
-        },
-        "worth": difference,
-        "margin": margin,
-        "violations": sum(shares["violations"] for shares in played),
-    }
 
 
-def _format(row: dict, as_json: bool) -> str:
+def _format(row: Comparison, as_json: bool) -> str:
     if as_json:
-        return json.dumps(row)
+        return json.dumps(dataclasses.asdict(row))
     return (
-        f"{row['load']:>18} off {row['off'] or '-':<18}"
-        f" short {row['short']:.3f} batch {row['batch']:.3f}"
-        f" lasting {row['lasting']:.3f} mean {row['mean']:.3f}"
-        f" worth {row['worth']:+.3f} +- {row['margin']:.3f}"
-        f" violations {row['violations']}"
+        f"{row.load:>18} off {row.off or '-':<18}"
+        f" short {row.short:.3f} batch {row.batch:.3f}"
+        f" lasting {row.lasting:.3f} mean {row.mean:.3f}"
+        f" worth {row.worth:+.3f} +- {row.margin:.3f}"
+        f" violations {row.violations}"
     )
 
 
 def _join_lists(argv: list[str]) -> list[str]:
-    """Gathers repeated `--load` and `--off` into the lists defopt reads."""
+    """Gathers repeated list flags into the lists that defopt reads."""
     argv = ["--as-json" if word == "--json" else word for word in argv]
-    rest, lists = [], {"--load": [], "--off": []}
+    rest: list[str] = []
+    lists: dict[str, list[str]] = {flag: [] for flag in LIST_FLAGS}
     words = iter(argv)
     for word in words:
         if word in lists:
--- a/poplarspindle/tools/loads.py
+++ b/poplarspindle/tools/loads.py
@@ -20,7 +20,8 @@
     """A disruption.
 
     Attributes:
-        kind: A key of `fleet_replay.FAULTS`.
+        kind: "burst" or "leave" of callers, "slow" or "fail" of workers,
+            "store", or "lose" of a data centre.
         at: Start, seconds from the start of the traffic.
         for_s: Duration.
         share: Share of the workers, or of the callers, that it affects.
