Try a few starved jobs at a time, those tried last coming last

Cause: each starved job is tried on all workers every half second; hundreds of workers and dozens of such jobs would cost the owner a tenth of a core or more (reckoned, not measured), and jobs that fit nowhere would come first for ever. Change: four tries each half second, by time since the last try.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -36,22 +36,21 @@
         ready: Indexes of queued tasks that may start, by job, occurrence and
             step.
         unplaceable_needs: Smallest need that fits no worker, by kind of step.
-        unplaceable_reset_at: When all kinds of steps were last tried on all
-            workers.
+        unplaceable_reset_at: When all kinds were last tried on all workers.
         ranks: Rank of each ready step, and when it was computed.
         unplaceable_since: Since when a ready step fits on no worker.
+        starved_tried_at: When a starved step was last tried on all workers.
         vacating_worker: Worker whose latency-critical tasks are being moved
             away, empty for none.
         vacating_until: Time after which that is abandoned.
         vacate_chosen_at: When a worker to vacate was last searched for.
-        vacated_at: When vacating a worker last ended, or a task was last
-            stopped for it.
+        vacated_at: When vacating last ended or last stopped a task.
         open_jobs: Ids of jobs that have not ended.
         changed_jobs: Ids of jobs whose progress has to be recorded.
         unpublished: Ids of jobs whose state is not yet in the shared log.
         intake_offsets: Offsets up to which the intake was read, by partition.
-        published_intake_offsets: The offsets that were last published.
-        intake_published_at: When they were last published.
+        published_intake_offsets: The offsets published last.
+        intake_published_at: When that was.
         changed_groups: Task groups to record, with their job.
         deferred_effects: Effects that follow the next append.
         runs_to_record: Runs that the next append records.
@@ -109,6 +108,7 @@
         self.unplaceable_reset_at = float("-inf")
         self.ranks: dict[tuple[str, int, int], tuple[tuple, float]] = {}
         self.unplaceable_since: dict[tuple[str, int, int], float] = {}
+        self.starved_tried_at: dict[tuple[str, int, int], float] = {}
         self.vacating_worker = ""
         self.vacating_until = float("-inf")
         self.vacated_at = float("-inf")
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -27,6 +27,7 @@
 # A worker without a change may accept a step once the tail model has learned
 # from other workers.
 UNPLACEABLE_RESET_INTERVAL_S = 0.5
+MAX_STARVED_TRIES = 4
 # Service, whether best-effort, label and image.
 StepKind = tuple[str, bool, str, str]
 
@@ -54,8 +55,7 @@
     for key in sort_ready_steps(fleet):
         effect_list += placement_round.place(key)
     if all_due:
-        for key in starvation.list_starved(fleet):
-            effect_list += placement_round.place_starved(key)
+        effect_list += placement_round.place_starved()
     placement_round.close()
     return effect_list
 
@@ -180,10 +180,24 @@
                 fleet.unplaceable_needs[step_kind] = step.need
         return effect_list
 
-    def place_starved(
+    def place_starved(self) -> list[effects.Effect]:
+        """Places a task of each job that the predicted harm keeps waiting.
+
+        Each is tried on all workers, so only a few are; those that were tried
+        last come last the next time.
+        """
+        fleet = self._fleet
+        effect_list: list[effects.Effect] = []
+        starved_keys = starvation.list_starved(fleet)
+        for key in starved_keys[:MAX_STARVED_TRIES]:
+            fleet.starved_tried_at[key] = fleet.now
+            effect_list += self._place_one_anywhere(key)
+        return effect_list
+
+    def _place_one_anywhere(
         self, key: worker_chooser.StepKey
     ) -> list[effects.Effect]:
-        """Places one task of a step that the predicted harm keeps waiting."""
+        """Places one task of a best-effort step where it does least harm."""
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
         step = job.submission.steps[key[2]]
--- a/poplarspindle/fleet/starvation.py
+++ b/poplarspindle/fleet/starvation.py
@@ -21,12 +21,16 @@
     """Lists ready best-effort steps of jobs of which nothing runs.
 
     Returns:
-        Job id, occurrence and step number of each, longest wait first.
+        Job id, occurrence and step number of each. The step that has waited
+        longest since it was last tried comes first.
     """
     if not fleet.mechanisms.start_starved:
         return []
+    tried_at = fleet.starved_tried_at
+    for key in tried_at.keys() - fleet.ready.keys():
+        del tried_at[key]
     waiting = [
-        (since, key)
+        (tried_at.get(key, since), key)
         for key, since in fleet.unplaceable_since.items()
         if key in fleet.ready and fleet.now - since >= STARVED_AFTER_S
     ]
--- a/poplarspindle/tests/test_starvation.py
+++ b/poplarspindle/tests/test_starvation.py
@@ -5,7 +5,12 @@
 import pytest
 
 from poplarspindle import resources
-from poplarspindle.fleet import mechanisms, starvation, work
+from poplarspindle.fleet import (
+    mechanisms,
+    placement_rounds,
+    starvation,
+    work,
+)
 from poplarspindle.tools.fakes import fleets, load_workers
 
 TARGET_MS = 150
@@ -127,6 +132,16 @@
     assert world.count_runs("b") == 0
 
 
+def test_jobs_that_fit_no_worker_do_not_keep_others_from_starting():
+    """Load: many jobs need a label that no worker has, before one that fits."""
+    world = HotWorld()
+    for number in range(2 * placement_rounds.MAX_STARVED_TRIES):
+        world.submit(f"hopeless{number}", make_batch(label="b"))
+    world.submit("b", make_batch())
+    world.run(starvation.STARVED_AFTER_S + 2)
+    assert world.count_runs("b") == 1
+
+
 def test_predictor_that_admits_all_keeps_the_order_of_workers():
     predict = starvation.admit_any_harm(lambda worker: worker)
     uses = [0.0, 0.5, 1.0, 4.0, 1000.0]
