--- a/poplarspindle/fleet/mechanisms.py
+++ b/poplarspindle/fleet/mechanisms.py
@@ -31,7 +31,7 @@
         measured_use: Counts best-effort runs with the processors that they
             use, not with those that they request.
         start_starved: Starts a task of a best-effort job of which nothing
-            runs, whatever harm is predicted, after a wait.
+            runs after a wait, whatever harm is predicted, in an idle pool.
         exclude_failing: Excludes workers that fail runs of several jobs.
         avoid_failed: Retries a failed task on another worker.
     """
