--- a/poplarspindle/tests/test_http_client.py
+++ b/poplarspindle/tests/test_http_client.py
@@ -125,6 +125,44 @@
     assert calls.retries_after_lag == 1
 
 
+def test_answer_that_waits_to_be_read_does_not_pass_for_silence(calls):
+    """Load: this machine turns slow while answers come in."""
+    asked, answered = threading.Event(), threading.Event()
+    found, ended = [], threading.Event()
+
+    def answer():
+        connection, _ = listening.accept()
+        connection.recv(1000)
+        asked.set()
+        blocked.wait(PATIENCE_S)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        answered.set()
+        ended.wait(PATIENCE_S)
+        connection.close()
+
+    def take(outcome):
+        found.append(outcome)
+        ended.set()
+
+    def block():
+        blocked.set()
+        answered.wait(PATIENCE_S)
+        calls._loop.call_soon(time.sleep, 1.5)
+
+    blocked = threading.Event()
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        thread = threading.Thread(target=answer)
+        thread.start()
+        call = make_call(address, timeout_s=1.0)
+        calls.run_soon(lambda: calls.send(call, take))
+        assert asked.wait(PATIENCE_S)
+        calls.run_soon(block)
+        assert ended.wait(PATIENCE_S)
+        thread.join()
+    assert isinstance(found[0], outcomes.Ok)
+
+
 def test_broken_connection_may_have_acted(calls):
     """A worker that dies with an order on its way may have carried it out."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -1,5 +1,7 @@
 """An overloaded owner may be late, but its decisions stay correct."""
 
+import dataclasses
+import threading
 import time
 
 import pytest
@@ -7,15 +9,18 @@
 
 from poplarspindle import metrics, resources
 from poplarspindle.fleet import (
+    effects,
     events,
     fitness,
     fleet_state,
     job_store,
+    orders,
+    placement_rounds,
     records,
     work,
     worker_state,
 )
-from poplarspindle.node import claims, intake, node
+from poplarspindle.node import claims, intake, node, ownership
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import settings
 
@@ -223,3 +228,117 @@
         [node._SharedLogReloaded(()), node._SharedLogRead((), True)]
     )
     assert owner_node._shared_state.loaded
+
+
+MAX_ORDERS_TOGETHER = 256
+PATIENCE_S = 30
+
+
+class SlowClient:
+    """Keeps the answers to all orders back."""
+
+    def __init__(self):
+        self.sent = []
+
+    def poll(self, order, timeout_s, done):
+        """Answers no poll."""
+
+    def send(self, order, done):
+        """Keeps an order and its callback."""
+        self.sent.append((order, done))
+
+
+def make_ownership(client):
+    """Makes an ownership whose orders all go to one client."""
+    platform = dataclasses.replace(
+        program.connect(SETTINGS), connect=lambda calls, info: client
+    )
+    return ownership.Ownership(
+        platform,
+        SETTINGS,
+        metrics.Metrics(),
+        16,
+        lambda event: None,
+        time.monotonic,
+        lambda: 0,
+    )
+
+
+def run_on_calls_thread(own, function):
+    """Runs a function on the thread that sends orders; returns its result."""
+    results, ended = [], threading.Event()
+
+    def call():
+        results.append(function())
+        ended.set()
+
+    own._http_client.run_soon(call)
+    assert ended.wait(PATIENCE_S)
+    return results[0]
+
+
+def test_retries_of_late_orders_do_not_add_to_the_load_that_delays_them():
+    """Load: the owner's machine is too slow for its fleet.
+
+    With hundreds of orders in flight none is answered in time. Each is sent
+    again over a new connection, and its task is placed anew elsewhere.
+    """
+    client = SlowClient()
+    own = make_ownership(client)
+    own._http_client.start()
+    infos = [
+        work.WorkerInfo(f"w{n}", f"a:{n + 1}", "pool", "dc", resources.ZERO)
+        for n in range(200)
+    ]
+    own.update_pollers(
+        {info.name: worker_state.WorkerState(info) for info in infos}
+    )
+    for info in infos:
+        for index in range(4):
+            name = work.TaskName("j", 0, 0, index)
+            start = orders.Start(name, 1, 16, "", 9000)
+            own.execute(effects.Order(info.name, start))
+    own.flush()
+
+    def answer_all():
+        sent, client.sent = client.sent, []
+        for _, done in sent:
+            done(orders.Answer(None))
+        return [order for order, _ in sent]
+
+    sent_together = []
+    while answered := run_on_calls_thread(own, answer_all):
+        sent_together.append(len(answered))
+    own.stop()
+    assert sum(sent_together) == 4 * len(infos)
+    assert max(sent_together) <= MAX_ORDERS_TOGETHER
+
+
+def test_no_more_is_placed_than_the_owner_can_start():
+    """Load: tasks are placed faster than their starts are sent.
+
+    The starts would wait in line while their leases and ranks grow old.
+    """
+    fleet = fleet_state.FleetState(job_store.JobStore())
+    queue = dataclasses.replace(QUEUE, attempts=3)
+    fleet.configuration = work.Configuration(1, {"q": queue})
+    info = work.WorkerInfo(
+        "w", "a:1", "pool", "dc", resources.Resources(10**6, 10**6, 0)
+    )
+    worker = fleet.workers["w"] = worker_state.WorkerState(info)
+    worker.last_report_at = 0.0
+    step = work.Step(4, resources.Resources(1000, 1, 0))
+    for number in range(50):
+        job = job_store.add_job(
+            fleet.job_store,
+            work.Submission(f"{number:016x}", queue, "", (step,)),
+        )
+        fleet.open_jobs[job.submission.job] = None
+        fleet_state.open_due_occurrences(fleet, job)
+    fleet.order_room = 20
+    placement_rounds.place_ready(fleet)
+    assert len(worker.runs) == 20
+    fleet.now += 1
+    fleet.placement_needed = True
+    placement_rounds.place_ready(fleet)
+    assert len(worker.runs) == 20
