Bound an owner's orders in flight, and send those that wait in turn

Callers saw: jobs accepted and not run beside free room, tasks run twice, while the fleet's owner has a machine too small for it. Cause: up to eight orders to each of hundreds of workers were in flight at once, 2,000 in all. On a slow machine each took longer than its 0.25 s, counted as unanswered, lost its connection and was sent again; less and less was carried out (retry storm). Class: work that grows as capacity falls short. A start that waited in the exchange could go out a second after its run was to stop; the queue of a worker, where a stop cancels it, was passed by then. Why it works: orders wait at their worker's queue for a place in a window that shrinks while half of the answers come late and grows while it is used up; few in flight are answered in time. Polls are not bounded by it.

--- /dev/null
+++ b/poplarspindle/node/order_window.py
@@ -0,0 +1,107 @@
+"""How many orders an owner has in flight to all workers at once.
+
+Load pattern: the owner's machine carries out fewer calls than its fleet asks
+for. With all of them in flight at once each takes longer than its timeout;
+they are sent again, over new connections, and less and less is carried out.
+With few in flight each is answered in time and the others wait their turn.
+
+The limit follows how long answers take: it shrinks while half of them come
+late, so a few slow workers do not shrink it, and grows while it is used up.
+"""
+
+import collections
+import dataclasses
+import statistics
+from collections.abc import Callable
+
+INITIAL_LIMIT = 128
+MIN_LIMIT = 16
+MAX_LIMIT = 256
+GROWTH = 16
+SHRINK_FACTOR = 0.7
+LATE_ANSWER_S = 0.1  # Workers answer in milliseconds; orders time out later.
+SAMPLE_ANSWERS = 32
+
+
+@dataclasses.dataclass(slots=True)
+class Limit:
+    """The adaptive limit of orders in flight.
+
+    Attributes:
+        orders: Orders that may be in flight at once.
+        answer_times_s: How long the last answers took.
+        was_reached: Whether an order had to wait since the last change.
+    """
+
+    orders: int = INITIAL_LIMIT
+    answer_times_s: list[float] = dataclasses.field(default_factory=list)
+    was_reached: bool = False
+
+
+def record_answer(limit: Limit, took_s: float) -> None:
+    """Records an answer, or its absence; changes the limit after some.
+
+    Args:
+        limit: The limit.
+        took_s: How long the order was in flight, seconds.
+    """
+    limit.answer_times_s.append(took_s)
+    if len(limit.answer_times_s) < SAMPLE_ANSWERS:
+        return
+    if statistics.median(limit.answer_times_s) >= LATE_ANSWER_S:
+        limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
+    elif limit.was_reached:
+        limit.orders = min(MAX_LIMIT, limit.orders + GROWTH)
+    limit.answer_times_s.clear()
+    limit.was_reached = False
+
+
+class OrderWindow:
+    """Gives senders their turns while too many orders are in flight.
+
+    Used on the thread that carries the calls only; `waiting` and `limit` are
+    read by others.
+
+    Attributes:
+        limit: The limit of orders in flight.
+        in_flight: Orders in flight.
+        waiting: Orders that wait for their turn or for their worker.
+    """
+
+    def __init__(self) -> None:
+        self.limit = Limit()
+        self.in_flight = 0
+        self.waiting = 0
+        self._waiting_senders: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
+
+    def try_begin(self, send: Callable[[], None]) -> bool:
+        """Takes a place for one order.
+
+        Args:
+            send: Called at the sender's turn where there is no place now; it
+                tries again then.
+
+        Returns:
+            Whether there is a place.
+        """
+        if self.in_flight >= self.limit.orders:
+            self.limit.was_reached = True
+            self._waiting_senders.append(send)
+            return False
+        self.in_flight += 1
+        return True
+
+    def end(self, took_s: float) -> None:
+        """Gives a place back and lets the senders that waited longest send.
+
+        Args:
+            took_s: How long the order was in flight, seconds.
+        """
+        self.in_flight -= 1
+        record_answer(self.limit, took_s)
+        for _ in range(len(self._waiting_senders)):
+            if self.in_flight >= self.limit.orders:
+                return
+            self._waiting_senders.popleft()()
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -14,6 +14,7 @@
     appending,
     http_client,
     listing,
+    order_window,
     polling,
     ports,
     settings,
@@ -68,6 +69,7 @@
         self._pollers: dict[str, polling.WorkerPoller] = {}
         self._orders: collections.deque[effects.Order] = collections.deque()
         self._http_client = http_client.HttpClient()
+        self.order_window = order_window.OrderWindow()
         self._progress, self._shared, self._intake = (
             appending.Appender(
                 name,
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -9,6 +9,7 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import events, leases, orders, work, worker_state
+from poplarspindle.node import order_window
 
 BUSY_WAIT_MS = 1000
 IDLE_WAIT_MS = 2000
@@ -28,6 +29,7 @@
     epoch: int
     lease_most_ms: int
     stop_event: threading.Event
+    order_window: order_window.OrderWindow
 
     def connect(self, info: work.WorkerInfo) -> typing.Any:
         """Makes a client of a worker."""
@@ -69,6 +71,7 @@
             collections.deque()
         )
         self._orders_in_flight = 0
+        self._awaits_turn = False
         self.wait_ms = BUSY_WAIT_MS
         self.stopped = False
 
@@ -111,29 +114,49 @@
 
         A start that still waits is not sent once its run is to stop.
         """
+        window = self._ownership.order_window
         if isinstance(order, orders.Stop):
-            self._queued_orders = collections.deque(
-                row
-                for row in self._queued_orders
-                if not _starts_same(row, order)
-            )
-        if self._orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
-            self._queued_orders.append(order)
-            return
+            kept = [
+                queued
+                for queued in self._queued_orders
+                if not _starts_same(queued, order)
+            ]
+            window.waiting -= len(self._queued_orders) - len(kept)
+            self._queued_orders = collections.deque(kept)
+        window.waiting += 1
+        self._queued_orders.append(order)
+        self._send_queued()
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._send_queued()
+
+    def _send_queued(self) -> None:
+        """Sends queued orders while the worker and the window have places."""
+        window = self._ownership.order_window
+        while self._queued_orders and not self.is_stopped():
+            if self._orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
+                return
+            if self._awaits_turn or not window.try_begin(self._take_turn):
+                self._awaits_turn = True
+                return
+            window.waiting -= 1
+            self._send(self._queued_orders.popleft())
+        while self._queued_orders:
+            # The worker has another address now; none of these was sent.
+            window.waiting -= 1
+            unsent = self._queued_orders.popleft()
+            self._post_answer(unsent, time.monotonic(), UNREACHABLE)
+
+    def _send(self, order: orders.Order) -> None:
         self._orders_in_flight += 1
         sent_at = time.monotonic()
 
         def handle_answer(answer: orders.Answer) -> None:
             self._orders_in_flight -= 1
             self._post_answer(order, sent_at, answer)
-            if not self.is_stopped():
-                if self._queued_orders:
-                    self.send_order(self._queued_orders.popleft())
-                return
-            while self._queued_orders:
-                # The worker has another address now; none of these was sent.
-                unsent = self._queued_orders.popleft()
-                self._post_answer(unsent, time.monotonic(), UNREACHABLE)
+            self._ownership.order_window.end(time.monotonic() - sent_at)
+            self._send_queued()
 
         self.client.send(order, handle_answer)
 
--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -7,7 +7,7 @@
 
 from poplarspindle import outcomes, resources
 from poplarspindle.fleet import events, orders, work
-from poplarspindle.node import polling
+from poplarspindle.node import order_window, polling
 
 WORKER = work.WorkerInfo("w", "a:1", "pool", "dc", resources.ZERO)
 LOST = outcomes.Failed(outcomes.Step.HOLD, "w", "timeout", "", True)
@@ -51,6 +51,7 @@
 
     def __init__(self, client):
         self._client = client
+        self.order_window = order_window.OrderWindow()
         self.stop_event = threading.Event()
         self.posted = []
         self.timers = []
