Read the answers that have arrived before a call's time is taken to be over

Callers saw: tasks started again elsewhere, runs that lapse, with an owner that is late. Cause: libcurl handles expired timeouts with each socket that it is told of; the answers that waited unread at other sockets counted as silence. A start so lost is ambiguous and is repeated or stopped. Evidence: test_answer_that_waits_to_be_read_does_not_pass_for_silence, red before (timeout after 1.5 s, the answer in the socket since 0.0 s). Why it works: the time of a call is a timer of the event loop, which runs after the reads of the same turn; libcurl's own timeout is four times as long.

--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -22,6 +22,9 @@
 MAX_IDLE_CONNECTIONS = 2500  # Idle connections kept; below the descriptors.
 MAX_STARTS_PER_TURN = 16  # Calls begun before answers are looked at: a few ms.
 MAX_TRIES = 3
+# The transfer's own timeout; a call is over sooner, by a timer that runs after
+# all answers that have arrived were read.
+TRANSFER_TIMEOUT_FACTOR = 4
 LOOP_LAG_S = 0.1  # Timers on time fire within a few milliseconds.
 LOG_INTERVAL_S = 1.0
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -77,6 +80,7 @@
         body_chunks: What came of the answer's body.
         started_at: When it began, monotonic seconds.
         tries: How often it began.
+        timeout: Ends it when the call's time is over.
     """
 
     call: Call
@@ -84,6 +88,7 @@
     body_chunks: list[bytes]
     started_at: float
     tries: int
+    timeout: asyncio.TimerHandle
 
 
 class HttpClient:
@@ -175,13 +180,28 @@
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.HTTPHEADER, call.headers)
         handle.setopt(pycurl.POSTFIELDS, call.body)
-        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
+        transfer_timeout_s = TRANSFER_TIMEOUT_FACTOR * call.timeout_s
+        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(transfer_timeout_s * 1000)))
         handle.setopt(pycurl.WRITEFUNCTION, body_chunks.append)
         self._transfers[handle] = _Transfer(
-            call, done, body_chunks, time.monotonic(), tries
+            call,
+            done,
+            body_chunks,
+            time.monotonic(),
+            tries,
+            self._loop.call_later(call.timeout_s, self._time_out, handle),
         )
         self._multi.add_handle(handle)
 
+    def _time_out(self, handle: pycurl.Curl) -> None:
+        """Ends a call without an answer; what has arrived was read before.
+
+        Load pattern: this thread is late, and answers that wait to be read
+        would pass for silence of the peers.
+        """
+        if handle in self._transfers and not self._stopping:
+            self._finish(handle, pycurl.E_OPERATION_TIMEDOUT, "no answer")
+
     def _run(self) -> None:
         try:
             self._loop.run_forever()
@@ -190,7 +210,8 @@
 
     def _close(self) -> None:
         self._stopping = True
-        for handle in list(self._transfers):
+        for handle, transfer in self._transfers.items():
+            transfer.timeout.cancel()
             self._multi.remove_handle(handle)
         self._transfers.clear()
         self._multi.close()
@@ -246,6 +267,7 @@
 
     def _finish(self, handle: pycurl.Curl, code: int, text: str) -> None:
         transfer = self._transfers.pop(handle)
+        transfer.timeout.cancel()
         self._multi.remove_handle(handle)
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
         status = handle.getinfo(pycurl.RESPONSE_CODE)
