Place no more tasks than the owner can start

Callers saw: jobs wait beside free room while the fleet's owner is overloaded. Starts that wait in line outlive the leases that they ask for (refused as late, sent again), and their tasks hold the room meanwhile. Class: a queue without a bound between deciding and doing. Evidence: test_no_more_is_placed_than_the_owner_can_start, red before (200 placed, 20 can be started). Why it works: what the window of orders takes soon, less what waits and what is not recorded yet, bounds a round; the rest stays ready, in order of rank. A kind of step that is cut short is not noted as fitting on no worker.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -52,6 +52,8 @@
         published_intake_offsets: The offsets published last.
         intake_published_at: When that was.
         changed_groups: Task groups to record, with their job.
+        order_room: How many more orders the owner can send soon; no more
+            tasks are placed than it can start.
         deferred_effects: Effects that follow the next append.
         runs_to_record: Runs that the next append records.
         last_append_number: Number of the last append.
@@ -120,6 +122,7 @@
         self.published_intake_offsets: list[int] = []
         self.intake_published_at = float("-inf")
         self.changed_groups: dict[tuple[str, job_store.Group], None] = {}
+        self.order_room: float = math.inf
         self.deferred_effects: list[effects.Effect] = []
         self.runs_to_record: list[worker_state.Run] = []
         self.last_append_number = 0
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -53,6 +53,10 @@
     placement_round = PlacementRound(fleet)
     effect_list: list[effects.Effect] = []
     for key in sort_ready_steps(fleet):
+        if count_start_room(fleet) <= 0:
+            # The steps that are left have been tried on no worker.
+            fleet.placement_needed = True
+            return effect_list
         effect_list += placement_round.place(key)
     if all_due:
         effect_list += placement_round.place_starved()
@@ -60,6 +64,18 @@
     return effect_list
 
 
+def count_start_room(fleet: fleet_state.FleetState) -> float:
+    """Counts the tasks that may be placed now, so that starts do not pile up.
+
+    Load pattern: tasks are placed faster than the owner sends orders. Starts
+    that wait in line outlive their leases and keep the resources of others.
+    """
+    unrecorded = len(fleet.runs_to_record) + sum(
+        len(runs) for _, runs, _ in fleet.appends_in_flight.values()
+    )
+    return fleet.order_room - unrecorded
+
+
 def sort_ready_steps(
     fleet: fleet_state.FleetState,
 ) -> list[worker_chooser.StepKey]:
@@ -174,6 +190,8 @@
                 fleet.mechanisms,
             )
             effect_list = place_step(fleet, chooser, job, step, key)
+            if count_start_room(fleet) <= 0:
+                return effect_list  # Workers may have room for the others.
         if key in fleet.ready and independent:
             self._unplaced_needs[step_kind] = step.need
             if not known_unplaceable:
@@ -266,6 +284,9 @@
     indexes = sorted(fleet.ready[key])[:max_tasks]
     if step.gang and len(indexes) < len(tasks):
         return []
+    if not step.gang:
+        start_room = max(0, count_start_room(fleet))
+        indexes = indexes[: int(min(len(indexes), start_room))]
     attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
     placements: list[tuple[worker_state.WorkerState, worker_state.Run]] = []
     expected_millicores = usage.expect_millicores(fleet.usage_model, step)
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -268,6 +268,7 @@
             self._reduce(events.Ticked(caught_up_at, wall_ms))
             self._ownership.update_pollers(self._fleet.workers)
         self._fleet.now, self._fleet.wall_ms = now, wall_ms
+        self._fleet.order_room = self._ownership.compute_order_room()
         if now >= self._place_after:
             began = time.monotonic()
             self._execute(reducer.settle(self._fleet))
--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -21,6 +21,8 @@
 SHRINK_FACTOR = 0.7
 LATE_ANSWER_S = 0.1  # Workers answer in milliseconds; orders time out later.
 SAMPLE_ANSWERS = 32
+# Orders that may wait for each one in flight, so that none ages for long.
+WAITING_PER_PLACE = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +58,16 @@
     limit.was_reached = False
 
 
+def compute_room(limit: Limit, waiting: int) -> int:
+    """Returns how many more orders may be made now.
+
+    Args:
+        limit: The limit of orders in flight.
+        waiting: Orders that wait already.
+    """
+    return max(0, WAITING_PER_PLACE * limit.orders - waiting)
+
+
 class OrderWindow:
     """Gives senders their turns while too many orders are in flight.
 
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -210,6 +210,12 @@
             drop_rest,
         )
 
+    def compute_order_room(self) -> int:
+        """Returns how many more orders this owner can send soon."""
+        return order_window.compute_room(
+            self.order_window.limit, self.order_window.waiting
+        )
+
     def flush(self) -> None:
         """Sends the orders of a batch."""
         if not self._orders:
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -68,3 +68,10 @@
     assert not window.try_begin(lambda: turns.append("next"))
     window.end(FAST_S)
     assert turns == ["nothing to send", "next"]
+
+
+@pytest.mark.parametrize(
+    ("waiting", "room"), [(0, 256), (100, 156), (256, 0), (300, 0)]
+)
+def test_room_for_orders_shrinks_with_those_that_wait(waiting, room):
+    assert order_window.compute_room(order_window.Limit(), waiting) == room
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -52,6 +52,10 @@
     def flush(self):
         """Sends nothing."""
 
+    def compute_order_room(self):
+        """Returns that all orders can be sent."""
+        return float("inf")
+
 
 def make_owner(now):
     """Makes a node that owns a fleet of one worker with one run."""
@@ -314,27 +318,31 @@
     assert max(sent_together) <= MAX_ORDERS_TOGETHER
 
 
-def test_no_more_is_placed_than_the_owner_can_start():
-    """Load: tasks are placed faster than their starts are sent.
-
-    The starts would wait in line while their leases and ranks grow old.
-    """
+def make_waiting_fleet(jobs, tasks, gang=False):
+    """Makes a fleet with one worker and ready tasks that all fit on it."""
     fleet = fleet_state.FleetState(job_store.JobStore())
     queue = dataclasses.replace(QUEUE, attempts=3)
     fleet.configuration = work.Configuration(1, {"q": queue})
-    info = work.WorkerInfo(
-        "w", "a:1", "pool", "dc", resources.Resources(10**6, 10**6, 0)
-    )
+    room = resources.Resources(10**6, 10**6, 0)
+    info = work.WorkerInfo("w", "a:1", "pool", "dc", room)
     worker = fleet.workers["w"] = worker_state.WorkerState(info)
     worker.last_report_at = 0.0
-    step = work.Step(4, resources.Resources(1000, 1, 0))
-    for number in range(50):
-        job = job_store.add_job(
-            fleet.job_store,
-            work.Submission(f"{number:016x}", queue, "", (step,)),
-        )
-        fleet.open_jobs[job.submission.job] = None
+    need = resources.Resources(1000, 1, 0)
+    step = work.Step(tasks, need, gang=gang)
+    for number in range(jobs):
+        submission = work.Submission(f"{number:016x}", queue, "", (step,))
+        job = job_store.add_job(fleet.job_store, submission)
+        fleet.open_jobs[submission.job] = None
         fleet_state.open_due_occurrences(fleet, job)
+    return fleet, worker
+
+
+def test_no_more_is_placed_than_the_owner_can_start():
+    """Load: tasks are placed faster than their starts are sent.
+
+    The starts would wait in line while their leases and ranks grow old.
+    """
+    fleet, worker = make_waiting_fleet(jobs=50, tasks=4)
     fleet.order_room = 20
     placement_rounds.place_ready(fleet)
     assert len(worker.runs) == 20
@@ -342,3 +350,23 @@
     fleet.placement_needed = True
     placement_rounds.place_ready(fleet)
     assert len(worker.runs) == 20
+
+
+def test_kind_of_step_that_was_cut_short_is_not_taken_to_fit_on_no_worker():
+    """Load: starts wait; a later round places the rest without a change."""
+    fleet, worker = make_waiting_fleet(jobs=2, tasks=4)
+    fleet.order_room = 3
+    placement_rounds.place_ready(fleet)
+    assert len(worker.runs) == 3
+    assert not fleet.unplaceable_needs
+    fleet.runs_to_record.clear()
+    fleet.order_room = 100
+    placement_rounds.place_ready(fleet)
+    assert len(worker.runs) == 8
+
+
+def test_gang_is_placed_whole_although_fewer_orders_can_be_sent():
+    fleet, worker = make_waiting_fleet(jobs=1, tasks=4, gang=True)
+    fleet.order_room = 3
+    placement_rounds.place_ready(fleet)
+    assert len(worker.runs) == 4
