Refuse work that would wait too long for the owner to start it

Cause: nodes refused long-running work by room only; that the owner starts fewer tasks a second than are handed in was known to nobody. Class: no backpressure from the slowest part to the callers. Why it works: while most placement rounds are cut short for want of starts, the owner publishes how long each priority waits, from its rate of starts; nodes answer 429 with the time after which the wait is below 3 s.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -12,6 +12,7 @@
     orders,
     ranking,
     records,
+    start_delay,
     tail_model,
     usage,
     work,
@@ -54,6 +55,8 @@
         changed_groups: Task groups to record, with their job.
         order_room: How many more orders the owner can send soon; no more
             tasks are placed than it can start.
+        start_statistics: How fast the owner starts what could be placed.
+        start_delays_published: Whether the log says that work waits for it.
         deferred_effects: Effects that follow the next append.
         runs_to_record: Runs that the next append records.
         last_append_number: Number of the last append.
@@ -123,6 +126,8 @@
         self.intake_published_at = float("-inf")
         self.changed_groups: dict[tuple[str, job_store.Group], None] = {}
         self.order_room: float = math.inf
+        self.start_statistics = start_delay.StartStatistics()
+        self.start_delays_published = False
         self.deferred_effects: list[effects.Effect] = []
         self.runs_to_record: list[worker_state.Run] = []
         self.last_append_number = 0
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -14,6 +14,7 @@
     job_store,
     pacing,
     ranking,
+    start_delay,
     starvation,
     usage,
     work,
@@ -56,8 +57,10 @@
         if count_start_room(fleet) <= 0:
             # The steps that are left have been tried on no worker.
             fleet.placement_needed = True
+            start_delay.record_round(fleet.start_statistics, True)
             return effect_list
         effect_list += placement_round.place(key)
+    start_delay.record_round(fleet.start_statistics, False)
     if all_due:
         effect_list += placement_round.place_starved()
     placement_round.close()
--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -11,6 +11,7 @@
     job_store,
     model_persistence,
     records,
+    start_delay,
     unreachable,
 )
 
@@ -141,7 +142,32 @@
     if fleet.now - fleet.model_saved_at >= model_persistence.SAVE_INTERVAL_S:
         fleet.model_saved_at = fleet.now
         fleet.model_save_due = True
-    return [effects.Publish((admission.encode_load(sum_load(fleet)),))]
+    published = [admission.encode_load(sum_load(fleet))]
+    published += _list_start_delays(fleet)
+    return [effects.Publish(tuple(published))]
+
+
+def _list_start_delays(fleet: fleet_state.FleetState) -> list[records.Record]:
+    """Returns the record of how long work waits for the owner, if it does."""
+    start_delay.end_period(fleet.start_statistics, fleet.now)
+    delays_s = start_delay.estimate_delays(
+        fleet.start_statistics,
+        (
+            (
+                fleet_state.find_queue(
+                    fleet, fleet.job_store.jobs[key[0]]
+                ).priority,
+                len(indexes),
+            )
+            for key, indexes in fleet.ready.items()
+        ),
+    )
+    was_published = fleet.start_delays_published
+    fleet.start_delays_published = bool(delays_s)
+    if not delays_s and not was_published:
+        return []
+    published = start_delay.StartDelays(fleet.wall_ms, delays_s)
+    return [start_delay.encode_delays(published)]
 
 
 def _publish_intake_offsets(fleet: fleet_state.FleetState) -> list:
@@ -228,5 +254,6 @@
         if run.job.state in job_store.ENDED or run.stopping or is_unreachable:
             effect_list += fleet_state.stop_run(fleet, worker, run)
         else:
+            fleet.start_statistics.starts += 1
             effect_list += fleet_state.send_start(fleet, worker, run)
     return effect_list
--- /dev/null
+++ b/poplarspindle/fleet/start_delay.py
@@ -0,0 +1,157 @@
+"""Estimates how long new work waits for the owner to start it.
+
+Load pattern: the owner's machine starts fewer tasks a second than are handed
+in. If all are accepted, each waits longer than the one before, and when the
+load is over, most of the fleet is free while the owner still works off what
+waits. So nodes refuse work that would wait too long, with the time after which
+to come back.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+import msgpack
+
+from poplarspindle.fleet import records
+
+START_DELAY_KEY = "start-delay"
+PERIOD_S = 0.5
+MIN_LIMITED_PERIODS = 2
+RATE_WEIGHT = 0.5  # Of the newest period in the smoothed rate.
+MIN_STARTS_PER_S = 1.0
+MAX_START_DELAY_S = 3.0
+MAX_RETRY_S = 8
+MAX_AGE_MS = 3000  # A node that no longer hears the owner accepts all.
+
+
+@dataclasses.dataclass(slots=True)
+class StartStatistics:
+    """What the owner's last placement rounds and starts say of its speed.
+
+    Attributes:
+        starts: Starts sent in this period.
+        rounds: Placement rounds of this period.
+        cut_rounds: Those that ended since no more starts could be sent.
+        limited_periods: Periods on end in which most rounds ended so.
+        starts_per_s: Smoothed rate of starts.
+        period_began_at: When this period began, the owner's clock.
+    """
+
+    starts: int = 0
+    rounds: int = 0
+    cut_rounds: int = 0
+    limited_periods: int = 0
+    starts_per_s: float = 0.0
+    period_began_at: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartDelays:
+    """How long new work waits, as the owner published it.
+
+    Attributes:
+        at_ms: When it was estimated, Unix milliseconds.
+        delays_s: Seconds by priority, ascending; empty while no work waits
+            for the owner.
+    """
+
+    at_ms: int
+    delays_s: tuple[tuple[int, float], ...]
+
+
+def record_round(statistics: StartStatistics, was_cut: bool) -> None:
+    """Records a placement round, and whether it was cut short."""
+    statistics.rounds += 1
+    statistics.cut_rounds += was_cut
+
+
+def end_period(statistics: StartStatistics, now: float) -> None:
+    """Ends a period if it has lasted long enough.
+
+    Args:
+        statistics: The statistics.
+        now: Present time, the owner's clock.
+    """
+    lasted_s = now - statistics.period_began_at
+    if lasted_s < PERIOD_S:
+        return
+    if math.isfinite(lasted_s):
+        rate = statistics.starts / lasted_s
+        statistics.starts_per_s += RATE_WEIGHT * (
+            rate - statistics.starts_per_s
+        )
+        if statistics.rounds:
+            is_limited = 2 * statistics.cut_rounds >= statistics.rounds
+            statistics.limited_periods = (
+                statistics.limited_periods + 1 if is_limited else 0
+            )
+    statistics.starts = statistics.rounds = statistics.cut_rounds = 0
+    statistics.period_began_at = now
+
+
+def estimate_delays(
+    statistics: StartStatistics, ready_tasks: Iterable[tuple[int, int]]
+) -> tuple[tuple[int, float], ...]:
+    """Estimates how long new work waits for its start, by priority.
+
+    Args:
+        statistics: The statistics.
+        ready_tasks: Pairs of priority and number of ready tasks.
+
+    Returns:
+        Pairs of priority and seconds, ascending; empty unless the owner
+        starts fewer tasks than could be placed.
+    """
+    if statistics.limited_periods < MIN_LIMITED_PERIODS:
+        return ()
+    tasks_by_priority: dict[int, int] = {}
+    for priority, tasks in ready_tasks:
+        tasks_by_priority[priority] = tasks_by_priority.get(priority, 0) + tasks
+    starts_per_s = max(MIN_STARTS_PER_S, statistics.starts_per_s)
+    delays = []
+    tasks_ahead = 0
+    for priority in sorted(tasks_by_priority):
+        tasks_ahead += tasks_by_priority[priority]
+        delays.append((priority, round(tasks_ahead / starts_per_s, 3)))
+    return tuple(delays)
+
+
+def find_retry_s(
+    published: StartDelays | None, priority: int, wall_ms: int
+) -> int:
+    """Decides whether a job would wait too long for the owner.
+
+    Args:
+        published: The newest delays that were read, None if none were.
+        priority: Priority of the job's queue; 0 comes first.
+        wall_ms: Unix time in milliseconds.
+
+    Returns:
+        0 if the job is accepted, else the retry delay in seconds.
+    """
+    if published is None or wall_ms - published.at_ms > MAX_AGE_MS:
+        return 0
+    delay_s = max(
+        (delay_s for other, delay_s in published.delays_s if other <= priority),
+        default=0.0,
+    )
+    if delay_s <= MAX_START_DELAY_S:
+        return 0
+    return min(MAX_RETRY_S, math.ceil(delay_s - MAX_START_DELAY_S))
+
+
+def encode_delays(published: StartDelays) -> records.Record:
+    """Encodes delays as a log record."""
+    rows = [list(row) for row in published.delays_s]
+    value = [records.FORMAT_VERSION, published.at_ms, rows]
+    return records.Record(START_DELAY_KEY, msgpack.packb(value))
+
+
+def decode_delays(value: bytes) -> StartDelays:
+    """Decodes delays; raises ValueError if the value is malformed."""
+    _, at_ms, rows = records.unpack(value)
+    return StartDelays(
+        int(at_ms),
+        tuple((int(priority), float(delay_s)) for priority, delay_s in rows),
+    )
--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -7,7 +7,7 @@
 import structlog
 
 from poplarspindle import http_server, metrics, outcomes
-from poplarspindle.fleet import admission, job_store, records
+from poplarspindle.fleet import admission, job_store, records, start_delay
 from poplarspindle.node import (
     admission_ledger,
     caller_calls,
@@ -159,6 +159,17 @@
         job = dataclasses.replace(
             call.submission, accepted_ms=clocks.get_wall_ms()
         )
+        retry_s = start_delay.find_retry_s(
+            self._shared_state.start_delays,
+            call.queue.priority,
+            job.accepted_ms,
+        )
+        if retry_s:
+            return caller_calls.Answer(
+                429,
+                error="Work waits too long to be started.",
+                retry_s=retry_s,
+            )
         retry_s = self._admission_ledger.decide(
             self._shared_state.load,
             self._shared_state.loads_read,
--- a/poplarspindle/node/shared_state.py
+++ b/poplarspindle/node/shared_state.py
@@ -4,7 +4,14 @@
 
 import structlog
 
-from poplarspindle.fleet import admission, job_store, records, unreachable, work
+from poplarspindle.fleet import (
+    admission,
+    job_store,
+    records,
+    start_delay,
+    unreachable,
+    work,
+)
 from poplarspindle.node import operator_commands
 
 _log = structlog.get_logger(part="node")
@@ -25,6 +32,7 @@
         out: Data centres that get no more work.
         load: The owner's newest word on the fleet's load.
         loads_read: Number of loads read so far.
+        start_delays: The owner's newest word on how long work waits for it.
         silent: Silent workers, as the log says.
     """
 
@@ -38,6 +46,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.load: admission.Load | None = None
         self.loads_read = 0
+        self.start_delays: start_delay.StartDelays | None = None
         self.unreachable: dict[str, unreachable.UnreachableWorker] = {}
 
 
@@ -74,6 +83,8 @@
     elif kind == admission.LOAD_KEY:
         shared_state.load = admission.decode_load(record.value)
         shared_state.loads_read += 1
+    elif kind == start_delay.START_DELAY_KEY:
+        shared_state.start_delays = start_delay.decode_delays(record.value)
     elif kind == unreachable.UNREACHABLE_KEY:
         shared_state.unreachable = unreachable.decode_unreachable(
             record.value, at
