--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -229,3 +229,29 @@
     client.sent[0](orders.Answer(None))
     assert len(client.sent) == polling.MAX_ORDERS_IN_FLIGHT + 1
     assert [event.order.attempt for event in own.posted] == [0]
+
+
+def test_start_that_waits_for_its_turn_is_not_sent_once_its_run_is_to_stop():
+    """TWICE: orders of an overloaded owner wait for over a second."""
+    client = Slow([])
+    own = FakeOwnership(client)
+    own.order_window.limit.orders = 1
+    busy, waiting = (polling.WorkerPoller(own, WORKER) for _ in range(2))
+    name = work.TaskName("j", 0, 0, 0)
+    sent = []
+    send, client.send = (
+        client.send,
+        lambda *row: (sent.append(row[0]), send(*row)),
+    )
+    busy.send_order(orders.Start(name, 1, 16, "", 9000))
+    waiting.send_order(orders.Start(name, 2, 16, "", 9000))
+    waiting.send_order(orders.Stop(name, 2, 16))
+    assert own.order_window.waiting == 1
+    while client.sent:
+        done, *client.sent = client.sent
+        done(orders.Answer(None))
+    assert [(type(order), order.attempt) for order in sent] == [
+        (orders.Start, 1),
+        (orders.Stop, 2),
+    ]
+    assert (own.order_window.waiting, own.order_window.in_flight) == (0, 0)
