--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -142,13 +142,12 @@
     if fleet.now - fleet.model_saved_at >= model_persistence.SAVE_INTERVAL_S:
         fleet.model_saved_at = fleet.now
         fleet.model_save_due = True
-    published = [admission.encode_load(sum_load(fleet))]
-    published += _list_start_delays(fleet)
-    return [effects.Publish(tuple(published))]
+    load = effects.Publish((admission.encode_load(sum_load(fleet)),))
+    return [load, *_publish_start_delays(fleet)]
 
 
-def _list_start_delays(fleet: fleet_state.FleetState) -> list[records.Record]:
-    """Returns the record of how long work waits for the owner, if it does."""
+def _publish_start_delays(fleet: fleet_state.FleetState) -> list:
+    """Publishes how long work waits for the owner, while it does."""
     start_delay.end_period(fleet.start_statistics, fleet.now)
     delays_s = start_delay.estimate_delays(
         fleet.start_statistics,
@@ -167,7 +166,17 @@
     if not delays_s and not was_published:
         return []
     published = start_delay.StartDelays(fleet.wall_ms, delays_s)
-    return [start_delay.encode_delays(published)]
+    effect_list = [effects.Publish((start_delay.encode_delays(published),))]
+    if bool(delays_s) != was_published:
+        effect_list.append(
+            fleet_state.make_log_note(
+                "fleet",
+                "starts-delayed" if delays_s else "starts-in-time",
+                delays_s=delays_s,
+                starts_per_s=round(fleet.start_statistics.starts_per_s, 1),
+            )
+        )
+    return effect_list
 
 
 def _publish_intake_offsets(fleet: fleet_state.FleetState) -> list:
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -4,6 +4,8 @@
 deterministic: the same events in the same order give the same effects.
 """
 
+import sys
+
 from poplarspindle.fleet import (
     consolidation,
     effects,
@@ -256,6 +258,8 @@
             )
         ),
         ready=sum(map(len, fleet.ready.values())),
+        order_room=int(min(fleet.order_room, sys.maxsize)),
+        starts_per_s=round(fleet.start_statistics.starts_per_s, 1),
         ready_fills=placement_rounds.count_ready_best_effort_tasks(fleet),
         open_jobs=len(fleet.open_jobs),
         hot=sum(state.target_missed_since < float("inf") for state in workers),
--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -14,6 +14,8 @@
 import statistics
 from collections.abc import Callable
 
+import structlog
+
 INITIAL_LIMIT = 128
 MIN_LIMIT = 16
 MAX_LIMIT = 256
@@ -24,6 +26,8 @@
 # Orders that may wait for each one in flight, so that none ages for long.
 WAITING_PER_PLACE = 2
 
+_log = structlog.get_logger(part="exchange")
+
 
 @dataclasses.dataclass(slots=True)
 class Limit:
@@ -40,22 +44,27 @@
     was_reached: bool = False
 
 
-def record_answer(limit: Limit, took_s: float) -> None:
+def record_answer(limit: Limit, took_s: float) -> int:
     """Records an answer, or its absence; changes the limit after some.
 
     Args:
         limit: The limit.
         took_s: How long the order was in flight, seconds.
+
+    Returns:
+        By how much the limit changed.
     """
     limit.answer_times_s.append(took_s)
     if len(limit.answer_times_s) < SAMPLE_ANSWERS:
-        return
+        return 0
+    before = limit.orders
     if statistics.median(limit.answer_times_s) >= LATE_ANSWER_S:
         limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
     elif limit.was_reached:
         limit.orders = min(MAX_LIMIT, limit.orders + GROWTH)
     limit.answer_times_s.clear()
     limit.was_reached = False
+    return limit.orders - before
 
 
 def compute_room(limit: Limit, waiting: int) -> int:
@@ -112,7 +121,13 @@
             took_s: How long the order was in flight, seconds.
         """
         self.in_flight -= 1
-        record_answer(self.limit, took_s)
+        if record_answer(self.limit, took_s) < 0:
+            _log.warning(
+                "orders-late",
+                limit=self.limit.orders,
+                waiting=self.waiting,
+                last_took_ms=int(took_s * 1000),
+            )
         for _ in range(len(self._waiting_senders)):
             if self.in_flight >= self.limit.orders:
                 return
