--- a/poplarspindle/tests/test_http_client.py
+++ b/poplarspindle/tests/test_http_client.py
@@ -125,6 +125,29 @@
     assert calls.retries_after_lag == 1
 
 
+def test_own_delay_beyond_the_connect_timeout_is_not_a_peer_out_of_reach(
+    calls, peer
+):
+    """Load: this machine turns slow while a long poll makes its connection.
+
+    The connection is there, but its own timeout is over before that is seen.
+    """
+    found = []
+    ended = threading.Event()
+
+    def take(outcome):
+        found.append(outcome)
+        ended.set()
+
+    def send():
+        calls.send(make_call(peer.address, timeout_s=PATIENCE_S), take)
+        calls._loop.call_soon(time.sleep, 1.0)
+
+    calls.run_soon(send)
+    assert ended.wait(PATIENCE_S)
+    assert isinstance(found[0], outcomes.Ok)
+
+
 def test_answer_that_waits_to_be_read_does_not_pass_for_silence(calls):
     """Load: this machine turns slow while answers come in."""
     asked, answered = threading.Event(), threading.Event()
