Count orders that a late calls thread has not taken in as waiting

Callers see starts that go out seconds late, and runs that are given up. Cause: the room for orders counted those that pollers queue, not those on their way to the thread; while it was late, each round placed a full room again. The orders stay in one queue until they are taken in, and its length counts; a defect on the way loses none of them any more. Class of fault: a queue without bound between deciding and doing.

--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -211,20 +211,25 @@
         )
 
     def compute_order_room(self) -> int:
-        """Returns how many more orders this owner can send soon."""
+        """Returns how many more orders this owner can send soon.
+
+        Load pattern: the calls' thread is late. What it has not taken in yet
+        waits as well.
+        """
         return order_window.compute_room(
-            self.order_window.limit, self.order_window.waiting
+            self.order_window.limit,
+            self.order_window.waiting + len(self._orders),
         )
 
     def flush(self) -> None:
         """Sends the orders of a batch."""
-        if not self._orders:
-            return
-        order_effects, self._orders = self._orders, collections.deque()
-        self._http_client.run_soon(lambda: self._send(order_effects))
+        if self._orders:
+            self._http_client.run_soon(self._send)
 
-    def _send(self, order_effects: collections.deque[effects.Order]) -> None:
-        for effect in order_effects:
+    def _send(self) -> None:
+        """Gives the orders made so far to their pollers."""
+        for _ in range(len(self._orders)):
+            effect = self._orders.popleft()
             poller = self._pollers.get(effect.worker_name)
             if poller is not None:
                 poller.send_order(effect.order)
