Rank no steps in a round in which no task can be started

Callers see starts come ever later on a weak owner. Cause: with no room for orders, each round still ranked and sorted all ready steps and listed the workers, and the next one began at once; that processor time is what the calls lack. Shown by the test that failed before. The round ends before that and still counts as cut short. Class of fault: work that grows as capacity falls short.

--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -44,6 +44,9 @@
         or not fleet.placement_needed
     ):
         return []
+    if count_start_room(fleet) <= 0:
+        start_delay.record_round(fleet.start_statistics, True)
+        return []
     fleet.placement_needed = False
     all_due = (
         fleet.now - fleet.unplaceable_reset_at >= UNPLACEABLE_RESET_INTERVAL_S
