--- a/poplarspindle/tests/test_start_delay.py
+++ b/poplarspindle/tests/test_start_delay.py
@@ -1,5 +1,7 @@
 """Work is refused while the owner can't start it in time."""
 
+import time
+
 import pytest
 
 from poplarspindle.fleet import (
@@ -8,7 +10,7 @@
     reducer,
     start_delay,
 )
-from poplarspindle.node import caller_calls, shared_state
+from poplarspindle.node import caller_calls, clocks, shared_state
 from poplarspindle.tests import test_intake, test_overrun
 
 WALL_MS = 1_700_000_000_000
@@ -75,13 +77,15 @@
     assert state.start_delays == DELAYS
 
 
-def run_owner(fleet, seconds, order_room):
-    """Lets an owner place tasks; returns the delays that it published last."""
+def run_owner(fleet, seconds, order_room, wall_ms=WALL_MS):
+    """Lets an owner place tasks; returns the record of delays made last."""
     published = None
     for tick in range(int(seconds / 0.05)):
         fleet.order_room = order_room
         now = fleet.now + 0.05
-        effect_list = reducer.reduce(fleet, events.Ticked(now, WALL_MS + tick))
+        effect_list = reducer.reduce(
+            fleet, events.Ticked(now, wall_ms + 50 * tick)
+        )
         effect_list += reducer.settle(fleet)
         for effect in list(effect_list):
             if isinstance(effect, effects.Append):
@@ -93,7 +97,7 @@
                 continue
             for record in effect.records:
                 if record.key == start_delay.START_DELAY_KEY:
-                    published = start_delay.decode_delays(record.value)
+                    published = record
     return published
 
 
@@ -102,7 +106,7 @@
     fleet, worker = test_overrun.make_waiting_fleet(jobs=100, tasks=20)
     fleet.now = fleet.listed_at = worker.leases_end_at = 0.0
     worker.leases_end_at = float("inf")
-    published = run_owner(fleet, 3.0, order_room=10)
+    published = start_delay.decode_delays(run_owner(fleet, 3.0, 10).value)
     assert published.delays_s
     ((priority, delay_s),) = published.delays_s
     assert (priority, delay_s > start_delay.MAX_START_DELAY_S) == (0, True)
@@ -119,4 +123,29 @@
     refused = handlers._submit(call, float("inf"))
     assert (refused.status, refused.retry_s > 0) == (429, True)
     assert not any(store.partitions.values())
-    assert run_owner(fleet, 3.0, order_room=10_000).delays_s == ()
+    published = start_delay.decode_delays(run_owner(fleet, 3.0, 10_000).value)
+    assert published.delays_s == ()
+
+
+@pytest.mark.parametrize("ahead_ms", [-10_000, 0, 10_000])
+@pytest.mark.parametrize(("read_ago_s", "status"), [(0.0, 429), (3.1, 200)])
+def test_clocks_that_differ_neither_switch_refusals_off_nor_keep_them_up(
+    ahead_ms, read_ago_s, status
+):
+    """Load: machines' times of day differ by seconds, the owner is overrun."""
+    store = test_intake.FakeStore()
+    handlers, state = test_intake.make_call_handlers(store)
+    owner_wall_ms = clocks.get_wall_ms() + ahead_ms - int(1000 * read_ago_s)
+    fleet, worker = test_overrun.make_waiting_fleet(jobs=100, tasks=20)
+    fleet.now = fleet.listed_at = 0.0
+    worker.leases_end_at = float("inf")
+    published = run_owner(fleet, 3.0, 10, owner_wall_ms - 3000)
+    shared_state.apply_record(state, published, time.monotonic() - read_ago_s)
+    call = caller_calls.Call(
+        caller_calls.Kind.SUBMIT,
+        test_intake.QUEUE,
+        test_intake.JOB,
+        3.0,
+        test_intake.make_submission(test_intake.JOB),
+    )
+    assert handlers._submit(call, time.monotonic() + 3).status == status
