Age the owner's delays by the clock of the node that read them

Cause: a time of day of one machine was compared with another's. Class of fault: no backpressure to callers.

--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -165,8 +165,7 @@
     fleet.start_delays_published = bool(delays_s)
     if not delays_s and not was_published:
         return []
-    published = start_delay.StartDelays(fleet.wall_ms, delays_s)
-    effect_list = [effects.Publish((start_delay.encode_delays(published),))]
+    effect_list = [effects.Publish((start_delay.encode_delays(delays_s),))]
     if bool(delays_s) != was_published:
         effect_list.append(
             fleet_state.make_log_note(
--- a/poplarspindle/fleet/start_delay.py
+++ b/poplarspindle/fleet/start_delay.py
@@ -22,7 +22,7 @@
 MIN_STARTS_PER_S = 1.0
 MAX_START_DELAY_S = 3.0
 MAX_RETRY_S = 8
-MAX_AGE_MS = 3000  # A node that no longer hears the owner accepts all.
+MAX_AGE_S = 3.0  # A node that no longer hears the owner accepts all.
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,12 +51,13 @@
     """How long new work waits, as the owner published it.
 
     Attributes:
-        at_ms: When it was estimated, Unix milliseconds.
+        read_at: When this node read it, own clock; machines' times of day
+            differ by more than its age matters.
         delays_s: Seconds by priority, ascending; empty while no work waits
             for the owner.
     """
 
-    at_ms: int
+    read_at: float
     delays_s: tuple[tuple[int, float], ...]
 
 
@@ -118,19 +119,19 @@
 
 
 def find_retry_s(
-    published: StartDelays | None, priority: int, wall_ms: int
+    published: StartDelays | None, priority: int, now: float
 ) -> int:
     """Decides whether a job would wait too long for the owner.
 
     Args:
         published: The newest delays that were read, None if none were.
         priority: Priority of the job's queue; 0 comes first.
-        wall_ms: Unix time in milliseconds.
+        now: Present time, own clock.
 
     Returns:
         0 if the job is accepted, else the retry delay in seconds.
     """
-    if published is None or wall_ms - published.at_ms > MAX_AGE_MS:
+    if published is None or now - published.read_at > MAX_AGE_S:
         return 0
     delay_s = max(
         (delay_s for other, delay_s in published.delays_s if other <= priority),
@@ -141,17 +142,24 @@
     return min(MAX_RETRY_S, math.ceil(delay_s - MAX_START_DELAY_S))
 
 
-def encode_delays(published: StartDelays) -> records.Record:
-    """Encodes delays as a log record."""
-    rows = [list(row) for row in published.delays_s]
-    value = [records.FORMAT_VERSION, published.at_ms, rows]
+def encode_delays(
+    delays_s: tuple[tuple[int, float], ...],
+) -> records.Record:
+    """Encodes seconds by priority as a log record."""
+    rows = [list(row) for row in delays_s]
+    value = [records.FORMAT_VERSION, rows]
     return records.Record(START_DELAY_KEY, msgpack.packb(value))
 
 
-def decode_delays(value: bytes) -> StartDelays:
-    """Decodes delays; raises ValueError if the value is malformed."""
-    _, at_ms, rows = records.unpack(value)
+def decode_delays(value: bytes, read_at: float) -> StartDelays:
+    """Decodes delays; raises ValueError if the value is malformed.
+
+    Args:
+        value: The record's value.
+        read_at: When it was read, own clock.
+    """
+    _, rows = records.unpack(value)
     return StartDelays(
-        int(at_ms),
+        read_at,
         tuple((int(priority), float(delay_s)) for priority, delay_s in rows),
     )
--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -162,7 +162,7 @@
         retry_s = start_delay.find_retry_s(
             self._shared_state.start_delays,
             call.queue.priority,
-            job.accepted_ms,
+            time.monotonic(),
         )
         if retry_s:
             return caller_calls.Answer(
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -348,6 +348,8 @@
             key=lambda record: record.key == records.INTAKE_OFFSETS_KEY,
         ):
             self._apply(record)
+        # It may be old; the owner repeats it while work waits.
+        self._shared_state.start_delays = None
         self._election.owner_seen_at, self._election.owner_active = (
             shared_state.find_owner_seen_at(
                 self._shared_state,
--- a/poplarspindle/node/shared_state.py
+++ b/poplarspindle/node/shared_state.py
@@ -84,7 +84,7 @@
         shared_state.load = admission.decode_load(record.value)
         shared_state.loads_read += 1
     elif kind == start_delay.START_DELAY_KEY:
-        shared_state.start_delays = start_delay.decode_delays(record.value)
+        shared_state.start_delays = start_delay.decode_delays(record.value, at)
     elif kind == unreachable.UNREACHABLE_KEY:
         shared_state.unreachable = unreachable.decode_unreachable(
             record.value, at
--- a/poplarspindle/tests/test_start_delay.py
+++ b/poplarspindle/tests/test_start_delay.py
@@ -4,37 +4,40 @@
 
 import pytest
 
+from poplarspindle import metrics
 from poplarspindle.fleet import (
     effects,
     events,
     reducer,
     start_delay,
 )
-from poplarspindle.node import caller_calls, clocks, shared_state
+from poplarspindle.node import caller_calls, clocks, node, shared_state
+from poplarspindle.platform import __main__ as program
 from poplarspindle.tests import test_intake, test_overrun
 
 WALL_MS = 1_700_000_000_000
-DELAYS = start_delay.StartDelays(WALL_MS, ((0, 1.5), (2, 9.2), (3, 20.0)))
+READ_AT = 1000.0
+DELAYS = start_delay.StartDelays(READ_AT, ((0, 1.5), (2, 9.2), (3, 20.0)))
 
 
 @pytest.mark.parametrize(
-    ("published", "priority", "wall_ms", "retry_s"),
+    ("published", "priority", "now", "retry_s"),
     [
-        pytest.param(None, 0, WALL_MS, 0, id="none known"),
-        pytest.param(DELAYS, 0, WALL_MS, 0, id="urgent work waits little"),
-        pytest.param(DELAYS, 1, WALL_MS, 0, id="as what comes before it"),
-        pytest.param(DELAYS, 2, WALL_MS, 7, id="until the rest has started"),
-        pytest.param(DELAYS, 9, WALL_MS, 8, id="the longest delay"),
-        pytest.param(DELAYS, 9, WALL_MS + 3001, 0, id="too old"),
+        pytest.param(None, 0, READ_AT, 0, id="none known"),
+        pytest.param(DELAYS, 0, READ_AT, 0, id="urgent work waits little"),
+        pytest.param(DELAYS, 1, READ_AT, 0, id="as what comes before it"),
+        pytest.param(DELAYS, 2, READ_AT, 7, id="until the rest has started"),
+        pytest.param(DELAYS, 9, READ_AT, 8, id="the longest delay"),
+        pytest.param(DELAYS, 9, READ_AT + 3.001, 0, id="too old"),
         pytest.param(
-            start_delay.StartDelays(WALL_MS, ()), 9, WALL_MS, 0, id="none"
+            start_delay.StartDelays(READ_AT, ()), 9, READ_AT, 0, id="none"
         ),
     ],
 )
 def test_job_that_would_wait_too_long_is_refused(
-    published, priority, wall_ms, retry_s
+    published, priority, now, retry_s
 ):
-    found = start_delay.find_retry_s(published, priority, wall_ms)
+    found = start_delay.find_retry_s(published, priority, now)
     assert found == retry_s
 
 
@@ -70,10 +73,10 @@
 
 
 def test_delays_survive_the_log():
-    record = start_delay.encode_delays(DELAYS)
-    assert start_delay.decode_delays(record.value) == DELAYS
+    record = start_delay.encode_delays(DELAYS.delays_s)
+    assert start_delay.decode_delays(record.value, READ_AT) == DELAYS
     state = shared_state.SharedState()
-    shared_state.apply_record(state, record, 0.0)
+    shared_state.apply_record(state, record, READ_AT)
     assert state.start_delays == DELAYS
 
 
@@ -106,13 +109,15 @@
     fleet, worker = test_overrun.make_waiting_fleet(jobs=100, tasks=20)
     fleet.now = fleet.listed_at = worker.leases_end_at = 0.0
     worker.leases_end_at = float("inf")
-    published = start_delay.decode_delays(run_owner(fleet, 3.0, 10).value)
+    published = start_delay.decode_delays(
+        run_owner(fleet, 3.0, 10).value, time.monotonic()
+    )
     assert published.delays_s
     ((priority, delay_s),) = published.delays_s
     assert (priority, delay_s > start_delay.MAX_START_DELAY_S) == (0, True)
     store = test_intake.FakeStore()
     handlers, state = test_intake.make_call_handlers(store)
-    state.start_delays = start_delay.StartDelays(int(1e15), published.delays_s)
+    state.start_delays = published
     call = caller_calls.Call(
         caller_calls.Kind.SUBMIT,
         test_intake.QUEUE,
@@ -123,7 +128,9 @@
     refused = handlers._submit(call, float("inf"))
     assert (refused.status, refused.retry_s > 0) == (429, True)
     assert not any(store.partitions.values())
-    published = start_delay.decode_delays(run_owner(fleet, 3.0, 10_000).value)
+    published = start_delay.decode_delays(
+        run_owner(fleet, 3.0, 10_000).value, time.monotonic()
+    )
     assert published.delays_s == ()
 
 
@@ -149,3 +156,17 @@
         test_intake.make_submission(test_intake.JOB),
     )
     assert handlers._submit(call, time.monotonic() + 3).status == status
+
+
+def test_delays_of_an_earlier_time_in_the_log_refuse_nothing():
+    """A node starts, and the last owner's record is minutes old."""
+    fresh_node = node.Node(
+        test_overrun.SETTINGS,
+        program.connect(test_overrun.SETTINGS),
+        metrics.Metrics(),
+    )
+    record = start_delay.encode_delays(DELAYS.delays_s)
+    fresh_node._handle_batch([node._SharedLogReloaded((record,))])
+    assert fresh_node._shared_state.start_delays is None
+    fresh_node._handle_batch([node._SharedLogRead((record,), True)])
+    assert fresh_node._shared_state.start_delays.delays_s == DELAYS.delays_s
