Give orders to silent workers no share of the order window

Callers see nothing placed anywhere while a data centre is out of reach and its runs are to stop. Such orders take no place and do not count; a worker that fails looks gets one order at a time, so an owner that takes its own delay for silence does not send more either. Class of fault: others' silence taken for own delay.

--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -72,6 +72,7 @@
         )
         self._orders_in_flight = 0
         self._awaits_turn = False
+        self._is_silent = False
         self.wait_ms = BUSY_WAIT_MS
         self.stopped = False
 
@@ -114,19 +115,39 @@
 
         A start that still waits is not sent once its run is to stop.
         """
-        window = self._ownership.order_window
         if isinstance(order, orders.Stop):
             kept = [
                 queued
                 for queued in self._queued_orders
                 if not _starts_same(queued, order)
             ]
-            window.waiting -= len(self._queued_orders) - len(kept)
+            self._count_waiting(len(kept) - len(self._queued_orders))
             self._queued_orders = collections.deque(kept)
-        window.waiting += 1
+        self._count_waiting(1)
         self._queued_orders.append(order)
         self._send_queued()
 
+    def _count_waiting(self, change: int) -> None:
+        """Counts orders that wait, unless it is for a silent worker."""
+        if not self._is_silent:
+            self._ownership.order_window.waiting += change
+
+    def _set_silent(self, is_silent: bool) -> None:
+        """Notes whether the worker answers looks.
+
+        Load pattern: a data centre is out of reach, and stops to its workers
+        are repeated. They must not use up the places that all workers share,
+        nor pass for an owner that is late. So they take none, and a silent
+        worker gets one order at a time.
+        """
+        if is_silent == self._is_silent:
+            return
+        queued = len(self._queued_orders)
+        self._count_waiting(-queued)
+        self._is_silent = is_silent
+        self._count_waiting(queued)
+        self._send_queued()
+
     def _take_turn(self) -> None:
         self._awaits_turn = False
         self._send_queued()
@@ -135,27 +156,40 @@
         """Sends queued orders while the worker and the window have places."""
         window = self._ownership.order_window
         while self._queued_orders and not self.is_stopped():
+            if self._is_silent:
+                if self._orders_in_flight:
+                    return
+                self._send(self._queued_orders.popleft(), lambda took_s: None)
+                continue
             if self._orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
                 return
             if self._awaits_turn or not window.try_begin(self._take_turn):
                 self._awaits_turn = True
                 return
-            window.waiting -= 1
-            self._send(self._queued_orders.popleft())
+            self._count_waiting(-1)
+            self._send(self._queued_orders.popleft(), window.end)
         while self._queued_orders:
             # The worker has another address now; none of these was sent.
-            window.waiting -= 1
+            self._count_waiting(-1)
             unsent = self._queued_orders.popleft()
             self._post_answer(unsent, time.monotonic(), UNREACHABLE)
 
-    def _send(self, order: orders.Order) -> None:
+    def _send(
+        self, order: orders.Order, end_turn: Callable[[float], None]
+    ) -> None:
+        """Sends an order.
+
+        Args:
+            order: The order.
+            end_turn: Takes how long it was in flight, seconds.
+        """
         self._orders_in_flight += 1
         sent_at = time.monotonic()
 
         def handle_answer(answer: orders.Answer) -> None:
             self._orders_in_flight -= 1
             self._post_answer(order, sent_at, answer)
-            self._ownership.order_window.end(time.monotonic() - sent_at)
+            end_turn(time.monotonic() - sent_at)
             self._send_queued()
 
         self.client.send(order, handle_answer)
@@ -224,6 +258,7 @@
         at = time.monotonic()
         if isinstance(answer, outcomes.Failed):
             self._failed_polls += 1
+            self._set_silent(True)
             self._clock.allowed = False
             if answer.reason == "fenced":
                 ownership.report_lost("worker-fenced")
@@ -234,6 +269,7 @@
                 FAILED_POLL_DELAY_S, self.poll
             )
             return
+        self._set_silent(False)
         report = answer.value
         if report.incarnation_ms != self._incarnation_ms:
             self._incarnation_ms, self._acknowledged_end = (
