--- a/poplarspindle/tests/test_order_room.py
+++ b/poplarspindle/tests/test_order_room.py
@@ -4,7 +4,8 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import effects, orders, work, worker_state
-from poplarspindle.tests import test_overrun
+from poplarspindle.node import polling
+from poplarspindle.tests import test_overrun, test_polling
 
 WORKER = work.WorkerInfo("w", "a:1", "pool", "dc", resources.ZERO)
 
@@ -54,3 +55,28 @@
     own.stop()
     assert (not_flushed, flushed) == (at_first - 100, 0)
     assert at_last >= at_first
+
+
+def test_stop_that_waits_is_not_queued_again_with_each_report():
+    """Load: orders wait, and each report lists a run that is placed nowhere.
+
+    Every report would add one more stop to those that wait.
+    """
+    own = test_polling.FakeOwnership(test_overrun.SlowClient())
+    own.order_window.limit.orders = 1
+    busy, waiting = (polling.WorkerPoller(own, WORKER) for _ in range(2))
+    first, second = (work.TaskName("j", 0, 0, index) for index in range(2))
+    busy.send_order(orders.Stop(first, 1, 16))
+    for _ in range(10):
+        waiting.send_order(orders.Stop(first, 1, 16))
+        waiting.send_order(orders.Stop(first, 2, 16))
+        waiting.send_order(orders.Stop(second, 1, 16))
+    assert own.order_window.waiting == 3
+    client, stopped = waiting.client, []
+    while client.sent:
+        sent, client.sent = client.sent, []
+        for order, done in sent:
+            stopped.append((order.task.index, order.attempt))
+            done(orders.Answer(None))
+    assert stopped == [(0, 1), (0, 1), (0, 2), (1, 1)]
+    assert own.order_window.waiting == 0
