Queue no stop again that still waits to be sent

Callers see starts that go out late. Cause: each report that lists a run placed nowhere asks for its stop; while orders wait for their turn, every report added one more. Shown by the test that failed before (30 waited, three do). Class of fault: work that grows as capacity falls short.

--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -113,9 +113,13 @@
     def send_order(self, order: orders.Order) -> None:
         """Sends an order; beyond some at a time they wait for each other.
 
-        A start that still waits is not sent once its run is to stop.
+        A start that still waits is not sent once its run is to stop. A stop
+        that still waits is not queued again: each report of a run that is
+        placed nowhere asks for one.
         """
         if isinstance(order, orders.Stop):
+            if order in self._queued_orders:
+                return
             kept = [
                 queued
                 for queued in self._queued_orders
