Test that a job behind the page that was read is not reported absent

A node of landing answered 410 for an accepted job: it looked the job up in one page of the log behind what its follower had read, and did not look whether the page reached the log's end. The store of test_intake always read to the end, so no test covered it. The test fails once the check of the page's end is taken out.

--- a/poplarspindle/tests/test_intake.py
+++ b/poplarspindle/tests/test_intake.py
@@ -62,6 +62,7 @@
         stuck_partitions: Partitions whose appends wait for `release_stuck`.
         release_stuck: Lets the waiting appends continue.
         is_down: Whether reads time out.
+        page_records: How many records one read returns at most.
     """
 
     def __init__(self):
@@ -70,6 +71,7 @@
         self.stuck_partitions = set()
         self.release_stuck = threading.Event()
         self.is_down = False
+        self.page_records = 1000
 
     def append(
         self, items, timeout_s, epoch=0, sequence=0, topic="", partition=0
@@ -81,14 +83,14 @@
         return outcomes.Ok(0)
 
     def read(self, topic, offset, wait_ms, partition=0):
-        """Reads a partition from an offset to its end."""
+        """Reads a page of a partition from an offset on."""
         if self.is_down:
             return outcomes.Failed(outcomes.Step.READ, "s", "timeout")
         if offset < self.first_offset:
             return outcomes.Failed(outcomes.Step.READ, "s", "expired")
-        items = self.partitions[partition][offset:]
+        items = self.partitions[partition][offset : offset + self.page_records]
         end = len(self.partitions[partition])
-        return outcomes.Ok(storage.Page(tuple(items), end, end))
+        return outcomes.Ok(storage.Page(tuple(items), offset + len(items), end))
 
     def read_newest(self, topic, after="", partition=0):
         """Reads all records of a partition."""
@@ -185,6 +187,29 @@
     assert (answer.status, answer.retry_s) == (503, call_handlers.RETRY_S)
 
 
+@pytest.mark.parametrize(
+    "kind", [caller_calls.Kind.SHOW, caller_calls.Kind.CANCEL]
+)
+@pytest.mark.parametrize("page_records", [1, 2, 3])
+def test_job_behind_the_page_that_was_read_is_not_reported_absent(
+    kind, page_records
+):
+    """LOST: a node that was behind looked for a job in one page of the log."""
+    store = FakeStore()
+    handlers, _ = make_call_handlers(store)
+    store.page_records = page_records
+    partition = records.choose_partition(JOB, PARTITIONS)
+    others = [f"{number:016x}" for number in range(100)]
+    same_partition = [
+        name
+        for name in others
+        if records.choose_partition(name, PARTITIONS) == partition
+    ]
+    add_to_intake(store, *same_partition[:2], JOB)
+    expected = 200 if page_records == 3 else 503
+    assert ask(handlers, kind, JOB).status == expected
+
+
 def test_log_line_explains_why_a_job_was_reported_absent(monkeypatch):
     log = testing.CapturingLogger()  # Loggers used before may be cached.
     monkeypatch.setattr(call_handlers, "_log", log)
