--- a/poplarspindle/tests/test_walks.py
+++ b/poplarspindle/tests/test_walks.py
@@ -18,6 +18,17 @@
             walks.unlist,
         )
     ),
+    "unlisted": walks.Plan(
+        strikes=(walks.unlist_while_disconnected, walks.drain)
+    ),
+    "slow-orders": walks.Plan(
+        sure=False, strikes=(walks.delay_orders, walks.disconnect_two)
+    ),
+    "serving": walks.Plan(
+        strikes=(walks.drain, walks.disconnect_two),
+        serving=0.5,
+        best_effort=0.5,
+    ),
     "dies-in-append": walks.Plan(strikes=(walks.crash_in_append,), widest=24),
     "all": walks.Plan(
         behind_s=9.0,
--- /dev/null
+++ b/poplarspindle/tools/fakes/bookkeeping.py
@@ -0,0 +1,132 @@
+"""Checks that no task and no worker falls out of the owner's books."""
+
+import typing
+from collections.abc import Iterator
+
+from poplarspindle import resources
+from poplarspindle.fleet import (
+    fleet_state,
+    job_store,
+    work,
+    worker_state,
+)
+
+if typing.TYPE_CHECKING:
+    from poplarspindle.tools.fakes import fleets
+
+StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
+
+
+def list_lost_tasks(fleet: fleet_state.FleetState) -> list[str]:
+    """Lists tasks of open jobs that nothing would ever start or end.
+
+    A task is done, or its run is placed on a worker, or it is ready, or a
+    prerequisite of its step is not done.
+    """
+    found = [
+        f"open job without an open occurrence: {name}"
+        for name in fleet.open_jobs
+        if not fleet.job_store.jobs[name].occurrences
+        and not fleet.job_store.jobs[name].submission.occurrence_count
+    ]
+    for key, tasks, can_start in _list_steps(fleet):
+        for index, task in enumerate(tasks):
+            name = work.TaskName(*key, index)
+            is_ready = index in fleet.ready.get(key, ())
+            if task.phase is job_store.Phase.QUEUED:
+                if is_ready != can_start:
+                    found.append(f"queued, ready {is_ready}: {name}")
+            elif is_ready:
+                found.append(f"ready, {task.phase.name.lower()}: {name}")
+            elif task.phase is not job_store.Phase.DONE:
+                worker = fleet.workers.get(task.worker_name)
+                if worker is None or (name, task.attempt) not in worker.runs:
+                    found.append(f"placed without a run: {name}")
+    return found
+
+
+def _list_steps(
+    fleet: fleet_state.FleetState,
+) -> Iterator[tuple[StepKey, list[job_store.Task], bool]]:
+    """Yields each open step's key, its tasks and whether it may start."""
+    for name in fleet.open_jobs:
+        job = fleet.job_store.jobs[name]
+        for occurrence, steps in job.occurrences.items():
+            for step, tasks in enumerate(steps):
+                yield (
+                    (name, occurrence, step),
+                    tasks,
+                    job_store.is_ready(job, steps, step),
+                )
+
+
+def list_idle(world: "fleets.World") -> list[str]:
+    """Lists workers that get no work, and tasks that wait beside free room.
+
+    The room is that of the workers that are up, listed and reachable, by what
+    runs on them, without those excluded because runs of several jobs fail on
+    them. Steps with constraints and best-effort steps are left out: they may
+    wait beside room.
+    """
+    usable = [
+        worker
+        for name, worker in world.workers.items()
+        if worker.up and worker.reachable and name not in world.unlisted
+    ]
+    found = [
+        f"gets no work: {worker.description.name}"
+        for worker in usable
+        if not _gets_work(world.fleet, worker.description.name)
+    ]
+    free = [
+        worker.description.capacity - _sum_reserved(world, worker)
+        for worker in usable
+        if not _is_excluded(world.fleet, worker.description.name)
+    ]
+    running = {
+        name for worker in world.workers.values() for name, _ in worker.runs
+    }
+    for key, tasks, can_start in _list_steps(world.fleet):
+        step = world.submissions[key[0]].steps[key[2]]
+        waiting = [
+            name
+            for index, task in enumerate(tasks)
+            if task.phase is not job_store.Phase.DONE
+            and (name := work.TaskName(*key, index)) not in running
+        ]
+        if can_start and waiting and _can_place(step, free):
+            found += [f"does not run beside room: {name}" for name in waiting]
+    return found
+
+
+def _can_place(step: work.Step, free: list[resources.Resources]) -> bool:
+    if step.label or step.max_per_worker or step.best_effort:
+        return False
+    needed = worker_state.get_reserved(step)
+    places = 0
+    for room in free:
+        while needed.fits_in(room):
+            room -= needed
+            places += 1
+    return places >= (step.tasks if step.gang else 1)
+
+
+def _gets_work(fleet: fleet_state.FleetState, name: str) -> bool:
+    worker = fleet.workers.get(name)
+    return (
+        worker is not None
+        and worker.has_reported
+        and not worker.logged_unreachable
+    )
+
+
+def _is_excluded(fleet: fleet_state.FleetState, name: str) -> bool:
+    worker = fleet.workers.get(name)
+    return worker is not None and worker.exclusion_s > 0.0
+
+
+def _sum_reserved(world: "fleets.World", worker) -> resources.Resources:
+    reserved = resources.ZERO
+    for name, _ in worker.runs:
+        reserved += worker_state.get_reserved(world.find_step(name))
+    return reserved
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -60,6 +60,8 @@
             the owner dies, None where it lives; it dies so once.
         append_torn: Whether it did.
         unlisted: Workers that are up and missing from the list.
+        after_tick: Called after each step of virtual time.
+        order_s: How long an order, and its answer, are on their way.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.lease_most_ms = 6000
         self.late = late
         self.append_s = APPEND_S
+        self.order_s = ORDER_S
         self._used_mechanisms = used_mechanisms
         self.tear_append: Callable[[tuple[records.Record, ...]], int | None] = (
             _store_whole_append
@@ -128,6 +131,7 @@
         self._held_back: dict[str, list[events.Event]] = {}
         self.notes: collections.Counter = collections.Counter()
         self.checker = judging.ExecutionChecker(self)
+        self.after_tick: Callable[[], None] = lambda: None
         self.take_over()
 
     def allow_attempts(self, attempts: int) -> None:
@@ -265,7 +269,9 @@
             self.call_later(self.append_s, lambda: self._publish(fleet, effect))
         elif isinstance(effect, effects.Order):
             self.checker.record_sent(effect.order)
-            self.call_later(ORDER_S, lambda: self._deliver_order(fleet, effect))
+            self.call_later(
+                self.order_s, lambda: self._deliver_order(fleet, effect)
+            )
         elif isinstance(effect, effects.AllowLeases):
             poll_state = self._polls.setdefault(effect.worker_name, {})
             if poll_state.get("misses", 0) == effect.failed_polls:
@@ -382,7 +388,7 @@
             )
             self._settle()
 
-        self.call_later(UNREACHABLE_DELAY_S if silent else ORDER_S, arrive)
+        self.call_later(UNREACHABLE_DELAY_S if silent else self.order_s, arrive)
 
     def _poll(self, name: str) -> None:
         worker = self.workers[name]
@@ -475,6 +481,7 @@
             if round(self.now / TICK_S) % round(POLL_INTERVAL_S / TICK_S) == 0:
                 for name in list(self.workers):
                     self._poll(name)
+            self.after_tick()
 
     def get_state(self, job: str) -> str:
         """Returns a job's state as callers are shown it."""
--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -6,10 +6,12 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import job_store, work
-from poplarspindle.tools.fakes import fleets, judging
+from poplarspindle.tools.fakes import bookkeeping, fleets, judging
 
 CORE = resources.Resources(1000, 1000, 0)
 JOBS = 14
+CHECK_TICKS = 10
+WAIT_LOOKS = 6  # After each half second.
 FAILING_SHARE = 0.25  # Of the runs of jobs that may fail.
 
 
@@ -26,6 +28,8 @@
         late_leases: Whether leases of late starts begin when they come.
         strikes: Further strikes.
         widest: Most tasks of a step.
+        serving: Share of steps that last, with a tail-latency target.
+        best_effort: Share of steps that are best-effort.
     """
 
     behind_s: float = 0.0
@@ -36,6 +40,8 @@
     late_leases: bool = False
     strikes: tuple[Callable[[fleets.World], None], ...] = ()
     widest: int = 8
+    serving: float = 0.0
+    best_effort: float = 0.0
 
 
 def disconnect_two(world: fleets.World) -> None:
@@ -61,6 +67,52 @@
     world.call_later(unlisted_s, lambda: world.unlisted.discard(name))
 
 
+def unlist_while_disconnected(world: fleets.World) -> None:
+    """Cuts workers off for longer than their leases; the list drops them."""
+    names = world.rng.sample(sorted(world.workers), world.rng.randint(1, 4))
+    cut_s = world.rng.uniform(7.0, 14.0)
+    _disconnect(world, names, cut_s)
+    world.unlisted.update(names)
+    world.call_later(cut_s, lambda: world.unlisted.difference_update(names))
+
+
+def drain(world: fleets.World) -> None:
+    """Lets a worker say that it will shut down, and stay after all."""
+    (name,) = world.rng.sample(sorted(world.workers), 1)
+    _set_presence(world.workers[name], work.Presence.LEAVING, 3000)
+    world.call_later(
+        world.rng.uniform(0.2, 6.0),
+        lambda: _set_presence(world.workers[name], work.Presence.READY, 0),
+    )
+
+
+def _set_presence(worker, presence: work.Presence, leaves_ms: int) -> None:
+    worker.description = dataclasses.replace(
+        worker.description, presence=presence, leaves_ms=leaves_ms
+    )
+
+
+def delay_orders(world: fleets.World) -> None:
+    """Lets orders arrive after their leases, and polls fail meanwhile."""
+    world.order_s = world.rng.uniform(1.0, 8.0)
+    slow_s = world.rng.uniform(2.0, 10.0)
+
+    def mend() -> None:
+        world.order_s = fleets.ORDER_S
+
+    world.call_later(slow_s, mend)
+    for name in sorted(world.workers):
+        for _ in range(world.rng.randint(0, 3)):
+            at_s = world.rng.uniform(0.0, slow_s + 8.0)
+            cut_s = world.rng.uniform(0.3, 2.0)
+            world.call_later(
+                at_s,
+                lambda name=name, cut_s=cut_s: _disconnect(
+                    world, [name], cut_s
+                ),
+            )
+
+
 def crash_in_append(world: fleets.World) -> None:
     """Lets the owner die between the calls of its next wide append."""
     calls = world.rng.choice([1, 1, 2, 3])
@@ -85,10 +137,11 @@
     it knows: no start of a task once an end `done`, or its last failed one,
     was taken in; order, states and the end of all jobs as in all walks.
     """
-    world = _walk(seed, plan)
+    world, lost_tasks = _walk(seed, plan)
     found = judging.list_out_of_order(world)
     if plan.sure:
         found = judging.list_violations(world)
+    found += lost_tasks
     found += world.checker.violations + judging.list_wrong_states(world)
     jobs = world.fleet.job_store.jobs
     found += [
@@ -104,7 +157,8 @@
     return found
 
 
-def _walk(seed: int, plan: Plan) -> fleets.World:
+def _walk(seed: int, plan: Plan) -> tuple[fleets.World, list[str]]:
+    """Returns the world, and the tasks that the owner's books had lost."""
     chance = random.Random(seed)
 
     def fail(run) -> bool:
@@ -119,8 +173,16 @@
         late_incarnations=plan.late_incarnations,
         late_leases=plan.late_leases,
     )
+    lost_tasks: dict[str, None] = {}
+
+    def check_books() -> None:
+        if round(world.now / fleets.TICK_S) % CHECK_TICKS == 0:
+            found = bookkeeping.list_lost_tasks(world.fleet)
+            lost_tasks.update(dict.fromkeys(found))
+
+    world.after_tick = check_books
     for number in range(JOBS):
-        _submit(world, f"{number:016x}", plan.widest)
+        _submit(world, f"{number:016x}", plan)
         world.run(world.rng.uniform(0.05, 0.8))
         _inject_fault(world)
         if plan.behind_s and world.rng.random() < 0.3:
@@ -128,15 +190,17 @@
         if plan.strikes and world.rng.random() < 0.3:
             world.rng.choice(plan.strikes)(world)
     _recover(world)
-    return world
+    lost_tasks.update(dict.fromkeys(_list_idle_for_seconds(world)))
+    _end_lasting_jobs(world)
+    return world, list(lost_tasks)
 
 
 def _may_fail(name: work.TaskName) -> bool:
     return int(name.job, 16) % 3 == 0
 
 
-def _submit(world: fleets.World, name: str, widest: int) -> None:
-    rng = world.rng
+def _submit(world: fleets.World, name: str, plan: Plan) -> None:
+    rng, widest = world.rng, plan.widest
     steps = [_make_step(rng.randint(1, widest), (), rng.random() < 0.3)]
     if rng.random() < 0.5:
         gang = rng.random() < 0.3
@@ -155,6 +219,18 @@
             "first_ms": first_ms,
             "every_ms": every_ms,
         }
+    if plan.serving and rng.random() < plan.serving:
+        step = _make_step(rng.randint(1, 4), (), False)
+        steps = [
+            dataclasses.replace(
+                step, until_cancelled=True, image="s", target_ms=9
+            )
+        ]
+        options = {}
+    elif plan.best_effort and rng.random() < plan.best_effort:
+        step = _make_step(rng.randint(1, widest), (), False)
+        steps = [dataclasses.replace(step, best_effort=True, image="f")]
+        options = {}
     world.submit(name, *steps, **options)
 
 
@@ -192,6 +268,19 @@
         world.catch_up(name)
     world.store_up = True
     world.run(20)
+
+
+def _list_idle_for_seconds(world: fleets.World) -> list[str]:
+    """Lists workers and tasks that stay idle for some seconds."""
+    waiting = bookkeeping.list_idle(world)
+    for _ in range(WAIT_LOOKS):
+        world.run(0.5)
+        idle = set(bookkeeping.list_idle(world))
+        waiting = [task for task in waiting if task in idle]
+    return waiting
+
+
+def _end_lasting_jobs(world: fleets.World) -> None:
     # Tasks that last may hold all room; the rest has to end without them.
     for job in list(world.fleet.job_store.jobs.values()):
         if job.submission.steps[0].until_cancelled:
