Take each worker that reports off the record of unreachable workers

What callers saw: tasks that last did not run although workers had room.

Cause: a worker that was cut off with runs goes on the log's record of unreachable workers and gets no lease until a newer record leaves it out. A report asked for a newer record only if this owner had seen a poll of that worker fail. The owner forgets a worker that is unlisted and has no runs; listed again, it was on the record with no failed poll, so no report of it asked for a newer record. It got no work until a poll of another worker with runs failed, for good where there was none.

Why it works: what counts now is whether the newest record, stored or in flight, lists the worker that reports.

Class: state that is left only by an event that may never come.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -33,9 +33,13 @@
     allow_leases = effects.AllowLeases(event.worker_name, event.failed_polls)
     if worker.logged_unreachable:
         # No lease until the log no longer lists it as unreachable.
-        fleet.unreachable_changed = (
-            fleet.unreachable_changed or worker.poll_failed
+        listed_in = (
+            fleet.logged_unreachable_workers
+            if fleet.unreachable_in_flight is None
+            else fleet.unreachable_in_flight
         )
+        if event.worker_name in listed_in:
+            fleet.unreachable_changed = True
         worker.poll_failed = False
         return []
     if not event.until_ms:
