Send a start again that came too late while polls failed

What callers saw: a task that lasts was placed and never ran, with room.

Cause: a start that a worker refuses as too late is repeated at once, but no start is sent while the worker fails polls. Reports of the worker then sent only starts again that had got no answer: this one had got one. It was not given up either, for that an answer that the run is there or over has to come before. The task stayed placed, with no order on its way, while its worker renewed its leases. Both come together where an owner is overloaded: starts lie in its queue beyond their lease of 4 s, and its polls run into their time-outs.

Why it works: any start that was sent, is not on its way and whose effect is not known is sent again when a report does not list its run.

Class: a state that no later event leaves.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -159,12 +159,17 @@
 
 
 def _needs_resend(run: worker_state.Run) -> bool:
-    """Tells whether a start got no answer and has to be sent again.
+    """Tells whether a start was sent to no effect and has to be sent again.
 
-    Starts are not repeated while the worker fails polls.
+    It got no answer or came too late, and was not repeated at once, as starts
+    are not sent while the worker fails polls.
     """
-    unanswered = run.unanswered_starts > 0 and run.answered_at == float("inf")
-    return unanswered and not run.start_in_flight and not run.stopping
+    return (
+        run.start_sent
+        and run.answered_at == float("inf")
+        and not run.start_in_flight
+        and not run.stopping
+    )
 
 
 def _stop_unknown_run(
