--- a/poplarspindle/tests/test_bookkeeping.py
+++ b/poplarspindle/tests/test_bookkeeping.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarspindle import resources
-from poplarspindle.fleet import events, orders, work
+from poplarspindle.fleet import consolidation, events, orders, work
 from poplarspindle.tools.fakes import bookkeeping, fleets
 
 CORE = resources.Resources(1000, 1000, 0)
@@ -63,3 +63,20 @@
     world.submit("a" * 16, make_step(1, until_cancelled=True))
     world.run(2)
     assert count_running(world) == 1
+
+
+def test_serving_task_is_placed_on_a_vacated_worker_if_others_are_full():
+    """LOST: a task that lasts waited until the vacating of a worker was over.
+
+    Capacity elsewhere was taken after its run there was stopped.
+    """
+    world = fleets.World(1, workers=2)
+    world.submit("b" * 16, make_step(8, until_cancelled=True, label="r1"))
+    serving = {"until_cancelled": True, "image": "s", "target_ms": 9}
+    world.submit("a" * 16, make_step(1, **serving))
+    world.run(1)
+    world.fleet.vacating_worker = "w0"
+    world.fleet.vacating_until = world.now + consolidation.MAX_VACATE_S
+    world.submit("c" * 16, make_step(1, **serving))
+    world.run(1)
+    assert count_running(world) == 10
