End the vacating of a worker when a serving task fits nowhere else

What callers saw: a task that lasts does not run for up to 12 s, with room.

Cause: while a worker is vacated, serving tasks are not placed on it. A task that was moved off, or any other, waits until the vacating is over if the room that others had at the choice is taken meanwhile.

Evidence: test_serving_task_is_placed_on_a_vacated_worker_if_others_are_full failed before.

Why it works: a round that leaves a serving task which fits on the worker being vacated ends the vacating; the next round, 50 ms later, may use it.

Class: work held back beside free room by a preference taken as a rule.

--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -174,12 +174,23 @@
                 fleet.mechanisms,
             )
             effect_list = place_step(fleet, chooser, job, step, key)
+        if key in fleet.ready and step.target_ms:
+            self._abandon_vacating(step, key)
         if key in fleet.ready and independent:
             self._unplaced_needs[step_kind] = step.need
             if not known_unplaceable:
                 fleet.unplaceable_needs[step_kind] = step.need
         return effect_list
 
+    def _abandon_vacating(
+        self, step: work.Step, key: worker_chooser.StepKey
+    ) -> None:
+        """Ends vacating if a latency-critical task fits nowhere else."""
+        fleet = self._fleet
+        worker = fleet.workers.get(fleet.vacating_worker)
+        if worker is not None and worker_selection.fits(worker, step, key):
+            fleet.vacating_until = fleet.now
+
     def place_starved(self) -> list[effects.Effect]:
         """Places a task of each job that the predicted harm keeps waiting.
 
