--- a/poplarspindle/tests/test_followers.py
+++ b/poplarspindle/tests/test_followers.py
@@ -97,3 +97,11 @@
     follower.start()
     assert store.idle.wait(30)
     assert store.waits == [0, followers.WAIT_MS]
+
+
+def test_newest_records_without_their_rest_are_not_taken_for_all():
+    """LOST: an owner dropped the progress of jobs that it had not read."""
+    cut_short = outcomes.Ok(storage.Newest((), True, 2))
+    first = outcomes.Ok(storage.Newest((make_record(b"1"),), True, 2))
+    newest = storage.load_newest(Store([first, cut_short], []), "t")
+    assert isinstance(newest, outcomes.Failed)
--- a/poplarspindle/tests/test_intake.py
+++ b/poplarspindle/tests/test_intake.py
@@ -210,6 +210,23 @@
     assert ask(handlers, kind, JOB).status == expected
 
 
+@pytest.mark.parametrize(
+    "kind", [caller_calls.Kind.SHOW, caller_calls.Kind.CANCEL]
+)
+def test_job_is_not_reported_absent_once_states_are_read_anew(kind):
+    """LOST: states were lost while a job was looked up behind their offsets."""
+    store = FakeStore()
+    handlers, state = make_call_handlers(store)
+    read = store.read
+
+    def lose_states_and_read(*args):
+        state.loaded = False
+        return read(*args)
+
+    store.read = lose_states_and_read
+    assert ask(handlers, kind, JOB).status == 503
+
+
 def test_log_line_explains_why_a_job_was_reported_absent(monkeypatch):
     log = testing.CapturingLogger()  # Loggers used before may be cached.
     monkeypatch.setattr(call_handlers, "_log", log)
