Report no job absent while states are read anew

What callers would see: 410 for an accepted job.

Cause: whether all states are known was looked at before the hand-ins were read, not after. Where the state thread fails in between, the states of a page are lost and the offsets of a later page that cover them may be applied before the lookup takes them.

By reading the code; not seen in a run.

Why it works: once all is loaded again, what the lookup's offsets cover is known; until then the answer is 503.

Class: a negative answer from incomplete knowledge.

--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -226,6 +226,9 @@
             record.key == key and record.value for record in intake.items
         ):
             return None
+        if not self._shared_state.loaded:
+            # States behind the offsets may have been lost meanwhile.
+            return _refuse(503, "The log is not read yet.")
         _log.info(
             "absent",
             about="callers",
