Take newest records for all only when there are no more

What callers would see: 410 for accepted jobs, or jobs that run no more.

Cause: a page that says that more follow, but holds no record, ended the reading as if it were complete. A claimant would then own the fleet without the jobs behind it, drop their progress from the log and publish offsets that cover them; a node would answer 410 for them.

Evidence: test_newest_records_without_their_rest_are_not_taken_for_all failed before.

Class: a negative answer from incomplete knowledge.

--- a/poplarspindle/node/storage.py
+++ b/poplarspindle/node/storage.py
@@ -109,6 +109,10 @@
         if first_end is None:
             first_end = page.value.end
         items += page.value.items
-        if not page.value.more or not page.value.items:
+        if page.value.more and not page.value.items:
+            return outcomes.Failed(
+                outcomes.Step.READ, topic, "not-read-to-its-end"
+            )
+        if not page.value.more:
             return outcomes.Ok(Newest(tuple(items), False, first_end))
         after = page.value.items[-1].key
