Read a record that was cut off again

What callers would see: an accepted job that is not known.

Cause: a record at the end of an answer that was cut off was taken with the part of its value that came, one without any as a deletion, and reading went on behind it. The client finds a cut answer only where it states its length.

Class: a negative answer from incomplete knowledge.

--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -37,12 +37,17 @@
 
 
 def decode_records(data: bytes) -> list[records.Record]:
-    """Decodes keyed records; one that is malformed has an empty key."""
+    """Decodes keyed records; one that is malformed has an empty key.
+
+    A last record that is cut off is left out, to be read again.
+    """
     items = []
     at = 0
     while at + _LENGTH.size <= len(data):
         (length,) = _LENGTH.unpack_from(data, at)
         at += _LENGTH.size
+        if at + length > len(data):
+            break
         items.append(_decode_record(data[at : at + length]))
         at += length
     return items
