--- a/poplarspindle/tools/fakes/bookkeeping.py
+++ b/poplarspindle/tools/fakes/bookkeeping.py
@@ -14,7 +14,7 @@
 if typing.TYPE_CHECKING:
     from poplarspindle.tools.fakes import fleets
 
-LOOK_INTERVAL_S = 0.5
+LOOK_INTERVAL_S = 0.05  # Room that a run left is taken between two polls.
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
 
 
--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -11,7 +11,7 @@
 CORE = resources.Resources(1000, 1000, 0)
 JOBS = 14
 CHECK_TICKS = 10
-IDLE_LOOKS = 7  # Over 3 s.
+IDLE_LOOKS = 60  # Over 3 s.
 FAILING_SHARE = 0.25  # Of the runs of jobs that may fail.
 
 
