Show a job that was cancelled here so until it is published as ended

What callers saw: after a cancel with 200 and state cancelled, the same node shows queued or active, and cancelled once more.

Cause: the first published state of a job replaces what the node knows itself; the owner publishes it before it has read the cancel.

Lookups take unpublished jobs first, so that a job that moves to the published ones meanwhile is found.

Class: older knowledge that replaces newer.

--- a/poplarspindle/node/shared_state.py
+++ b/poplarspindle/node/shared_state.py
@@ -16,7 +16,7 @@
     Attributes:
         published_jobs: Jobs and their states, as the owner told them.
         unpublished_jobs: Jobs handed in here of which the owner has not told
-            yet.
+            yet, or not that they have ended if they were cancelled here.
         published_offsets: Offsets up to which the owner told of hand-ins, by
             part.
         loaded: Whether all up to the shared log's tail is known.
@@ -45,9 +45,24 @@
     shared_state: SharedState, job: str
 ) -> job_store.PublishedJob | None:
     """Returns what is known of a job, None where it is not known."""
-    return shared_state.published_jobs.get(
-        job
-    ) or shared_state.unpublished_jobs.get(job)
+    # Published jobs are looked at last: other threads move jobs there.
+    unpublished = shared_state.unpublished_jobs.get(job)
+    published = shared_state.published_jobs.get(job)
+    if published is None or _awaits_cancel(unpublished, published):
+        return unpublished
+    return published
+
+
+def _awaits_cancel(
+    unpublished: job_store.PublishedJob | None,
+    published: job_store.PublishedJob,
+) -> bool:
+    """Tells whether a job was cancelled here and is not published as ended."""
+    return (
+        unpublished is not None
+        and unpublished.state is job_store.State.CANCELLED
+        and published.state not in job_store.ENDED
+    )
 
 
 def apply_record(
@@ -60,13 +75,16 @@
     """
     kind, _, job = record.key.partition("/")
     if kind == records.STATE:
-        shared_state.unpublished_jobs.pop(job, None)
         if record.value:
-            shared_state.published_jobs[job] = records.decode_state(
-                record.value
-            )
+            published = records.decode_state(record.value)
+            shared_state.published_jobs[job] = published
+            if _awaits_cancel(
+                shared_state.unpublished_jobs.get(job), published
+            ):
+                return
         else:
             shared_state.published_jobs.pop(job, None)
+        shared_state.unpublished_jobs.pop(job, None)
     elif kind == records.INTAKE_OFFSETS_KEY:
         shared_state.published_offsets = records.decode_intake_offsets(
             record.value
