Log why work waits although workers have room

Two lines do, at most three a second: waits counts for the step that has waited longest which check refuses each worker; unconfirmed shows the run that was placed longest ago and that its worker has not confirmed, with what is on its way. Both are counted in poplarspindle_fleet_total (placing-waits, runs-unconfirmed).

--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -16,6 +16,7 @@
     recording,
     reports,
     takeover,
+    waiting,
     work,
     worker_selection,
     worker_state,
@@ -217,6 +218,7 @@
     if fleet.now - fleet.load_logged_at >= LOAD_SUMMARY_INTERVAL_S:
         fleet.load_logged_at = fleet.now
         effect_list.append(_make_load_note(fleet))
+        effect_list += waiting.make_notes(fleet)
     effect_list += consolidation.review_consolidation(fleet)
     return effect_list + _drop_expired_jobs(fleet)
 
