--- a/poplarspindle/tests/test_waiting.py
+++ b/poplarspindle/tests/test_waiting.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarspindle import resources
-from poplarspindle.fleet import events, waiting, work
+from poplarspindle.fleet import events, pacing, waiting, work
 from poplarspindle.tools.fakes import fleets
 
 CORE = resources.Resources(1000, 1000, 0)
@@ -89,3 +89,22 @@
     world.submit(JOB, step)
     world.run(5)
     assert 1 <= world.notes["waits"] <= 2
+
+
+def test_predicted_harm_holds_back_best_effort_work_only(monkeypatch):
+    """Hypothesis 4 of inc1: a serving task held back as fills are."""
+    monkeypatch.setattr(
+        pacing, "make_predictor", lambda *_: lambda worker: float("inf")
+    )
+    world, step = make_world(image="s", target_ms=9)
+    fill = work.Step(2, CORE, 500, best_effort=True, image="f")
+    busy = work.Step(6, CORE, 500, until_cancelled=True)  # Not starved then.
+    world.submit("b" * 16, busy)
+    world.submit("c" * 16, fill)
+    world.submit(JOB, step)
+    world.run(2)
+    world.fleet.now += waiting.WAIT_LOGGED_S
+    (note,) = waiting.make_notes(world.fleet)
+    assert sum(len(worker.runs) for worker in world.workers.values()) == 7
+    assert note.job == "c" * 16
+    assert dict(note.fields)["refused_by"] == {"headroom": 2}
