--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -33,9 +33,13 @@
     allow_leases = effects.AllowLeases(event.worker_name, event.failed_polls)
     if worker.logged_unreachable:
         # No lease until the log no longer lists it as unreachable.
-        fleet.unreachable_changed = (
-            fleet.unreachable_changed or worker.poll_failed
+        listed_in = (
+            fleet.logged_unreachable_workers
+            if fleet.unreachable_in_flight is None
+            else fleet.unreachable_in_flight
         )
+        if event.worker_name in listed_in:
+            fleet.unreachable_changed = True
         worker.poll_failed = False
         return []
     if not event.until_ms:
@@ -155,12 +159,17 @@
 
 
 def _needs_resend(run: worker_state.Run) -> bool:
-    """Tells whether a start got no answer and has to be sent again.
+    """Tells whether a start was sent to no effect and has to be sent again.
 
-    Starts are not repeated while the worker fails polls.
+    It got no answer or came too late, and was not repeated at once, as starts
+    are not sent while the worker fails polls.
     """
-    unanswered = run.unanswered_starts > 0 and run.answered_at == float("inf")
-    return unanswered and not run.start_in_flight and not run.stopping
+    return (
+        run.start_sent
+        and run.answered_at == float("inf")
+        and not run.start_in_flight
+        and not run.stopping
+    )
 
 
 def _stop_unknown_run(
