Bound placing by what can be sent within half a second

Cause (suspected): the room for starts was twice the orders in flight, whatever they take, and placements wait for the store as well: 256 starts for each append of up to seconds. Why it works: the room follows from the rate of orders, limit over the time of half of the answers: thousands on a machine that answers in milliseconds, tens on one that is overloaded. The test of the room has the new figures, in a table with the bounds at both ends.

--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -23,8 +23,8 @@
 SHRINK_FACTOR = 0.7
 LATE_ANSWER_S = 0.1  # Workers answer in milliseconds; orders time out later.
 SAMPLE_ANSWERS = 32
-# Orders that may wait for each one in flight, so that none ages for long.
-WAITING_PER_PLACE = 2
+MIN_ANSWER_S = 0.005
+MAX_WAIT_S = 0.5  # No order ages for longer; leases last 4 s.
 
 _log = structlog.get_logger(part="exchange")
 
@@ -36,11 +36,13 @@
     Attributes:
         orders: Orders that may be in flight at once.
         answer_times_s: How long the last answers took.
+        answer_s: How long half of the answers took at most, when last told.
         was_reached: Whether an order had to wait since the last change.
     """
 
     orders: int = INITIAL_LIMIT
     answer_times_s: list[float] = dataclasses.field(default_factory=list)
+    answer_s: float = LATE_ANSWER_S
     was_reached: bool = False
 
 
@@ -58,7 +60,8 @@
     if len(limit.answer_times_s) < SAMPLE_ANSWERS:
         return 0
     before = limit.orders
-    if statistics.median(limit.answer_times_s) >= LATE_ANSWER_S:
+    limit.answer_s = statistics.median(limit.answer_times_s)
+    if limit.answer_s >= LATE_ANSWER_S:
         limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
     elif limit.was_reached:
         limit.orders = min(MAX_LIMIT, limit.orders + GROWTH)
@@ -68,13 +71,14 @@
 
 
 def compute_room(limit: Limit, waiting: int) -> int:
-    """Returns how many more orders may be made now.
+    """Returns how many more orders may be made, so that none waits for long.
 
     Args:
         limit: The limit of orders in flight.
         waiting: Orders that wait already.
     """
-    return max(0, WAITING_PER_PLACE * limit.orders - waiting)
+    orders_per_s = limit.orders / max(MIN_ANSWER_S, limit.answer_s)
+    return max(0, int(MAX_WAIT_S * orders_per_s) - waiting)
 
 
 class OrderWindow:
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -71,7 +71,18 @@
 
 
 @pytest.mark.parametrize(
-    ("waiting", "room"), [(0, 256), (100, 156), (256, 0), (300, 0)]
+    ("limit", "answer_s", "waiting", "room"),
+    [
+        pytest.param(128, 0.1, 0, 640, id="nothing waits"),
+        pytest.param(128, 0.1, 600, 40, id="some wait"),
+        pytest.param(128, 0.1, 700, 0, id="too many wait"),
+        pytest.param(128, 0.01, 600, 5800, id="answers are fast"),
+        pytest.param(128, 0.0, 600, 12_200, id="faster than can be told"),
+        pytest.param(16, 0.2, 0, 40, id="the owner is overloaded"),
+    ],
 )
-def test_room_for_orders_shrinks_with_those_that_wait(waiting, room):
-    assert order_window.compute_room(order_window.Limit(), waiting) == room
+def test_room_is_what_can_be_sent_within_half_a_second(
+    limit, answer_s, waiting, room
+):
+    state = order_window.Limit(orders=limit, answer_s=answer_s)
+    assert order_window.compute_room(state, waiting) == room
