--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from poplarspindle.fleet import leases
 from poplarspindle.node import order_window
 
 FAST_S = 0.01
@@ -86,3 +87,19 @@
 ):
     state = order_window.Limit(orders=limit, answer_s=answer_s)
     assert order_window.compute_room(state, waiting) == room
+
+
+ANSWERS_PER_S = 200  # Of a weak owner, however many orders are in flight.
+
+
+def test_answers_of_a_calm_owner_promise_no_more_than_its_machine_carries_out():
+    """Load: a calm time, then thousands of tasks at once on a weak owner.
+
+    An order alone is answered at once. That tells nothing of how long each of
+    many takes; starts that wait in line outlive their leases.
+    """
+    limit = order_window.Limit()
+    for _ in range(4 * SAMPLES):
+        order_window.record_answer(limit, 1 / ANSWERS_PER_S)
+    room = order_window.compute_room(limit, 0)
+    assert 0 < room / ANSWERS_PER_S <= leases.LEASE_MS / 1000
