Tell the time of an answer only where as many orders are in flight as may be

Callers see starts that go out seconds late after a calm time on a weak owner. Cause: room was the limit of orders in flight over the time of an answer, but that time was measured with few in flight: 5 ms alone gave room for 12,800 orders. Until the limit is used up, an answer is taken to last as long as the limit allows. Class of fault: a queue without bound between deciding and doing.

--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -36,7 +36,8 @@
     Attributes:
         orders: Orders that may be in flight at once.
         answer_times_s: How long the last answers took.
-        answer_s: How long half of the answers took at most, when last told.
+        answer_s: How long half of the answers take at most with so many in
+            flight; LATE_ANSWER_S while that isn't known.
         was_reached: Whether an order had to wait since the last change.
     """
 
@@ -60,8 +61,11 @@
     if len(limit.answer_times_s) < SAMPLE_ANSWERS:
         return 0
     before = limit.orders
-    limit.answer_s = statistics.median(limit.answer_times_s)
-    if limit.answer_s >= LATE_ANSWER_S:
+    answer_s = statistics.median(limit.answer_times_s)
+    # An order alone is answered at once, on a slow machine as well.
+    is_used_up = limit.was_reached or answer_s >= LATE_ANSWER_S
+    limit.answer_s = answer_s if is_used_up else LATE_ANSWER_S
+    if answer_s >= LATE_ANSWER_S:
         limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
     elif limit.was_reached:
         limit.orders = min(MAX_LIMIT, limit.orders + GROWTH)
