--- a/poplarspindle/tests/test_order_room.py
+++ b/poplarspindle/tests/test_order_room.py
@@ -80,3 +80,26 @@
             done(orders.Answer(None))
     assert stopped == [(0, 1), (0, 1), (0, 2), (1, 1)]
     assert own.order_window.waiting == 0
+
+
+def test_start_does_not_grow_old_behind_later_orders_to_other_workers():
+    """Load: orders wait, and one worker is to start many tasks.
+
+    With one order a turn for each worker its last start waits for several
+    orders to each of hundreds of others, and outlives its lease.
+    """
+    own = test_polling.FakeOwnership(test_overrun.SlowClient())
+    own.order_window.limit.orders = 1
+    pollers = [polling.WorkerPoller(own, WORKER) for _ in range(4)]
+    sequence = [0, 0, 0, 1, 0, 2, 1, 3, 0]
+    for number, index in enumerate(sequence):
+        name = work.TaskName("j", 0, 0, number)
+        pollers[index].send_order(orders.Start(name, 1, 16, "", 9000))
+    client, sent = pollers[0].client, []
+    while client.sent:
+        ((order, done),) = client.sent
+        client.sent = []
+        sent.append(order.task.index)
+        done(orders.Answer(None))
+    assert sent == list(range(len(sequence)))
+    assert (own.order_window.waiting, own.order_window.in_flight) == (0, 0)
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -107,7 +107,7 @@
     many takes; starts that wait in line outlive their leases.
     """
     limit = order_window.Limit()
-    for _ in range(4 * SAMPLES):
-        order_window.record_answer(limit, 1 / ANSWERS_PER_S)
+    for number in range(4 * SAMPLES):
+        order_window.record_answer(limit, 1 / ANSWERS_PER_S, float(number))
     room = order_window.compute_room(limit, 0)
     assert 0 < room / ANSWERS_PER_S <= leases.LEASE_MS / 1000
