Send orders that wait in the order in which they were made

Callers see runs that are placed and start seconds late or not at all. Each order has its own turn in the window now. Class of fault: orders that go out though what they rest on has changed.

--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -71,7 +71,7 @@
             collections.deque()
         )
         self._orders_in_flight = 0
-        self._awaits_turn = False
+        self._awaited_turns = 0
         self._is_silent = False
         self.wait_ms = BUSY_WAIT_MS
         self.stopped = False
@@ -153,11 +153,15 @@
         self._send_queued()
 
     def _take_turn(self) -> None:
-        self._awaits_turn = False
+        self._awaited_turns -= 1
         self._send_queued()
 
     def _send_queued(self) -> None:
-        """Sends queued orders while the worker and the window have places."""
+        """Sends queued orders while the worker and the window have places.
+
+        Each order that waits for the window has a turn of its own there, so
+        a worker's last order is not sent after later ones to all others.
+        """
         window = self._ownership.order_window
         while self._queued_orders and not self.is_stopped():
             if self._is_silent:
@@ -167,9 +171,11 @@
                 continue
             if self._orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
                 return
-            if self._awaits_turn or not window.try_begin(self._take_turn):
-                self._awaits_turn = True
+            if self._awaited_turns >= len(self._queued_orders):
                 return
+            if not window.try_begin(self._take_turn):
+                self._awaited_turns += 1
+                continue
             self._count_waiting(-1)
             self._send(self._queued_orders.popleft(), window.end)
         while self._queued_orders:
