--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -12,6 +12,7 @@
 import collections
 import dataclasses
 import statistics
+import time
 from collections.abc import Callable
 
 import structlog
@@ -38,24 +39,30 @@
         answer_times_s: How long the last answers took.
         answer_s: How long half of the answers took at most, when last told.
         was_reached: Whether an order had to wait since the last change.
+        shrunk_at: When it last shrank; orders sent before then say nothing
+            about the new limit.
     """
 
     orders: int = INITIAL_LIMIT
     answer_times_s: list[float] = dataclasses.field(default_factory=list)
     answer_s: float = LATE_ANSWER_S
     was_reached: bool = False
+    shrunk_at: float = float("-inf")
 
 
-def record_answer(limit: Limit, took_s: float) -> int:
+def record_answer(limit: Limit, took_s: float, now: float) -> int:
     """Records an answer, or its absence; changes the limit after some.
 
     Args:
         limit: The limit.
         took_s: How long the order was in flight, seconds.
+        now: Present time on the clock of `shrunk_at`.
 
     Returns:
         By how much the limit changed.
     """
+    if now - took_s < limit.shrunk_at:
+        return 0
     limit.answer_times_s.append(took_s)
     if len(limit.answer_times_s) < SAMPLE_ANSWERS:
         return 0
@@ -63,6 +70,7 @@
     limit.answer_s = statistics.median(limit.answer_times_s)
     if limit.answer_s >= LATE_ANSWER_S:
         limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
+        limit.shrunk_at = now
     elif limit.was_reached:
         limit.orders = min(MAX_LIMIT, limit.orders + GROWTH)
     limit.answer_times_s.clear()
@@ -125,7 +133,7 @@
             took_s: How long the order was in flight, seconds.
         """
         self.in_flight -= 1
-        if record_answer(self.limit, took_s) < 0:
+        if record_answer(self.limit, took_s, time.monotonic()) < 0:
             _log.warning(
                 "orders-late",
                 limit=self.limit.orders,
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -32,12 +32,20 @@
     times_s, reached, expected
 ):
     limit = order_window.Limit()
-    for took_s in times_s:
+    for sent_at, took_s in enumerate(times_s):
         limit.was_reached = reached
-        order_window.record_answer(limit, took_s)
+        order_window.record_answer(limit, took_s, sent_at + took_s)
     assert limit.orders == expected
 
 
+def test_limit_shrinks_once_for_the_orders_of_one_burst():
+    """Load: 128 orders sent together are all late, and answered in a row."""
+    limit = order_window.Limit()
+    for number in range(128):
+        order_window.record_answer(limit, LATE_S, LATE_S + number / 1000)
+    assert limit.orders == 89
+
+
 def test_senders_that_wait_get_their_turns_in_order():
     window = order_window.OrderWindow()
     window.limit.orders = 1
