--- a/poplarspindle/tests/test_start_delay.py
+++ b/poplarspindle/tests/test_start_delay.py
@@ -170,3 +170,22 @@
     assert fresh_node._shared_state.start_delays is None
     fresh_node._handle_batch([node._SharedLogRead((record,), True)])
     assert fresh_node._shared_state.start_delays.delays_s == DELAYS.delays_s
+
+
+def test_job_that_another_node_accepted_is_not_refused():
+    """Load: the owner is behind, a caller got no answer and asks elsewhere.
+
+    A 429 says that the job was not accepted and never runs.
+    """
+    store = test_intake.FakeStore()
+    handlers, state = test_intake.make_call_handlers(store)
+    test_intake.add_to_intake(store, test_intake.JOB)
+    state.start_delays = start_delay.StartDelays(time.monotonic(), ((0, 60.0),))
+    call = caller_calls.Call(
+        caller_calls.Kind.SUBMIT,
+        test_intake.QUEUE,
+        test_intake.JOB,
+        3.0,
+        test_intake.make_submission(test_intake.JOB),
+    )
+    assert handlers._submit(call, time.monotonic() + 3).status == 200
