--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -11,6 +11,7 @@
     job_store,
     model_persistence,
     records,
+    start_delay,
     unreachable,
 )
 
@@ -141,7 +142,40 @@
     if fleet.now - fleet.model_saved_at >= model_persistence.SAVE_INTERVAL_S:
         fleet.model_saved_at = fleet.now
         fleet.model_save_due = True
-    return [effects.Publish((admission.encode_load(sum_load(fleet)),))]
+    load = effects.Publish((admission.encode_load(sum_load(fleet)),))
+    return [load, *_publish_start_delays(fleet)]
+
+
+def _publish_start_delays(fleet: fleet_state.FleetState) -> list:
+    """Publishes how long work waits for the owner, while it does."""
+    start_delay.end_period(fleet.start_statistics, fleet.now)
+    delays_s = start_delay.estimate_delays(
+        fleet.start_statistics,
+        (
+            (
+                fleet_state.find_queue(
+                    fleet, fleet.job_store.jobs[key[0]]
+                ).priority,
+                len(indexes),
+            )
+            for key, indexes in fleet.ready.items()
+        ),
+    )
+    was_published = fleet.start_delays_published
+    fleet.start_delays_published = bool(delays_s)
+    if not delays_s and not was_published:
+        return []
+    effect_list = [effects.Publish((start_delay.encode_delays(delays_s),))]
+    if bool(delays_s) != was_published:
+        effect_list.append(
+            fleet_state.make_log_note(
+                "fleet",
+                "starts-delayed" if delays_s else "starts-in-time",
+                delays_s=delays_s,
+                starts_per_s=round(fleet.start_statistics.starts_per_s, 1),
+            )
+        )
+    return effect_list
 
 
 def _publish_intake_offsets(fleet: fleet_state.FleetState) -> list:
@@ -228,5 +262,6 @@
         if run.job.state in job_store.ENDED or run.stopping or is_unreachable:
             effect_list += fleet_state.stop_run(fleet, worker, run)
         else:
+            fleet.start_statistics.starts += 1
             effect_list += fleet_state.send_start(fleet, worker, run)
     return effect_list
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -14,6 +14,7 @@
     appending,
     http_client,
     listing,
+    order_window,
     polling,
     ports,
     settings,
@@ -68,6 +69,7 @@
         self._pollers: dict[str, polling.WorkerPoller] = {}
         self._orders: collections.deque[effects.Order] = collections.deque()
         self._http_client = http_client.HttpClient()
+        self.order_window = order_window.OrderWindow()
         self._progress, self._shared, self._intake = (
             appending.Appender(
                 name,
@@ -208,15 +210,26 @@
             drop_rest,
         )
 
+    def compute_order_room(self) -> int:
+        """Returns how many more orders this owner can send soon.
+
+        Load pattern: the calls' thread is late. What it has not taken in yet
+        waits as well.
+        """
+        return order_window.compute_room(
+            self.order_window.limit,
+            self.order_window.waiting + len(self._orders),
+        )
+
     def flush(self) -> None:
         """Sends the orders of a batch."""
-        if not self._orders:
-            return
-        order_effects, self._orders = self._orders, collections.deque()
-        self._http_client.run_soon(lambda: self._send(order_effects))
+        if self._orders:
+            self._http_client.run_soon(self._send)
 
-    def _send(self, order_effects: collections.deque[effects.Order]) -> None:
-        for effect in order_effects:
+    def _send(self) -> None:
+        """Gives the orders made so far to their pollers."""
+        for _ in range(len(self._orders)):
+            effect = self._orders.popleft()
             poller = self._pollers.get(effect.worker_name)
             if poller is not None:
                 poller.send_order(effect.order)
