Find a job under its id in upper case

What callers saw: 410 for an accepted job, if its id was in upper case.

Cause: an id may have digits in either case, and a job was stored under its id in lower case, but GET and DELETE looked for it as written.

Evidence: test_job_is_found_by_its_id_in_either_case failed before for POST, GET and DELETE.

Class: a name that is not normalised where it is read.

--- a/poplarspindle/platform/callers.py
+++ b/poplarspindle/platform/callers.py
@@ -37,6 +37,7 @@
         )
     if not ID_PATTERN.fullmatch(name):
         return _fail("bad-id", "A job's id has 16 hexadecimal digits.")
+    name = name.lower()
     kind = _KINDS.get(request.method)
     if kind is None:
         return _fail("bad-method", "Use POST, GET or DELETE.")
@@ -83,7 +84,7 @@
     if sum(step.tasks for step in steps) > MAX_TASKS:
         raise ValueError(f"A job has at most {MAX_TASKS} tasks.")
     return work.Submission(
-        name.lower(),
+        name,
         queue,
         spec,
         steps,
