Refuse a job whose text cannot be stored

What callers saw: 500 for a job with half a surrogate pair in image, affinity or requirements, as JSON may escape it; nothing was stored.

Cause: only the spec was checked for it; encoding the record failed later.

Evidence: test_text_that_cannot_be_stored_is_refused failed before for all three fields.

Class: input that is checked in one of several places.

--- a/poplarspindle/platform/callers.py
+++ b/poplarspindle/platform/callers.py
@@ -150,6 +150,7 @@
     value = row.get(name, "")
     if not isinstance(value, str):
         raise ValueError(f"{name} is text.")
+    value.encode()  # Half a surrogate pair is no text; raises ValueError.
     return value
 
 
