--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -37,7 +37,8 @@
     Attributes:
         orders: Orders that may be in flight at once.
         answer_times_s: How long the last answers took.
-        answer_s: How long half of the answers took at most, when last told.
+        answer_s: How long half of the answers took at most when the limit
+            was last used up.
         was_reached: Whether an order had to wait since the last change.
         shrunk_at: When it last shrank; orders sent before then say nothing
             about the new limit.
@@ -67,8 +68,11 @@
     if len(limit.answer_times_s) < SAMPLE_ANSWERS:
         return 0
     before = limit.orders
-    limit.answer_s = statistics.median(limit.answer_times_s)
-    if limit.answer_s >= LATE_ANSWER_S:
+    answer_s = statistics.median(limit.answer_times_s)
+    # An order alone is answered at once, on a slow machine as well.
+    if limit.was_reached or answer_s >= LATE_ANSWER_S:
+        limit.answer_s = answer_s
+    if answer_s >= LATE_ANSWER_S:
         limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
         limit.shrunk_at = now
     elif limit.was_reached:
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from poplarspindle.fleet import leases
 from poplarspindle.node import order_window
 
 FAST_S = 0.01
@@ -94,3 +95,34 @@
 ):
     state = order_window.Limit(orders=limit, answer_s=answer_s)
     assert order_window.compute_room(state, waiting) == room
+
+
+ANSWERS_PER_S = 200  # Of a weak owner, however many orders are in flight.
+
+
+def test_answers_of_a_calm_owner_promise_no_more_than_its_machine_carries_out():
+    """Load: a calm time, then thousands of tasks at once on a weak owner.
+
+    An order alone is answered at once. That tells nothing of how long each of
+    many takes; starts that wait in line outlive their leases.
+    """
+    limit = order_window.Limit()
+    for number in range(4 * SAMPLES):
+        order_window.record_answer(limit, 1 / ANSWERS_PER_S, float(number))
+    room = order_window.compute_room(limit, 0)
+    assert 0 < room / ANSWERS_PER_S <= leases.LEASE_MS / 1000
+
+
+def test_room_is_what_an_overloaded_owner_was_seen_to_send():
+    """Load: orders wait, and the machine carries out 200 of them a second.
+
+    Each is answered within 80 ms of being sent, but places stay empty until
+    the owner comes to fill them, so limit and answers tell of twice as many.
+    """
+    limit = order_window.Limit(orders=78)
+    for number in range(4 * SAMPLES):
+        limit.was_reached = True
+        order_window.record_answer(limit, 0.08, number / ANSWERS_PER_S)
+    room = order_window.compute_room(limit, 0)
+    expected = order_window.MAX_WAIT_S * ANSWERS_PER_S
+    assert room == pytest.approx(max(limit.orders, expected), rel=0.1)
