Take the rate of orders from how many are carried out while others wait

Why it works: the answers of a sample and the time that it took are counted while orders wait; without any that wait nothing is learned.

--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -24,7 +24,8 @@
 SHRINK_FACTOR = 0.7
 LATE_ANSWER_S = 0.1  # Workers answer in milliseconds; orders time out later.
 SAMPLE_ANSWERS = 32
-MIN_ANSWER_S = 0.005
+INITIAL_ORDERS_PER_S = INITIAL_LIMIT / LATE_ANSWER_S
+RATE_WEIGHT = 0.5  # Of the newest sample in the smoothed rate.
 MAX_WAIT_S = 0.5  # No order ages for longer; leases last 4 s.
 
 _log = structlog.get_logger(part="exchange")
@@ -37,8 +38,8 @@
     Attributes:
         orders: Orders that may be in flight at once.
         answer_times_s: How long the last answers took.
-        answer_s: How long half of the answers took at most when the limit
-            was last used up.
+        sample_began_at: When the first of them came.
+        orders_per_s: Orders carried out a second while others waited.
         was_reached: Whether an order had to wait since the last change.
         shrunk_at: When it last shrank; orders sent before then say nothing
             about the new limit.
@@ -46,7 +47,8 @@
 
     orders: int = INITIAL_LIMIT
     answer_times_s: list[float] = dataclasses.field(default_factory=list)
-    answer_s: float = LATE_ANSWER_S
+    sample_began_at: float = float("-inf")
+    orders_per_s: float = INITIAL_ORDERS_PER_S
     was_reached: bool = False
     shrunk_at: float = float("-inf")
 
@@ -64,14 +66,18 @@
     """
     if now - took_s < limit.shrunk_at:
         return 0
+    if not limit.answer_times_s:
+        limit.sample_began_at = now
     limit.answer_times_s.append(took_s)
     if len(limit.answer_times_s) < SAMPLE_ANSWERS:
         return 0
     before = limit.orders
     answer_s = statistics.median(limit.answer_times_s)
-    # An order alone is answered at once, on a slow machine as well.
-    if limit.was_reached or answer_s >= LATE_ANSWER_S:
-        limit.answer_s = answer_s
+    lasted_s = now - limit.sample_began_at
+    # Few orders a second are carried out where few are made.
+    if limit.was_reached and lasted_s > 0:
+        orders_per_s = (SAMPLE_ANSWERS - 1) / lasted_s
+        limit.orders_per_s += RATE_WEIGHT * (orders_per_s - limit.orders_per_s)
     if answer_s >= LATE_ANSWER_S:
         limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
         limit.shrunk_at = now
@@ -89,8 +95,8 @@
         limit: The limit of orders in flight.
         waiting: Orders that wait already.
     """
-    orders_per_s = limit.orders / max(MIN_ANSWER_S, limit.answer_s)
-    return max(0, int(MAX_WAIT_S * orders_per_s) - waiting)
+    room = max(limit.orders, int(MAX_WAIT_S * limit.orders_per_s))
+    return max(0, room - waiting)
 
 
 class OrderWindow:
