--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -126,3 +126,49 @@
     room = order_window.compute_room(limit, 0)
     expected = order_window.MAX_WAIT_S * ANSWERS_PER_S
     assert room == pytest.approx(max(limit.orders, expected), rel=0.1)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Time that the window reads; set by the test."""
+    found = [0.0]
+    monkeypatch.setattr(order_window.time, "monotonic", lambda: found[0])
+    return found
+
+
+def make_backlog():
+    """Makes a window in which more orders wait than are ever sent."""
+    window = order_window.OrderWindow()
+    window.in_flight = window.limit.orders
+    for _ in range(2000):
+        assert not window.try_begin(lambda: None)
+    return window
+
+
+def test_answers_that_are_read_in_batches_are_not_carried_out_faster(clock):
+    """Load: the owner is late and reads 50 answers together, every 0.25 s."""
+    window = make_backlog()
+    for batch in range(20):
+        for number in range(50):
+            clock[0] = batch * 50 / ANSWERS_PER_S + number / 10_000
+            window.in_flight = window.limit.orders + 20  # No place is free.
+            window.end(0.08)
+    room = order_window.compute_room(window.limit, 0)
+    expected = order_window.MAX_WAIT_S * ANSWERS_PER_S
+    assert room <= max(window.limit.orders, 1.5 * expected)
+
+
+def test_burst_after_a_calm_time_is_not_taken_for_a_slow_machine(clock):
+    """Load: a few orders a second, now and then more than may be in flight."""
+    window = make_backlog()
+    window._waiting_senders.clear()
+    at_first = order_window.compute_room(window.limit, 0)
+    for _ in range(10):
+        for _ in range(SAMPLES - 1):
+            clock[0] += 0.1
+            window.in_flight = 1
+            window.end(FAST_S)
+        window.in_flight = window.limit.orders
+        assert not window.try_begin(lambda: None)
+        window.end(FAST_S)
+    assert order_window.compute_room(window.limit, 0) >= at_first
