Learn the rate of orders over a quarter of a second in which others wait

Callers see starts that go out late on a weak owner, and little placed on a strong one beside a slow store. Cause: the rate was 31 answers over the time between the first and the last of them: microseconds where a late owner reads a batch at once, seconds where a sample began in a calm time. Shown by the two tests that failed before. Answers are counted from when orders began to wait, over a quarter of a second at least, and not while none waits. test_room_is_what_an_overloaded_owner_was_seen_to_send calls the function that learns the rate as well now; what it asserts is the same. Class of fault: a queue without bound between deciding and doing.

--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -25,7 +25,7 @@
 LATE_ANSWER_S = 0.1  # Workers answer in milliseconds; orders time out later.
 SAMPLE_ANSWERS = 32
 INITIAL_ORDERS_PER_S = INITIAL_LIMIT / LATE_ANSWER_S
-RATE_WEIGHT = 0.5  # Of the newest sample in the smoothed rate.
+RATE_PERIOD_S = 0.25  # A late owner reads many answers at once.
 MAX_WAIT_S = 0.5  # No order ages for longer; leases last 4 s.
 
 _log = structlog.get_logger(part="exchange")
@@ -38,8 +38,10 @@
     Attributes:
         orders: Orders that may be in flight at once.
         answer_times_s: How long the last answers took.
-        sample_began_at: When the first of them came.
         orders_per_s: Orders carried out a second while others waited.
+        backlog_at: When it was last told, or orders began to wait; infinite
+            while none waits.
+        backlog_answers: Answers since then.
         was_reached: Whether an order had to wait since the last change.
         shrunk_at: When it last shrank; orders sent before then say nothing
             about the new limit.
@@ -47,8 +49,9 @@
 
     orders: int = INITIAL_LIMIT
     answer_times_s: list[float] = dataclasses.field(default_factory=list)
-    sample_began_at: float = float("-inf")
     orders_per_s: float = INITIAL_ORDERS_PER_S
+    backlog_at: float = float("inf")
+    backlog_answers: int = 0
     was_reached: bool = False
     shrunk_at: float = float("-inf")
 
@@ -66,18 +69,11 @@
     """
     if now - took_s < limit.shrunk_at:
         return 0
-    if not limit.answer_times_s:
-        limit.sample_began_at = now
     limit.answer_times_s.append(took_s)
     if len(limit.answer_times_s) < SAMPLE_ANSWERS:
         return 0
     before = limit.orders
     answer_s = statistics.median(limit.answer_times_s)
-    lasted_s = now - limit.sample_began_at
-    # Few orders a second are carried out where few are made.
-    if limit.was_reached and lasted_s > 0:
-        orders_per_s = (SAMPLE_ANSWERS - 1) / lasted_s
-        limit.orders_per_s += RATE_WEIGHT * (orders_per_s - limit.orders_per_s)
     if answer_s >= LATE_ANSWER_S:
         limit.orders = max(MIN_LIMIT, int(limit.orders * SHRINK_FACTOR))
         limit.shrunk_at = now
@@ -88,6 +84,31 @@
     return limit.orders - before
 
 
+def record_rate(limit: Limit, others_wait: bool, now: float) -> None:
+    """Counts an answer; learns the rate of orders while others wait.
+
+    Few orders a second are carried out where few are made, so a time without
+    any that wait tells nothing.
+
+    Args:
+        limit: The limit.
+        others_wait: Whether orders wait for a place.
+        now: Present time on the clock of `backlog_at`.
+    """
+    if not others_wait:
+        limit.backlog_at = float("inf")
+        return
+    if limit.backlog_at > now:
+        limit.backlog_at, limit.backlog_answers = now, 0
+        return
+    limit.backlog_answers += 1
+    lasted_s = now - limit.backlog_at
+    if lasted_s < RATE_PERIOD_S:
+        return
+    limit.orders_per_s = limit.backlog_answers / lasted_s
+    limit.backlog_at, limit.backlog_answers = now, 0
+
+
 def compute_room(limit: Limit, waiting: int) -> int:
     """Returns how many more orders may be made, so that none waits for long.
 
@@ -143,7 +164,9 @@
             took_s: How long the order was in flight, seconds.
         """
         self.in_flight -= 1
-        if record_answer(self.limit, took_s, time.monotonic()) < 0:
+        now = time.monotonic()
+        record_rate(self.limit, bool(self._waiting_senders), now)
+        if record_answer(self.limit, took_s, now) < 0:
             _log.warning(
                 "orders-late",
                 limit=self.limit.orders,
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -122,6 +122,7 @@
     limit = order_window.Limit(orders=78)
     for number in range(4 * SAMPLES):
         limit.was_reached = True
+        order_window.record_rate(limit, True, number / ANSWERS_PER_S)
         order_window.record_answer(limit, 0.08, number / ANSWERS_PER_S)
     room = order_window.compute_room(limit, 0)
     expected = order_window.MAX_WAIT_S * ANSWERS_PER_S
