Read workers' entries within bounds; an odd one names no worker

Callers saw LOST and no placements: owner after owner ended. Cause: an entry nested too deeply raised RecursionError and ended the reading of the list; a number too large (drain time, capacity, start) passed the reader and raised OverflowError in the state thread (float, msgpack), so the node gave the fleet up, and the next owner read the same entry. Host, port, label, service and id texts that no URL, header or record carries passed as well.

platform/decoding.py checks each value where it is read; read_worker returns a tagged failure, the list goes on with the others, one line odd-entry a reason and poplarspindle_entries_total. Evidence: test_odd_entries, test_odd_list_node (node level: state-failed and another owner before). test_adapter's test_malformed_entry_names_no_worker expects the failure with step and peer in place of None: as strict. test_odd_list_node's added minions are stopped at the end; their threads kept pytest from ending. Class: content from outside used far from where it was read.

--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -22,6 +22,7 @@
     "poplarspindle_peers_total": "Streams of our own processes, by event.",
     "poplarspindle_traces_total": "Traces written or dropped, by reason.",
     "poplarspindle_list_total": "Reads of the instance list, by verdict.",
+    "poplarspindle_entries_total": "Entries that name no worker, by reason.",
     "poplarspindle_fleet_total": "Decisions of the fleet's owner.",
 }
 
--- a/poplarspindle/node/listing.py
+++ b/poplarspindle/node/listing.py
@@ -1,16 +1,28 @@
-"""The list of workers, followed by the owner; told only when it changed."""
+"""The list of workers, followed by the owner; told only when it changed.
+
+An entry that can't be used names no worker; the others hold. It is counted at
+each reading that differs, and logged once for each reason.
+"""
 
 import threading
 import time
 from collections.abc import Callable, Iterable
 
-from poplarspindle import outcomes
+import structlog
+
+from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import records, work
 from poplarspindle.node import storage, threads
 
 POLL_INTERVAL_S = 0.2
 RELOAD_INTERVAL_S = 3.0
 REMOVAL_GRACE_S = 2.5  # Entries lapsed in an outage are back by then.
+LOG_INTERVAL_S = 10.0
+MAX_LOG_LINES = 20  # In that interval; another writer may write thousands.
+
+_log = structlog.get_logger(part="list")
+
+ReadWorker = Callable[[records.Record], work.WorkerInfo | outcomes.Failed]
 
 
 class Listing:
@@ -19,26 +31,33 @@
     Args:
         store: The store.
         topic: The topic.
-        read_worker: Reads one entry; None where it names no worker to use.
+        read_worker: Reads one entry; a failure where it names no worker.
         publish: Called with all workers, at first and whenever one changed.
         stop_event: Set when the ownership is over.
+        counters: The node's figures.
     """
 
     def __init__(
         self,
         store: storage.Store,
         topic: str,
-        read_worker: Callable[[records.Record], work.WorkerInfo | None],
+        read_worker: ReadWorker,
         publish: Callable[[tuple[work.WorkerInfo, ...]], None],
         stop_event: threading.Event,
+        counters: metrics.Metrics,
     ) -> None:
+        self._counters = counters
         self._store = store
         self._topic = topic
         self._read_worker = read_worker
         self._publish = publish
         self._stop_event = stop_event
         self._values: dict[str, bytes] = {}
-        self._workers: dict[str, work.WorkerInfo | None] = {}
+        self._workers: dict[str, work.WorkerInfo] = {}
+        self._odd_reasons: dict[str, str] = {}
+        self._log_interval_began_at = float("-inf")
+        self._lines_left = MAX_LOG_LINES
+        self._lines_left_out = 0
         self._published: tuple[work.WorkerInfo, ...] | None = None
         self._lost_at = float("-inf")
 
@@ -75,7 +94,7 @@
             self._update_entry(record)
         if now - self._lost_at >= REMOVAL_GRACE_S:
             for key in self._values.keys() - fresh:
-                del self._values[key], self._workers[key]
+                self._forget(key)
         self._publish_changed()
 
     def update(self, items: Iterable[records.Record], now: float) -> None:
@@ -84,20 +103,64 @@
             if record.value:
                 self._update_entry(record)
             elif now - self._lost_at >= REMOVAL_GRACE_S:
-                self._values.pop(record.key, None)
-                self._workers.pop(record.key, None)
+                self._forget(record.key)
         self._publish_changed()
 
+    def _forget(self, key: str) -> None:
+        for known in (self._values, self._workers, self._odd_reasons):
+            known.pop(key, None)
+
     def _update_entry(self, record: records.Record) -> None:
         if not record.value or self._values.get(record.key) == record.value:
             return
         self._values[record.key] = record.value
-        self._workers[record.key] = self._read_worker(record)
+        worker = self._try_to_read(record)
+        if isinstance(worker, outcomes.Failed):
+            named_worker = self._workers.pop(record.key, None) is not None
+            self._note_odd(record.key, worker, named_worker)
+            return
+        self._workers[record.key] = worker
+        self._odd_reasons.pop(record.key, None)
 
-    def _publish_changed(self) -> None:
-        workers = tuple(
-            worker for worker in self._workers.values() if worker is not None
+    def _try_to_read(
+        self, record: records.Record
+    ) -> work.WorkerInfo | outcomes.Failed:
+        try:
+            return self._read_worker(record)
+        except Exception as error:
+            # The next reading would meet the same entry, and never end.
+            _log.exception("raised", worker=record.key, why=repr(error))
+            return outcomes.Failed(outcomes.Step.LIST, record.key, "raised")
+
+    def _note_odd(
+        self, key: str, failure: outcomes.Failed, named_worker: bool
+    ) -> None:
+        """Counts an entry that names no worker; logs it where that is new."""
+        self._counters.add("poplarspindle_entries_total", failure.reason)
+        if self._odd_reasons.get(key) == failure.reason:
+            return
+        self._odd_reasons[key] = failure.reason
+        now = time.monotonic()
+        if now - self._log_interval_began_at >= LOG_INTERVAL_S:
+            self._log_interval_began_at = now
+            self._lines_left = MAX_LOG_LINES
+        if not self._lines_left:
+            self._lines_left_out += 1
+            return
+        self._lines_left -= 1
+        _log.warning(
+            "odd-entry",
+            about="workers",
+            worker=key,
+            why=failure.reason,
+            detail=failure.detail,
+            named_worker=named_worker,
+            lines_left_out=self._lines_left_out,
         )
+        self._lines_left_out = 0
+
+    def _publish_changed(self) -> None:
+        workers = tuple(self._workers.values())
         if workers != self._published:
             self._published = workers
             self._publish(workers)
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -97,6 +97,7 @@
                 events.WorkersListed(time.monotonic(), workers)
             ),
             self.stop_event,
+            counters,
         )
 
     def start(self) -> None:
--- a/poplarspindle/node/ports.py
+++ b/poplarspindle/node/ports.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from poplarspindle import http_server
+from poplarspindle import http_server, outcomes
 from poplarspindle.fleet import records, work
 from poplarspindle.node import caller_calls, operator_commands, storage
 
@@ -21,7 +21,7 @@
         operators_topic: Topic that operators write.
         workers_topic: Topic of the workers' entries.
         read_operator_command: Reads what operators write.
-        read_worker: Reads a worker's entry.
+        read_worker: Reads a worker's entry; a failure where it names none.
         connect: Makes a client of a worker, given what carries its calls.
         read_call: Reads a caller's request.
         refuse_call: Returns the status of a request that is malformed.
@@ -39,7 +39,7 @@
     read_operator_command: Callable[
         [records.Record], operator_commands.OperatorCommand | None
     ]
-    read_worker: Callable[[records.Record], work.WorkerInfo | None]
+    read_worker: Callable[[records.Record], work.WorkerInfo | outcomes.Failed]
     connect: Callable
     read_call: Callable
     refuse_call: Callable[[str], int]
--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -5,17 +5,25 @@
 
 import functools
 import json
+import re
 from collections.abc import Callable
 
 from poplarspindle import outcomes, resources
 from poplarspindle.fleet import orders, records, work
 from poplarspindle.node import http_client
-from poplarspindle.platform import transport
+from poplarspindle.platform import decoding, transport
 
 STATES = {"ready": work.Presence.READY, "draining": work.Presence.LEAVING}
 ORDER_TIMEOUT_S = 0.25  # Minions answer orders in a few milliseconds.
 MAX_REPORTED_ENDS = 500  # A report lists so many ends at a time.
 MAX_CACHED_NAMES = 32768  # Tasks that run at a time, with room to spare.
+MAX_LABELS = 64
+MAX_PORT = 65535
+# What a header and a URL carry unchanged.
+NAME_PATTERN = re.compile(r"[!-~]{1,255}")
+ADDRESS_PATTERN = re.compile(
+    r"(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):(?P<port>[0-9]{1,5})"
+)
 REFUSALS = {
     "fence": orders.Refusal.FENCED,
     "old": orders.Refusal.ENDED,
@@ -24,45 +32,68 @@
 }
 
 
-def read_worker(record: records.Record) -> work.WorkerInfo | None:
-    """Reads an entry; None where it names no worker to use."""
+def read_worker(
+    record: records.Record,
+) -> work.WorkerInfo | outcomes.Failed:
+    """Reads an entry; a failure where it names no worker to use."""
     try:
-        fields = json.loads(record.value)
-        labels = fields["labels"]
-        capacity = fields["capacity"]
-        host, _, port = fields["address"].rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            return None
-        return work.WorkerInfo(
-            record.key,
-            fields["address"],
-            _text(fields["service"]),
-            _text(fields["zone"]),
-            resources.Resources(
-                _whole(capacity["cpu"]),
-                _whole(capacity["mem_mb"]),
-                _whole(capacity.get("gpu", 0)),
-            ),
-            frozenset(map(_text, labels)),
-            labels[-1] if labels else "",
-            STATES[fields["state"]],
-            _whole(fields.get("drain_remaining_ms", 0)),
-            _whole(fields.get("born", 0)),
+        return _read_entry(record.key, decoding.parse_object(record.value))
+    except decoding.MalformedError as error:
+        return outcomes.Failed(
+            outcomes.Step.LIST, record.key, error.reason, str(error)
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
-        return None
 
 
-def _whole(value: object) -> int:
-    if type(value) is not int or value < 0:
-        raise ValueError("no whole number")
+def _read_entry(name: str, fields: dict) -> work.WorkerInfo:
+    if not NAME_PATTERN.fullmatch(name):
+        raise decoding.MalformedError("bad-id", "no header can carry the id")
+    capacity = decoding.check_object(fields.get("capacity"), "capacity")
+    labels = [
+        _read_text(label, "a label")
+        for label in decoding.check_list(
+            fields.get("labels"), "labels", MAX_LABELS
+        )
+    ]
+    state = decoding.check_text(fields.get("state"), "state")
+    if state not in STATES:
+        raise decoding.MalformedError("unknown-state", "the state is unknown")
+    return work.WorkerInfo(
+        name,
+        _read_address(fields.get("address")),
+        _read_text(fields.get("service"), "service"),
+        _read_text(fields.get("zone"), "zone"),
+        resources.Resources(
+            *(
+                decoding.check_whole(amount, "capacity", decoding.MAX_CAPACITY)
+                for amount in (
+                    capacity.get("cpu"),
+                    capacity.get("mem_mb"),
+                    capacity.get("gpu", 0),
+                )
+            )
+        ),
+        frozenset(labels),
+        labels[-1] if labels else "",
+        STATES[state],
+        decoding.check_whole(fields.get("drain_remaining_ms", 0), "drain"),
+        decoding.check_whole(fields.get("born", 0), "born"),
+    )
+
+
+def _read_text(value: object, name: str) -> str:
+    if not decoding.check_text(value, name):
+        raise decoding.MalformedError("missing-field", f"{name} is empty")
     return value
 
 
-def _text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError("no text")
-    return value
+def _read_address(value: object) -> str:
+    address = decoding.check_text(value, "address")
+    match = ADDRESS_PATTERN.fullmatch(address)
+    if match is None or not 0 < int(match["port"]) <= MAX_PORT:
+        raise decoding.MalformedError(
+            "bad-address", "the address is no host and port"
+        )
+    return address
 
 
 def format_task(name: work.TaskName) -> str:
--- a/poplarspindle/tests/test_adapter.py
+++ b/poplarspindle/tests/test_adapter.py
@@ -211,7 +211,9 @@
 
 @pytest.mark.parametrize("record", BAD_ENTRIES)
 def test_malformed_entry_names_no_worker(record):
-    assert minions.read_worker(record) is None
+    found = minions.read_worker(record)
+    assert isinstance(found, outcomes.Failed)
+    assert (found.step, found.peer) == (outcomes.Step.LIST, "i-1")
 
 
 def test_report_is_read():
--- a/poplarspindle/tests/test_odd_entries.py
+++ b/poplarspindle/tests/test_odd_entries.py
@@ -10,7 +10,7 @@
 
 from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import events, records, work
-from poplarspindle.node import ownership, storage
+from poplarspindle.node import listing, ownership, storage
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import minions, settings
 
@@ -290,4 +290,51 @@
     first, second = make_record("i-1"), make_record("i-2")
     assert follow([first, second], [[odd]])[0] == ["i-2"]
     again = make_record("i-1", seq=9)
-    assert follow([first, second], [[odd], [again]])[0] == ["i-1", "i-2"]
+    told, lines, _ = follow([first, second], [[odd], [again]])
+    assert sorted(told) == ["i-1", "i-2"]
+    (line,) = find_odd_lines(lines)
+    assert (line["worker"], line["named_worker"]) == ("i-1", True)
+
+
+def find_odd_lines(lines):
+    return [line for line in lines if line["event"] == "odd-entry"]
+
+
+def count_odd(counters, reason):
+    return counters.get("poplarspindle_entries_total", reason)
+
+
+def test_odd_entry_that_is_written_again_is_logged_once_and_counted():
+    """Its writer may write it anew with each heartbeat."""
+    rewritten = [
+        [records.Record("odd", write_entry(address="x", seq=seq))]
+        for seq in range(5)
+    ]
+    deep = [records.Record("odd", DEEP)]
+    _, lines, counters = follow([make_record("i-1")], [*rewritten, deep, deep])
+    reasons = [line["why"] for line in find_odd_lines(lines)]
+    assert reasons == ["bad-address", "too-deep"]
+    assert count_odd(counters, "bad-address") == 5
+    assert count_odd(counters, "too-deep") == 1
+
+
+def test_many_odd_entries_are_counted_and_few_of_them_logged():
+    odd = [records.Record(f"odd-{n}", b"{") for n in range(1000)]
+    _, lines, counters = follow([make_record("i-1"), *odd])
+    assert len(find_odd_lines(lines)) == listing.MAX_LOG_LINES
+    assert count_odd(counters, "no-json") == 1000
+
+
+def test_reading_that_raises_names_no_worker_and_holds_no_other_up(monkeypatch):
+    read = minions.read_worker
+
+    def fail_on_odd(record):
+        if record.key == "odd":
+            raise RuntimeError("defect")
+        return read(record)
+
+    monkeypatch.setattr(minions, "read_worker", fail_on_odd)
+    odd = records.Record("odd", write_entry())
+    told, _, counters = follow([make_record("i-1"), odd, make_record("i-2")])
+    assert told == ["i-1", "i-2"]
+    assert count_odd(counters, "raised") == 1
--- a/poplarspindle/tests/test_odd_list_node.py
+++ b/poplarspindle/tests/test_odd_list_node.py
@@ -1,6 +1,5 @@
 """A whole node whose list of workers has odd entries among good ones."""
 
-import json
 import time
 
 import pytest
@@ -15,6 +14,20 @@
 await_that = test_node.await_that
 
 
+@pytest.fixture
+def add_minion():
+    added = []
+
+    def add(found, name):
+        added.append(test_node.deployment.FakeMinion(name))
+        found.minions.append(added[-1])
+        return added[-1]
+
+    yield add
+    for minion in added:
+        minion.stop()
+
+
 def write_odd(found, prefix):
     """Writes one odd entry of each kind."""
     for row in test_odd_entries.ODD_VALUES:
@@ -28,7 +41,7 @@
     await_that(lambda: found.get_state(job) == "completed")
 
 
-def test_node_places_on_good_workers_beside_odd_entries(house):
+def test_node_places_on_good_workers_beside_odd_entries(house, add_minion):
     """LOST: owner after owner ended at the first list with an odd entry."""
     with testing.capture_logs() as lines:
         found = house(0)
@@ -37,8 +50,7 @@
         run_job(found, test_node.ID)
         epoch = node._ownership.epoch
         write_odd(found, "after")
-        later = test_node.deployment.FakeMinion("i-later")
-        found.minions.append(later)
+        later = add_minion(found, "i-later")
         found.store.write(WORKERS, later.name, later.describe())
         await_that(lambda: later.leases)
         run_job(found, SECOND_ID)
@@ -55,15 +67,14 @@
 
 @pytest.mark.parametrize("value", ODD_REPLACEMENTS)
 def test_runs_of_a_worker_whose_entry_turns_odd_end_where_they_are(
-    house, value
+    house, add_minion, value
 ):
     """Nothing more is placed there, and what runs is not started again."""
     with testing.capture_logs() as lines:
         found = house()
         for minion in found.minions:
             minion._run_s = 3.0
-        spare = test_node.deployment.FakeMinion("i-spare")
-        found.minions.append(spare)
+        spare = add_minion(found, "i-spare")
         assert (
             found.call("POST", f"/q/{test_node.ID}", test_node.JOB).status
             == 200
@@ -84,4 +95,3 @@
     assert busy.ledger
     for minion in found.minions[:2]:
         assert all(run[2] < changed_at for run in minion.ledger)
-    assert json.loads(spare.describe())["state"] == "ready"
