Answer a call that can't be made as a failure; go on with the others

All calls to all workers stood still: no leases, no starts, no ends, with the owner still in office. Cause: a URL or header that libcurl's binding can't encode raised in _start_pending; the calls behind it stayed in the queue, and the loop is only woken by the first of an empty queue. Now it is answered as unreachable, nothing sent, with a line not-made. Class: one bad message ends what carries all.

--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -162,11 +162,22 @@
         if self._stopping:
             return
         for _ in range(min(MAX_STARTS_PER_TURN, len(self._pending))):
-            self._start_transfer(*self._pending.popleft())
+            self._try_to_start(*self._pending.popleft())
         self._handle_socket(pycurl.SOCKET_TIMEOUT, 0)
         if self._pending:
             self._loop.call_soon(self._start_pending)
 
+    def _try_to_start(
+        self, call: Call, done: OutcomeCallback, tries: int
+    ) -> None:
+        """Begins a call; one that can't be made must not stop the others."""
+        try:
+            self._start_transfer(call, done, tries)
+        except (ValueError, TypeError, OverflowError, pycurl.error) as error:
+            _log.warning("not-made", peer=call.peer, why=repr(error)[:200])
+            failure = _describe_failure(call, 0, repr(error)[:200], False)
+            _guard(lambda: done(failure))
+
     def _start_transfer(
         self, call: Call, done: OutcomeCallback, tries: int
     ) -> None:
@@ -177,10 +188,10 @@
         handle.setopt(pycurl.POSTFIELDS, call.body)
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(call.timeout_s * 1000)))
         handle.setopt(pycurl.WRITEFUNCTION, body_chunks.append)
+        self._multi.add_handle(handle)
         self._transfers[handle] = _Transfer(
             call, done, body_chunks, time.monotonic(), tries
         )
-        self._multi.add_handle(handle)
 
     def _run(self) -> None:
         try:
