Read minions' answers within bounds; an odd one is a failed look

One answer with odd content ended all looks at that worker (raised in the callback, so the next look never began; its orders in flight were never answered), or the ownership: attempts, percents, uses or numbers of any type raised TypeError, OverflowError or UnicodeEncodeError in the state thread, at comparing, summing or recording them, and the next owner read the same answer again. Each field is now checked where it is read; an odd report is the failure malformed, as a malformed one was, and an unreadable clock in an answer to an order counts as none told. Class: content from outside used far from where it was read.

--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import itertools
 import json
 import re
 from collections.abc import Callable
@@ -17,6 +18,8 @@
 ORDER_TIMEOUT_S = 0.25  # Minions answer orders in a few milliseconds.
 MAX_REPORTED_ENDS = 500  # A report lists so many ends at a time.
 MAX_CACHED_NAMES = 32768  # Tasks that run at a time, with room to spare.
+MAX_ROWS = 100_000
+MAX_CHECKPOINT_BYTES = 4000  # A record holds those of a group of tasks.
 MAX_LABELS = 64
 MAX_PORT = 65535
 # What a header and a URL carry unchanged.
@@ -24,6 +27,9 @@
 ADDRESS_PATTERN = re.compile(
     r"(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):(?P<port>[0-9]{1,5})"
 )
+TASK_PATTERN = re.compile(
+    r"([^.]{1,64})\.([0-9]{1,15})\.([0-9]{1,9})\.([0-9]{1,9})"
+)
 REFUSALS = {
     "fence": orders.Refusal.FENCED,
     "old": orders.Refusal.ENDED,
@@ -104,32 +110,66 @@
 @functools.lru_cache(MAX_CACHED_NAMES)
 def parse_task(text: str) -> work.TaskName:
     """Parses a task's name; raises ValueError where it is malformed."""
-    job, time, step, index = text.split(".")
-    return work.TaskName(job, int(time), int(step), int(index))
+    match = TASK_PATTERN.fullmatch(text)
+    if match is None:
+        raise decoding.MalformedError("bad-task", "no name of a task")
+    job, *numbers = match.groups()
+    return work.TaskName(job, *map(int, numbers))
 
 
 def read_report(fields: dict) -> work.Report:
     """Reads an answer to a hold; raises ValueError where it is malformed."""
     try:
+        running = decoding.check_list(fields["running"], "running", MAX_ROWS)
+        ended = decoding.check_list(fields["finished"], "finished", MAX_ROWS)
         return work.Report(
-            int(fields["clock_ms"]),
-            int(fields.get("born", 0)),
-            tuple(
-                work.Running(parse_task(name), run, saved, percent, *usage[:1])
-                for name, run, saved, percent, *usage in fields["running"]
-            ),
-            tuple(
-                work.Ended(
-                    number, parse_task(name), run, work.EndReason(how), saved
-                )
-                for number, name, run, how, saved in fields["finished"]
-            ),
-            len(fields["finished"]) < MAX_REPORTED_ENDS,
+            decoding.check_whole(fields["clock_ms"], "clock"),
+            decoding.check_whole(fields.get("born", 0), "born"),
+            tuple(itertools.starmap(_read_running, running)),
+            tuple(itertools.starmap(_read_ended, ended)),
+            len(ended) < MAX_REPORTED_ENDS,
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"malformed report: {error!r}") from error
 
 
+def _read_running(
+    name: object,
+    attempt: object,
+    checkpoint: object,
+    percent: object,
+    usage: object = None,
+    *_: object,
+) -> work.Running:
+    return work.Running(
+        parse_task(name),
+        decoding.check_whole(attempt, "attempt"),
+        _read_checkpoint(checkpoint),
+        decoding.check_number(percent, "percent"),
+        None if usage is None else decoding.check_number(usage, "usage"),
+    )
+
+
+def _read_ended(
+    number: object,
+    name: object,
+    attempt: object,
+    how: object,
+    checkpoint: object,
+) -> work.Ended:
+    return work.Ended(
+        decoding.check_whole(number, "number"),
+        parse_task(name),
+        decoding.check_whole(attempt, "attempt"),
+        work.EndReason(decoding.check_text(how, "reason")),
+        _read_checkpoint(checkpoint),
+    )
+
+
+def _read_checkpoint(value: object) -> str:
+    return decoding.check_text(value, "checkpoint", MAX_CHECKPOINT_BYTES)
+
+
 class Minion:
     """Orders to one minion; answers come on the exchange's thread.
 
@@ -239,13 +279,14 @@
         )
     status = outcome.value.status
     fields = transport.read_fields(outcome.value.body)
-    clock_ms = fields.get("clock_ms")
-    clock_ms = clock_ms if isinstance(clock_ms, int) else 0
+    clock_ms = _read_answer_clock(fields)
     if status == 200:
         return orders.Answer(None, clock_ms)
     if status == 409:
-        reason = REFUSALS.get(fields.get("reason"), orders.Refusal.MALFORMED)
-        return orders.Answer(reason, clock_ms)
+        reason = fields.get("reason")
+        known = isinstance(reason, str) and reason in REFUSALS
+        refusal = REFUSALS[reason] if known else orders.Refusal.MALFORMED
+        return orders.Answer(refusal, clock_ms)
     if status == 421:
         return orders.Answer(orders.Refusal.OTHER_INCARNATION)
     if status in (429, 503):
@@ -253,6 +294,14 @@
     return orders.Answer(orders.Refusal.MALFORMED)
 
 
+def _read_answer_clock(fields: dict) -> int:
+    """Returns the worker's clock, 0 where the answer has none to use."""
+    try:
+        return decoding.check_whole(fields.get("clock_ms"), "clock")
+    except decoding.MalformedError:
+        return 0  # The same as an answer that tells no time.
+
+
 def read_poll_answer(
     peer: str, outcome: http_client.Outcome
 ) -> outcomes.Ok[work.Report] | outcomes.Failed:
--- a/poplarspindle/platform/transport.py
+++ b/poplarspindle/platform/transport.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from poplarspindle import outcomes
+from poplarspindle.platform import decoding
 
 CONNECT_S = 0.4  # Every peer is a few milliseconds away.
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -28,10 +29,9 @@
 def read_fields(body: bytes) -> dict:
     """Reads a JSON object's fields; none where the body is no such."""
     try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError):
+        return decoding.parse_object(body)
+    except decoding.MalformedError:
         return {}
-    return fields if isinstance(fields, dict) else {}
 
 
 class Transport:
--- a/poplarspindle/tests/test_odd_answers.py
+++ b/poplarspindle/tests/test_odd_answers.py
@@ -37,6 +37,12 @@
     return {"finished": [list(row)]}
 
 
+def nest(fields):
+    """Returns JSON with a list in place of `@` that is only just parsed."""
+    nested = "[" * 800 + "]" * 800
+    return json.dumps(fields).replace('"@"', nested).encode()
+
+
 ODD_REPORTS = [
     pytest.param({"clock_ms": HUGE}, id="clock-huge"),
     pytest.param({"clock_ms": 1 << 64}, id="clock-beyond-64-bits"),
@@ -84,6 +90,10 @@
     pytest.param(end(58, TASK, 1, "done", "\ud800"), id="end-surrogate"),
     pytest.param(b"[" * 100_000, id="deep"),
     pytest.param(b"\xff", id="no-text"),
+    pytest.param(nest(REPORT | end(58, TASK, 1, "@", "")), id="reason-nested"),
+    pytest.param(nest(REPORT | end("@", TASK, 1, "", "")), id="number-nested"),
+    pytest.param(nest(REPORT | run("@", 3, "", 100)), id="task-nested"),
+    pytest.param(nest(REPORT | {"clock_ms": "@"}), id="clock-nested"),
 ]
 
 
@@ -120,6 +130,7 @@
 ODD_ORDER_ANSWERS = [
     pytest.param({"reason": ["room"]}, orders.Refusal.MALFORMED, id="list"),
     pytest.param({"reason": {}}, orders.Refusal.MALFORMED, id="object"),
+    pytest.param(nest({"reason": "@"}), orders.Refusal.MALFORMED, id="nested"),
     pytest.param({"reason": None}, orders.Refusal.MALFORMED, id="null"),
     pytest.param(b"[" * 100_000, orders.Refusal.MALFORMED, id="deep"),
     pytest.param(
--- a/poplarspindle/tests/test_odd_entries.py
+++ b/poplarspindle/tests/test_odd_entries.py
@@ -105,6 +105,10 @@
     pytest.param(write_entry(state=["ready"]), id="state-list"),
     pytest.param(write_entry(state={}), id="state-object"),
     pytest.param(write_entry(state="gone"), id="state-unknown"),
+    pytest.param(
+        write_entry(state="@").replace(b'"@"', b"[" * 800 + b"]" * 800),
+        id="state-nested",
+    ),
     pytest.param(b"\xff\xfe\x00", id="no-text"),
     pytest.param(b"null", id="null"),
     pytest.param(b"3", id="number"),
