Read pages past a record that can't be read; standings as tagged answers

A reader of a topic never went on: one item without a key, value or text in a page of the newest records failed the page as a whole, at each try, and a key that no query can carry raised. Pages that tell of more without going on were read for ever, and all of them kept. Such an item is now a record without a key, as in pages read from an offset; a page that does not go on is a failure. An odd standing in the group raised in the joining thread; it is a failure. Class: one bad message ends the following.

--- a/poplarspindle/node/storage.py
+++ b/poplarspindle/node/storage.py
@@ -97,7 +97,8 @@
 
     Returns:
         The records with the end from BEFORE the first page: pages are no
-        snapshot, so whoever reads on from there misses nothing.
+        snapshot, so whoever reads on from there misses nothing. A failure
+        where a page tells of more and names no key behind those known.
     """
     items: list[records.Record] = []
     first_end = None
@@ -111,4 +112,9 @@
         items += page.value.items
         if not page.value.more or not page.value.items:
             return outcomes.Ok(Newest(tuple(items), False, first_end))
-        after = page.value.items[-1].key
+        last = next((r.key for r in reversed(page.value.items) if r.key), "")
+        if last in (after, ""):
+            return outcomes.Failed(
+                outcomes.Step.READ, "store", "malformed", "pages do not go on"
+            )
+        after = last
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -8,7 +8,7 @@
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
 from poplarspindle.node import storage
-from poplarspindle.platform import transport
+from poplarspindle.platform import decoding, transport
 
 FLEET_TOPIC = "keyed.poplarspindle"
 PROGRESS_TOPIC = "keyed.poplarspindle-progress"
@@ -18,6 +18,7 @@
 GROUP = "poplarspindle-owner"
 PRODUCER = "owner"
 OWNED_PARTITION = 0
+MAX_ITEMS = 100_000
 RAW_HEADERS = {"Content-Type": "application/octet-stream"}
 # An owner waits at each part of the hand-ins; appends and reads come on top.
 CONNECTIONS = 64
@@ -126,6 +127,12 @@
             "part": partition,
         }
 
+    def _fail_malformed(self, step, error) -> outcomes.Failed:
+        """Returns the failure for an answer that can't be used."""
+        return outcomes.Failed(
+            step, self._calls.address, "malformed", str(error)
+        )
+
     def _refuse(self, step, answer, fields) -> outcomes.Failed:
         """Returns the failure for an answer that is no success."""
         reason = fields.get("reason")
@@ -206,13 +213,8 @@
             return self._refuse(outcomes.Step.READ, answer.value, {})
         try:
             return outcomes.Ok(_read_newest(fields))
-        except (KeyError, TypeError, ValueError) as error:
-            return outcomes.Failed(
-                outcomes.Step.READ,
-                self._calls.address,
-                "malformed",
-                repr(error),
-            )
+        except decoding.MalformedError as error:
+            return self._fail_malformed(outcomes.Step.READ, error)
 
     def join(
         self, member: str, ttl_ms: int, generation: int
@@ -237,11 +239,10 @@
         assignment = answer.value.read_fields()
         if answer.value.status != 200:
             return self._refuse(outcomes.Step.JOIN, answer.value, assignment)
-        partitions = assignment.get("parts", [])
-        mine = any(
-            row[:2] == [FLEET_TOPIC, OWNED_PARTITION] for row in partitions
-        )
-        return outcomes.Ok(storage.Membership(assignment["generation"], mine))
+        try:
+            return outcomes.Ok(_read_membership(assignment))
+        except decoding.MalformedError as error:
+            return self._fail_malformed(outcomes.Step.JOIN, error)
 
     def leave(self, member: str) -> outcomes.Ok[None] | outcomes.Failed:
         """Leaves the nodes' group."""
@@ -257,10 +258,31 @@
 
 
 def _read_newest(fields: dict) -> storage.Newest:
-    items = tuple(
-        records.Record(item["key"], base64.b64decode(item["value"]))
-        for item in fields["items"]
-    )
+    items = decoding.check_list(fields.get("items"), "items", MAX_ITEMS)
     return storage.Newest(
-        items, bool(fields.get("has_more")), fields["end_offset"]
+        tuple(map(_read_item, items)),
+        bool(fields.get("has_more")),
+        decoding.check_whole(fields.get("end_offset"), "end_offset"),
+    )
+
+
+def _read_item(item: object) -> records.Record:
+    """Reads one record; one that is malformed has an empty key."""
+    try:
+        fields = decoding.check_object(item, "an item")
+        key = decoding.check_text(fields.get("key"), "key")
+        value = fields.get("value")
+        return records.Record(key, base64.b64decode(value, validate=True))
+    except (ValueError, TypeError):
+        return records.Record("", b"")
+
+
+def _read_membership(fields: dict) -> storage.Membership:
+    rows = decoding.check_list(fields.get("parts", []), "parts", MAX_ITEMS)
+    mine = any(
+        decoding.check_list(row, "a part", MAX_ITEMS)[:2]
+        == [FLEET_TOPIC, OWNED_PARTITION]
+        for row in rows
     )
+    generation = decoding.check_whole(fields.get("generation"), "generation")
+    return storage.Membership(generation, mine)
