Accept the start times of repeated jobs

Every repeated job was refused with 400, "start_at_ms is a whole number from 0.": the bound of amounts, 1 << 40, lies in 2004 as Unix milliseconds. Times have the bound of whole numbers now. Evidence: test_repeated_job_that_starts_at_a_present_time_is_accepted failed before. Class: a bound that has the wrong unit.

--- a/poplarspindle/platform/callers.py
+++ b/poplarspindle/platform/callers.py
@@ -87,7 +87,7 @@
         spec,
         steps,
         _read_whole(fields, "repeat_count"),
-        _read_whole(fields, "start_at_ms"),
+        _read_whole(fields, "start_at_ms", decoding.MAX_WHOLE),
         _read_whole(fields, "interval_ms"),
     )
 
@@ -128,11 +128,11 @@
     )
 
 
-def _read_whole(row: dict, name: str) -> int:
+def _read_whole(row: dict, name: str, most: int = MAX_AMOUNT) -> int:
     value = row.get(name, 0)
     if isinstance(value, float) and value.is_integer():
         value = int(value)
-    if type(value) is not int or not 0 <= value <= MAX_AMOUNT:
+    if type(value) is not int or not 0 <= value <= most:
         raise ValueError(f"{name} is a whole number from 0.")
     return value
 
