Keep a job's id as its caller wrote it

LOST: a job with capitals in its id was accepted under the id in small letters and then answered with 410 under the id that its caller had chosen; a cancel did not find it either. The id stays as it is written, in the task names as well. Evidence: test_job_with_capitals_in_its_id_is_found_again, both methods failed before. Class: the same text read in two ways.

--- a/poplarspindle/platform/callers.py
+++ b/poplarspindle/platform/callers.py
@@ -82,7 +82,7 @@
     if sum(step.tasks for step in steps) > MAX_TASKS:
         raise ValueError(f"A job has at most {MAX_TASKS} tasks.")
     return work.Submission(
-        name.lower(),
+        name,
         queue,
         spec,
         steps,
