Look at a prerequisite once, however often a step names it

The owner stood still: a step may name an earlier one some 100,000 times in a body of 262,144 bytes, and each name cost a look at all tasks of that step, at each of its ends. Reading keeps each step once. Evidence: test_prerequisites_named_often_are_looked_at_once failed before (it compares what is read; how long an owner stands still was not measured). Class: one bad message takes the owner's time.

--- a/poplarspindle/platform/callers.py
+++ b/poplarspindle/platform/callers.py
@@ -112,7 +112,7 @@
         count,
         need,
         _read_whole(row, "estimated_ms"),
-        tuple(after),
+        tuple(dict.fromkeys(after)),
         _read_flag(row, "checkpointing"),
         _read_flag(row, "gang"),
         _read_flag(row, "colocated"),
