Open due occurrences of a job a thousand at a time at most

Owner after owner would end: a job that repeats up to 2^40 times with its occurrences due at once (interval 0, or a start long ago) was opened as a whole in the state thread, without end and with all its memory; it is accepted, so each next owner begins with it. Now at most 1,000 occurrences or 40,000 tasks of a job are open, the next ones follow with each tick as these end; one is always opened. Evidence: test_job_due_very_often_does_not_take_all_memory failed before with 100,000 occurrences. Class: one bad message takes a process down.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -205,9 +205,9 @@
 
 
 def open_due_occurrences(fleet: FleetState, job: job_store.Job) -> None:
-    """Opens all occurrences of a job that are due."""
+    """Opens occurrences of a job that are due, not too many at a time."""
     submission = job.submission
-    while job.opened_occurrences < max(1, submission.occurrence_count):
+    while job_store.may_open_occurrence(job):
         due_ms = (
             submission.first_ms + job.opened_occurrences * submission.every_ms
         )
--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -9,6 +9,9 @@
 
 from poplarspindle.fleet import work
 
+MAX_OPEN_OCCURRENCES = 1000  # Of one job.
+MAX_OPEN_TASKS = 40_000  # Of a job with more than one open occurrence.
+
 
 class Phase(enum.IntEnum):
     """Phase of a task; the numbers are stored in the progress log."""
@@ -163,6 +166,23 @@
     job.published_state = State.CANCELLED
 
 
+def may_open_occurrence(job: Job) -> bool:
+    """Tells whether a job has a further occurrence and few enough are open.
+
+    Load pattern: a job repeats millions of times, all of them due. Opened at
+    once they would take the owner's memory, and that of each owner after it.
+    """
+    submission = job.submission
+    if job.opened_occurrences >= max(1, submission.occurrence_count):
+        return False
+    tasks = sum(step.tasks for step in submission.steps)
+    open_occurrences = len(job.occurrences) + 1
+    return not job.occurrences or (
+        open_occurrences <= MAX_OPEN_OCCURRENCES
+        and open_occurrences * tasks <= MAX_OPEN_TASKS
+    )
+
+
 def open_occurrence(job: Job) -> int:
     """Creates the tasks of a job's next occurrence; returns its number."""
     number = job.opened_occurrences
