Bound the sums of a load by what its record carries

Owner after owner would end: what lasting jobs ask for is summed by service, and a sum beyond 64 bits raised at its encoding in the state thread. Each job's sum may be 2^53, so some thousand accepted jobs reach it. Class: a number beyond what the records carry.

--- a/poplarspindle/fleet/admission.py
+++ b/poplarspindle/fleet/admission.py
@@ -26,6 +26,7 @@
 NEXT_LOAD_RETRY_S = 1
 LOAD_KEY = "load"
 MAX_LOAD_AGE_MS = 6000
+MAX_SUM = (1 << 63) - 1  # Largest number that a record carries.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,12 +46,14 @@
 
 
 def encode_load(load: Load) -> records.Record:
-    """Encodes a load as a log record."""
+    """Encodes a load as a log record; sums beyond its range count as most."""
     value = [
         records.FORMAT_VERSION,
         load.at_ms,
-        load.capacity,
-        load.until_cancelled_millicores,
+        *(
+            {name: min(total, MAX_SUM) for name, total in totals.items()}
+            for totals in (load.capacity, load.until_cancelled_millicores)
+        ),
     ]
     return records.Record(LOAD_KEY, msgpack.packb(value))
 
