Follow the operators past a record that can't be used

A node that read op/config with content nested too deeply, or an infinite number, raised in its following: at the start it read the same record again and again and was never ready; later it lost the rest of that page, such as an evacuation. Names of any type and numbers beyond 64 bits passed, and raised at the record of each job handed in. The configuration is read within bounds; a record that raises all the same is logged and passed over, the former configuration stays. Evidence: test_odd_submissions, 18 cases failed before. Class: one bad message ends the following.

--- a/poplarspindle/node/shared_state.py
+++ b/poplarspindle/node/shared_state.py
@@ -161,6 +161,10 @@
         except ValueError as error:
             _log.warning("malformed", key=record.key, why=str(error))
             continue
+        except Exception as error:
+            # The next reading would meet the same record, and never end.
+            _log.exception("malformed", key=record.key, why=repr(error))
+            continue
         apply_operator_command(shared_state, command)
 
 
--- a/poplarspindle/platform/operators.py
+++ b/poplarspindle/platform/operators.py
@@ -1,12 +1,13 @@
 """What operators write: the configuration, data centres taken out, waves."""
 
-import json
-
 from poplarspindle.fleet import records, work
 from poplarspindle.node import operator_commands
+from poplarspindle.platform import decoding
 
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
+MAX_ROWS = 10_000
+MAX_TEXT_BYTES = 4096
 
 
 def read_operator_command(
@@ -34,36 +35,49 @@
 
 def read_configuration(value: bytes) -> work.Configuration:
     """Reads the configuration; raises ValueError where it is malformed."""
-    try:
-        fields = json.loads(value)
-        queues = [_read_queue(route) for route in fields["routes"]]
-        guarded = frozenset(
-            service["name"]
-            for service in fields["services"]
-            if service.get("enforce_limits")
-        )
-        limits = fields.get("limits", {})
-        return work.Configuration(
-            int(fields["version"]),
-            {queue.name: queue for queue in queues},
-            guarded,
-            int(limits.get("max_body_bytes", 262_144)),
-            int(limits.get("max_header_bytes", 16_384)),
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"malformed configuration: {error!r}") from error
+    fields = decoding.parse_object(value)
+    routes = decoding.check_list(fields.get("routes"), "routes", MAX_ROWS)
+    services = decoding.check_list(fields.get("services"), "services", MAX_ROWS)
+    limits = decoding.check_object(fields.get("limits", {}), "limits")
+    queues = [
+        _read_queue(decoding.check_object(route, "a route")) for route in routes
+    ]
+    return work.Configuration(
+        decoding.check_whole(fields.get("version"), "version"),
+        {queue.name: queue for queue in queues},
+        frozenset(filter(None, map(_read_guarded, services))),
+        _read_whole(limits, "max_body_bytes", 262_144),
+        _read_whole(limits, "max_header_bytes", 16_384),
+    )
+
+
+def _read_guarded(service: object) -> str:
+    """Returns the name of a service that refuses what does not fit, else ""."""
+    fields = decoding.check_object(service, "a service")
+    name = _read_text(fields, "name")
+    return name if fields.get("enforce_limits") else ""
 
 
 def _read_queue(route: dict) -> work.Queue:
     return work.Queue(
-        route["name"],
-        route["host"],
-        route["path_prefix"],
-        route["service"],
-        int(route.get("priority", 0)),
-        int(route.get("max_attempts", 1)),
-        float(route.get("slack_factor", 1.0)),
-        int(route.get("target_completion_ms", 1000)),
-        int(route.get("timeout_ms", 3000)),
+        _read_text(route, "name"),
+        _read_text(route, "host"),
+        _read_text(route, "path_prefix"),
+        _read_text(route, "service"),
+        decoding.check_whole(
+            route.get("priority", 0), "priority", least=-decoding.MAX_WHOLE
+        ),
+        _read_whole(route, "max_attempts", 1),
+        float(decoding.check_number(route.get("slack_factor", 1.0), "slack")),
+        _read_whole(route, "target_completion_ms", 1000),
+        _read_whole(route, "timeout_ms", 3000),
         bool(route.get("recommendation")),
     )
+
+
+def _read_text(fields: dict, name: str) -> str:
+    return decoding.check_text(fields.get(name), name, MAX_TEXT_BYTES)
+
+
+def _read_whole(fields: dict, name: str, default: int) -> int:
+    return decoding.check_whole(fields.get(name, default), name)
