Refuse settings with numbers out of range or addresses that are none

The process would end: settings are read again each second, and an infinite number raised OverflowError in the main thread, which takes only ValueError and OSError for bad settings; the store's address without a port raised in its move, after the settings were taken over. Such settings are refused with the field's name, the former ones stay. Class: one bad message takes a process down.

--- a/poplarspindle/platform/settings.py
+++ b/poplarspindle/platform/settings.py
@@ -1,11 +1,15 @@
 """The platform's settings file, read into the product's own settings."""
 
 import os
+import re
 
 from poplarspindle.node import settings
 
 PATH_VARIABLE = "POPLARSPINDLE_CONFIG"
 MAX_PARTITIONS = 8  # The owner waits at each part; a call each.
+MAX_NUMBER = 1e12
+MAX_PORT = 65535
+_PORT = re.compile(r"[0-9]{1,5}")
 DEFAULT_PATH = "/etc/poplarspindle/settings.conf"
 
 
@@ -37,16 +41,25 @@
     def number(name: str, default: float) -> float:
         value = fields.get(name) or default
         try:
-            return float(value)
+            found = float(value)
         except ValueError as error:
             raise ValueError(f"{name} is no number: {value}") from error
+        if not 0 <= found <= MAX_NUMBER:
+            raise ValueError(f"{name} is out of range: {value}")
+        return found
+
+    def address(name: str) -> str:
+        host, _, port = require(name).rpartition(":")
+        if not host or not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+            raise ValueError(f"{name} is no host and port: {fields[name]}")
+        return fields[name]
 
     return settings.Settings(
         node=require("node_name"),
         data_centre=require("zone"),
-        callers_address=require("listen_addrs.frontend"),
-        readiness_address=require("listen_addrs.readiness"),
-        store_address=require("platform.address"),
+        callers_address=address("listen_addrs.frontend"),
+        readiness_address=address("listen_addrs.readiness"),
+        store_address=address("platform.address"),
         store_writes_per_s=number("platform.writes_per_s", 600),
         store_reads_per_s=number("platform.reads_per_s", 2000),
         record_most_bytes=int(number("platform.record_bytes", 262_144)),
