Take over from logs with records of another version's types

A node beside which another version writes the same logs raised in its state thread (AttributeError, TypeError) at a record of the same format number with fields of other types: the load's time, the map of unreachable workers, a job's steps. It read them anew and raised again, and no node owned the fleet. Decoding checks the load's types and the readers pass over whatever decoding raises, with the line malformed as before. Only our own nodes write these logs. Class: one bad message takes a process down.

--- a/poplarspindle/fleet/admission.py
+++ b/poplarspindle/fleet/admission.py
@@ -60,8 +60,14 @@
 
 def decode_load(value: bytes) -> Load:
     """Decodes a load; raises ValueError if the value is malformed."""
-    _, at_ms, capacity, until_cancelled = records.unpack(value)
-    return Load(at_ms, capacity, until_cancelled)
+    _, at_ms, *totals = records.unpack(value)
+    if type(at_ms) is not int or not all(
+        type(total) is int
+        for by_service in totals
+        for total in dict(by_service).values()
+    ):
+        raise ValueError("load is not in whole numbers")
+    return Load(at_ms, *totals)
 
 
 def count_until_cancelled_millicores(submission: work.Submission) -> int:
--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -31,6 +31,15 @@
 RESIGNED_KEY = "resigned"
 FORMAT_VERSION = 1
 
+# What decoding raises at a record that another version wrote.
+DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+)
 _PHASES = tuple(job_store.Phase)
 
 
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -143,7 +143,7 @@
         if kind == records.SUBMITTED and record.value:
             try:
                 submission = records.decode_submission(name, record.value)
-            except (ValueError, TypeError, KeyError, IndexError):
+            except records.DECODE_ERRORS:
                 malformed.append(record.key)
                 continue
             job_store.add_job(loaded_store, submission)
@@ -197,7 +197,7 @@
                         tombstones.append(records.Record(key, b""))
                         continue
                     records.apply_group(job, group, record.value)
-            except (ValueError, TypeError, IndexError):
+            except records.DECODE_ERRORS:
                 malformed.append(key)
     return tombstones, malformed
 
--- a/poplarspindle/fleet/unreachable.py
+++ b/poplarspindle/fleet/unreachable.py
@@ -83,5 +83,7 @@
     _, fields_by_worker = records.unpack(value)
     return {
         name: UnreachableWorker(incarnation_ms, read_at + remaining_ms / 1000)
-        for name, (incarnation_ms, remaining_ms) in fields_by_worker.items()
+        for name, (incarnation_ms, remaining_ms) in dict(
+            fields_by_worker
+        ).items()
     }
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -147,6 +147,6 @@
             fleet.tail_model.pairs = model_persistence.decode_model(
                 record.value, now
             )
-        except (ValueError, TypeError):
+        except records.DECODE_ERRORS:
             unread.append(record.key)
     return fleet, drops, malformed + unread
--- a/poplarspindle/node/intake.py
+++ b/poplarspindle/node/intake.py
@@ -82,7 +82,7 @@
         elif kind == records.SUBMITTED and job not in store.jobs:
             try:
                 submission = records.decode_submission(job, record.value)
-            except (ValueError, TypeError, KeyError, IndexError) as error:
+            except records.DECODE_ERRORS as error:
                 yield Malformed(record.key, repr(error))
                 continue
             job_store.add_job(store, submission)
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -390,7 +390,7 @@
                 shared_state.apply_record(
                     self._shared_state, record, time.monotonic()
                 )
-        except (ValueError, TypeError, KeyError, IndexError) as error:
+        except records.DECODE_ERRORS as error:
             self._record_malformed(record.key, repr(error))
 
     def _record_malformed(self, key: str, why: str) -> None:
--- a/poplarspindle/tests/test_odd_list_node.py
+++ b/poplarspindle/tests/test_odd_list_node.py
@@ -2,6 +2,7 @@
 
 import time
 
+import msgpack
 import pytest
 from structlog import testing
 
@@ -95,3 +96,39 @@
     assert busy.ledger
     for minion in found.minions[:2]:
         assert all(run[2] < changed_at for run in minion.ledger)
+
+
+SHARED = "keyed.poplarspindle"
+INTAKE = "keyed.poplarspindle-jobs"
+PROGRESS = "keyed.poplarspindle-progress"
+ODD_RECORDS = [
+    pytest.param(msgpack.packb([1, "x", [], 7]), id="other-types"),
+    pytest.param(msgpack.packb([1, [7], {"a": 1}, None]), id="lists"),
+    pytest.param(msgpack.packb([1, 1e300]), id="one-number"),
+    pytest.param(msgpack.packb([1, ["q"], "x", ["s"], 0, 0, 0, 0]), id="job"),
+    pytest.param(b"\x91" * 2000, id="deep"),
+    pytest.param(b"\xff", id="no-msgpack"),
+]
+OWN_KEYS = {
+    SHARED: ("t/odd", "read", "load", "dark", "fittest", "candidate", "owner"),
+    INTAKE: ("j/odd", "c/odd", "odd"),
+    PROGRESS: ("s/odd", "r/odd/0/0/0", "r/odd", "slowdown"),
+}
+
+
+@pytest.mark.parametrize("value", ODD_RECORDS)
+def test_node_takes_over_from_logs_with_odd_records(house, value):
+    """Owner after owner ended at the record that another version wrote."""
+    with testing.capture_logs() as lines:
+        found = house(0)
+        for topic, keys in OWN_KEYS.items():
+            for key in keys:
+                found.store.write(topic, key, value)
+        found.add_node("n0")
+        # Refused with 503 until an owner has told of its hand-ins anew.
+        path = f"/q/{test_node.ID}"
+        await_that(
+            lambda: found.call("POST", path, test_node.JOB).status == 200
+        )
+        await_that(lambda: found.get_state() == "completed")
+    assert [line for line in lines if line["event"] in DEFECT_LINES] == []
