--- a/poplarspindle/platform/callers.py
+++ b/poplarspindle/platform/callers.py
@@ -6,6 +6,7 @@
 from poplarspindle import http_server, outcomes, resources
 from poplarspindle.fleet import work
 from poplarspindle.node import caller_calls
+from poplarspindle.platform import decoding
 
 ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 MAX_SPEC_BYTES = 4000
@@ -14,6 +15,8 @@
 MAX_AMOUNT = 1 << 40
 DEADLINE_HEADER = "deadline-ms"
 DEFAULT_DEADLINE_MS = 3000
+MAX_DEADLINE_MS = 600_000
+MAX_DEADLINE_DIGITS = 15
 
 
 def read_call(
@@ -37,7 +40,6 @@
         )
     if not ID_PATTERN.fullmatch(name):
         return _fail("bad-id", "A job's id has 16 hexadecimal digits.")
-    name = name.lower()
     kind = _KINDS.get(request.method)
     if kind is None:
         return _fail("bad-method", "Use POST, GET or DELETE.")
@@ -62,18 +64,14 @@
 def _read_deadline_s(request: http_server.Request, queue: work.Queue) -> float:
     """Returns how long the caller waits for an answer, seconds."""
     text = request.headers.get(DEADLINE_HEADER, "")
-    given = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
-    return min(given, queue.timeout_ms or given) / 1000
+    digits = text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS
+    given = int(text) if digits else DEFAULT_DEADLINE_MS
+    return min(given, queue.timeout_ms or given, MAX_DEADLINE_MS) / 1000
 
 
 def read_job(name: str, queue: work.Queue, body: bytes) -> work.Submission:
     """Reads a job; raises ValueError with the first fault."""
-    try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise ValueError("The body is no JSON.") from error
-    if not isinstance(fields, dict):
-        raise ValueError("The body is no JSON object.")
+    fields = decoding.parse_object(body)
     spec = fields.get("spec", "")
     if not isinstance(spec, str) or len(spec.encode()) > MAX_SPEC_BYTES:
         raise ValueError(f"spec is text of at most {MAX_SPEC_BYTES} bytes.")
@@ -89,7 +87,7 @@
         spec,
         steps,
         _read_whole(fields, "repeat_count"),
-        _read_whole(fields, "start_at_ms"),
+        _read_whole(fields, "start_at_ms", decoding.MAX_WHOLE),
         _read_whole(fields, "interval_ms"),
     )
 
@@ -114,7 +112,7 @@
         count,
         need,
         _read_whole(row, "estimated_ms"),
-        tuple(after),
+        tuple(dict.fromkeys(after)),
         _read_flag(row, "checkpointing"),
         _read_flag(row, "gang"),
         _read_flag(row, "colocated"),
@@ -130,11 +128,11 @@
     )
 
 
-def _read_whole(row: dict, name: str) -> int:
+def _read_whole(row: dict, name: str, most: int = MAX_AMOUNT) -> int:
     value = row.get(name, 0)
     if isinstance(value, float) and value.is_integer():
         value = int(value)
-    if type(value) is not int or not 0 <= value <= MAX_AMOUNT:
+    if type(value) is not int or not 0 <= value <= most:
         raise ValueError(f"{name} is a whole number from 0.")
     return value
 
@@ -148,10 +146,7 @@
 
 def _read_text(row: dict, name: str) -> str:
     value = row.get(name, "")
-    if not isinstance(value, str):
-        raise ValueError(f"{name} is text.")
-    value.encode()  # Half a surrogate pair is no text; raises ValueError.
-    return value
+    return decoding.check_text(value, name)
 
 
 def _fail(reason: str, detail: str) -> outcomes.Failed:
--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -4,18 +4,32 @@
 """
 
 import functools
+import itertools
 import json
+import re
 from collections.abc import Callable
 
 from poplarspindle import outcomes, resources
 from poplarspindle.fleet import orders, records, work
 from poplarspindle.node import http_client
-from poplarspindle.platform import transport
+from poplarspindle.platform import decoding, transport
 
 STATES = {"ready": work.Presence.READY, "draining": work.Presence.LEAVING}
 ORDER_TIMEOUT_S = 0.25  # Minions answer orders in a few milliseconds.
 MAX_REPORTED_ENDS = 500  # A report lists so many ends at a time.
 MAX_CACHED_NAMES = 32768  # Tasks that run at a time, with room to spare.
+MAX_ROWS = 100_000
+MAX_CHECKPOINT_BYTES = 4000  # A record holds those of a group of tasks.
+MAX_LABELS = 64
+MAX_PORT = 65535
+# What a header and a URL carry unchanged.
+NAME_PATTERN = re.compile(r"[!-~]{1,255}")
+ADDRESS_PATTERN = re.compile(
+    r"(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):(?P<port>[0-9]{1,5})"
+)
+TASK_PATTERN = re.compile(
+    r"([^.]{1,64})\.([0-9]{1,15})\.([0-9]{1,9})\.([0-9]{1,9})"
+)
 REFUSALS = {
     "fence": orders.Refusal.FENCED,
     "old": orders.Refusal.ENDED,
@@ -24,45 +38,68 @@
 }
 
 
-def read_worker(record: records.Record) -> work.WorkerInfo | None:
-    """Reads an entry; None where it names no worker to use."""
+def read_worker(
+    record: records.Record,
+) -> work.WorkerInfo | outcomes.Failed:
+    """Reads an entry; a failure where it names no worker to use."""
     try:
-        fields = json.loads(record.value)
-        labels = fields["labels"]
-        capacity = fields["capacity"]
-        host, _, port = fields["address"].rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            return None
-        return work.WorkerInfo(
-            record.key,
-            fields["address"],
-            _text(fields["service"]),
-            _text(fields["zone"]),
-            resources.Resources(
-                _whole(capacity["cpu"]),
-                _whole(capacity["mem_mb"]),
-                _whole(capacity.get("gpu", 0)),
-            ),
-            frozenset(map(_text, labels)),
-            labels[-1] if labels else "",
-            STATES[fields["state"]],
-            _whole(fields.get("drain_remaining_ms", 0)),
-            _whole(fields.get("born", 0)),
+        return _read_entry(record.key, decoding.parse_object(record.value))
+    except decoding.MalformedError as error:
+        return outcomes.Failed(
+            outcomes.Step.LIST, record.key, error.reason, str(error)
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
-        return None
 
 
-def _whole(value: object) -> int:
-    if type(value) is not int or value < 0:
-        raise ValueError("no whole number")
+def _read_entry(name: str, fields: dict) -> work.WorkerInfo:
+    if not NAME_PATTERN.fullmatch(name):
+        raise decoding.MalformedError("bad-id", "no header can carry the id")
+    capacity = decoding.check_object(fields.get("capacity"), "capacity")
+    labels = [
+        _read_text(label, "a label")
+        for label in decoding.check_list(
+            fields.get("labels"), "labels", MAX_LABELS
+        )
+    ]
+    state = decoding.check_text(fields.get("state"), "state")
+    if state not in STATES:
+        raise decoding.MalformedError("unknown-state", "the state is unknown")
+    return work.WorkerInfo(
+        name,
+        _read_address(fields.get("address")),
+        _read_text(fields.get("service"), "service"),
+        _read_text(fields.get("zone"), "zone"),
+        resources.Resources(
+            *(
+                decoding.check_whole(amount, "capacity", decoding.MAX_CAPACITY)
+                for amount in (
+                    capacity.get("cpu"),
+                    capacity.get("mem_mb"),
+                    capacity.get("gpu", 0),
+                )
+            )
+        ),
+        frozenset(labels),
+        labels[-1] if labels else "",
+        STATES[state],
+        decoding.check_whole(fields.get("drain_remaining_ms", 0), "drain"),
+        decoding.check_whole(fields.get("born", 0), "born"),
+    )
+
+
+def _read_text(value: object, name: str) -> str:
+    if not decoding.check_text(value, name):
+        raise decoding.MalformedError("missing-field", f"{name} is empty")
     return value
 
 
-def _text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError("no text")
-    return value
+def _read_address(value: object) -> str:
+    address = decoding.check_text(value, "address")
+    match = ADDRESS_PATTERN.fullmatch(address)
+    if match is None or not 0 < int(match["port"]) <= MAX_PORT:
+        raise decoding.MalformedError(
+            "bad-address", "the address is no host and port"
+        )
+    return address
 
 
 def format_task(name: work.TaskName) -> str:
@@ -73,32 +110,66 @@
 @functools.lru_cache(MAX_CACHED_NAMES)
 def parse_task(text: str) -> work.TaskName:
     """Parses a task's name; raises ValueError where it is malformed."""
-    job, time, step, index = text.split(".")
-    return work.TaskName(job, int(time), int(step), int(index))
+    match = TASK_PATTERN.fullmatch(text)
+    if match is None:
+        raise decoding.MalformedError("bad-task", "no name of a task")
+    job, *numbers = match.groups()
+    return work.TaskName(job, *map(int, numbers))
 
 
 def read_report(fields: dict) -> work.Report:
     """Reads an answer to a hold; raises ValueError where it is malformed."""
     try:
+        running = decoding.check_list(fields["running"], "running", MAX_ROWS)
+        ended = decoding.check_list(fields["finished"], "finished", MAX_ROWS)
         return work.Report(
-            int(fields["clock_ms"]),
-            int(fields.get("born", 0)),
-            tuple(
-                work.Running(parse_task(name), run, saved, percent, *usage[:1])
-                for name, run, saved, percent, *usage in fields["running"]
-            ),
-            tuple(
-                work.Ended(
-                    number, parse_task(name), run, work.EndReason(how), saved
-                )
-                for number, name, run, how, saved in fields["finished"]
-            ),
-            len(fields["finished"]) < MAX_REPORTED_ENDS,
+            decoding.check_whole(fields["clock_ms"], "clock"),
+            decoding.check_whole(fields.get("born", 0), "born"),
+            tuple(itertools.starmap(_read_running, running)),
+            tuple(itertools.starmap(_read_ended, ended)),
+            len(ended) < MAX_REPORTED_ENDS,
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"malformed report: {error!r}") from error
 
 
+def _read_running(
+    name: object,
+    attempt: object,
+    checkpoint: object,
+    percent: object,
+    usage: object = None,
+    *_: object,
+) -> work.Running:
+    return work.Running(
+        parse_task(name),
+        decoding.check_whole(attempt, "attempt"),
+        _read_checkpoint(checkpoint),
+        decoding.check_number(percent, "percent"),
+        None if usage is None else decoding.check_number(usage, "usage"),
+    )
+
+
+def _read_ended(
+    number: object,
+    name: object,
+    attempt: object,
+    how: object,
+    checkpoint: object,
+) -> work.Ended:
+    return work.Ended(
+        decoding.check_whole(number, "number"),
+        parse_task(name),
+        decoding.check_whole(attempt, "attempt"),
+        work.EndReason(decoding.check_text(how, "reason")),
+        _read_checkpoint(checkpoint),
+    )
+
+
+def _read_checkpoint(value: object) -> str:
+    return decoding.check_text(value, "checkpoint", MAX_CHECKPOINT_BYTES)
+
+
 class Minion:
     """Orders to one minion; answers come on the exchange's thread.
 
@@ -208,13 +279,14 @@
         )
     status = outcome.value.status
     fields = transport.read_fields(outcome.value.body)
-    clock_ms = fields.get("clock_ms")
-    clock_ms = clock_ms if isinstance(clock_ms, int) else 0
+    clock_ms = _read_answer_clock(fields)
     if status == 200:
         return orders.Answer(None, clock_ms)
     if status == 409:
-        reason = REFUSALS.get(fields.get("reason"), orders.Refusal.MALFORMED)
-        return orders.Answer(reason, clock_ms)
+        reason = fields.get("reason")
+        known = isinstance(reason, str) and reason in REFUSALS
+        refusal = REFUSALS[reason] if known else orders.Refusal.MALFORMED
+        return orders.Answer(refusal, clock_ms)
     if status == 421:
         return orders.Answer(orders.Refusal.OTHER_INCARNATION)
     if status in (429, 503):
@@ -222,6 +294,14 @@
     return orders.Answer(orders.Refusal.MALFORMED)
 
 
+def _read_answer_clock(fields: dict) -> int:
+    """Returns the worker's clock, 0 where the answer has none to use."""
+    try:
+        return decoding.check_whole(fields.get("clock_ms"), "clock")
+    except decoding.MalformedError:
+        return 0  # The same as an answer that tells no time.
+
+
 def read_poll_answer(
     peer: str, outcome: http_client.Outcome
 ) -> outcomes.Ok[work.Report] | outcomes.Failed:
