--- a/poplarspindle/tools/fakes/fleet_workers.py
+++ b/poplarspindle/tools/fakes/fleet_workers.py
@@ -48,6 +48,12 @@
     noted: float = float("inf")
     lapsed: bool = False
     planned: work.EndReason | None = None
+    crashed: bool = False
+
+    @property
+    def key(self) -> tuple[work.TaskName, int]:
+        """The task's name and the attempt number."""
+        return self.name, self.attempt
 
 
 class FakeWorker:
@@ -59,6 +65,7 @@
         up: Whether it is alive.
         reachable: Whether the owner reaches it.
         replaced: Whether another life answers at its address.
+        listed_until: How long it stays listed while it is down.
     """
 
     def __init__(self, world: World, description: work.WorkerInfo) -> None:
@@ -68,6 +75,7 @@
         self.up = True
         self.reachable = True
         self.replaced = False
+        self.listed_until = float("-inf")
         self.incarnation_ms = description.incarnation_ms
         self.fencing_epoch = 0
         self.until_ms = 0
@@ -114,7 +122,7 @@
         for run in list(self.runs.values()):
             if run.how is not None:
                 continue
-            run.ended = self.world.now
+            run.ended, run.crashed = self.world.now, True
             if self.world.find_step(run.name).gang:
                 self.world.gangs.leave(run)
         self.runs.clear()
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -214,7 +214,8 @@
         listed = tuple(
             worker.description
             for name, worker in self.workers.items()
-            if worker.up and name not in self.unlisted
+            if (worker.up or self.now < worker.listed_until)
+            and name not in self.unlisted
         )
         self._reduce(events.WorkersListed(self.now, listed))
 
