Use a worker again that was unreachable, unlisted and listed again

A worker of that kind got no task until the reachability of another worker changed: capacity stood idle. The owner drops the state of an unlisted worker without runs, and with it that its polls failed, on which the new list of unreachable workers depended; the log went on listing it. Now every report of a worker that the log lists publishes a new list, unless one is in flight. Evidence: test_relisted failed before and passes. Class: a step that waits for a flag in state that may be dropped.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -34,7 +34,9 @@
     if worker.logged_unreachable:
         # No lease until the log no longer lists it as unreachable.
         fleet.unreachable_changed = (
-            fleet.unreachable_changed or worker.poll_failed
+            fleet.unreachable_changed
+            or worker.poll_failed
+            or fleet.unreachable_in_flight is None
         )
         worker.poll_failed = False
         return []
