Count and log the crashes of workers under each task

An operator could not tell why a task was started again and again: a run lost with its worker was logged as given up and counted nowhere. Now fleet/crashes finds out that a worker crashed (another incarnation reports, answers 421, or is listed at its address, or the worker is gone for ten seconds), also after the run was given up at the end of its leases, and fleet/blame decides for which tasks it counts. Counts and undecided runs are in the task's record in the progress log, so that the next owner has them; earlier records are read. Each crash and each task aboard has a log line and a counter (poplarspindle_fleet_total, workers-crashed, crashes-suspected, crashes-crashed-beside, crashes-task-given-up); ctl story tells them. Nothing is given up by it yet.

--- /dev/null
+++ b/poplarspindle/fleet/blame.py
@@ -0,0 +1,110 @@
+"""Decides which runs are blamed for a worker's crash. Pure functions.
+
+A worker that crashes tells no cause. Any of the runs aboard may have crashed
+it, and often none did. So a task's crashes are counted, and its job is given up
+only where the evidence points to it, or where it goes on for too long:
+
+- At a first crash all runs aboard become suspects.
+- At a later one those with most crashes are counted, and those that came after
+  them. What was at work before them did not crash the worker then.
+- Two crashes are enough for a task that had surely just started in both and was
+  the only one to be counted in the second, if no other worker went silent then.
+- Workers that go silent together have another cause, as a rack without power.
+  Such a crash counts for no task.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+MAX_CRASHES = 3
+MAX_CERTAIN_CRASHES = 2
+MIN_MASS_WORKERS = 3  # Beside the one that crashed.
+# A task that lasts and crashes its workers does so soon after its start.
+OUTLIVED_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Aboard:
+    """A task, or a gang, that a worker may have run when it crashed.
+
+    Times are on the owner's monotonic clock, infinity if unknown.
+
+    Attributes:
+        crashes: Crashes counted for it before.
+        certain_crashes: Those that surely came soon after its start.
+        certain: Whether this one did.
+        until_cancelled: Whether it runs until its job is cancelled.
+        placed_at: When it was placed.
+        first_seen_at: When a report first listed it.
+        silent_at: When the worker went silent.
+    """
+
+    crashes: int
+    certain_crashes: int
+    certain: bool
+    until_cancelled: bool
+    placed_at: float
+    first_seen_at: float
+    silent_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a crash means for a task.
+
+    Attributes:
+        counted: Whether the crash counts for the task.
+        given_up: Whether the task is not to be started again.
+    """
+
+    counted: bool
+    given_up: bool
+
+
+def judge(aboard: Sequence[Aboard], silent_together: int) -> list[Verdict]:
+    """Decides for which tasks a crash counts and which are given up.
+
+    Args:
+        aboard: All tasks that the worker may have run.
+        silent_together: Number of other workers that went silent at about the
+            same time.
+
+    Returns:
+        A verdict for each task, in their order.
+    """
+    counted = [_is_blamed(entry, aboard, silent_together) for entry in aboard]
+    is_certain = sum(counted) == 1 and not silent_together
+    return [
+        Verdict(is_counted, is_counted and _is_given_up(entry, is_certain))
+        for entry, is_counted in zip(aboard, counted, strict=True)
+    ]
+
+
+def _is_blamed(
+    entry: Aboard, aboard: Sequence[Aboard], silent_together: int
+) -> bool:
+    candidates = [other for other in aboard if not _outlived_start(other)]
+    if entry not in candidates or silent_together >= MIN_MASS_WORKERS:
+        return False
+    most = max(other.crashes for other in candidates)
+    if most == 0:
+        return True
+    suspects_came_at = max(
+        other.placed_at for other in candidates if other.crashes == most
+    )
+    return entry.crashes == most or entry.first_seen_at >= suspects_came_at
+
+
+def _outlived_start(entry: Aboard) -> bool:
+    at_work_s = entry.silent_at - entry.first_seen_at
+    return entry.until_cancelled and at_work_s >= OUTLIVED_S
+
+
+def _is_given_up(entry: Aboard, is_certain: bool) -> bool:
+    if entry.crashes + 1 >= MAX_CRASHES:
+        return True
+    return (
+        is_certain
+        and not entry.until_cancelled
+        and entry.certain_crashes + entry.certain >= MAX_CERTAIN_CRASHES
+    )
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -5,6 +5,7 @@
 
 from poplarspindle import interference, resources
 from poplarspindle.fleet import (
+    crash_history,
     effects,
     job_store,
     leases,
@@ -30,7 +31,7 @@
     Attributes:
         epoch: Epoch of the ownership.
         job_store: All jobs.
-        configuration: The operators' configuration, None until it is read.
+        configuration: The operators' configuration, None before it is read.
         excluded_data_centres: Data centres that get no new work.
         workers: Workers by name.
         ready: Indexes of queued tasks that may start, by job, occurrence and
@@ -40,8 +41,7 @@
         ranks: Rank of each ready step, and when it was computed.
         unplaceable_since: Since when a ready step fits on no worker.
         starved_tried_at: When a starved step was last tried on all workers.
-        vacating_worker: Worker whose latency-critical tasks are being moved
-            away, empty for none.
+        vacating_worker: Worker that tasks are moved away from, "" for none.
         vacating_until: Time after which that is abandoned.
         vacate_chosen_at: When a worker to vacate was last searched for.
         vacated_at: When vacating last ended or last stopped a task.
@@ -62,17 +62,13 @@
         early_ms: How long before its due time a task may start.
         keep_ended_s: Time for which an ended job's state is kept.
         harm_ms: Time for which a latency-critical task may miss its target.
-        tail_model: Learned model of tail latencies and of the interference by
-            best-effort runs.
-        usage_model: Learned model of the processors that they use.
+        tail_model: Learned model of tail latencies and interference.
+        usage_model: Learned model of processors used.
         possible_late_starts: Runs that are over and whose start may still
             reach the worker, by worker, with the time until which it may.
-        unreachable_in_flight: Workers that a record in flight lists as
-            unreachable, None if no such record is in flight.
-        logged_unreachable_workers: Workers that the log may list as
-            unreachable.
-        unreachable_changed: Whether the list of unreachable workers has to be
-            published.
+        unreachable_in_flight: Workers that a record in flight lists, or None.
+        logged_unreachable_workers: Those that the log may list so.
+        unreachable_changed: Whether a new list of them has to be published.
         failed_on: Workers on which a task of an open job failed, by task.
         model_saved_at: When `model_save_due` was last set.
         model_save_due: Whether the next append records the tail model.
@@ -83,6 +79,7 @@
         mean_sizes_core_s: Mean work of a job, by queue.
         remaining_work: Estimated work by job and occurrence, if ready.
         load_logged_at: When a summary of the fleet was last logged.
+        crash_history: What is remembered of workers that went silent.
         expiring_jobs: Ids of ended jobs in the order in which they ended.
         mechanisms: Mechanisms by which the owner decides.
     """
@@ -146,6 +143,7 @@
         self.mean_sizes_core_s: dict[str, float] = {}
         self.remaining_work: dict[tuple[str, int], ranking.RemainingWork] = {}
         self.load_logged_at = float("-inf")
+        self.crash_history = crash_history.CrashHistory()
         self.possible_late_starts: dict[
             str, dict[tuple[work.TaskName, int], float]
         ] = {}
@@ -189,7 +187,7 @@
     queued = {
         index
         for index, task in enumerate(tasks_by_step[step])
-        if task.phase is job_store.Phase.QUEUED
+        if task.phase is job_store.Phase.QUEUED and not task.awaits_verdict
     }
     if queued:
         fleet.ready[job.submission.job, occurrence, step] = queued
@@ -246,6 +244,8 @@
     if run.job.state in job_store.ENDED:
         return
     mark_task_changed(fleet, run.name)
+    if task.awaits_verdict:
+        return
     key = (run.name.job, run.name.occurrence, run.name.step)
     fleet.ready.setdefault(key, set()).add(run.name.index)
     fleet.placement_needed = True
--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -7,7 +7,7 @@
 import enum
 from collections.abc import Iterable
 
-from poplarspindle.fleet import work
+from poplarspindle.fleet import blame, work
 
 
 class Phase(enum.IntEnum):
@@ -46,6 +46,45 @@
     queue: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """Crashes of workers that are counted for a task; see `blame`.
+
+    The members of a gang have the same record.
+
+    Attributes:
+        crashes: Number of crashes.
+        certain_crashes: Those that surely came soon after a start.
+        last_attempt: Attempt in which the last of them happened.
+    """
+
+    crashes: int = 0
+    certain_crashes: int = 0
+    last_attempt: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that was given up while it is not known if its worker crashed.
+
+    Attributes:
+        attempt: Attempt number of the run.
+        worker_name: The worker.
+        incarnation_ms: Incarnation of the worker.
+        address: Its address, empty if unknown.
+        certain: Whether the worker surely went silent soon after its start.
+    """
+
+    attempt: int
+    worker_name: str
+    incarnation_ms: int
+    address: str
+    certain: bool
+
+
+NO_CRASHES = CrashRecord()
+
+
 class Task:
     """State of one task.
 
@@ -58,13 +97,17 @@
         checkpoint: Newest checkpoint, empty for none.
         open_attempts: Attempts that were requeued and whose end a worker may
             still report.
+        crash_record: Crashes that are counted for the task.
+        lost_runs: Runs of whose worker it is not known if it crashed.
     """
 
     __slots__ = (
         "attempt",
         "checkpoint",
+        "crash_record",
         "failures",
         "incarnation_ms",
+        "lost_runs",
         "open_attempts",
         "phase",
         "worker_name",
@@ -79,6 +122,8 @@
         incarnation_ms: int = 0,
         checkpoint: str = "",
         open_attempts: Iterable[int] = (),
+        crash_record: CrashRecord = NO_CRASHES,
+        lost_runs: Iterable[LostRun] = (),
     ) -> None:
         self.phase = phase
         self.attempt = attempt
@@ -87,6 +132,22 @@
         self.incarnation_ms = incarnation_ms
         self.checkpoint = checkpoint
         self.open_attempts = tuple(open_attempts)
+        self.crash_record = crash_record
+        self.lost_runs = tuple(lost_runs)
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task may have crashed a worker."""
+        return self.crash_record.crashes > 0
+
+    @property
+    def awaits_verdict(self) -> bool:
+        """Whether it may have crashed as many workers as a task may at most.
+
+        It is not started until it is known what became of them.
+        """
+        possible = self.crash_record.crashes + len(self.lost_runs)
+        return possible >= blame.MAX_CRASHES
 
 
 class Job:
--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -32,6 +32,7 @@
 FORMAT_VERSION = 1
 
 _PHASES = tuple(job_store.Phase)
+_FIELDS_WITHOUT_CRASHES = 6  # Of a task that no crash is counted for.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,6 +279,10 @@
         task.incarnation_ms,
         task.checkpoint,
     ]
+    if task.is_suspect or task.lost_runs:
+        crashes = dataclasses.astuple(task.crash_record)
+        lost_runs = [dataclasses.astuple(lost) for lost in task.lost_runs]
+        return [*encoded, task.open_attempts, crashes, lost_runs]
     return [*encoded, task.open_attempts] if task.open_attempts else encoded
 
 
@@ -285,7 +290,15 @@
     if isinstance(encoded, int):
         return job_store.Task(_PHASES[encoded])
     phase, *rest = encoded
-    return job_store.Task(_PHASES[phase], *rest)
+    if len(rest) <= _FIELDS_WITHOUT_CRASHES:
+        return job_store.Task(_PHASES[phase], *rest)
+    *rest, crashes, lost_runs = rest
+    return job_store.Task(
+        _PHASES[phase],
+        *rest,
+        job_store.CrashRecord(*crashes),
+        [job_store.LostRun(*lost) for lost in lost_runs],
+    )
 
 
 def make_intake_deletions(job: str) -> list[Record]:
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -6,6 +6,8 @@
 
 from poplarspindle.fleet import (
     consolidation,
+    crash_history,
+    crashes,
     effects,
     events,
     fleet_state,
@@ -93,6 +95,7 @@
             worker = fleet.workers[name] = worker_state.WorkerState(info)
             worker.logged_unreachable = name in fleet.logged_unreachable_workers
             effect_list.append(_make_worker_note("listed", info))
+            effect_list += crashes.handle_listed(fleet, info)
         elif not worker.listed:
             effect_list.append(_make_worker_note("listed-again", info))
         elif worker.info.presence is not info.presence:
@@ -162,6 +165,10 @@
     worker = fleet.workers.get(event.worker_name)
     if worker is None:
         return []
+    if not worker.poll_failed:
+        crash_history.record_silence(
+            fleet.crash_history, event.worker_name, event.at
+        )
     worker.no_placement_until = max(
         worker.no_placement_until, event.at + POLL_FAILED_EXCLUSION_S
     )
@@ -169,6 +176,9 @@
     if event.why == orders.Refusal.OTHER_INCARNATION:
         # Another incarnation answers at this address: this one has ended, and
         # the new one refuses orders still in flight to it.
+        effect_list += crashes.handle_incarnation(
+            fleet, worker, crashes.UNKNOWN_INCARNATION
+        )
         for run in list(worker.runs.values()):
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, event.why
@@ -217,6 +227,7 @@
     if fleet.now - fleet.load_logged_at >= LOAD_SUMMARY_INTERVAL_S:
         fleet.load_logged_at = fleet.now
         effect_list.append(_make_load_note(fleet))
+    effect_list += crashes.handle_gone(fleet)
     effect_list += consolidation.review_consolidation(fleet)
     return effect_list + _drop_expired_jobs(fleet)
 
@@ -277,6 +288,7 @@
         and fleet.now - worker.last_report_at > 1.0
     ):
         for run in list(worker.runs.values()):
+            crashes.remember_lost_run(fleet, worker, run)
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, "lease-lapsed", True
             )
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -2,6 +2,7 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
+    crashes,
     effects,
     ends,
     events,
@@ -43,7 +44,15 @@
     if not event.until_ms:
         effect_list.append(allow_leases)
     is_first_report = not worker.has_reported
-    if report.incarnation_ms != worker.incarnation_ms:
+    is_reborn = report.incarnation_ms != worker.incarnation_ms
+    if is_reborn or event.worker_name in fleet.crash_history.lost_at:
+        effect_list += crashes.handle_incarnation(
+            fleet,
+            worker,
+            report.incarnation_ms,
+            {(running.task, running.attempt) for running in report.running},
+        )
+    if is_reborn:
         effect_list += _begin_incarnation(fleet, worker, report)
     worker.last_report_at = event.at
     worker.may_accept_more = True
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -4,6 +4,7 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
+    crashes,
     events,
     fleet_state,
     job_store,
@@ -43,6 +44,7 @@
             continue
         fleet.open_jobs[name] = None
         repair_gangs(fleet, job)
+        crashes.restore_lost_runs(fleet, job)
         for occurrence in job.occurrences:
             fleet_state.queue_occurrence(fleet, job, occurrence)
         for task_name, task in job_store.list_placed(job):
--- a/poplarspindle/stories.py
+++ b/poplarspindle/stories.py
@@ -95,6 +95,20 @@
     )
 
 
+def _tell_crash(fields: Mapping) -> str:
+    verdicts = {
+        "suspected": "it may be the cause",
+        "task-given-up": "it is taken to be the cause",
+        "crashed-beside": "another run is taken to be the cause",
+    }
+    return (
+        f"{fields.get('worker')} crashed with task {fields.get('task')} run"
+        f" {fields.get('attempt')} and {fields.get('aboard', 1) - 1} others"
+        f" aboard: {verdicts[fields['event']]}, crashes counted:"
+        f" {fields.get('crashes')}."
+    )
+
+
 def _tell_other(fields: Mapping) -> str:
     rest = {
         name: value
@@ -110,4 +124,7 @@
     "ended": _tell_ended,
     "given-up": _tell_given_up,
     "start-refused": _tell_refused,
+    "suspected": _tell_crash,
+    "task-given-up": _tell_crash,
+    "crashed-beside": _tell_crash,
 }
