Keep tasks that may have crashed a worker apart

After a crash any of a dozen runs aboard may be its cause. Placed together again, the next crash shows nothing and costs as much. A suspect now goes to an idle worker, else to one without another suspect, else to any; other tasks prefer other workers. Tasks that last don't ask for an idle worker, as they are packed by image. A suspect at work for five seconds has company again.

--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -272,7 +272,7 @@
     for index in indexes:
         task = tasks[index]
         name = work.TaskName(key[0], key[1], key[2], index)
-        worker = chooser.choose(fleet.failed_on.get(name))
+        worker = chooser.choose(fleet.failed_on.get(name), task.is_suspect)
         if worker is None:
             fleet.unplaceable_since.setdefault(key, fleet.now)
             break
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -19,6 +19,7 @@
 FULL_EXCLUSION_S = 0.3  # The next report shows resources that others took up.
 BUSY_EXCLUSION_S = 1.0
 MAX_UNANSWERED_STARTS = 3
+SUSPECT_WATCH_S = 5.0  # A suspect at work for so long may have company again.
 
 
 def handle_report(
@@ -141,6 +142,8 @@
         run.at_full_speed = listed_run.percent >= AT_WORK_PERCENT
         if run.first_seen_at > event.at:
             run.first_seen_at = event.at
+        if event.at - run.first_seen_at >= SUSPECT_WATCH_S:
+            worker.suspects.discard(key)
         if fleet.mechanisms.measured_use:
             usage.record_usage(fleet.usage_model, worker, run, event.at)
         if (
--- a/poplarspindle/fleet/worker_chooser.py
+++ b/poplarspindle/fleet/worker_chooser.py
@@ -57,13 +57,16 @@
         )
 
     def choose(
-        self, failed_on: set[str] | None = None
+        self, failed_on: set[str] | None = None, is_suspect: bool = False
     ) -> worker_state.WorkerState | None:
         """Chooses the worker for the next task, None if no worker has room.
 
         Args:
             failed_on: Names of workers on which the task failed before.
+            is_suspect: Whether the task may have crashed a worker.
         """
+        if is_suspect:
+            return self._choose_for_suspect()
         if failed_on and self._used.avoid_failed:
             worker = worker_selection.choose_worker(
                 worker_selection.exclude_failing(self._workers, failed_on),
@@ -81,6 +84,23 @@
             heapq.heapify(self._heap)
         return self._heap[0][2] if self._heap else None
 
+    def _choose_for_suspect(self) -> worker_state.WorkerState | None:
+        groups = worker_selection.isolate_suspect(
+            self._workers, self._step, self._key
+        )
+        found = (
+            worker_selection.choose_worker(
+                group,
+                self._step,
+                self._key,
+                self._rack,
+                self._predict_headroom_use,
+                self._used,
+            )
+            for group in groups
+        )
+        return next((worker for worker in found if worker is not None), None)
+
     def update_rank(self, worker: worker_state.WorkerState) -> None:
         """Ranks a worker again after a task was placed on it."""
         if self._step.one_rack and not self._rack:
--- a/poplarspindle/fleet/worker_selection.py
+++ b/poplarspindle/fleet/worker_selection.py
@@ -22,6 +22,8 @@
 NO_LATENCY_CRITICAL_COST = 1.0
 HEADROOM_USE_COST = 1.2
 MAX_HEADROOM_USE = 1.0  # The whole tail-latency headroom of a worker.
+# Keeps other tasks off a worker that may crash soon, while others have room.
+SUSPECT_COST = 4.0
 
 
 def accepts_tasks(
@@ -119,6 +121,7 @@
         if wanted_rack and worker.info.rack != wanted_rack
         else 0.0
     )
+    suspect_cost = SUSPECT_COST if worker.suspects else 0.0
     best_effort_share = worker.best_effort_millicores / capacity
     free_share = compute_free_millicores(worker) / capacity
     no_critical_cost = (
@@ -128,7 +131,8 @@
     )
     if step.best_effort:
         return (
-            other_rack_cost
+            suspect_cost
+            + other_rack_cost
             + no_critical_cost
             + HEADROOM_USE_COST * headroom_use
             - free_share
@@ -145,12 +149,13 @@
         )
         packing_gain = same_image_share + other_image_gain * other_image_share
         return (
-            other_rack_cost
+            suspect_cost
+            + other_rack_cost
             + no_critical_cost
             + BEST_EFFORT_COST * best_effort_share
             - packing_gain
         )
-    return other_rack_cost + best_effort_share - free_share
+    return suspect_cost + other_rack_cost + best_effort_share - free_share
 
 
 def has_free_processors(
@@ -185,6 +190,41 @@
     ]
 
 
+def isolate_suspect(
+    workers: list[worker_state.WorkerState], step: work.Step, key: tuple
+) -> list[list[worker_state.WorkerState]]:
+    """Returns the workers for a task that may crash its worker.
+
+    Load pattern: a worker crashes with a dozen tasks, one of which crashes the
+    next worker too. On workers of their own the next crash singles it out, and
+    does no harm to other tasks.
+
+    Args:
+        workers: Workers that accept the task.
+        step: The task's step; members of a gang may share a worker.
+        key: Its job id, occurrence and step number.
+
+    Returns:
+        Groups of workers, those to try first first.
+    """
+    without_suspects = [
+        worker
+        for worker in workers
+        if not any(
+            not step.gang or _get_step_key(name) != key
+            for name, _ in worker.suspects
+        )
+    ]
+    if step.until_cancelled:
+        return [without_suspects, workers]
+    idle = [worker for worker in without_suspects if not worker.runs]
+    return [idle, without_suspects, workers]
+
+
+def _get_step_key(name: work.TaskName) -> tuple[str, int, int]:
+    return name.job, name.occurrence, name.step
+
+
 def choose_worker(
     workers: Iterable[worker_state.WorkerState],
     step: work.Step,
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -125,6 +125,7 @@
         unknown_run_resources: Resources of runs that it reports but that are
             not placed on it; they are being stopped.
         runs_by_step: Number of runs by job, occurrence and step.
+        suspects: Keys of its runs that may have crashed another worker.
         reserved: Resources that its runs reserve, without the processors of
             best-effort runs.
         available: Free resources, None if they have to be computed again.
@@ -169,6 +170,7 @@
         self.runs: dict[tuple[work.TaskName, int], Run] = {}
         self.unknown_run_resources = resources.ZERO
         self.runs_by_step: collections.Counter = collections.Counter()
+        self.suspects: set[tuple[work.TaskName, int]] = set()
         self.reserved = resources.ZERO
         self.available: resources.Resources | None = None
         self.best_effort_millicores = 0
@@ -208,6 +210,8 @@
     worker.available = worker.headroom_by_image = None
     worker.reserved = worker.reserved + get_reserved(run.step)
     worker.runs_by_step[_get_step_key(run)] += 1
+    if run.task.is_suspect:
+        worker.suspects.add(run.key)
     if run.step.best_effort:
         worker.best_effort_millicores += run.expected_millicores
     if run.step.target_ms:
@@ -222,6 +226,7 @@
     if worker.runs.pop(run.key, None) is None:
         return
     worker.may_accept_more = True
+    worker.suspects.discard(run.key)
     worker.available = worker.headroom_by_image = None
     worker.reserved = worker.reserved - get_reserved(run.step)
     key = _get_step_key(run)
