Give up a task that crashes its workers, and fail its job

Cause: a run lost with its worker was queued again without any count, as no end was reported. The judge of the walks took a job shown as failed for wrong unless a task had failed as often as its queue allows. The users' pages now also allow it where two workers crashed under a task; that is read from the fake workers' own ledgers, counted once for each attempt of a gang. Class: retries without regard to the harm that a try does.

--- a/poplarspindle/fleet/crashes.py
+++ b/poplarspindle/fleet/crashes.py
@@ -229,7 +229,7 @@
     worker_name: str,
     suspects: Iterable[_Suspect],
 ) -> list[effects.Effect]:
-    """Counts a crash for the tasks to blame."""
+    """Counts a crash for the tasks to blame; fails jobs of those given up."""
     by_unit: dict[work.TaskName, list[_Suspect]] = collections.defaultdict(list)
     for suspect in suspects:
         if _is_open(fleet, suspect):
@@ -262,6 +262,12 @@
         effect_list.append(
             _make_note(fleet, unit[0], worker_name, len(units), verdict)
         )
+    for unit, verdict in zip(units, verdicts, strict=True):
+        job = fleet.job_store.jobs[unit[0].name.job]
+        if verdict.given_up and job.state not in job_store.ENDED:
+            effect_list += fleet_state.end_job(
+                fleet, job, job_store.State.FAILED
+            )
     return effect_list
 
 
--- a/poplarspindle/tools/fakes/judging.py
+++ b/poplarspindle/tools/fakes/judging.py
@@ -9,6 +9,7 @@
 if typing.TYPE_CHECKING:
     from poplarspindle.tools.fakes import fleets
 
+MIN_CRASHES_TO_FAIL = 2
 # What starts, fails and is done as one: a task, or a gang with index -1.
 Unit = work.TaskName
 
@@ -42,20 +43,29 @@
 
 
 def list_wrong_states(world: "fleets.World") -> list[str]:
-    """Lists jobs shown as ended that their runs do not show as such."""
+    """Lists jobs shown as ended that their runs do not show as such.
+
+    A task under which two workers crashed may be given up.
+    """
     done, failed = collections.defaultdict(set), collections.Counter()
+    crashed = collections.defaultdict(set)
     for name, runs in _sort_ledgers(world).items():
         unit = find_unit(world, name)
         for run in runs:
             if run.how is work.EndReason.DONE:
                 done[name.job].add(unit)
             failed[unit] += run.how is work.EndReason.FAILED
+            crashed[unit] |= {run.attempt} if run.crashed else set()
     found = []
     for name, job in world.fleet.job_store.jobs.items():
         most = max((n for u, n in failed.items() if u.job == name), default=0)
         if (
             job.published_state is job_store.State.FAILED
             and most < world.queue.attempts
+            and not any(
+                len(attempts) >= MIN_CRASHES_TO_FAIL and unit.job == name
+                for unit, attempts in crashed.items()
+            )
         ):
             found.append(f"shown as failed after {most} failed runs: {name}")
         units = _count_units(job.submission)
