Take placements back whose worker shrank before their start

A worker's capacity may shrink while it runs. A start went out as placed, however long the record took, and an unanswered one was repeated, so a worker that does not guard its capacity was brought over it (LIMIT). Now a start is checked against the newest capacity when it is sent, with all that is being stopped; what does not fit is queued again, a gang whole, and a start that may have arrived is stopped, not repeated. Growth needed no change: it is used in the next round (test_capacity). A worker over its capacity in one resource takes nothing, even what needs none of it (table in test_capacity). Class: a decision that is carried out later without looking again.

--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -12,6 +12,7 @@
     model_persistence,
     records,
     unreachable,
+    withdrawals,
 )
 
 LOAD_PUBLISH_INTERVAL_S = 0.5
@@ -228,5 +229,5 @@
         if run.job.state in job_store.ENDED or run.stopping or is_unreachable:
             effect_list += fleet_state.stop_run(fleet, worker, run)
         else:
-            effect_list += fleet_state.send_start(fleet, worker, run)
+            effect_list += withdrawals.send_start(fleet, worker, run)
     return effect_list
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -7,10 +7,10 @@
     ends,
     events,
     fleet_state,
-    job_store,
     orders,
     pacing,
     usage,
+    withdrawals,
     work,
     worker_state,
 )
@@ -160,7 +160,7 @@
         if (
             is_first_report and run.recorded and not run.stopping
         ) or _needs_resend(run):
-            effect_list += fleet_state.send_start(fleet, worker, run)
+            effect_list += withdrawals.send_start(fleet, worker, run)
         elif event.sent_at > run.answered_at and event.report.ends_complete:
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, "not-listed", True
@@ -303,7 +303,7 @@
     surely_not_started = run.unanswered_starts == 0 and not run.confirmed
     is_retryable = refusal in (orders.Refusal.LATE, orders.Refusal.NO_ANSWER)
     if is_retryable and run.unanswered_starts < MAX_UNANSWERED_STARTS:
-        return effect_list + fleet_state.send_start(fleet, worker, run)
+        return effect_list + withdrawals.send_start(fleet, worker, run)
     if surely_not_started and not is_retryable:
         effect_list += _requeue_unstarted(fleet, worker, run, refusal)
         return effect_list
@@ -318,18 +318,4 @@
     effect_list = fleet_state.requeue_lost_run(
         fleet, worker, run, refusal.value
     )
-    if not run.step.gang:
-        return effect_list
-    members = run.job.occurrences.get(run.name.occurrence, [])
-    if not members:
-        return effect_list
-    for task in members[run.name.step]:
-        other_worker = fleet.workers.get(task.worker_name)
-        if other_worker is None or task.phase is not job_store.Phase.PLACED:
-            continue
-        for other_run in list(other_worker.runs.values()):
-            if other_run.task is task:
-                effect_list += fleet_state.stop_run(
-                    fleet, other_worker, other_run
-                )
-    return effect_list
+    return effect_list + withdrawals.stop_other_members(fleet, run)
