Let a task that may have crashed a worker wait for one without another

Now a suspect waits up to a second for a worker without others, then takes the one with fewest. A step that waits so no longer counts as a need that fits nowhere, which would hold back other steps of its kind.

--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -28,6 +28,7 @@
 # from other workers.
 UNPLACEABLE_RESET_INTERVAL_S = 0.5
 MAX_STARVED_TRIES = 4
+SUSPECT_WAIT_S = 1.0  # For a worker without other suspects.
 # Service, whether best-effort, label and image.
 StepKind = tuple[str, bool, str, str]
 
@@ -174,7 +175,7 @@
                 fleet.mechanisms,
             )
             effect_list = place_step(fleet, chooser, job, step, key)
-        if key in fleet.ready and independent:
+        if key in fleet.ready and independent and not _has_suspects(fleet, key):
             self._unplaced_needs[step_kind] = step.need
             if not known_unplaceable:
                 fleet.unplaceable_needs[step_kind] = step.need
@@ -269,12 +270,19 @@
     attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
     placements: list[tuple[worker_state.WorkerState, worker_state.Run]] = []
     expected_millicores = usage.expect_millicores(fleet.usage_model, step)
+    waited_s = fleet.now - fleet.unplaceable_since.get(key, fleet.now)
     for index in indexes:
         task = tasks[index]
         name = work.TaskName(key[0], key[1], key[2], index)
-        worker = chooser.choose(fleet.failed_on.get(name), task.is_suspect)
+        worker = chooser.choose(
+            fleet.failed_on.get(name),
+            task.is_suspect,
+            waited_s >= SUSPECT_WAIT_S,
+        )
         if worker is None:
             fleet.unplaceable_since.setdefault(key, fleet.now)
+            if task.is_suspect and not step.gang:
+                continue  # Others need no worker without suspects.
             break
         task.phase = job_store.Phase.PLACED
         task.attempt = attempt or task.attempt + 1
@@ -299,6 +307,13 @@
     )
 
 
+def _has_suspects(
+    fleet: fleet_state.FleetState, key: worker_chooser.StepKey
+) -> bool:
+    tasks = fleet.job_store.jobs[key[0]].occurrences[key[1]][key[2]]
+    return any(tasks[index].is_suspect for index in fleet.ready[key])
+
+
 def _record_placements(
     fleet, job, step, key, placements
 ) -> list[effects.Effect]:
--- a/poplarspindle/fleet/worker_chooser.py
+++ b/poplarspindle/fleet/worker_chooser.py
@@ -57,16 +57,20 @@
         )
 
     def choose(
-        self, failed_on: set[str] | None = None, is_suspect: bool = False
+        self,
+        failed_on: set[str] | None = None,
+        is_suspect: bool = False,
+        may_share: bool = True,
     ) -> worker_state.WorkerState | None:
         """Chooses the worker for the next task, None if no worker has room.
 
         Args:
             failed_on: Names of workers on which the task failed before.
             is_suspect: Whether the task may have crashed a worker.
+            may_share: Whether a suspect may get a worker that has others.
         """
         if is_suspect:
-            return self._choose_for_suspect()
+            return self._choose_for_suspect(may_share)
         if failed_on and self._used.avoid_failed:
             worker = worker_selection.choose_worker(
                 worker_selection.exclude_failing(self._workers, failed_on),
@@ -84,9 +88,11 @@
             heapq.heapify(self._heap)
         return self._heap[0][2] if self._heap else None
 
-    def _choose_for_suspect(self) -> worker_state.WorkerState | None:
+    def _choose_for_suspect(
+        self, may_share: bool
+    ) -> worker_state.WorkerState | None:
         groups = worker_selection.isolate_suspect(
-            self._workers, self._step, self._key
+            self._workers, self._step, self._key, may_share
         )
         found = (
             worker_selection.choose_worker(
--- a/poplarspindle/fleet/worker_selection.py
+++ b/poplarspindle/fleet/worker_selection.py
@@ -5,6 +5,7 @@
 latency of a worker's latency-critical tasks.
 """
 
+import collections
 from collections.abc import Callable, Collection, Iterable
 
 from poplarspindle.fleet import mechanisms, work, worker_state
@@ -191,7 +192,10 @@
 
 
 def isolate_suspect(
-    workers: list[worker_state.WorkerState], step: work.Step, key: tuple
+    workers: list[worker_state.WorkerState],
+    step: work.Step,
+    key: tuple,
+    may_share: bool,
 ) -> list[list[worker_state.WorkerState]]:
     """Returns the workers for a task that may crash its worker.
 
@@ -203,22 +207,26 @@
         workers: Workers that accept the task.
         step: The task's step; members of a gang may share a worker.
         key: Its job id, occurrence and step number.
+        may_share: Whether it may get a worker that has other suspects.
 
     Returns:
         Groups of workers, those to try first first.
     """
-    without_suspects = [
-        worker
-        for worker in workers
-        if not any(
+    by_suspects = collections.defaultdict(list)
+    for worker in workers:
+        others = sum(
             not step.gang or _get_step_key(name) != key
             for name, _ in worker.suspects
         )
-    ]
-    if step.until_cancelled:
-        return [without_suspects, workers]
-    idle = [worker for worker in without_suspects if not worker.runs]
-    return [idle, without_suspects, workers]
+        by_suspects[others].append(worker)
+    without_suspects = by_suspects.pop(0, [])
+    groups = [without_suspects]
+    if not step.until_cancelled:
+        idle = [worker for worker in without_suspects if not worker.runs]
+        groups.insert(0, idle)
+    if may_share:
+        groups += [by_suspects[others] for others in sorted(by_suspects)]
+    return groups
 
 
 def _get_step_key(name: work.TaskName) -> tuple[str, int, int]:
--- a/poplarspindle/tests/test_crashes.py
+++ b/poplarspindle/tests/test_crashes.py
@@ -187,3 +187,14 @@
     world.run(0.5)
     held = [len(w.runs) for w in world.workers.values() if w.up and w.runs]
     assert held == [1, 1, 1, 1]
+
+
+def test_suspects_in_a_full_fleet_are_taken_for_the_cause_together():
+    """Load: after a crash no worker without another suspect has room."""
+    crashes = crashing.Crashes(is_deadly, down_s=1.0)
+    world = make_world(crashes, workers=4, run_s=lambda rng: 1.2)
+    names = submit_innocent_jobs(world, 60)
+    world.submit(DEADLY, make_step(1))
+    world.run(60)
+    assert world.get_state(DEADLY) == "failed"
+    assert {world.get_state(name) for name in names} == {"completed"}
