--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -13,6 +13,7 @@
     records,
     start_delay,
     unreachable,
+    withdrawals,
 )
 
 LOAD_PUBLISH_INTERVAL_S = 0.5
@@ -263,5 +264,5 @@
             effect_list += fleet_state.stop_run(fleet, worker, run)
         else:
             fleet.start_statistics.starts += 1
-            effect_list += fleet_state.send_start(fleet, worker, run)
+            effect_list += withdrawals.send_start(fleet, worker, run)
     return effect_list
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -2,14 +2,15 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
+    crashes,
     effects,
     ends,
     events,
     fleet_state,
-    job_store,
     orders,
     pacing,
     usage,
+    withdrawals,
     work,
     worker_state,
 )
@@ -18,6 +19,7 @@
 FULL_EXCLUSION_S = 0.3  # The next report shows resources that others took up.
 BUSY_EXCLUSION_S = 1.0
 MAX_UNANSWERED_STARTS = 3
+SUSPECT_WATCH_S = 5.0  # A suspect at work for so long may have company again.
 
 
 def handle_report(
@@ -45,7 +47,15 @@
     if not event.until_ms:
         effect_list.append(allow_leases)
     is_first_report = not worker.has_reported
-    if report.incarnation_ms != worker.incarnation_ms:
+    is_reborn = report.incarnation_ms != worker.incarnation_ms
+    if is_reborn or event.worker_name in fleet.crash_history.lost_at:
+        effect_list += crashes.handle_incarnation(
+            fleet,
+            worker,
+            report.incarnation_ms,
+            {(running.task, running.attempt) for running in report.running},
+        )
+    if is_reborn:
         effect_list += _begin_incarnation(fleet, worker, report)
     worker.last_report_at = event.at
     worker.may_accept_more = True
@@ -134,6 +144,8 @@
         run.at_full_speed = listed_run.percent >= AT_WORK_PERCENT
         if run.first_seen_at > event.at:
             run.first_seen_at = event.at
+        if event.at - run.first_seen_at >= SUSPECT_WATCH_S:
+            worker.suspects.discard(key)
         if fleet.mechanisms.measured_use:
             usage.record_usage(fleet.usage_model, worker, run, event.at)
         if (
@@ -150,7 +162,7 @@
         if (
             is_first_report and run.recorded and not run.stopping
         ) or _needs_resend(run):
-            effect_list += fleet_state.send_start(fleet, worker, run)
+            effect_list += withdrawals.send_start(fleet, worker, run)
         elif event.sent_at > run.answered_at and event.report.ends_complete:
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, "not-listed", True
@@ -298,7 +310,7 @@
     surely_not_started = run.unanswered_starts == 0 and not run.confirmed
     is_retryable = refusal in (orders.Refusal.LATE, orders.Refusal.NO_ANSWER)
     if is_retryable and run.unanswered_starts < MAX_UNANSWERED_STARTS:
-        return effect_list + fleet_state.send_start(fleet, worker, run)
+        return effect_list + withdrawals.send_start(fleet, worker, run)
     if surely_not_started and not is_retryable:
         effect_list += _requeue_unstarted(fleet, worker, run, refusal)
         return effect_list
@@ -313,18 +325,4 @@
     effect_list = fleet_state.requeue_lost_run(
         fleet, worker, run, refusal.value
     )
-    if not run.step.gang:
-        return effect_list
-    members = run.job.occurrences.get(run.name.occurrence, [])
-    if not members:
-        return effect_list
-    for task in members[run.name.step]:
-        other_worker = fleet.workers.get(task.worker_name)
-        if other_worker is None or task.phase is not job_store.Phase.PLACED:
-            continue
-        for other_run in list(other_worker.runs.values()):
-            if other_run.task is task:
-                effect_list += fleet_state.stop_run(
-                    fleet, other_worker, other_run
-                )
-    return effect_list
+    return effect_list + withdrawals.stop_other_members(fleet, run)
