Count no crash for a worker that is only known to be unlisted

Callers could see 'failed' for a job none of whose tasks crashed a worker: one that is cut off for longer than its entry lasts was taken to have crashed, three times are enough. Such runs are forgotten after 10 s with a line 'gone', so a task that waited to know may start again. A worker that comes back as another incarnation, or is replaced at its address, counts as before.

--- a/poplarspindle/fleet/crashes.py
+++ b/poplarspindle/fleet/crashes.py
@@ -22,7 +22,7 @@
     worker_state,
 )
 
-# An unlisted worker that nobody replaced has crashed for good, or is cut off.
+# An unlisted worker that nobody replaced by then is not waited for.
 GONE_AFTER_S = 10.0
 SOON_AFTER_START_S = 1.0  # A task's own crash comes when it starts.
 MAX_LOST_RUNS = 4  # Of one task.
@@ -104,10 +104,11 @@
     return effect_list
 
 
-def handle_gone(fleet: fleet_state.FleetState) -> list[effects.Effect]:
-    """Counts a crash of workers that are unlisted since runs were lost.
+def forget_gone(fleet: fleet_state.FleetState) -> list[effects.Effect]:
+    """Forgets runs lost with workers that are unlisted and nobody replaced.
 
-    They may only be cut off, so no crash counts as certain.
+    They may have crashed for good or only be cut off, so it counts for no
+    task; a task that waited to know may start again.
     """
     effect_list: list[effects.Effect] = []
     for name, lost_at in list(fleet.crash_history.lost_at.items()):
@@ -116,11 +117,12 @@
             continue
         if fleet.now - max(lost_at.values()) < GONE_AFTER_S:
             continue
-        suspects = [
-            dataclasses.replace(suspect, certain=False)
-            for suspect in _take_lost_runs(fleet, name, UNKNOWN_INCARNATION)
-        ]
-        effect_list += _count_crash(fleet, name, suspects)
+        lost = _take_lost_runs(fleet, name, UNKNOWN_INCARNATION)
+        effect_list.append(
+            fleet_state.make_log_note(
+                "workers", "gone", worker=name, runs=len(lost)
+            )
+        )
     return effect_list
 
 
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -231,7 +231,7 @@
         fleet.load_logged_at = fleet.now
         effect_list.append(_make_load_note(fleet))
         effect_list += waiting.make_notes(fleet)
-    effect_list += crashes.handle_gone(fleet)
+    effect_list += crashes.forget_gone(fleet)
     effect_list += consolidation.review_consolidation(fleet)
     return effect_list + _drop_expired_jobs(fleet)
 
--- a/poplarspindle/tests/test_crashes.py
+++ b/poplarspindle/tests/test_crashes.py
@@ -162,6 +162,24 @@
     assert world.notes["suspected"] == 0
 
 
+def test_worker_that_was_cut_off_until_it_was_unlisted_counts_as_no_crash():
+    """LOST: a job fails though no worker crashed under its tasks."""
+    world = make_world(crashing.Crashes(), run_s=lambda rng: 60.0)
+    world.submit("a" * 16, make_step(1))
+    for _ in range(4):
+        world.run(1)
+        worker = find_worker_of(world, "a" * 16)
+        worker.reachable = False
+        world.unlisted.add(worker.description.name)
+        world.run(22)
+    for worker in world.workers.values():
+        worker.reachable = True
+    world.unlisted.clear()
+    world.run(90)
+    assert world.get_state("a" * 16) == "completed"
+    assert world.notes["suspected"] == world.notes["task-given-up"] == 0
+
+
 def test_lasting_task_that_outlived_its_start_is_not_blamed():
     world = make_world(crashing.Crashes(down_s=1.0))
     world.submit(LASTING, make_step(1, until_cancelled=True))
