--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -4,6 +4,7 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
+    crashes,
     events,
     fleet_state,
     job_store,
@@ -43,6 +44,7 @@
             continue
         fleet.open_jobs[name] = None
         repair_gangs(fleet, job)
+        crashes.restore_lost_runs(fleet, job)
         for occurrence in job.occurrences:
             fleet_state.queue_occurrence(fleet, job, occurrence)
         for task_name, task in job_store.list_placed(job):
@@ -143,7 +145,7 @@
         if kind == records.SUBMITTED and record.value:
             try:
                 submission = records.decode_submission(name, record.value)
-            except (ValueError, TypeError, KeyError, IndexError):
+            except records.DECODE_ERRORS:
                 malformed.append(record.key)
                 continue
             job_store.add_job(loaded_store, submission)
@@ -197,7 +199,7 @@
                         tombstones.append(records.Record(key, b""))
                         continue
                     records.apply_group(job, group, record.value)
-            except (ValueError, TypeError, IndexError):
+            except records.DECODE_ERRORS:
                 malformed.append(key)
     return tombstones, malformed
 
