Make loggers anew for the tests of odd content

A fixture makes all loggers anew, so that the lines asked for, and those that must not come, are seen. Shown with loggers bound to a closed file before pytest: 24 failed before, all 282 pass now.

--- a/poplarspindle/tests/conftest.py
+++ b/poplarspindle/tests/conftest.py
@@ -9,6 +9,7 @@
 import time
 
 import pytest
+import structlog
 import urllib3
 
 from poplarspindle import entry, settings
@@ -178,3 +179,19 @@
 @pytest.fixture
 def wait():
     return wait_for
+
+
+@pytest.fixture
+def fresh_logs(monkeypatch):
+    """Makes all loggers anew.
+
+    Programs that earlier tests ran in this process leave loggers behind that
+    write to files closed since, and whose lines can't be captured.
+    """
+    before = structlog.get_config()
+    structlog.reset_defaults()
+    for name, module in list(sys.modules.items()):
+        if name.startswith("poplarspindle.") and hasattr(module, "_log"):
+            monkeypatch.setattr(module, "_log", structlog.get_logger())
+    yield
+    structlog.configure(**before)
--- a/poplarspindle/tests/test_odd_answers.py
+++ b/poplarspindle/tests/test_odd_answers.py
@@ -12,6 +12,7 @@
 from poplarspindle.platform import minions, store, transport
 from poplarspindle.tests import test_http_client, test_odd_entries
 
+pytestmark = pytest.mark.usefixtures("fresh_logs")
 peer = test_http_client.peer
 calls = test_http_client.calls
 TASK = "5c0e7a21d94b36f8.0.1.17"
--- a/poplarspindle/tests/test_odd_entries.py
+++ b/poplarspindle/tests/test_odd_entries.py
@@ -14,6 +14,7 @@
 from poplarspindle.platform import __main__ as program
 from poplarspindle.platform import minions, settings
 
+pytestmark = pytest.mark.usefixtures("fresh_logs")
 PATIENCE_S = 30
 SEEDS = range(1, 21)
 MUTATIONS = 40
--- a/poplarspindle/tests/test_odd_list_node.py
+++ b/poplarspindle/tests/test_odd_list_node.py
@@ -8,6 +8,7 @@
 
 from poplarspindle.tests import test_node, test_odd_entries
 
+pytestmark = pytest.mark.usefixtures("fresh_logs")
 DEFECT_LINES = {"raised", "state-failed"}
 WORKERS = "keyed.servers"
 SECOND_ID = "5c0e7a21d94b36f9"
--- a/poplarspindle/tests/test_odd_submissions.py
+++ b/poplarspindle/tests/test_odd_submissions.py
@@ -18,6 +18,7 @@
 from poplarspindle.platform import callers, operators, settings
 from poplarspindle.tests import test_odd_entries
 
+pytestmark = pytest.mark.usefixtures("fresh_logs")
 QUEUE = work.Queue("q", "a.example", "/p/", "pool", 0, 3, 1.5, 250, 3000)
 CONFIGURATION = work.Configuration(3, {"q": QUEUE})
 NAME = "5c0e7a21d94b36f8"
