--- a/poplarspindle/tests/test_crashes.py
+++ b/poplarspindle/tests/test_crashes.py
@@ -123,6 +123,30 @@
     } == {"failed"}
 
 
+@pytest.mark.parametrize("answers", [True, False])
+@pytest.mark.parametrize("down_s", [0.5, 3.0])
+def test_tasks_that_crash_many_workers_at_a_time_are_given_up(down_s, answers):
+    """BUDGET: workers that went silent together counted for no task."""
+    crashes = crashing.Crashes(
+        lambda name: name.job[0] == "d" and not name.index,
+        down_s,
+        answers=answers,
+    )
+    world = make_world(crashes, workers=24, run_s=lambda rng: 1.5)
+    names = submit_innocent_jobs(world, 12)
+    deadly = [f"d{number:015x}" for number in range(8)]
+    for name in deadly:
+        world.submit(name, make_step(2))
+    world.run(40)
+    starts = [
+        len(list_starts(world, work.TaskName(name, 0, 0, 0)))
+        for name in deadly
+    ]
+    assert max(starts) <= MAX_CRASHES + 2
+    assert {world.get_state(name) for name in deadly} == {"failed"}
+    assert {world.get_state(name) for name in names} == {"completed"}
+
+
 @pytest.mark.parametrize("renamed", [False, True])
 @pytest.mark.parametrize("down_s", [0.5, 3.0, 7.0])
 @pytest.mark.parametrize("gang", [False, True])
