Refuse no job that another node has stored

Callers saw (by test): 429, which says that a job was not accepted and never runs, for one that another node had stored and its owner not yet told of, while the owner is overloaded or there is no room for more that lasts. Cause: refusals looked only at the jobs that this node knows of. Class: a negative answer from incomplete knowledge. Why it works: before a refusal the job's part of the hand-ins is read behind what the owner told of, as for 410; where that can't be read the answer is 504, not known. A refusal costs a read of the store and takes as long.

--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -7,7 +7,13 @@
 import structlog
 
 from poplarspindle import http_server, metrics, outcomes
-from poplarspindle.fleet import admission, job_store, records, start_delay
+from poplarspindle.fleet import (
+    admission,
+    job_store,
+    records,
+    start_delay,
+    work,
+)
 from poplarspindle.node import (
     admission_ledger,
     caller_calls,
@@ -23,6 +29,7 @@
 OWNER_TIMEOUT_S = 1.2  # The owner tells of hand-ins within that time.
 ANSWER_MARGIN_S = 0.15
 RETRY_S = 1
+UNKNOWN_ERROR = "It is not known whether it was stored."
 
 _log = structlog.get_logger(part="desk")
 
@@ -159,29 +166,52 @@
         job = dataclasses.replace(
             call.submission, accepted_ms=clocks.get_wall_ms()
         )
+        refusal = self._find_refusal(call.queue, job)
+        if refusal is not None:
+            return self._refuse_unless_stored(job.job, refusal)
+        return self._append_intake(
+            records.encode_submission(job), job.job, deadline
+        )
+
+    def _find_refusal(
+        self, queue: work.Queue, job: work.Submission
+    ) -> caller_calls.Answer | None:
+        """Returns the answer to a job for which there is no room."""
         retry_s = start_delay.find_retry_s(
-            self._shared_state.start_delays,
-            call.queue.priority,
-            time.monotonic(),
+            self._shared_state.start_delays, queue.priority, time.monotonic()
         )
         if retry_s:
-            return caller_calls.Answer(
-                429,
-                error="Work waits too long to be started.",
-                retry_s=retry_s,
-            )
+            return _refuse(429, "Work waits too long to be started.", retry_s)
         retry_s = self._admission_ledger.decide(
             self._shared_state.load,
             self._shared_state.loads_read,
             job,
             job.accepted_ms,
         )
-        if retry_s:
-            return caller_calls.Answer(
-                429, error=_REFUSALS[retry_s], retry_s=retry_s
-            )
-        return self._append_intake(
-            records.encode_submission(job), job.job, deadline
+        return _refuse(429, _REFUSALS[retry_s], retry_s) if retry_s else None
+
+    def _refuse_unless_stored(
+        self, job: str, refusal: caller_calls.Answer
+    ) -> caller_calls.Answer:
+        """Refuses a job, unless another node has stored it already.
+
+        Its caller may have got no answer there; a refusal would say that the
+        job never runs.
+        """
+        partition = records.choose_partition(job, self._platform.partitions)
+        intake = self._read_unpublished(partition)
+        if isinstance(intake, outcomes.Failed):
+            return caller_calls.Answer(504, error=UNKNOWN_ERROR)
+        if self._is_stored(job, intake):
+            return caller_calls.Answer(200)
+        return refusal
+
+    def _is_stored(self, job: str, intake: _UnpublishedIntake) -> bool:
+        key = f"{records.SUBMITTED}/{job}"
+        return shared_state.find_job(
+            self._shared_state, job
+        ) is not None or any(
+            record.key == key and record.value for record in intake.items
         )
 
     def _cancel(
@@ -232,10 +262,7 @@
         intake = self._read_unpublished(partition)
         if isinstance(intake, outcomes.Failed):
             return _refuse(503, f"The log does not answer: {intake.reason}.")
-        key = f"{records.SUBMITTED}/{job}"
-        if shared_state.find_job(self._shared_state, job) is not None or any(
-            record.key == key and record.value for record in intake.items
-        ):
+        if self._is_stored(job, intake):
             return None
         if not self._shared_state.loaded:
             # States behind the offsets may have been lost meanwhile.
@@ -334,11 +361,11 @@
     if entry.appended:
         return caller_calls.Answer(200)
     if entry.may_have_acted or not entry.reason:
-        return caller_calls.Answer(
-            504, error="It is not known whether it was stored."
-        )
+        return caller_calls.Answer(504, error=UNKNOWN_ERROR)
     return _refuse(503, f"The log refused: {entry.reason}.")
 
 
-def _refuse(status: int, error: str) -> caller_calls.Answer:
-    return caller_calls.Answer(status, error=error, retry_s=RETRY_S)
+def _refuse(
+    status: int, error: str, retry_s: int = RETRY_S
+) -> caller_calls.Answer:
+    return caller_calls.Answer(status, error=error, retry_s=retry_s)
--- a/poplarspindle/tests/test_start_delay.py
+++ b/poplarspindle/tests/test_start_delay.py
@@ -189,3 +189,18 @@
         test_intake.make_submission(test_intake.JOB),
     )
     assert handlers._submit(call, time.monotonic() + 3).status == 200
+
+
+def test_job_is_not_refused_while_it_can_not_be_looked_for():
+    store = test_intake.FakeStore()
+    handlers, state = test_intake.make_call_handlers(store)
+    state.start_delays = start_delay.StartDelays(time.monotonic(), ((0, 60.0),))
+    store.is_down = True
+    call = caller_calls.Call(
+        caller_calls.Kind.SUBMIT,
+        test_intake.QUEUE,
+        test_intake.JOB,
+        3.0,
+        test_intake.make_submission(test_intake.JOB),
+    )
+    assert handlers._submit(call, time.monotonic() + 3).status == 504
