--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -26,8 +26,7 @@
 class FleetState:
     """State on which the owner bases its decisions.
 
-    Times that end in `at`, `_until` or `_since` are on the owner's monotonic
-    clock, in seconds.
+    Times (`_at`, `_until`, `_since`) are the owner's monotonic seconds.
 
     Attributes:
         epoch: Epoch of the ownership.
@@ -35,8 +34,7 @@
         configuration: The operators' configuration, None before it is read.
         excluded_data_centres: Data centres that get no new work.
         workers: Workers by name.
-        ready: Indexes of queued tasks that may start, by job, occurrence and
-            step.
+        ready: Indexes of tasks that may start, by job, occurrence and step.
         unplaceable_needs: Smallest need that fits no worker, by kind of step.
         unplaceable_reset_at: When all kinds were last tried on all workers.
         ranks: Rank of each ready step, and when it was computed.
@@ -50,11 +48,10 @@
         changed_jobs: Ids of jobs whose progress has to be recorded.
         unpublished: Ids of jobs whose state is not yet in the shared log.
         intake_offsets: Offsets up to which the intake was read, by partition.
-        published_intake_offsets: The offsets published last.
+        published_intake_offsets: Those published last.
         intake_published_at: When that was.
         changed_groups: Task groups to record, with their job.
-        order_room: How many more orders the owner can send soon; no more
-            tasks are placed than it can start.
+        order_room: How many more orders, so starts, can be sent soon.
         start_statistics: How fast the owner starts what could be placed.
         start_delays_published: Whether the log says that work waits for it.
         deferred_effects: Effects that follow the next append.
@@ -69,8 +66,8 @@
         harm_ms: Time for which a latency-critical task may miss its target.
         tail_model: Learned model of tail latencies and interference.
         usage_model: Learned model of processors used.
-        possible_late_starts: Runs that are over and whose start may still
-            reach the worker, by worker, with the time until which it may.
+        possible_late_starts: Until when the start of a run that is over may
+            still reach its worker, by worker.
         unreachable_in_flight: Workers that a record in flight lists, or None.
         logged_unreachable_workers: Those that the log may list so.
         unreachable_changed: Whether a new list of them has to be published.
@@ -79,8 +76,7 @@
         model_save_due: Whether the next append records the tail model.
         load_published_at: When the load was last published.
         listed_at: When the list of workers was last read.
-        placement_needed: Whether tasks or free resources were added since the
-            last placement round.
+        placement_needed: Whether the next placement round may place a task.
         mean_sizes_core_s: Mean work of a job, by queue.
         remaining_work: Estimated work by job and occurrence, if ready.
         load_logged_at: When a summary of the fleet was last logged.
@@ -214,9 +210,8 @@
     """Opens occurrences of a job that are due, not too many at a time."""
     submission = job.submission
     while job_store.may_open_occurrence(job):
-        due_ms = (
-            submission.first_ms + job.opened_occurrences * submission.every_ms
-        )
+        due_ms = job.opened_occurrences * submission.every_ms
+        due_ms += submission.first_ms
         if submission.occurrence_count and fleet.wall_ms < due_ms:
             return
         occurrence = job_store.open_occurrence(job)
@@ -300,7 +295,7 @@
     why: str,
     may_end: bool = False,
 ) -> list:
-    """Removes a run that certainly does not run, and queues its task again.
+    """Requeues the task of a run that surely does not run; returns a note.
 
     Args:
         fleet: State of the fleet.
@@ -308,9 +303,6 @@
         run: The run.
         why: Why it does not run, for the log.
         may_end: Whether the worker may still report how the run ended.
-
-    Returns:
-        The log line.
     """
     worker_state.remove_run(worker, run)
     if may_end and run.start_sent and not run.step.until_cancelled:
@@ -344,8 +336,8 @@
 ) -> list:
     """Orders a worker to stop a run.
 
-    A run whose start was never sent is removed instead, and its task queued
-    again. No order is sent while one is in flight or before `run.stop_after`.
+    A run whose start was never sent is requeued instead. No order is sent
+    while one is in flight or before `run.stop_after`.
     """
     if not run.start_sent:
         worker_state.remove_run(worker, run)
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -13,7 +13,7 @@
     fleet_state,
     job_store,
     pacing,
-    ranking,
+    ready_steps,
     start_delay,
     starvation,
     usage,
@@ -23,8 +23,6 @@
     worker_state,
 )
 
-# Ranks change with time, but computing all of them each round is too slow.
-MAX_RANK_AGE_S = 0.25
 # A worker without a change may accept a step once the tail model has learned
 # from other workers.
 UNPLACEABLE_RESET_INTERVAL_S = 0.5
@@ -57,7 +55,7 @@
         fleet.unplaceable_needs.clear()
     placement_round = PlacementRound(fleet)
     effect_list: list[effects.Effect] = []
-    for key in sort_ready_steps(fleet):
+    for key in ready_steps.sort(fleet):
         if count_start_room(fleet) <= 0:
             # The steps that are left have been tried on no worker.
             fleet.placement_needed = True
@@ -83,47 +81,6 @@
     return fleet.order_room - unrecorded
 
 
-def sort_ready_steps(
-    fleet: fleet_state.FleetState,
-) -> list[worker_chooser.StepKey]:
-    """Sorts the ready steps by rank; a rank is at most MAX_RANK_AGE_S old."""
-    ranks = fleet.ranks
-    for key in ranks.keys() - fleet.ready.keys():
-        del ranks[key]
-    for key in fleet.ready:
-        cached_rank = ranks.get(key)
-        if cached_rank is None or fleet.now - cached_rank[1] >= MAX_RANK_AGE_S:
-            ranks[key] = (*rank_ready_step(fleet, key), key), fleet.now
-    return sorted(fleet.ready, key=lambda key: ranks[key][0])
-
-
-def rank_ready_step(
-    fleet: fleet_state.FleetState, key: worker_chooser.StepKey
-) -> tuple:
-    """Computes the rank of a ready step; the lowest is placed first."""
-    job = fleet.job_store.jobs[key[0]]
-    step = job.submission.steps[key[2]]
-
-    def get_effort() -> ranking.RemainingWork:
-        effort = fleet.remaining_work.get(key[:2])
-        if effort is None:
-            effort = fleet.remaining_work[key[:2]] = ranking.compute_effort(
-                job, key[1]
-            )
-        return effort
-
-    return ranking.rank_step(
-        job,
-        key[1],
-        step,
-        get_effort,
-        fleet.queues,
-        fleet.wall_ms,
-        fleet.mean_sizes_core_s,
-        fleet.mechanisms,
-    )
-
-
 class PlacementRound:
     """One pass over all ready steps.
 
@@ -395,12 +352,3 @@
             **first_start_fields,
         )
     ]
-
-
-def count_ready_best_effort_tasks(fleet: fleet_state.FleetState) -> int:
-    """Counts the ready best-effort tasks."""
-    return sum(
-        len(indexes)
-        for key, indexes in fleet.ready.items()
-        if fleet.job_store.jobs[key[0]].submission.steps[key[2]].best_effort
-    )
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -17,6 +17,7 @@
     orders,
     placement_rounds,
     ranking,
+    ready_steps,
     recording,
     reports,
     takeover,
@@ -273,7 +274,7 @@
         ready=sum(map(len, fleet.ready.values())),
         order_room=int(min(fleet.order_room, sys.maxsize)),
         starts_per_s=round(fleet.start_statistics.starts_per_s, 1),
-        ready_fills=placement_rounds.count_ready_best_effort_tasks(fleet),
+        ready_fills=ready_steps.count_best_effort_tasks(fleet),
         open_jobs=len(fleet.open_jobs),
         hot=sum(state.target_missed_since < float("inf") for state in workers),
     )
--- a/poplarspindle/tests/test_start_room.py
+++ b/poplarspindle/tests/test_start_room.py
@@ -1,6 +1,6 @@
 """Placement rounds of an owner that can send no more starts."""
 
-from poplarspindle.fleet import placement_rounds, start_delay
+from poplarspindle.fleet import placement_rounds, ready_steps, start_delay
 from poplarspindle.tests import test_overrun
 
 
@@ -11,13 +11,13 @@
     """
     fleet, worker = test_overrun.make_waiting_fleet(jobs=20, tasks=4)
     sorted_rounds = []
-    sort = placement_rounds.sort_ready_steps
+    sort = ready_steps.sort
 
     def count(fleet):
         sorted_rounds.append(fleet.now)
         return sort(fleet)
 
-    monkeypatch.setattr(placement_rounds, "sort_ready_steps", count)
+    monkeypatch.setattr(ready_steps, "sort", count)
     fleet.order_room = 0
     for _ in range(10):
         fleet.now += 0.1
