Place for the next append what can be sent while the last one takes

Callers saw (suspected): less work done while the store is slow. Cause: placements that wait for their record count against the room for orders, half a second's worth, while an append takes seconds and no order is sent.

--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -43,6 +43,7 @@
 
     Attributes:
         last_append_at: When the store last took an append, monotonic seconds.
+        last_append_s: How long that took, seconds.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         self._waiting: queue.SimpleQueue = queue.SimpleQueue()
         self._items: list = []
         self.last_append_at = float("-inf")
+        self.last_append_s = 0.0
 
     def start(self) -> None:
         """Starts the appending thread."""
@@ -143,10 +145,11 @@
             answer = self._call(batch, self._sequence)
             if isinstance(answer, outcomes.Ok):
                 self.last_append_at = time.monotonic()
+                self.last_append_s = self.last_append_at - began
                 self._counters.observe(
                     "poplarspindle_append_seconds",
                     "owner",
-                    self.last_append_at - began,
+                    self.last_append_s,
                 )
                 return True
             if answer.reason in ("fenced", "seq"):
--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -26,7 +26,10 @@
 SAMPLE_ANSWERS = 32
 INITIAL_ORDERS_PER_S = INITIAL_LIMIT / LATE_ANSWER_S
 RATE_PERIOD_S = 0.25  # A late owner reads many answers at once.
-MAX_WAIT_S = 0.5  # No order ages for longer; leases last 4 s.
+MAX_WAIT_S = 0.5
+# No order ages for longer, also where the store takes seconds to record
+# placements and their starts come all at once; leases last 4 s.
+MAX_WAIT_AFTER_APPEND_S = 2.0
 
 _log = structlog.get_logger(part="exchange")
 
@@ -109,14 +112,19 @@
     limit.backlog_at, limit.backlog_answers = now, 0
 
 
-def compute_room(limit: Limit, waiting: int) -> int:
+def compute_room(limit: Limit, waiting: int, append_s: float = 0.0) -> int:
     """Returns how many more orders may be made, so that none waits for long.
 
+    Load pattern: the store is slow, and no order is sent until a placement is
+    recorded. What could be sent meanwhile is placed for the next append.
+
     Args:
         limit: The limit of orders in flight.
         waiting: Orders that wait already.
+        append_s: How long the store takes to record placements, seconds.
     """
-    room = max(limit.orders, int(MAX_WAIT_S * limit.orders_per_s))
+    wait_s = min(MAX_WAIT_AFTER_APPEND_S, MAX_WAIT_S + append_s)
+    room = max(limit.orders, int(wait_s * limit.orders_per_s))
     return max(0, room - waiting)
 
 
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -220,6 +220,7 @@
         return order_window.compute_room(
             self.order_window.limit,
             self.order_window.waiting + len(self._orders),
+            self._progress.last_append_s,
         )
 
     def flush(self) -> None:
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -97,6 +97,20 @@
     assert order_window.compute_room(state, waiting) == room
 
 
+@pytest.mark.parametrize(
+    ("append_s", "room"),
+    [
+        pytest.param(0.01, 510, id="the store is fast"),
+        pytest.param(1.0, 1500, id="it takes a second"),
+        pytest.param(9.0, 2000, id="leases would be over"),
+    ],
+)
+def test_slow_store_has_what_could_be_sent_meanwhile_placed(append_s, room):
+    """Less work was done while the store was slow: starts wait for it."""
+    limit = order_window.Limit(orders=128, orders_per_s=1000)
+    assert order_window.compute_room(limit, 0, append_s) == room
+
+
 ANSWERS_PER_S = 200  # Of a weak owner, however many orders are in flight.
 
 
