Move starts that may arrive late into a module of their own

Change: list_possible_late_starts and record_possible_late_start moved as they are to fleet/late_starts.py. Measured: test_ends and test_silent_workers pass; no logic changed.

--- a/poplarspindle/fleet/ends.py
+++ b/poplarspindle/fleet/ends.py
@@ -6,6 +6,7 @@
     effects,
     fleet_state,
     job_store,
+    late_starts,
     tail_model,
     work,
     worker_state,
@@ -159,7 +160,7 @@
         checkpoint: Its last checkpoint, empty for none.
     """
     worker_state.remove_run(worker, run)
-    fleet_state.record_possible_late_start(fleet, worker, run)
+    late_starts.record_possible_late_start(fleet, worker, run)
     fleet.placement_needed = True
     tail_model.record_end(worker, run, fleet.now)
     effect_list = [
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -8,6 +8,7 @@
     crash_history,
     effects,
     job_store,
+    late_starts,
     leases,
     mechanisms,
     orders,
@@ -20,8 +21,6 @@
     worker_state,
 )
 
-MAX_START_DELAY_S = 15.0  # An unanswered order may take effect that late.
-
 
 class FleetState:
     """State on which the owner bases its decisions.
@@ -265,29 +264,6 @@
         fleet.ready.pop(key, None)
 
 
-def list_possible_late_starts(
-    fleet: FleetState, worker_name: str
-) -> list[tuple[work.TaskName, int]]:
-    """Lists runs that are over and whose start may still reach the worker."""
-    late_starts = fleet.possible_late_starts.get(worker_name, {})
-    for key in [
-        key for key, until in late_starts.items() if until <= fleet.now
-    ]:
-        del late_starts[key]
-    return list(late_starts)
-
-
-def record_possible_late_start(
-    fleet: FleetState, worker: worker_state.WorkerState, run: worker_state.Run
-) -> None:
-    """Records that a start of a run that is over may still reach its worker."""
-    if run.unanswered_starts or run.start_in_flight:
-        late_starts = fleet.possible_late_starts.setdefault(
-            worker.info.name, {}
-        )
-        late_starts[run.key] = fleet.now + MAX_START_DELAY_S
-
-
 def requeue_lost_run(
     fleet: FleetState,
     worker: worker_state.WorkerState,
@@ -307,7 +283,7 @@
     worker_state.remove_run(worker, run)
     if may_end and run.start_sent and not run.step.until_cancelled:
         run.task.open_attempts += (run.attempt,)
-    record_possible_late_start(fleet, worker, run)
+    late_starts.record_possible_late_start(fleet, worker, run)
     requeue(fleet, run)
     return [
         make_log_note(
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -7,6 +7,7 @@
     ends,
     events,
     fleet_state,
+    late_starts,
     orders,
     pacing,
     usage,
@@ -106,7 +107,7 @@
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, "worker-born-again"
             )
-    for name, attempt in fleet_state.list_possible_late_starts(
+    for name, attempt in late_starts.list_possible_late_starts(
         fleet, worker.info.name
     ):
         order = orders.Stop(name, attempt, fleet.epoch)
@@ -245,8 +246,8 @@
         or worker.poll_failed
     ):
         return []
-    late_starts = fleet_state.list_possible_late_starts(fleet, worker.info.name)
-    if (order.task, order.attempt) not in late_starts:
+    possible = late_starts.list_possible_late_starts(fleet, worker.info.name)
+    if (order.task, order.attempt) not in possible:
         return []
     return [effects.Order(worker.info.name, order)]
 
