Judge of walks: a task waits only from when its step may start

Change: the step has to be startable at each look, as the rooms are; a task that waits all the time is found as before.

--- a/poplarspindle/tools/fakes/bookkeeping.py
+++ b/poplarspindle/tools/fakes/bookkeeping.py
@@ -75,6 +75,7 @@
     """
     rooms = _list_rooms(world)
     running = _list_running(world)
+    startable = _list_startable(world.fleet)
     without_work = _list_workers_without_work(world)
     for _ in range(looks - 1):
         world.run(LOOK_INTERVAL_S)
@@ -84,9 +85,10 @@
             for name in rooms.keys() & now.keys()
         }
         running |= _list_running(world)
+        startable &= _list_startable(world.fleet)
         without_work &= _list_workers_without_work(world)
     found = [f"gets no work: {name}" for name in sorted(without_work)]
-    for key, tasks, can_start in _list_steps(world.fleet):
+    for key, tasks, _ in _list_steps(world.fleet):
         step = world.submissions[key[0]].steps[key[2]]
         waiting = [
             name
@@ -94,11 +96,16 @@
             if task.phase is not job_store.Phase.DONE
             and (name := work.TaskName(*key, index)) not in running
         ]
-        if can_start and waiting and _can_place(step, rooms.values()):
+        if key in startable and waiting and _can_place(step, rooms.values()):
             found += [f"does not run beside room: {name}" for name in waiting]
     return found
 
 
+def _list_startable(fleet: fleet_state.FleetState) -> set[StepKey]:
+    """Lists the steps of which all prerequisites are done."""
+    return {key for key, _, can_start in _list_steps(fleet) if can_start}
+
+
 def _list_usable(world: "fleets.World") -> list[str]:
     return [
         name
