Place a task nowhere else while a start without an answer may be carried out

Cause: once a worker out of reach had no lease that the owner knew of, the owner took all its runs to be over. A start without an answer arrives up to 12 s late, and its lease may count from then. The next owner knew less: it waited 10.1 s from its claim, or as long as the record of unreachable workers told of their leases. Change: such a run stays on its worker until its end is listed, another incarnation or a later owner's epoch is known there, or no start can come any more (15 s, and a lease). The record of unreachable workers names such runs. A task's record tells, 0.25 s after its start, that it was answered, so a next owner lets only the others wait. What it writes is read by earlier versions and the other way round. Why it works: all ways to queue a task again need proof from its worker, or the time after which none can be needed. Tests changed: place_again_before_the_end_is_reported lets the start's answer in before reports are held back, since a start without an answer is waited for now; test_gang_whose_end_is_partly_recorded_is_done tears the append of its end, not that of the answers before it. Both demand what they demanded.

--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -102,9 +102,12 @@
             still report.
         crash_record: Crashes that are counted for the task.
         lost_runs: Runs of whose worker it is not known if it crashed.
+        answered_attempt: Last attempt of which the log holds that each start
+            was answered, 0 for none.
     """
 
     __slots__ = (
+        "answered_attempt",
         "attempt",
         "checkpoint",
         "crash_record",
@@ -127,6 +130,7 @@
         open_attempts: Iterable[int] = (),
         crash_record: CrashRecord = NO_CRASHES,
         lost_runs: Iterable[LostRun] = (),
+        answered_attempt: int = 0,
     ) -> None:
         self.phase = phase
         self.attempt = attempt
@@ -137,6 +141,7 @@
         self.open_attempts = tuple(open_attempts)
         self.crash_record = crash_record
         self.lost_runs = tuple(lost_runs)
+        self.answered_attempt = answered_attempt
 
     @property
     def is_suspect(self) -> bool:
--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -1,13 +1,85 @@
-"""Starts without an answer, which a worker may carry out late."""
+"""Starts without an answer, which a worker may carry out late.
+
+A run may begin that way after all leases that its owner knows of, as the lease
+of a late start may count from its arrival. So while that is possible, the run
+stays placed on its worker, and its task is placed nowhere else. The wait ends
+early if the worker lists the end of the run or refuses its start, if another
+incarnation of the worker answers, or if the worker answers a later owner, whose
+epoch makes it refuse the starts of earlier ones.
+"""
 
 import typing
 
-from poplarspindle.fleet import work, worker_state
+from poplarspindle.fleet import leases, work, worker_state
 
 if typing.TYPE_CHECKING:
     from poplarspindle.fleet import fleet_state
 
 MAX_START_DELAY_S = 15.0  # An unanswered order may take effect that late.
+# From a start without an answer to the end of the lease that it may begin.
+MAX_LATE_RUN_S = (
+    MAX_START_DELAY_S
+    + leases.LEASE_MS / 1000 * worker_state.MAX_CLOCK_DRIFT
+    + worker_state.LEASE_END_SLACK_S
+)
+# Shorter runs are over before a record of their answered starts would matter.
+RECORD_ANSWERED_AFTER_S = 0.25
+
+
+def record_unanswered_start(run: worker_state.Run, now: float) -> None:
+    """Records that a start of a run got no answer."""
+    run.unanswered_starts += 1
+    run.may_run_late_until = now + MAX_LATE_RUN_S
+
+
+def rule_out_earlier_owners(worker: worker_state.WorkerState) -> None:
+    """Records that a worker answered under this epoch.
+
+    From then on it refuses the starts that earlier owners sent.
+    """
+    for run in worker.runs.values():
+        if not run.unanswered_starts:
+            run.may_run_late_until = float("-inf")
+
+
+def may_run_late(run: worker_state.Run, now: float) -> bool:
+    """Returns whether a start without an answer may have the run at work.
+
+    Leases do not bound that. A start in flight counts as one without an answer.
+    """
+    return run.start_in_flight or now < run.may_run_late_until
+
+
+def is_answer_to_record(run: worker_state.Run, now: float) -> bool:
+    """Returns whether the log should tell that a run's starts were answered.
+
+    A later owner then knows that no start may have the run at work late.
+    """
+    return (
+        run.confirmed
+        and not run.unanswered_starts
+        and not may_run_late(run, now)
+        and now - run.placed_at >= RECORD_ANSWERED_AFTER_S
+        and run.task.attempt == run.attempt
+        and not is_recorded_as_answered(run)
+    )
+
+
+def is_recorded_as_answered(run: worker_state.Run) -> bool:
+    """Returns whether the log tells that each start of a run was answered."""
+    return run.task.answered_attempt == run.attempt
+
+
+def was_answered_earlier(run: worker_state.Run) -> bool:
+    """Returns whether an earlier owner had the answers to a run's starts."""
+    return is_recorded_as_answered(run) and run.answered_at == float("inf")
+
+
+def find_late_run_end(run: worker_state.Run, now: float) -> float:
+    """Returns until when a start without an answer may have a run at work."""
+    if run.start_in_flight:
+        return now + MAX_LATE_RUN_S
+    return run.may_run_late_until
 
 
 def list_possible_late_starts(
--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -288,25 +288,32 @@
         task.incarnation_ms,
         task.checkpoint,
     ]
+    # Versions that don't know of answered attempts look for no negative one.
+    attempts = list(task.open_attempts)
+    if task.answered_attempt:
+        attempts.append(-task.answered_attempt)
     if task.is_suspect or task.lost_runs:
         crashes = dataclasses.astuple(task.crash_record)
         lost_runs = [dataclasses.astuple(lost) for lost in task.lost_runs]
-        return [*encoded, task.open_attempts, crashes, lost_runs]
-    return [*encoded, task.open_attempts] if task.open_attempts else encoded
+        return [*encoded, attempts, crashes, lost_runs]
+    return [*encoded, attempts] if attempts else encoded
 
 
 def _decode_task(encoded: object) -> job_store.Task:
     if isinstance(encoded, int):
         return job_store.Task(_PHASES[encoded])
     phase, *rest = encoded
-    if len(rest) <= _FIELDS_WITHOUT_CRASHES:
+    if len(rest) < _FIELDS_WITHOUT_CRASHES:
         return job_store.Task(_PHASES[phase], *rest)
-    *rest, crashes, lost_runs = rest
+    *rest, attempts = rest[:_FIELDS_WITHOUT_CRASHES]
+    crashes, lost_runs = encoded[1 + _FIELDS_WITHOUT_CRASHES :] or ((), ())
     return job_store.Task(
         _PHASES[phase],
         *rest,
+        [attempt for attempt in attempts if attempt > 0],
         job_store.CrashRecord(*crashes),
         [job_store.LostRun(*lost) for lost in lost_runs],
+        -min([0, *attempts]),
     )
 
 
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -14,6 +14,7 @@
     events,
     fleet_state,
     job_store,
+    late_starts,
     orders,
     placement_rounds,
     ranking,
@@ -285,9 +286,10 @@
 ) -> list:
     """Requeues a worker's runs after its leases, or stops those due to end.
 
-    On a worker that leaves, runs that last until cancelled stop at once,
-    others shortly before it leaves. A run whose start was not sent is stopped
-    if the worker fails polls.
+    Its leases do not end a run that a late start may begin. On a worker that
+    leaves, runs that last until cancelled stop at once, others shortly before
+    it leaves. A run whose start was not sent is stopped if the worker fails
+    polls.
     """
     effect_list = []
     if (
@@ -295,6 +297,9 @@
         and fleet.now - worker.last_report_at > 1.0
     ):
         for run in list(worker.runs.values()):
+            if late_starts.may_run_late(run, fleet.now):
+                effect_list += _hold_back(fleet, worker, run)
+                continue
             crashes.remember_lost_run(fleet, worker, run)
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, "lease-lapsed", True
@@ -308,11 +313,39 @@
         start_blocked = (
             worker.poll_failed and run.recorded and not run.start_sent
         )
+        if late_starts.is_answer_to_record(run, fleet.now):
+            run.task.answered_attempt = run.attempt
+            fleet_state.mark_task_changed(fleet, run.name)
         if run.stopping or leaves_soon or must_move or start_blocked:
             effect_list += fleet_state.stop_run(fleet, worker, run)
     return effect_list
 
 
+def _hold_back(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> list:
+    """Notes once that a run's task waits although the leases ended."""
+    if run.held_back:
+        return []
+    run.held_back = True
+    until = late_starts.find_late_run_end(run, fleet.now)
+    return [
+        fleet_state.make_log_note(
+            "runs",
+            "held-back",
+            run.name.job,
+            task=fleet_state.format_task(run.name),
+            attempt=run.attempt,
+            worker=worker.info.name,
+            silences=run.unanswered_starts,
+            in_flight=run.start_in_flight,
+            for_ms=int((until - fleet.now) * 1000),
+        )
+    ]
+
+
 def _drop_expired_jobs(fleet: fleet_state.FleetState) -> list:
     """Drops the records of jobs whose retention time is over, oldest first."""
     expired_jobs: list = []
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -48,6 +48,8 @@
     if not event.until_ms:
         effect_list.append(allow_leases)
     is_first_report = not worker.has_reported
+    if is_first_report:
+        late_starts.rule_out_earlier_owners(worker)
     is_reborn = report.incarnation_ms != worker.incarnation_ms
     if is_reborn or event.worker_name in fleet.crash_history.lost_at:
         effect_list += crashes.handle_incarnation(
@@ -160,11 +162,15 @@
         for key, placed_run in worker.runs.items()
         if key not in listed_runs
     ]:
-        if (
-            is_first_report and run.recorded and not run.stopping
-        ) or _needs_resend(run):
+        answered_earlier = late_starts.was_answered_earlier(run)
+        if not answered_earlier and (
+            (is_first_report and run.recorded and not run.stopping)
+            or _needs_resend(run)
+        ):
             effect_list += withdrawals.send_start(fleet, worker, run)
-        elif event.sent_at > run.answered_at and event.report.ends_complete:
+        elif event.report.ends_complete and (
+            answered_earlier or event.sent_at > run.answered_at
+        ):
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, "not-listed", True
             )
@@ -301,7 +307,7 @@
     if refusal is orders.Refusal.FENCED:
         return effect_list
     if refusal is orders.Refusal.NO_ANSWER:
-        run.unanswered_starts += 1
+        late_starts.record_unanswered_start(run, fleet.now)
     if refusal is orders.Refusal.NO_CAPACITY:
         worker.no_placement_until = fleet.now + FULL_EXCLUSION_S
     elif refusal not in (orders.Refusal.LATE, orders.Refusal.NO_ANSWER):
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -8,8 +8,10 @@
     events,
     fleet_state,
     job_store,
+    late_starts,
     leases,
     records,
+    unreachable,
     work,
     worker_state,
 )
@@ -20,8 +22,8 @@
 
     Placed tasks count as running on their workers; all others become ready.
     A worker's leases count as held until the longest lease that an earlier
-    owner can have granted is over, or as long as the log says for a worker
-    recorded as unreachable.
+    owner can have granted is over, and any start that it can have sent as one
+    without an answer, or as the log says of a worker recorded as unreachable.
     """
     fleet.epoch = event.epoch
     fleet.logged_unreachable_workers = set(event.unreachable_workers)
@@ -30,6 +32,9 @@
     latest_lease_end_at += (
         fleet.lease_most_ms / 1000 * worker_state.MAX_CLOCK_DRIFT
     )
+    latest_late_run_end_at = (
+        event.at + leases.TAKEOVER_GRANT_S + late_starts.MAX_LATE_RUN_S
+    )
     fleet.intake_offsets = list(event.intake_offsets)
     for name, job in fleet.job_store.jobs.items():
         if job.state in job_store.ENDED or not job.cancelled:
@@ -61,13 +66,13 @@
             run.percent = worker_state.UNKNOWN_PERCENT
             worker_state.add_run(worker, run)
             worker.leases_end_at = latest_lease_end_at
+            if not late_starts.is_recorded_as_answered(run):
+                run.may_run_late_until = latest_late_run_end_at
             unreachable_worker = event.unreachable_workers.get(task.worker_name)
             if unreachable_worker is not None:
                 worker.logged_unreachable = worker.poll_failed = True
                 if unreachable_worker.incarnation_ms == task.incarnation_ms:
-                    worker.leases_end_at = min(
-                        latest_lease_end_at, unreachable_worker.leases_end_at
-                    )
+                    _apply_record(worker, run, unreachable_worker)
     effect_list = [
         fleet_state.make_log_note(
             "ownership",
@@ -88,6 +93,20 @@
     return effect_list
 
 
+def _apply_record(
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+    record: unreachable.UnreachableWorker,
+) -> None:
+    """Shortens the wait for a run by what the log says of its worker."""
+    worker.leases_end_at = min(worker.leases_end_at, record.leases_end_at)
+    if record.late_runs is not None:
+        run.may_run_late_until = min(
+            run.may_run_late_until,
+            record.late_runs.get(run.key, float("-inf")),
+        )
+
+
 def repair_gangs(fleet: fleet_state.FleetState, job: job_store.Job) -> None:
     """Repairs gangs of which only some records of an append were stored.
 
--- a/poplarspindle/fleet/unreachable.py
+++ b/poplarspindle/fleet/unreachable.py
@@ -1,11 +1,13 @@
-"""Log record that tells the next owner when unreachable workers' leases end.
-
-A new owner can't find out which leases an unreachable worker has, and waits
-for the longest possible one. When owners change in quick succession, each
-would wait that long again. So an owner records how much longer the leases of
-each unreachable worker last. A reader counts that time from its own reading,
-which comes later than the writing, so no clocks are compared. A worker on the
-record is given no lease: when it answers, it is removed from the record first.
+"""Log record that tells the next owner what unreachable workers may still run.
+
+A new owner can't find out which leases an unreachable worker has, and which
+starts it did not answer; it waits as long as any of them may last. When owners
+change in quick succession, each would wait that long again. So an owner records
+how much longer the leases of each unreachable worker last, and for how much
+longer a start without an answer may have a run at work. A reader counts these
+times from its own reading, which comes later than the writing, so no clocks are
+compared. A worker on the record is given no lease and no start: when it
+answers, it is removed from the record first.
 """
 
 import dataclasses
@@ -13,7 +15,7 @@
 
 import msgpack
 
-from poplarspindle.fleet import records, worker_state
+from poplarspindle.fleet import late_starts, records, work, worker_state
 
 UNREACHABLE_KEY = "dark"
 
@@ -26,10 +28,13 @@
         incarnation_ms: Incarnation of the worker.
         leases_end_at: When all its leases have expired, on the reader's
             monotonic clock.
+        late_runs: Until when a start without an answer may have a run at work,
+            by task and attempt, on the same clock; None if that is not known.
     """
 
     incarnation_ms: int
     leases_end_at: float
+    late_runs: Mapping[tuple[work.TaskName, int], float] | None = None
 
 
 def list_unreachable(
@@ -46,7 +51,7 @@
 def encode_unreachable(
     workers: list[worker_state.WorkerState], now: float
 ) -> records.Record:
-    """Encodes how much longer the leases of unreachable workers last.
+    """Encodes what unreachable workers may run, and for how much longer.
 
     Args:
         workers: The unreachable workers.
@@ -55,7 +60,8 @@
     fields_by_worker = {
         worker.info.name: [
             worker.incarnation_ms,
-            int(max(0.0, worker.leases_end_at - now) * 1000) + 1,
+            _count_remaining_ms(worker.leases_end_at, now),
+            _encode_late_runs(worker, now),
         ]
         for worker in workers
     }
@@ -65,6 +71,22 @@
     )
 
 
+def _encode_late_runs(worker: worker_state.WorkerState, now: float) -> list:
+    return [
+        [
+            *dataclasses.astuple(run.name),
+            run.attempt,
+            _count_remaining_ms(late_starts.find_late_run_end(run, now), now),
+        ]
+        for run in worker.runs.values()
+        if late_starts.may_run_late(run, now)
+    ]
+
+
+def _count_remaining_ms(until: float, now: float) -> int:
+    return int(max(0.0, until - now) * 1000) + 1
+
+
 def decode_unreachable(
     value: bytes, read_at: float
 ) -> dict[str, UnreachableWorker]:
@@ -82,8 +104,25 @@
     """
     _, fields_by_worker = records.unpack(value)
     return {
-        name: UnreachableWorker(incarnation_ms, read_at + remaining_ms / 1000)
-        for name, (incarnation_ms, remaining_ms) in dict(
-            fields_by_worker
-        ).items()
+        name: _decode_worker(read_at, *fields)
+        for name, fields in dict(fields_by_worker).items()
     }
+
+
+def _decode_worker(
+    read_at: float,
+    incarnation_ms: int,
+    remaining_ms: int,
+    late_runs: list | None = None,
+) -> UnreachableWorker:
+    """Decodes a worker's entry; earlier versions recorded no late runs."""
+    return UnreachableWorker(
+        incarnation_ms,
+        read_at + remaining_ms / 1000,
+        None
+        if late_runs is None
+        else {
+            (work.TaskName(*name), attempt): read_at + late_ms / 1000
+            for *name, attempt, late_ms in late_runs
+        },
+    )
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -30,6 +30,9 @@
         confirmed: Whether the worker has reported the run or accepted its
             start.
         unanswered_starts: Number of start orders that got no answer.
+        may_run_late_until: Until when one of these may still be carried out, or
+            keep the run at work; minus infinity if there is none.
+        held_back: Whether its task waits although the worker's leases ended.
         stopping: Whether the run is to be stopped.
         stop_in_flight: Whether a stop order is in flight.
         stop_after: Earliest time of the next stop order.
@@ -50,7 +53,9 @@
         "confirmed",
         "expected_millicores",
         "first_seen_at",
+        "held_back",
         "job",
+        "may_run_late_until",
         "name",
         "percent",
         "placed_at",
@@ -85,6 +90,8 @@
         self.answered_at = float("inf")
         self.confirmed = False
         self.unanswered_starts = 0
+        self.may_run_late_until = float("-inf")
+        self.held_back = False
         self.stopping = False
         self.stop_in_flight = False
         self.stop_after = float("-inf")
--- a/poplarspindle/stories.py
+++ b/poplarspindle/stories.py
@@ -88,6 +88,14 @@
     )
 
 
+def _tell_held_back(fields: Mapping) -> str:
+    return (
+        f"task {fields.get('task')} run {fields.get('attempt')} may still"
+        f" begin on {fields.get('worker')}, which did not answer its start:"
+        f" it waits for up to {fields.get('for_ms')} ms more."
+    )
+
+
 def _tell_refused(fields: Mapping) -> str:
     return (
         f"{fields.get('worker')} did not start task {fields.get('task')} run"
@@ -123,6 +131,7 @@
     "placed": _tell_placed,
     "ended": _tell_ended,
     "given-up": _tell_given_up,
+    "held-back": _tell_held_back,
     "start-refused": _tell_refused,
     "suspected": _tell_crash,
     "task-given-up": _tell_crash,
--- a/poplarspindle/tests/test_ends.py
+++ b/poplarspindle/tests/test_ends.py
@@ -41,6 +41,7 @@
     world.submit("a" * 16, step)
     while world.starts < step.tasks:
         world.run(fleets.TICK_S)
+    world.run(fleets.TICK_S)  # A start without an answer would be waited for.
     names = [name for name, worker in world.workers.items() if worker.runs]
     for name in names:
         world.hold_back(name)
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -325,6 +325,10 @@
     world.submit("a" * 16, step, make_step(1, (0,)))
     while world.starts < MULTI_GROUP_TASKS:
         world.run(fleets.TICK_S)
+    tasks = world.fleet.job_store.jobs["a" * 16].occurrences[0][0]
+    while not tasks[-1].answered_attempt:
+        world.run(fleets.TICK_S)
+    world.run(fleets.TICK_S)  # Until the log holds that starts were answered.
     world.tear_append = store_first_record
     while not world.append_torn:
         world.run(fleets.TICK_S)
--- a/poplarspindle/tests/test_late_starts.py
+++ b/poplarspindle/tests/test_late_starts.py
@@ -4,10 +4,11 @@
 bound it. Its task must run nowhere else meanwhile.
 """
 
+import msgpack
 import pytest
 
 from poplarspindle import resources
-from poplarspindle.fleet import work
+from poplarspindle.fleet import job_store, records, unreachable, work
 from poplarspindle.tools.fakes import fleets
 
 CORE = resources.Resources(1000, 1000, 0)
@@ -161,3 +162,44 @@
         world.take_over()
     world.run(PLACED_IN_THE_END_S + RUN_S + 1.0 - sum(owners_s))
     assert world.get_state(JOB) == "completed"
+
+
+def test_record_of_an_earlier_version_tells_of_no_late_runs():
+    value = msgpack.packb([records.FORMAT_VERSION, {"w0": [1000, 2000]}])
+    (worker,) = unreachable.decode_unreachable(value, 5.0).values()
+    assert worker == unreachable.UnreachableWorker(1000, 7.0, None)
+
+
+@pytest.mark.parametrize("answered", [0, 3])
+@pytest.mark.parametrize("open_attempts", [(), (1, 2)])
+@pytest.mark.parametrize("crashes", [0, 1])
+def test_log_tells_if_the_starts_of_an_attempt_were_answered(
+    crashes, open_attempts, answered
+):
+    submission = work.Submission(
+        JOB,
+        work.Queue("q", "h", "/q/", "pool", 0, 3, 1.5, 250),
+        "s",
+        (make_step(1),),
+    )
+    task = job_store.Task(
+        job_store.Phase.PLACED,
+        3,
+        1,
+        "w0",
+        1000,
+        "checkpoint",
+        open_attempts,
+        job_store.CrashRecord(crashes),
+        (),
+        answered,
+    )
+    written, read = job_store.Job(submission), job_store.Job(submission)
+    written.occurrences[0] = [[task]]
+    read.occurrences[0] = [[job_store.Task()]]
+    record = records.encode_group(written, (0, 0, 0))
+    records.apply_group(read, (0, 0, 0), record.value)
+    assert all(
+        getattr(task, field) == getattr(read.occurrences[0][0][0], field)
+        for field in job_store.Task.__slots__
+    )
