--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -215,6 +215,20 @@
     assert step_down_reasons == ["overrun"]
 
 
+def test_batch_without_a_time_does_not_reset_the_lateness(monkeypatch):
+    """Fault: hand-ins that came alone hid that the owner was overloaded."""
+    now = time.monotonic()
+    owner_node, _ = make_owner(now)
+    step_down_reasons = []
+    monkeypatch.setattr(owner_node, "_step_down", step_down_reasons.append)
+    monkeypatch.setattr(fitness, "STARTUP_GRACE_S", 0.0)
+    owner_node._handle_batch([events.LeaseGranted(now - 1.5, "w", 1)])
+    owner_node._handle_batch([intake.IntakeBatch(16, 0, (), 1)])
+    monkeypatch.setattr(fitness, "MAX_OVERRUN_S", 1e-9)
+    owner_node._handle_batch([events.LeaseGranted(now - 1.5, "w", 1)])
+    assert step_down_reasons == ["overrun"]
+
+
 def test_events_behind_a_failed_batch_do_not_make_a_node_loaded():
     """Fault: a lost part of a batch made the node report its jobs as absent."""
     owner_node = node.Node(
