Red tests: a run taken to be over, or never begun, without word of its worker

Callers would see a task run twice at once (TWICE). A start sent to the life before carries a deadline of the older, higher clock, so the new life takes it in and grants up to the longest lease. If the worker is then out of reach, its run is given up a second later (reducer.py:293), or by a lease that is too short. Two tests: the start is late (5 s), or it is carried out 0.6 s after it was sent. 2. reports.py:310-315 with platform/minions.py read_answer: 429, 503 and any unknown status are taken as proof that a start was not carried out. Two tests, in which the worker had begun the run. That workers do this is not known. 3. appending.py:147 and election.py:200,208 take the time at which an answer was read for the time at which the store had confirmed the ownership; polling.py:110 sends starts without asking for it.

4. reports.py:58-66 a worker that answers again, in the same life, is sent no stop for starts that may still arrive (fleet_state.py:268): only a new life is, reports.py:109. One test, a start 8 s late whose lease counts from its arrival, the worker back 2.6 s before.

--- a/poplarspindle/tests/test_unproven_ends.py
+++ b/poplarspindle/tests/test_unproven_ends.py
@@ -1,13 +1,20 @@
 """No run counts as over, and no end as counted, without word of its worker."""
 
 import dataclasses
+import threading
+import time
 
-from poplarspindle import resources
-from poplarspindle.fleet import orders, work
+import pytest
+
+from poplarspindle import metrics, outcomes, resources
+from poplarspindle.fleet import orders, records, work
+from poplarspindle.node import appending, polling
+from poplarspindle.tests import test_polling
 from poplarspindle.tools.fakes import fleets
 
 CORE = resources.Resources(1000, 1000, 0)
 JOB = "a" * 16
+PAUSE_S = 0.2
 
 
 def make_step(tasks=1, **options):
@@ -75,3 +82,161 @@
     world.run(5)
     assert world.get_state(JOB) == "completed"
     assert world.list_violations() == []
+
+
+def test_late_start_in_the_next_incarnation_of_a_worker_that_is_cut_off():
+    """TWICE: a worker begins anew and is out of reach after one report.
+
+    Its leases count as over since the new incarnation granted none, but a
+    start of the earlier one is on its way and is carried out with a lease.
+    """
+    world = fleets.World(
+        1,
+        workers=2,
+        run_s=lambda rng: 4.0,
+        late=1.0,
+        late_s=(5.0, 5.0),
+        late_incarnations=True,
+    )
+    world.run(10)
+    world.submit(JOB, make_step())
+    worker = find_worker_of_an_unanswered_start(world)
+    name = worker.description.name
+    worker.reachable = False
+    worker.crash()
+    world.run(0.5)
+    worker.reachable = True
+    while world.fleet.workers[name].incarnation_ms != worker.incarnation_ms:
+        world.run(fleets.TICK_S)
+    worker.reachable = False
+    world.late = 0.0
+    world.run(12)
+    assert world.list_violations() == []
+
+
+def test_late_start_is_refused_by_a_worker_that_is_heard_again():
+    """TWICE: a start is on its way to a worker whose run was given up.
+
+    The worker answers again before the start arrives, whose lease counts
+    from then. A stop would refuse it, as it does in a next incarnation.
+    """
+    world = fleets.World(
+        1,
+        workers=2,
+        run_s=lambda rng: 4.0,
+        late=1.0,
+        late_s=(8.0, 8.0),
+        late_leases=True,
+    )
+    world.submit(JOB, make_step())
+    worker = find_worker_of_an_unanswered_start(world)
+    world.late = 0.0
+    worker.reachable = False
+    world.run(5)
+    assert world.notes["given-up"] == 1
+    worker.reachable = True
+    world.run(8)
+    assert world.list_violations() == []
+
+
+def test_adopted_run_keeps_its_lease_on_a_worker_that_is_cut_off():
+    """TWICE: a start reaches the worker just after it began anew.
+
+    It grants a lease there before the owner hears of the new incarnation;
+    the owner adopts the run and takes the worker to hold no lease.
+    """
+    world = fleets.World(1, workers=2, run_s=lambda rng: 8.0)
+    world.run(10)
+    world.order_s = 0.6
+    world.submit(JOB, make_step())
+    while not any(
+        run.start_sent
+        for worker in world.fleet.workers.values()
+        for run in worker.runs.values()
+    ):
+        world.run(fleets.TICK_S)
+    (name,) = [n for n, w in world.fleet.workers.items() if w.runs]
+    worker = world.workers[name]
+    worker.crash()
+    worker.reachable = False
+    while not world.notes["unheard"]:
+        world.run(fleets.TICK_S)
+    worker.reachable = True
+    while world.fleet.workers[name].incarnation_ms != worker.incarnation_ms:
+        world.run(fleets.TICK_S)
+    world.order_s = fleets.ORDER_S
+    assert worker.runs
+    worker.reachable = False
+    world.run(12)
+    assert world.list_violations() == []
+
+
+@pytest.mark.parametrize(
+    "refusal", [orders.Refusal.MALFORMED, orders.Refusal.BUSY]
+)
+def test_start_answered_by_an_error_after_it_was_carried_out(refusal):
+    """TWICE: a worker begins a run and then answers with an error.
+
+    Any status that is not known counts as proof that the run did not start.
+    """
+    world = fleets.World(1, workers=2, run_s=lambda rng: 2.0)
+    world.run(1)
+    for worker in world.workers.values():
+
+        def start(order, worker=worker, carry_out=worker.start):
+            carry_out(order)
+            worker.start = carry_out
+            return orders.Answer(refusal, worker.clock_ms())
+
+        worker.start = start
+    world.submit(JOB, make_step())
+    world.run(10)
+    assert world.list_violations() == []
+
+
+def test_store_counts_as_heard_when_it_was_asked():
+    """TWICE: an owner is paused between an append and reading its answer.
+
+    It takes the store to have confirmed its ownership when it wakes, grants
+    leases and sends starts, while the next owner takes all leases to be over.
+    """
+    stop_event = threading.Event()
+    heard = threading.Event()
+    asked_at = []
+
+    def append(batch, sequence):
+        asked_at.append(time.monotonic())
+        time.sleep(PAUSE_S)
+        return outcomes.Ok(0)
+
+    appender = appending.Appender(
+        "progress", append, 1000, stop_event, print, metrics.Metrics()
+    )
+    appender.start()
+    appender.put([records.Record("key", b"")], lambda at: heard.set())
+    assert heard.wait(10)
+    stop_event.set()
+    appender.stop()
+    assert appender.last_append_at - asked_at[0] < PAUSE_S
+
+
+class _UnconfirmedOwnership(test_polling.FakeOwnership):
+    """The store has not confirmed the ownership for a minute."""
+
+    def store_confirmed_at(self):
+        """Returns a time longer ago than any lease lasts."""
+        return time.monotonic() - 60
+
+
+def test_start_is_not_sent_once_the_ownership_is_unconfirmed():
+    """TWICE: a start grants a lease as a look does, at any time.
+
+    A later owner waits for leases granted up to 4 s after its claim.
+    """
+    client = test_polling.Slow([])
+    poller = polling.WorkerPoller(
+        _UnconfirmedOwnership(client), test_polling.WORKER
+    )
+    name = work.TaskName(JOB, 0, 0, 0)
+    poller.send_order(orders.Start(name, 1, 16, "", 9000))
+    assert len(client.sent) == 0
