Send no start while the ownership is unconfirmed for 4 s

Cause: polls grant no lease then, and the next owner counts on it; a start had no such bound, so an owner that was frozen repeated its starts with leases from its wake, at workers that had not heard of the next owner. Change: the poller gives such a start back as not delivered, at the moment of sending; its run is queued again or stopped. Why it works: no lease that an owner asks for begins later than 4 s after the store's last word; the next owner waits longer.

--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -35,7 +35,7 @@
         """Makes a client of a worker."""
 
     def store_confirmed_at(self) -> float:
-        """Returns when the store last confirmed the ownership."""
+        """Returns since when another node may have claimed the fleet."""
 
     def wall_ms(self) -> int:
         """Returns Unix time in milliseconds."""
@@ -164,6 +164,10 @@
         """
         window = self._ownership.order_window
         while self._queued_orders and not self.is_stopped():
+            if not self._may_send(self._queued_orders[0]):
+                self._count_waiting(-1)
+                self._return_unsent(self._queued_orders.popleft())
+                continue
             if self._is_silent:
                 if self._orders_in_flight:
                     return
@@ -181,8 +185,22 @@
         while self._queued_orders:
             # The worker has another address now; none of these was sent.
             self._count_waiting(-1)
-            unsent = self._queued_orders.popleft()
-            self._post_answer(unsent, time.monotonic(), UNREACHABLE)
+            self._return_unsent(self._queued_orders.popleft())
+
+    def _may_send(self, order: orders.Order) -> bool:
+        """Returns whether this owner may still send an order.
+
+        A start grants leases, as a poll does. An owner that was paused, or that
+        the store does not hear, may have been replaced, and the next owner
+        counts on it that none are granted by now.
+        """
+        if not isinstance(order, orders.Start):
+            return True
+        confirmed_at = self._ownership.store_confirmed_at()
+        return time.monotonic() - confirmed_at <= leases.TAKEOVER_GRANT_S
+
+    def _return_unsent(self, order: orders.Order) -> None:
+        self._post_answer(order, time.monotonic(), UNREACHABLE)
 
     def _send(
         self, order: orders.Order, end_turn: Callable[[float], None]
