Date what confirms an ownership by when the store was asked

Cause: an owner that was frozen while an answer of the store was on its way took the ownership to be confirmed as of its wake, for 4 s of leases and starts. Being named by the group counted as well, though another may own the fleet by then. Change: only appends of the owner's epoch that the store took confirm it, as of their sending, and its claim at first. A hand-over that waits for the store asks when the store was last heard, as before.

--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -42,7 +42,10 @@
         counters: The node's figures.
 
     Attributes:
-        last_append_at: When the store last took an append, monotonic seconds.
+        confirmed_at: When the last append that the store took was sent,
+            monotonic seconds. The answer may be read any time later, for
+            example after this process was paused, so its time tells nothing.
+        last_append_at: When that answer was read, on the same clock.
         last_append_s: How long that took, seconds.
     """
 
@@ -64,6 +67,7 @@
         self._sequence = 0  # The claim was number 0.
         self._waiting: queue.SimpleQueue = queue.SimpleQueue()
         self._items: list = []
+        self.confirmed_at = float("-inf")
         self.last_append_at = float("-inf")
         self.last_append_s = 0.0
 
@@ -144,6 +148,7 @@
             began = time.monotonic()
             answer = self._call(batch, self._sequence)
             if isinstance(answer, outcomes.Ok):
+                self.confirmed_at = began
                 self.last_append_at = time.monotonic()
                 self.last_append_s = self.last_append_at - began
                 self._counters.observe(
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -36,12 +36,15 @@
             knew of no other jobs.
         end_offsets: Offset in each part of the hand-ins from which more
             follows.
+        confirmed_at: When the append that claimed the progress log was sent,
+            monotonic seconds.
     """
 
     epoch: int
     progress: tuple[records.Record, ...]
     intake: tuple[records.Record, ...]
     end_offsets: tuple[int, ...]
+    confirmed_at: float = float("-inf")
 
 
 def prepare(
@@ -86,6 +89,7 @@
     platform: ports.Platform, claim: records.Owner
 ) -> PreparedClaim | outcomes.Failed:
     store = platform.store
+    asked_at = time.monotonic()
     fence = store.append(
         [records.encode_owner(claim)],
         APPEND_TIMEOUT_S,
@@ -114,6 +118,7 @@
         progress.items,
         tuple(record for partition in partitions for record in partition.items),
         tuple(partition.end for partition in partitions),
+        asked_at,
     )
 
 
--- a/poplarspindle/node/election.py
+++ b/poplarspindle/node/election.py
@@ -75,8 +75,8 @@
         owner: The newest owner's record that was read, None for none.
         ownership: Whether this process is that owner.
         preparing: Epoch of its claim for which it reads the logs, 0 for none.
-        store_confirmed_at: When the store last confirmed this member's
-            standing.
+        store_heard_at: When the store last told this member that it is the
+            chosen one; no proof that no other owns the fleet.
         resigned: Newest epoch that its owner gave up, 0 for none.
         owner_seen_at: When the owner was last heard of, monotonic seconds.
         owner_active: Whether it was heard as owner since it claimed.
@@ -108,7 +108,7 @@
         self.owner: records.Owner | None = None
         self.is_owner = False
         self.preparing_epoch = 0
-        self.store_confirmed_at = float("-inf")
+        self.store_heard_at = float("-inf")
         self._eligible = False
         self.resigned_epoch = 0
         self.owner_seen_at = float("-inf")
@@ -205,7 +205,7 @@
         self._failed = False
         self._chosen = answer.value.chosen
         if self._chosen:
-            self.store_confirmed_at = now
+            self.store_heard_at = now
             if not self.is_owner and self.eligible and self._may_own(now):
                 self._claim_vacant(now)
 
--- a/poplarspindle/node/handover.py
+++ b/poplarspindle/node/handover.py
@@ -30,8 +30,8 @@
         until: When to give it up at the latest, monotonic seconds.
     """
     while held_ownership is not None and not held_ownership.stop_event.is_set():
-        unconfirmed_s = time.monotonic() - held_ownership.store_confirmed_at()
-        if unconfirmed_s < STORE_UNREACHABLE_S or time.monotonic() >= until:
+        unheard_s = time.monotonic() - held_ownership.store_heard_at()
+        if unheard_s < STORE_UNREACHABLE_S or time.monotonic() >= until:
             held_ownership.extend_leases()
             break
         held_ownership.stop_event.wait(POLL_S)
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -478,8 +478,9 @@
             self._counters,
             prepared.epoch,
             self._events.put,
-            lambda: self._election.store_confirmed_at,
+            lambda: self._election.store_heard_at,
             clocks.get_wall_ms,
+            prepared.confirmed_at,
         )
         self._ownership.start()
         self._election.is_owner = True
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -45,8 +45,10 @@
         counters: The node's figures.
         epoch: Epoch of the ownership.
         post: Takes events for the node's state.
-        store_confirmed_at: Returns when the store last confirmed the ownership.
+        election_heard_at: Returns when the store last named this node as the
+            one to own the fleet.
         wall_ms: Returns Unix time in milliseconds.
+        claimed_at: When the claim that the store took was sent.
     """
 
     def __init__(
@@ -56,13 +58,15 @@
         counters: metrics.Metrics,
         epoch: int,
         post: Callable[[object], None],
-        store_confirmed_at: Callable[[], float],
+        election_heard_at: Callable[[], float],
         wall_ms: Callable[[], int],
+        claimed_at: float,
     ) -> None:
         self._connect = platform.connect
         self.epoch = epoch
         self._post = post
-        self._election_confirmed_at = store_confirmed_at
+        self._election_heard_at = election_heard_at
+        self._claimed_at = claimed_at
         self.wall_ms = wall_ms
         self.lease_most_ms = own_settings.lease_most_ms
         self.stop_event = threading.Event()
@@ -119,9 +123,20 @@
         return self._http_client.run_later(delay_s, job)
 
     def store_confirmed_at(self) -> float:
-        """Returns when the store last confirmed the ownership."""
+        """Returns since when another node may have claimed the fleet.
+
+        The store took an append of this epoch that was sent then.
+        """
+        return max(
+            self._claimed_at,
+            self._progress.confirmed_at,
+            self._shared.confirmed_at,
+        )
+
+    def store_heard_at(self) -> float:
+        """Returns when the store last answered this owner."""
         return max(
-            self._election_confirmed_at(),
+            self._election_heard_at(),
             self._progress.last_append_at,
             self._shared.last_append_at,
         )
--- a/poplarspindle/tests/test_node_ownership.py
+++ b/poplarspindle/tests/test_node_ownership.py
@@ -58,6 +58,7 @@
         post,
         lambda: 0.0,
         lambda: 0,
+        0.0,
     )
     found.start()
     return found
--- a/poplarspindle/tests/test_odd_entries.py
+++ b/poplarspindle/tests/test_odd_entries.py
@@ -246,6 +246,7 @@
         post,
         lambda: 0.0,
         lambda: 0,
+        0.0,
     )
     with testing.capture_logs() as lines:
         owner.start()
--- a/poplarspindle/tests/test_overrun.py
+++ b/poplarspindle/tests/test_overrun.py
@@ -279,6 +279,7 @@
         lambda event: None,
         time.monotonic,
         lambda: 0,
+        time.monotonic(),
     )
 
 
