Virtual fleet: late polls, apart from late starts; late orders in their own module

Now a share of polls gets no answer, is repeated once at once as by node/polling.py, and is carried out later: fence, lease, acknowledgements. The lease of a late poll counts from its arrival only by an option of its own.

--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -26,7 +26,12 @@
     unreachable,
     work,
 )
-from poplarspindle.tools.fakes import fleet_workers, gangs, judging
+from poplarspindle.tools.fakes import (
+    fleet_workers,
+    gangs,
+    judging,
+    late_orders,
+)
 
 TICK_S = 0.05
 APPEND_S = 0.01
@@ -52,6 +57,8 @@
         late_s: How much later that is, at least and at most.
         late_incarnations: Whether the worker's next life carries them out too.
         late_leases: Whether the leases of late starts begin when they come.
+        late_polls: Share of polls that are late in the same way.
+        late_grants: Whether the leases of late polls begin when they come.
         make_worker: Makes a fake worker from the world and its entry.
         used_mechanisms: Mechanisms by which the owner decides.
 
@@ -75,6 +82,8 @@
         late_s: tuple[float, float] = (2.0, 12.0),
         late_incarnations: bool = False,
         late_leases: bool = False,
+        late_polls: float = 0.0,
+        late_grants: bool = False,
         make_worker: Callable = fleet_workers.FakeWorker,
         used_mechanisms: mechanisms.Mechanisms = mechanisms.ALL,
     ) -> None:
@@ -82,6 +91,7 @@
         self.now = 0.0
         self.lease_most_ms = 6000
         self.late = late
+        self.late_polls = late_polls
         self.append_s = APPEND_S
         self.order_s = ORDER_S
         self._used_mechanisms = used_mechanisms
@@ -90,9 +100,13 @@
         )
         self.append_torn = False
         self.unlisted: set[str] = set()
-        self._late_s = late_s
-        self._late_incarnations = late_incarnations
-        self._late_leases = late_leases
+        self._late_orders = late_orders.LateOrders(
+            late_orders.Lateness(
+                late_s, late_incarnations, late_leases, late_grants
+            ),
+            self.rng,
+            self.call_later,
+        )
         self.gangs = gangs.Gangs(self)
         self.starts = 0
         self.room_refusals = 0
@@ -334,32 +348,14 @@
         if worker is None or not worker.up or not worker.reachable:
             self._answer(fleet, effect, orders.Answer(orders.Refusal.NO_ANSWER))
             return
-        if self.rng.random() < self.late:
-            delay_s = self.rng.uniform(*self._late_s)
-            born_ms = worker.incarnation_ms
-
-            def carry_out_late() -> None:
-                # What comes before any owner spoke to a life none can refuse.
-                next_life = self._late_incarnations and worker.fencing_epoch
-                if worker.up and (
-                    worker.incarnation_ms == born_ms or next_life
-                ):
-                    self._execute_order(
-                        worker, self._delay(effect.order, delay_s)
-                    )
-
-            self.call_later(delay_s, carry_out_late)
+        if self._late_orders.defer_order(
+            self.late, worker, effect.order, self._execute_order
+        ):
             self._answer(fleet, effect, orders.Answer(orders.Refusal.NO_ANSWER))
             return
         answer = self._execute_order(worker, effect.order)
         self._answer(fleet, effect, answer)
 
-    def _delay(self, order: orders.Order, delay_s: float) -> orders.Order:
-        if not self._late_leases or not isinstance(order, orders.Start):
-            return order
-        until_ms = order.until_ms + int(delay_s * 1000)
-        return dataclasses.replace(order, until_ms=until_ms)
-
     def _execute_order(
         self, worker: fleet_workers.FakeWorker, order
     ) -> orders.Answer:
@@ -405,19 +401,23 @@
             self._deliver_event(
                 name, events.LeaseGranted(self.now, name, until_ms)
             )
-        if not worker.up or not worker.reachable:
-            clock.allowed = False
-            poll_state["misses"] = poll_state.get("misses", 0) + 1
-            refusal = orders.Refusal.OTHER_INCARNATION
-            why = refusal.value if worker.replaced else "timeout"
-            self._deliver_event(name, events.PollFailed(self.now, name, why))
-            return
         seen = (
             poll_state.get("seen", 0)
             if poll_state.get("born") == worker.incarnation_ms
             else 0
         )
         hold = orders.Poll(self.fleet.epoch, seen, until_ms, 0)
+        if (
+            not worker.up
+            or not worker.reachable
+            or self._late_orders.defer_poll(self.late_polls, worker, hold)
+        ):
+            clock.allowed = False
+            poll_state["misses"] = poll_state.get("misses", 0) + 1
+            refusal = orders.Refusal.OTHER_INCARNATION
+            why = refusal.value if worker.replaced else "timeout"
+            self._deliver_event(name, events.PollFailed(self.now, name, why))
+            return
         report = worker.poll(hold)
         if report is None:
             return
--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -26,6 +26,8 @@
         late_s: How late, at least and at most.
         late_incarnations: Whether a worker's next life carries them out too.
         late_leases: Whether leases of late starts begin when they come.
+        late_polls: Share of polls that are late in the same way.
+        late_grants: Whether leases of late polls begin when they come.
         strikes: Further strikes.
         widest: Most tasks of a step.
         serving: Share of steps that last, with a tail-latency target.
@@ -38,6 +40,8 @@
     late_s: tuple[float, float] = (2.0, 12.0)
     late_incarnations: bool = False
     late_leases: bool = False
+    late_polls: float = 0.0
+    late_grants: bool = False
     strikes: tuple[Callable[[fleets.World], None], ...] = ()
     widest: int = 8
     serving: float = 0.0
@@ -172,6 +176,8 @@
         late_s=plan.late_s,
         late_incarnations=plan.late_incarnations,
         late_leases=plan.late_leases,
+        late_polls=plan.late_polls,
+        late_grants=plan.late_grants,
     )
     lost_tasks: dict[str, None] = {}
 
