--- a/poplarspindle/tools/fakes/fleet_workers.py
+++ b/poplarspindle/tools/fakes/fleet_workers.py
@@ -37,7 +37,12 @@
 
 @dataclasses.dataclass(slots=True)
 class FakeRun:
-    """One run on a fake worker, as its ledger keeps it."""
+    """One run on a fake worker, as its ledger keeps it.
+
+    Attributes:
+        reported: Whether the present owner was told its end.
+        crashed: Whether its worker's life ended before that.
+    """
 
     name: work.TaskName
     attempt: int
@@ -49,6 +54,7 @@
     lapsed: bool = False
     planned: work.EndReason | None = None
     crashed: bool = False
+    reported: bool = False
 
     @property
     def key(self) -> tuple[work.TaskName, int]:
@@ -125,6 +131,9 @@
             run.ended, run.crashed = self.world.now, True
             if self.world.find_step(run.name).gang:
                 self.world.gangs.leave(run)
+        for _, run in self.ends:
+            # No owner can tell this from a run that was at work.
+            run.crashed = run.crashed or not run.reported
         self.runs.clear()
         self.ends.clear()
         self.highest.clear()
@@ -196,6 +205,11 @@
         """Accepts a change of pace; runs here work at one speed."""
         return orders.Answer(None, self.clock_ms())
 
+    def mark_reported(self, reported: bool) -> None:
+        """Notes whether the owner has the ends that a report lists."""
+        for _, run in self.ends[:MAX_REPORTED_ENDS]:
+            run.reported = reported
+
     def poll(self, order: orders.Poll) -> work.Report | None:
         """Carries out a hold."""
         if not self._check_fencing_epoch(order.epoch):
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -202,6 +202,8 @@
         )
         self._polls = {}
         self._held_back.clear()
+        for worker in self.workers.values():
+            worker.mark_reported(False)
         self.checker.begin()
         silent = {}
         if unreachable.UNREACHABLE_KEY in self.log:
@@ -421,6 +423,7 @@
         report = worker.poll(hold)
         if report is None:
             return
+        worker.mark_reported(True)
         if poll_state.get("born") != report.incarnation_ms:
             poll_state |= {"born": report.incarnation_ms, "seen": 0}
         clock.ms, clock.at = report.clock_ms, self.now
