Walks: workers cut off after late orders; leases that count from a late arrival

Cause, shown by walks and by short tests: an order without an answer is carried out later, its lease counting from then, and renews all leases of its worker (by the platform's pages the deadline applies to everything that runs there). Not only the task whose start is late runs twice but any that was at work there.

--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -68,6 +68,7 @@
         append_torn: Whether it did.
         unlisted: Workers that are up and missing from the list.
         after_tick: Called after each step of virtual time.
+        after_deferred: Takes the name of the worker of each late order.
         order_s: How long an order, and its answer, are on their way.
     """
 
@@ -106,6 +107,7 @@
             ),
             self.rng,
             self.call_later,
+            lambda name: self.after_deferred(name),
         )
         self.gangs = gangs.Gangs(self)
         self.starts = 0
@@ -146,6 +148,7 @@
         self.notes: collections.Counter = collections.Counter()
         self.checker = judging.ExecutionChecker(self)
         self.after_tick: Callable[[], None] = lambda: None
+        self.after_deferred: Callable[[str], None] = lambda name: None
         self.take_over()
 
     def allow_attempts(self, attempts: int) -> None:
--- a/poplarspindle/tools/fakes/late_orders.py
+++ b/poplarspindle/tools/fakes/late_orders.py
@@ -39,6 +39,7 @@
         lateness: How orders are late.
         rng: Source of chance.
         call_later: Calls a function later in virtual time.
+        after_deferred: Takes the name of the worker of each late order.
     """
 
     def __init__(
@@ -46,10 +47,12 @@
         lateness: Lateness,
         rng: random.Random,
         call_later: Callable[[float, Callable[[], None]], None],
+        after_deferred: Callable[[str], None],
     ) -> None:
         self._lateness = lateness
         self._rng = rng
         self._call_later = call_later
+        self._after_deferred = after_deferred
 
     def defer_order(
         self,
@@ -111,6 +114,7 @@
                 execute(worker, order)
 
         self._call_later(delay_s, carry_out_late)
+        self._after_deferred(worker.description.name)
 
 
 def _execute_poll(
--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -6,7 +6,14 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import job_store, work
-from poplarspindle.tools.fakes import bookkeeping, fleets, judging
+from poplarspindle.tools.fakes import (
+    bookkeeping,
+    crashing,
+    fleet_workers,
+    fleets,
+    judging,
+    late_strikes,
+)
 
 CORE = resources.Resources(1000, 1000, 0)
 JOBS = 14
@@ -28,10 +35,13 @@
         late_leases: Whether leases of late starts begin when they come.
         late_polls: Share of polls that are late in the same way.
         late_grants: Whether leases of late polls begin when they come.
+        cut_late: Share of late orders after which their worker is cut off.
         strikes: Further strikes.
         widest: Most tasks of a step.
         serving: Share of steps that last, with a tail-latency target.
         best_effort: Share of steps that are best-effort.
+        run_s: How long a task takes, at least and at most.
+        deadly: Whether the tasks of some jobs crash their workers.
     """
 
     behind_s: float = 0.0
@@ -42,10 +52,13 @@
     late_leases: bool = False
     late_polls: float = 0.0
     late_grants: bool = False
+    cut_late: float = 0.0
     strikes: tuple[Callable[[fleets.World], None], ...] = ()
     widest: int = 8
     serving: float = 0.0
     best_effort: float = 0.0
+    run_s: tuple[float, float] = (0.1, 2.5)
+    deadly: bool = False
 
 
 def disconnect_two(world: fleets.World) -> None:
@@ -170,7 +183,7 @@
 
     world = fleets.World(
         seed,
-        run_s=lambda rng: rng.uniform(0.1, 2.5),
+        run_s=lambda rng: rng.uniform(*plan.run_s),
         fail=fail,
         late=plan.late,
         late_s=plan.late_s,
@@ -178,7 +191,10 @@
         late_leases=plan.late_leases,
         late_polls=plan.late_polls,
         late_grants=plan.late_grants,
+        make_worker=_make_workers(plan),
     )
+    if plan.cut_late:
+        late_strikes.make_cuts(world, plan.cut_late)
     lost_tasks: dict[str, None] = {}
 
     def check_books() -> None:
@@ -195,12 +211,24 @@
             _fall_behind(world, plan.behind_s)
         if plan.strikes and world.rng.random() < 0.3:
             world.rng.choice(plan.strikes)(world)
+    if plan.cut_late:
+        late_strikes.end_cuts(world)
     _recover(world)
     lost_tasks.update(dict.fromkeys(bookkeeping.list_idle(world, IDLE_LOOKS)))
     _end_lasting_jobs(world)
     return world, list(lost_tasks)
 
 
+def _make_workers(plan: Plan) -> Callable:
+    if not plan.deadly:
+        return fleet_workers.FakeWorker
+    return crashing.make_worker(
+        crashing.Crashes(
+            lambda name: int(name.job, 16) % 5 == 4, renamed=False, delay_s=0.3
+        )
+    )
+
+
 def _may_fail(name: work.TaskName) -> bool:
     return int(name.job, 16) % 3 == 0
 
