Take a worker's runs to have leases when it begins anew

Callers saw: TWICE in the virtual fleet: a start sent to a worker's earlier incarnation began a run in the next one. Cause: the leases of a new incarnation were taken to be over, but a start's deadline is one of the former, higher clock, so the new one grants it the longest lease; if the worker was then out of reach, its run was given up after a second. Change: while runs are placed there, the longest lease counts from the incarnation's first report.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -118,6 +118,11 @@
     worker.last_end_handled = worker.last_end_recorded = 0
     worker.leases_until_ms = 0
     worker.leases_end_at = float("-inf")
+    if worker.runs:
+        # A start with a deadline of the former, higher clock may have come.
+        worker.leases_end_at = worker_state.find_longest_lease_end(
+            fleet.now, fleet.lease_most_ms
+        )
     return effect_list
 
 
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -309,3 +309,14 @@
         worker.clock_at + remaining_s * MAX_CLOCK_DRIFT + LEASE_END_SLACK_S
     )
     worker.leases_end_at = max(worker.leases_end_at, ends_at)
+
+
+def find_longest_lease_end(granted_at: float, lease_most_ms: int) -> float:
+    """Returns when the longest lease that a worker grants is over.
+
+    Args:
+        granted_at: When it was granted at the latest, on the owner's clock.
+        lease_most_ms: How long it lasts at most, on the worker's clock.
+    """
+    lease_s = lease_most_ms / 1000 * MAX_CLOCK_DRIFT
+    return granted_at + lease_s + LEASE_END_SLACK_S
