Take an unknown answer to an order for none

Callers would see: TWICE, where a worker carries a start out and then answers with an error. Cause: any status but 200 and 409 counted as proof that the order was not carried out. The platform promises that of 400, 409, 421, 429 and 503 only. Change: any other status counts as no answer, so the start is repeated, stopped or waited for. Test replaced: test_start_answered_by_an_error_after_it_was_carried_out told the reducer of a busy worker that had begun the run, which the platform rules out; it now asks with the statuses that are open, through the adapter, and that the task is started once.

--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -291,7 +291,10 @@
         return orders.Answer(orders.Refusal.OTHER_INCARNATION)
     if status in (429, 503):
         return orders.Answer(orders.Refusal.BUSY)
-    return orders.Answer(orders.Refusal.MALFORMED)
+    if status == 400:
+        return orders.Answer(orders.Refusal.MALFORMED)
+    # Only these statuses say that the order was not carried out.
+    return orders.Answer(orders.Refusal.NO_ANSWER)
 
 
 def _read_answer_clock(fields: dict) -> int:
--- a/poplarspindle/tests/test_unproven_ends.py
+++ b/poplarspindle/tests/test_unproven_ends.py
@@ -8,7 +8,8 @@
 
 from poplarspindle import metrics, outcomes, resources
 from poplarspindle.fleet import orders, records, work
-from poplarspindle.node import appending, polling
+from poplarspindle.node import appending, http_client, polling
+from poplarspindle.platform import minions
 from poplarspindle.tests import test_polling
 from poplarspindle.tools.fakes import fleets
 
@@ -171,14 +172,14 @@
     assert world.list_violations() == []
 
 
-@pytest.mark.parametrize(
-    "refusal", [orders.Refusal.MALFORMED, orders.Refusal.BUSY]
-)
-def test_start_answered_by_an_error_after_it_was_carried_out(refusal):
+@pytest.mark.parametrize("status", [404, 500, 502, 504])
+def test_start_answered_by_an_error_may_have_been_carried_out(status):
     """TWICE: a worker begins a run and then answers with an error.
 
-    Any status that is not known counts as proof that the run did not start.
+    Any unknown status counted as proof that the run did not start.
     """
+    answer = outcomes.Ok(http_client.Answer(status, b""))
+    refusal = minions.read_answer(answer).refusal
     world = fleets.World(1, workers=2, run_s=lambda rng: 2.0)
     world.run(1)
     for worker in world.workers.values():
@@ -191,6 +192,7 @@
         worker.start = start
     world.submit(JOB, make_step())
     world.run(10)
+    assert world.starts == 1
     assert world.list_violations() == []
 
 
