Answer a start that a stop overtakes, and bound how long one is in flight

Callers would see: LOST: a task whose start was dropped from the line waited for ever once its worker was gone. A stop drops a start of its run that still waits, without a word to the owner; a start in flight held the run back without a bound. And a run of which one start ever got no answer was never recorded as answered, so a next owner let it wait 23 s. Change: the dropped start is given back as not delivered; a start in flight counts from its sending; a run is recorded as answered once no start of it can come any more. A start given back to a run that is to stop closes no worker for a second.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -361,6 +361,7 @@
     if worker.poll_failed or worker.logged_unreachable:
         return []
     run.start_sent = run.start_in_flight = True
+    run.start_sent_at = fleet.now
     run.answered_at = float("inf")
     clock_ms = worker_state.estimate_clock_ms(worker, fleet.now)
     until_ms = clock_ms + min(leases.LEASE_MS, fleet.lease_most_ms)
--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -47,7 +47,14 @@
 
     Leases do not bound that. A start in flight counts as one without an answer.
     """
-    return run.start_in_flight or now < run.may_run_late_until
+    return now < find_late_run_end(run)
+
+
+def find_late_run_end(run: worker_state.Run) -> float:
+    """Returns until when a start without an answer may have a run at work."""
+    if not run.start_in_flight:
+        return run.may_run_late_until
+    return max(run.may_run_late_until, run.start_sent_at + MAX_LATE_RUN_S)
 
 
 def is_answer_to_record(run: worker_state.Run, now: float) -> bool:
@@ -57,7 +64,6 @@
     """
     return (
         run.confirmed
-        and not run.unanswered_starts
         and not may_run_late(run, now)
         and now - run.placed_at >= RECORD_ANSWERED_AFTER_S
         and run.task.attempt == run.attempt
@@ -75,13 +81,6 @@
     return is_recorded_as_answered(run) and run.answered_at == float("inf")
 
 
-def find_late_run_end(run: worker_state.Run, now: float) -> float:
-    """Returns until when a start without an answer may have a run at work."""
-    if run.start_in_flight:
-        return now + MAX_LATE_RUN_S
-    return run.may_run_late_until
-
-
 def list_possible_late_starts(
     fleet: "fleet_state.FleetState", worker_name: str
 ) -> list[tuple[work.TaskName, int]]:
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -330,7 +330,7 @@
     if run.held_back:
         return []
     run.held_back = True
-    until = late_starts.find_late_run_end(run, fleet.now)
+    until = late_starts.find_late_run_end(run)
     return [
         fleet_state.make_log_note(
             "runs",
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -315,7 +315,10 @@
         late_starts.record_unanswered_start(run, fleet.now)
     if refusal is orders.Refusal.NO_CAPACITY:
         worker.no_placement_until = fleet.now + FULL_EXCLUSION_S
-    elif refusal not in (orders.Refusal.LATE, orders.Refusal.NO_ANSWER):
+    elif not run.stopping and refusal not in (
+        orders.Refusal.LATE,
+        orders.Refusal.NO_ANSWER,
+    ):
         worker.no_placement_until = fleet.now + BUSY_EXCLUSION_S
     if run.stopping:
         return effect_list + fleet_state.stop_run(fleet, worker, run)
--- a/poplarspindle/fleet/unreachable.py
+++ b/poplarspindle/fleet/unreachable.py
@@ -76,7 +76,7 @@
         [
             *dataclasses.astuple(run.name),
             run.attempt,
-            _count_remaining_ms(late_starts.find_late_run_end(run, now), now),
+            _count_remaining_ms(late_starts.find_late_run_end(run), now),
         ]
         for run in worker.runs.values()
         if late_starts.may_run_late(run, now)
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -24,6 +24,8 @@
         placed_at: When it was placed.
         recorded: Whether the log has acknowledged the placement.
         start_sent: Whether a start order was ever sent.
+        start_sent_at: When a start order was last sent, minus infinity if it
+            was not.
         start_in_flight: Whether a start order is in flight.
         answered_at: When the worker last answered a start order, infinity if
             it did not.
@@ -62,6 +64,7 @@
         "recorded",
         "start_in_flight",
         "start_sent",
+        "start_sent_at",
         "step",
         "stop_after",
         "stop_in_flight",
@@ -87,6 +90,7 @@
         self.placed_at = placed_at
         self.recorded = recorded
         self.start_sent = False
+        self.start_sent_at = float("-inf")
         self.answered_at = float("inf")
         self.confirmed = False
         self.unanswered_starts = 0
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -120,17 +120,23 @@
         if isinstance(order, orders.Stop):
             if order in self._queued_orders:
                 return
-            kept = [
-                queued
-                for queued in self._queued_orders
-                if not _starts_same(queued, order)
-            ]
-            self._count_waiting(len(kept) - len(self._queued_orders))
-            self._queued_orders = collections.deque(kept)
+            self._drop_starts(order)
         self._count_waiting(1)
         self._queued_orders.append(order)
         self._send_queued()
 
+    def _drop_starts(self, stop: orders.Stop) -> None:
+        """Returns queued starts of a run that is to stop as not delivered."""
+        dropped = [
+            queued
+            for queued in self._queued_orders
+            if _starts_same(queued, stop)
+        ]
+        for start in dropped:
+            self._queued_orders.remove(start)
+            self._count_waiting(-1)
+            self._return_unsent(start)
+
     def _count_waiting(self, change: int) -> None:
         """Counts orders that wait, unless it is for a silent worker."""
         if not self._is_silent:
