Give a start that waits in line back when its worker falls silent

Callers would see: TWICE, if an owner dies: the record of unreachable workers counts the delay of a late start from its own time, and a start that waited for others to its worker was sent seconds after it. Change: such a start is not sent; its run is queued again at once, or stopped if an earlier start got no answer.

--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -198,10 +198,13 @@
 
         A start grants leases, as a poll does. An owner that was paused, or that
         the store does not hear, may have been replaced, and the next owner
-        counts on it that none are granted by now.
+        counts on it that none are granted by now. Nor does it know of starts
+        that are sent after the log lists their worker as unreachable.
         """
         if not isinstance(order, orders.Start):
             return True
+        if self._is_silent:
+            return False
         confirmed_at = self._ownership.store_confirmed_at()
         return time.monotonic() - confirmed_at <= leases.TAKEOVER_GRANT_S
 
--- a/poplarspindle/tests/test_silent_workers.py
+++ b/poplarspindle/tests/test_silent_workers.py
@@ -1,7 +1,7 @@
 """Silent workers must not use up what an owner's orders share."""
 
 from poplarspindle import resources
-from poplarspindle.fleet import orders, work
+from poplarspindle.fleet import events, orders, work
 from poplarspindle.node import order_window, polling
 from poplarspindle.tests import test_polling
 
@@ -70,3 +70,29 @@
     well.send_order(start)
     assert (len(well.client.sent), room > 0) == (1, True)
     assert own.order_window.limit.orders == order_window.INITIAL_LIMIT
+
+
+def test_start_that_waits_in_line_is_given_back_when_its_worker_is_silent():
+    """TWICE: it was sent seconds after the log said what may come there.
+
+    The next owner counts the delay of a late start from that record.
+    """
+    own = test_polling.FakeOwnership(Link())
+    poller = polling.WorkerPoller(own, make_worker("w"))
+    names = [work.TaskName("j", 0, 0, index) for index in range(9)]
+    for name in names[: polling.MAX_ORDERS_IN_FLIGHT]:
+        poller.send_order(orders.Stop(name, 1, 16))
+    start = orders.Start(names[-1], 1, 16, "", 9000)
+    poller.send_order(start)
+    sent = list(poller.client.sent)
+    poller.poll()
+    for done in sent:
+        done(orders.Answer(orders.Refusal.NO_ANSWER))
+    assert poller.client.sent == sent
+    refusals = {
+        event.order: event.answer.refusal
+        for event in own.posted
+        if isinstance(event, events.OrderAnswered)
+    }
+    assert refusals[start] is orders.Refusal.UNREACHABLE
+    assert own.order_window.waiting == 0
