--- a/poplarspindle/tests/test_walks.py
+++ b/poplarspindle/tests/test_walks.py
@@ -92,3 +92,8 @@
     """TWICE: an owner waits for the leases that it knows of only."""
     faults = {seed: walks.list_faults(seed, plan) for seed in SEEDS}
     assert {seed: found for seed, found in faults.items() if found} == {}
+
+
+def test_task_that_awaits_a_verdict_is_not_ready():
+    """BUDGET: lost runs are settled before the crash is counted."""
+    assert walks.list_faults(116, PLANS["late-cuts"]) == []
