--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -133,6 +133,7 @@
         self.lives = 0
         self.sizes = minions, nodes
         self.proxied = proxied
+        self.failing = set()  # Indexes of minions that fail all they start.
         self.configuration = self._configuration()
 
     def start(self):
@@ -224,6 +225,7 @@
             "listed": self.listed_addresses[index],
             "store": self.store.address,
             "ledger": str(self.temp / "ledger.txt"),
+            "failing": index in self.failing,
             **self.minion_options,
         }
         process = self._start_standin("minion", options)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -21,6 +21,7 @@
 
 PARTS = 8
 KEEP_S = 20.0
+FAIL_S = 0.05
 APPEND_S = 0.004
 PAGE = 500
 
@@ -305,8 +306,9 @@
 class Minion:
     """A sound minion; `spec` of a job is JSON that says how its tasks behave.
 
-    `ms`: how long a task works. `fail_on`: ids of minions that fail whatever
-    they start (a disruption that a test switches on).
+    `ms`: how long a task works. `gang`: how many tasks work only together; the
+    minions hear of each other's runs by the ledger that they share. Options:
+    `failing`: it fails whatever it starts (a disruption of a test).
     """
 
     def __init__(self, options):
@@ -398,9 +400,41 @@
                     self.note("lease-over")
                     for key in list(self.runs):
                         self._end(key, "lapsed")
+                due = [k for k, run in self.runs.items() if now >= run["ends_at"]]
+                if due and self.options.get("failing"):
+                    due = list(self.runs)  # Its fault strikes all at once.
+                for key in due:
+                    self._end(key, self.runs[key]["how"])
                 for key, run in list(self.runs.items()):
-                    if now >= run["ends_at"]:
-                        self._end(key, run["how"])
+                    if run["gang"] and run["how"] != "failed":
+                        self._work_in_gang(key, run, now)
+
+    def _work_in_gang(self, key, run, now):
+        """Begins once all members are there; breaks once one has ended."""
+        unit = key[0].rpartition(".")[0], key[1]
+        present, over = self._read_gang(unit)
+        if over - {"done"}:
+            self._end(key, "broken")
+        elif run["ends_at"] == float("inf") and len(present) >= run["gang"]:
+            run["ends_at"] = now + run["work_s"]
+        elif run["ends_at"] == float("inf") and now - run["began"] > 3.0:
+            self._end(key, "alone")
+
+    def _read_gang(self, unit):
+        present, over = set(), set()
+        with open(self.options["ledger"]) as ledger:
+            for line in ledger:
+                try:
+                    row = json.loads(line)
+                except ValueError:
+                    continue
+                if (row.get("task", "").rpartition(".")[0], row.get("attempt")) != unit:
+                    continue
+                if row["event"] == "start":
+                    present.add(row["task"])
+                elif row["event"] == "end":
+                    over.add(row["how"])
+        return present, over
 
     def _lease(self, until_ms):
         longest = self.clock_ms() + self.options.get("hold_max_ms", 6000)
@@ -473,10 +507,15 @@
         if len(self.runs) >= self.options.get("room", 8):
             return self._refuse("room")
         spec = json.loads(fields["spec"])
-        failing = self.id in spec.get("fail_on", ())
-        work_s = 0.02 if failing else spec["ms"] / 1000
+        failing = self.options.get("failing", False)
+        work_s = FAIL_S if failing else spec["ms"] / 1000
+        gang = spec.get("gang", 0)
+        waits = gang and not failing
         self.runs[key] = {
-            "ends_at": time.monotonic() + work_s,
+            "ends_at": float("inf") if waits else time.monotonic() + work_s,
+            "work_s": work_s,
+            "gang": gang,
+            "began": time.monotonic(),
             "how": "failed" if failing else "done",
         }
         self.note("start", task=key[0], attempt=key[1], token=fields["fencing_token"])
