Starts: end the wait for a late start once its worker is gone by the list

Cause: a start without an answer keeps its task on the worker for 19.3 s, under a next owner for 23.3 s, whether or not anybody is left to carry it out. The owner's log has the worker's unlisted line and then held-back with 15 s left; no lease was granted in between.

A worker is gone once its entry is missing from the list, which was read without a failure or pause for 2.5 s since, and it has not reported (fleet/absence.py). Then that wait ends; the wait for leases does not. A worker that comes back is ordered to stop the runs whose starts may still come. An entry that can't be read is there; what entries lapsed in an outage, under this or an earlier owner, proves nothing.

--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -73,6 +73,24 @@
     workers: tuple[work.WorkerInfo, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListRead:
+    """The store answered a reading of the list of workers, changed or not.
+
+    Attributes:
+        at: When the answer was read.
+        asked_at: When it was asked.
+        unbroken_since: When the first of the readings was asked that were all
+            answered since, without a pause between them.
+        entries: Names of all entries, also of those that can't be read.
+    """
+
+    at: float
+    asked_at: float
+    unbroken_since: float
+    entries: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configured:
     """The configuration or the set of excluded data centres changed."""
@@ -161,6 +179,7 @@
     | CancelRead
     | IntakeRead
     | WorkersListed
+    | ListRead
     | Configured
     | Reported
     | LeaseGranted
--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -134,10 +134,10 @@
         answered_attempt: int = 0,
         failed_attempts: Iterable[int] = (),
     ) -> None:
-        """Sets the state.
+        """Sets the attributes.
 
-        Args are the attributes, and `failures`: the number of failed runs,
-        where it is higher than that of `failed_attempts`.
+        `failures` is the number of failed runs; those beyond
+        `failed_attempts` get negative numbers.
         """
         self.phase = phase
         self.attempt = attempt
--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -4,8 +4,10 @@
 of a late start may count from its arrival. So while that is possible, the run
 stays placed on its worker, and its task is placed nowhere else. The wait ends
 early if the worker lists the end of the run or refuses its start, if another
-incarnation of the worker answers, or if the worker answers a later owner, whose
-epoch makes it refuse the starts of earlier ones.
+incarnation of the worker answers, if the worker answers a later owner, whose
+epoch makes it refuse the starts of earlier ones, or if the worker is gone. A
+worker that comes back after all is ordered to stop such a run before anything
+else, so that it refuses the start.
 """
 
 import typing
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -7,6 +7,7 @@
 import sys
 
 from poplarspindle.fleet import (
+    absence,
     consolidation,
     crash_history,
     crashes,
@@ -286,10 +287,10 @@
 ) -> list:
     """Requeues a worker's runs after its leases, or stops those due to end.
 
-    Its leases do not end a run that a late start may begin. On a worker that
-    leaves, runs that last until cancelled stop at once, others shortly before
-    it leaves. A run whose start was not sent is stopped if the worker fails
-    polls.
+    A run that a late start may begin waits beyond its leases, unless the worker
+    is gone. On a worker that leaves, runs that last until cancelled stop at
+    once, others shortly before it leaves. A run whose start was not sent is
+    stopped if the worker fails polls.
     """
     effect_list = []
     if (
@@ -297,12 +298,14 @@
         and fleet.now - worker.last_report_at > 1.0
     ):
         for run in list(worker.runs.values()):
-            if late_starts.may_run_late(run, fleet.now):
+            may_run_late = late_starts.may_run_late(run, fleet.now)
+            if may_run_late and not worker.gone:
                 effect_list += _hold_back(fleet, worker, run)
                 continue
             crashes.remember_lost_run(fleet, worker, run)
+            why = "worker-gone" if may_run_late else "lease-lapsed"
             effect_list += fleet_state.requeue_lost_run(
-                fleet, worker, run, "lease-lapsed", True
+                fleet, worker, run, why, True
             )
         worker.last_report_at = float("-inf")
         return effect_list
@@ -372,6 +375,7 @@
     events.CancelRead: _handle_cancel_read,
     events.IntakeRead: _handle_intake_read,
     events.WorkersListed: _handle_workers_listed,
+    events.ListRead: absence.handle_list_read,
     events.Configured: _handle_configured,
     events.Reported: reports.handle_report,
     events.LeaseGranted: _handle_lease_granted,
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -2,6 +2,7 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
+    absence,
     crashes,
     effects,
     ends,
@@ -32,6 +33,7 @@
         return []
     report = event.report
     effect_list = []
+    absence.record_report(worker, event.at)
     worker_state.record_clock(worker, report.clock_ms, event.at)
     allow_leases = effects.AllowLeases(event.worker_name, event.failed_polls)
     if worker.logged_unreachable:
@@ -60,6 +62,8 @@
         )
     if is_reborn:
         effect_list += _begin_incarnation(fleet, worker, report)
+    elif is_first_report:
+        effect_list += _stop_late_starts(fleet, worker)
     worker.last_report_at = event.at
     worker.may_accept_more = True
     if worker.poll_failed:
@@ -109,11 +113,7 @@
             effect_list += fleet_state.requeue_lost_run(
                 fleet, worker, run, "worker-born-again"
             )
-    for name, attempt in late_starts.list_possible_late_starts(
-        fleet, worker.info.name
-    ):
-        order = orders.Stop(name, attempt, fleet.epoch)
-        effect_list.append(effects.Order(worker.info.name, order))
+    effect_list += _stop_late_starts(fleet, worker)
     worker.incarnation_ms = incarnation_ms
     worker.last_end_handled = worker.last_end_recorded = 0
     worker.leases_until_ms = 0
@@ -126,6 +126,21 @@
     return effect_list
 
 
+def _stop_late_starts(
+    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
+) -> list:
+    """Stops runs that are over and whose start may still reach the worker.
+
+    A worker refuses the start of a run that it was told to stop.
+    """
+    return [
+        effects.Order(worker.info.name, orders.Stop(name, attempt, fleet.epoch))
+        for name, attempt in late_starts.list_possible_late_starts(
+            fleet, worker.info.name
+        )
+    ]
+
+
 def _compare_running(fleet, worker, event, is_first_report: bool) -> list:
     """Compares the runs that a worker lists with those placed on it.
 
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -165,6 +165,9 @@
         target_missed_since: Since when a tail latency exceeds its target,
             infinity if none does.
         leaves_at: Earliest time at which it shuts down, infinity if it stays.
+        missing_since: Since when its entry is missing from the list and it has
+            not reported, infinity if the list has it; see `absence`.
+        gone: Whether it is gone by that.
     """
 
     def __init__(self, info: work.WorkerInfo) -> None:
@@ -201,6 +204,8 @@
         self.paced_at = float("-inf")
         self.target_missed_since = float("inf")
         self.leaves_at = float("inf")
+        self.missing_since = float("inf")
+        self.gone = False
 
     @property
     def has_reported(self) -> bool:
--- a/poplarspindle/node/listing.py
+++ b/poplarspindle/node/listing.py
@@ -11,12 +11,13 @@
 import structlog
 
 from poplarspindle import metrics, outcomes
-from poplarspindle.fleet import records, work
+from poplarspindle.fleet import events, records, work
 from poplarspindle.node import storage, threads
 
 POLL_INTERVAL_S = 0.2
 RELOAD_INTERVAL_S = 3.0
 REMOVAL_GRACE_S = 2.5  # Entries lapsed in an outage are back by then.
+MAX_READ_GAP_S = 1.0  # Longer between two readings is an interruption.
 LOG_INTERVAL_S = 10.0
 MAX_LOG_LINES = 20  # In that interval; another writer may write thousands.
 
@@ -33,6 +34,7 @@
         topic: The topic.
         read_worker: Reads one entry; a failure where it names no worker.
         publish: Called with all workers, at first and whenever one changed.
+        report_reading: Called after each reading that the store answered.
         stop_event: Set when the ownership is over.
         counters: The node's figures.
     """
@@ -43,6 +45,7 @@
         topic: str,
         read_worker: ReadWorker,
         publish: Callable[[tuple[work.WorkerInfo, ...]], None],
+        report_reading: Callable[[events.ListRead], None],
         stop_event: threading.Event,
         counters: metrics.Metrics,
     ) -> None:
@@ -51,6 +54,7 @@
         self._topic = topic
         self._read_worker = read_worker
         self._publish = publish
+        self._report_reading = report_reading
         self._stop_event = stop_event
         self._values: dict[str, bytes] = {}
         self._workers: dict[str, work.WorkerInfo] = {}
@@ -60,6 +64,8 @@
         self._lines_left_out = 0
         self._published: tuple[work.WorkerInfo, ...] | None = None
         self._lost_at = float("-inf")
+        self._read_at = float("-inf")
+        self._unbroken_since = float("inf")
 
     def start(self) -> None:
         """Starts the reading thread."""
@@ -75,16 +81,18 @@
                 if isinstance(newest, outcomes.Ok):
                     reloaded_at, offset = now, newest.value.end
                     self.replace(newest.value.items, now)
+                    self.record_reading(now)
                 else:
-                    self._lost_at = now
+                    self.record_failure(now)
             else:
                 page = self._store.read(self._topic, offset, 0)
                 if isinstance(page, outcomes.Ok):
                     offset = page.value.next
                     self.update(page.value.items, now)
+                    self.record_reading(now)
                 else:
                     reloaded_at = float("-inf")
-                    self._lost_at = now
+                    self.record_failure(now)
             self._stop_event.wait(POLL_INTERVAL_S)
 
     def replace(self, items: Iterable[records.Record], now: float) -> None:
@@ -106,6 +114,30 @@
                 self._forget(record.key)
         self._publish_changed()
 
+    def record_failure(self, asked_at: float) -> None:
+        """Notes that a reading was not answered."""
+        self._lost_at = asked_at
+        self._unbroken_since = float("inf")
+
+    def record_reading(self, asked_at: float) -> None:
+        """Notes that a reading was answered and its entries were taken.
+
+        Load pattern: this node is paused and reads on when it wakes. What the
+        list lacked before and after that may have been there in between.
+        """
+        if asked_at - self._read_at > MAX_READ_GAP_S:
+            self._unbroken_since = asked_at
+        self._unbroken_since = min(self._unbroken_since, asked_at)
+        self._read_at = asked_at
+        self._report_reading(
+            events.ListRead(
+                time.monotonic(),
+                asked_at,
+                self._unbroken_since,
+                frozenset(self._values),
+            )
+        )
+
     def _forget(self, key: str) -> None:
         for known in (self._values, self._workers, self._odd_reasons):
             known.pop(key, None)
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -102,6 +102,7 @@
             lambda workers: self.post(
                 events.WorkersListed(time.monotonic(), workers)
             ),
+            self.post,
             self.stop_event,
             counters,
         )
--- /dev/null
+++ b/poplarspindle/tests/test_gone_workers.py
@@ -0,0 +1,298 @@
+"""A start got no answer from a worker that is gone by the list of workers.
+
+LOST: its task was placed nowhere for 19 s, 23 s under a later owner. TWICE: a
+worker that is not gone may still carry the start out.
+"""
+
+import threading
+import time
+
+import pytest
+
+from poplarspindle import metrics, outcomes, resources
+from poplarspindle.fleet import absence, events, fleet_state, job_store, work
+from poplarspindle.fleet import worker_state as worker_states
+from poplarspindle.node import listing, storage
+from poplarspindle.tools.fakes import fleets
+
+CORE = resources.Resources(1000, 1000, 0)
+JOB = "a" * 16
+HEARTBEATS_S = 3.3  # After its last heartbeat an entry is dropped.
+LEASES_S = 4.4  # After the last start; on the worker's slow clock.
+GONE_S = HEARTBEATS_S + absence.GONE_AFTER_S
+NEXT_LEASES_S = 10.4  # Longest leases that a next owner has to reckon with.
+SLACK_S = 0.5  # Until an unanswered start counts, and of a round.
+RUN_S = 1.0
+
+STEPS = [
+    pytest.param({}, id="task"),
+    pytest.param({"gang": True}, id="gang"),
+    pytest.param({"until_cancelled": True}, id="lasting"),
+]
+
+
+def make_world(**options):
+    world = fleets.World(1, 4, run_s=lambda rng: RUN_S, **options)
+    world.run(1.0)
+    return world
+
+
+def submit_to_silent(world, step):
+    """Submits a job; a worker goes silent before it answers a start.
+
+    Its entry is dropped after its heartbeats are missed.
+    """
+    tasks = 3 if step.get("gang") else 1
+    world.submit(JOB, work.Step(tasks, CORE, 500, (), **step))
+    while not any(worker.runs for worker in world.fleet.workers.values()):
+        world.run(fleets.TICK_S)
+    names = [n for n, worker in world.fleet.workers.items() if worker.runs]
+    silent = world.workers[names[0]]
+    silent.reachable = False
+    name = silent.description.name
+    world.call_later(HEARTBEATS_S, lambda: world.unlisted.add(name))
+    return silent
+
+
+def is_at_work(world):
+    """Tells whether all tasks of the job run or are done elsewhere."""
+    if world.get_state(JOB) == "completed":
+        return True
+    step = world.submissions[JOB].steps[0]
+    running = {
+        name.index
+        for worker in world.workers.values()
+        for name, _ in worker.runs
+    }
+    return len(running) == step.tasks
+
+
+def run_until_at_work(world, most_s):
+    began = world.now
+    while not is_at_work(world):
+        world.run(fleets.TICK_S)
+        assert world.now - began < most_s
+    return world.now - began
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_task_of_a_worker_that_is_gone_is_placed_soon(step):
+    """LOST: it waited until no late start could have it at work."""
+    world = make_world()
+    submit_to_silent(world, step)
+    run_until_at_work(world, max(GONE_S, LEASES_S) + SLACK_S)
+    assert world.notes["missing"] == 1
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("owners_s", [[0.02], [0.02, 2.0], [3.0], [3.0, 3.0]])
+def test_task_of_a_worker_that_is_gone_is_placed_by_the_next_owner(
+    owners_s, step
+):
+    """LOST: the next owner waited 4 s more than that."""
+    world = make_world()
+    submit_to_silent(world, step)
+    for after_s in owners_s:
+        world.run(after_s)
+        world.take_over()
+    run_until_at_work(world, NEXT_LEASES_S + SLACK_S)
+
+
+@pytest.mark.parametrize("new_owner", [False, True])
+@pytest.mark.parametrize("step", STEPS)
+def test_task_of_a_worker_that_is_listed_waits(step, new_owner):
+    """TWICE: it is cut off from the owner and alive, as its entry shows."""
+    world = make_world()
+    silent = submit_to_silent(world, step)
+    if new_owner:
+        world.run(0.02)
+        world.take_over()
+    world.run(HEARTBEATS_S + 0.1)
+    world.unlisted.clear()
+    assert silent.up
+    world.run(NEXT_LEASES_S)
+    assert not is_at_work(world)
+
+
+@pytest.mark.parametrize("new_owner", [False, True])
+def test_entry_that_the_store_dropped_in_an_outage_proves_nothing(new_owner):
+    """TWICE: entries of living workers are back only after the outage."""
+    world = make_world()
+    silent = submit_to_silent(world, {})
+    world.run(HEARTBEATS_S - 0.1)
+    world.store_up = False
+    world.run(6.0)
+    if new_owner:
+        world.take_over()
+    world.store_up = True
+    world.run(absence.GONE_AFTER_S - 0.2)
+    world.unlisted.clear()
+    world.run(1.0)
+    assert not world.fleet.workers[silent.description.name].gone
+    assert world.notes["given-up"] == 0
+
+
+@pytest.mark.parametrize("late_s", [4.5, 6.5, 9.0, 12.0])
+@pytest.mark.parametrize("owners_s", [[], [0.5], [6.5], [0.5, 6.0]])
+@pytest.mark.parametrize("step", STEPS)
+def test_worker_that_wakes_with_starts_in_its_sockets_runs_none(
+    step, owners_s, late_s
+):
+    """TWICE: a process is stopped, its entry lapses, and it goes on."""
+    world = make_world(late=1.0, late_s=(late_s, late_s))
+    silent = submit_to_silent(world, step)
+    silent.reachable = True  # The starts are in its sockets.
+    world.run(2 * fleets.ORDER_S)
+    silent.reachable = False
+    world.late = 0.0
+    woken_at = world.now + late_s
+
+    def wake():
+        silent.reachable = True
+        world.unlisted.clear()
+
+    world.call_later(late_s, wake)
+    for after_s in owners_s:
+        world.run(after_s)
+        world.take_over()
+    world.run(max(0.0, woken_at - world.now) + NEXT_LEASES_S + 2 * RUN_S)
+    assert is_at_work(world)
+    assert world.list_violations() == []
+
+
+@pytest.mark.parametrize("reborn", [False, True])
+def test_worker_that_is_back_is_told_to_stop_what_may_start_late(reborn):
+    """TWICE: its late starts are refused though their leases begin anew."""
+    world = make_world(
+        late=1.0, late_s=(9.0, 9.0), late_incarnations=True, late_leases=True
+    )
+    world.submit(JOB, work.Step(1, CORE, 500, (), until_cancelled=True))
+    while not world.notes["start-refused"]:
+        world.run(fleets.TICK_S)
+    (name,) = [n for n, worker in world.fleet.workers.items() if worker.runs]
+    silent = world.workers[name]
+    silent.reachable = False
+    world.unlisted.add(name)
+    world.late = 0.0
+    run_until_at_work(world, LEASES_S + SLACK_S)
+    if reborn:
+        silent.crash()
+    silent.reachable = True
+    world.unlisted.clear()
+    world.run(15.0)
+    assert silent.ledger == []
+    assert world.list_violations() == []
+
+
+def test_worker_whose_state_was_kept_is_told_to_stop_what_may_start_late():
+    """TWICE: the list did not change before the worker was back in it."""
+    world = make_world()
+    name = work.TaskName(JOB, 0, 0, 0)
+    stopped = []
+    worker = world.workers["w0"]
+    stop = worker.stop
+    worker.stop = lambda order: stopped.append(order) or stop(order)
+    world.fleet.possible_late_starts["w0"] = {(name, 1): world.now + 9.0}
+    world.run(1.0)
+    assert stopped == []
+    world.fleet.workers["w0"].last_report_at = float("-inf")
+    world.run(1.0)
+    assert [(order.task, order.attempt) for order in stopped] == [(name, 1)]
+
+
+# What the list tells.
+
+WORKER = work.WorkerInfo("w", "10.0.0.1:80", "pool", "dc", CORE)
+PRESENT = frozenset({"w"})
+MISSING: frozenset[str] = frozenset()
+
+
+def read_list(fleet, at, entries, unbroken_since=0.0):
+    event = events.ListRead(at, at, unbroken_since, entries)
+    absence.handle_list_read(fleet, event)
+
+
+def make_fleet():
+    fleet = fleet_state.FleetState(job_store.JobStore())
+    worker = fleet.workers["w"] = worker_states.WorkerState(WORKER)
+    return fleet, worker
+
+
+def test_worker_is_gone_once_its_entry_is_missing_for_long():
+    fleet, worker = make_fleet()
+    gone = []
+    for at in (1.0, 2.0, 3.0, 4.0, 4.6):
+        read_list(fleet, at, PRESENT if at == 1.0 else MISSING)
+        gone.append(worker.gone)
+    assert gone == [False, False, False, False, True]
+    read_list(fleet, 5.0, PRESENT)
+    assert not worker.gone
+
+
+@pytest.mark.parametrize("unbroken_since", [0.0, 3.0])
+def test_interrupted_readings_do_not_add_up(unbroken_since):
+    fleet, worker = make_fleet()
+    read_list(fleet, 2.0, MISSING)
+    read_list(fleet, 5.0, MISSING, unbroken_since)
+    assert worker.gone == (unbroken_since == 0.0)
+
+
+def test_worker_that_reports_is_not_gone():
+    """It reaches the owner and not the store."""
+    fleet, worker = make_fleet()
+    read_list(fleet, 2.0, MISSING)
+    read_list(fleet, 5.0, MISSING)
+    absence.record_report(worker, 6.0)
+    assert not worker.gone
+    read_list(fleet, 8.0, MISSING)
+    assert not worker.gone
+    read_list(fleet, 8.6, MISSING)
+    assert worker.gone
+
+
+def make_listing(confirmed, clock=None):
+    return listing.Listing(
+        storage.Store,
+        "topic",
+        lambda record: outcomes.Failed(outcomes.Step.LIST, record.key, "odd"),
+        lambda workers: None,
+        confirmed.append,
+        threading.Event(),
+        metrics.Metrics(),
+    )
+
+
+@pytest.mark.parametrize(
+    ("interrupt", "unbroken_since"),
+    [
+        pytest.param(lambda found: None, 10.0, id="none"),
+        pytest.param(lambda found: found.record_failure(10.7), 11.0, id="lost"),
+    ],
+)
+def test_failed_reading_interrupts(interrupt, unbroken_since):
+    confirmed = []
+    found = make_listing(confirmed)
+    for asked_at in (10.0, 10.5):
+        found.record_reading(asked_at)
+    interrupt(found)
+    found.record_reading(11.0)
+    assert confirmed[-1].unbroken_since == unbroken_since
+
+
+def test_pause_of_the_reader_interrupts():
+    """TWICE: a paused owner takes old readings for an unbroken row."""
+    confirmed = []
+    found = make_listing(confirmed)
+    for asked_at in (10.0, 10.5, 20.0, 20.5):
+        found.record_reading(asked_at)
+    assert [event.unbroken_since for event in confirmed] == [10, 10, 20, 20]
+    assert confirmed[-1].at <= time.monotonic()
+
+
+def test_entry_that_can_not_be_read_is_there():
+    """TWICE: another writer's entry in its place does not prove it gone."""
+    confirmed = []
+    found = make_listing(confirmed)
+    found.replace([listing.records.Record("w", b"odd")], 10.0)
+    found.record_reading(10.0)
+    assert confirmed[-1].entries == PRESENT
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -116,6 +116,7 @@
         self.unreachable_read_at = 0.0
         self.store_up = True
         self.store_confirmed_at = 0.0
+        self._list_unbroken_since = float("inf")
         self.completed_at: dict[str, float] = {}
         self._run_s = run_s
         self._fail = fail
@@ -241,6 +242,18 @@
             and name not in self.unlisted
         )
         self._reduce(events.WorkersListed(self.now, listed))
+        if not self.store_up:
+            self._list_unbroken_since = float("inf")
+            return
+        self._list_unbroken_since = min(self._list_unbroken_since, self.now)
+        self._reduce(
+            events.ListRead(
+                self.now,
+                self.now,
+                self._list_unbroken_since,
+                frozenset(info.name for info in listed),
+            )
+        )
 
     def submit(self, job: str, *steps: work.Step, **options) -> None:
         """Hands a job in."""
