--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -31,6 +31,7 @@
     gangs,
     judging,
     late_orders,
+    worker_list,
 )
 
 TICK_S = 0.05
@@ -116,7 +117,7 @@
         self.unreachable_read_at = 0.0
         self.store_up = True
         self.store_confirmed_at = 0.0
-        self._list_unbroken_since = float("inf")
+        self._worker_list = worker_list.WorkerList()
         self.completed_at: dict[str, float] = {}
         self._run_s = run_s
         self._fail = fail
@@ -235,25 +236,14 @@
 
     def list_workers(self) -> None:
         """Lets the owner read the list."""
-        listed = tuple(
+        listed = [
             worker.description
             for name, worker in self.workers.items()
             if (worker.up or self.now < worker.listed_until)
             and name not in self.unlisted
-        )
-        self._reduce(events.WorkersListed(self.now, listed))
-        if not self.store_up:
-            self._list_unbroken_since = float("inf")
-            return
-        self._list_unbroken_since = min(self._list_unbroken_since, self.now)
-        self._reduce(
-            events.ListRead(
-                self.now,
-                self.now,
-                self._list_unbroken_since,
-                frozenset(info.name for info in listed),
-            )
-        )
+        ]
+        for event in self._worker_list.read(self.now, listed, self.store_up):
+            self._reduce(event)
 
     def submit(self, job: str, *steps: work.Step, **options) -> None:
         """Hands a job in."""
