--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -22,6 +22,7 @@
     http_client,
     listing,
     order_window,
+    poll_waits,
     polling,
     ports,
     settings,
@@ -288,7 +289,7 @@
                 self._pollers[name] = poller
                 fresh.append(poller)
             if poller is not None:
-                poller.wait_ms = polling.choose_wait(worker)
+                poller.wait_ms = poll_waits.choose_wait(worker)
         for name in self._pollers.keys() - workers.keys():
             poller = self._pollers.pop(name)
             poller.stopped = True
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import threading
 import time
 import typing
 from collections.abc import Callable
@@ -16,13 +15,9 @@
     leases,
     orders,
     work,
-    worker_state,
 )
-from poplarspindle.node import order_window
+from poplarspindle.node import poll_waits, worker_ports
 
-BUSY_WAIT_MS = 1000
-IDLE_WAIT_MS = 2000
-SHARED_WAIT_MS = 550  # Tails are measured over half a second.
 POLL_TIMEOUT_S = 0.15  # Workers answer in milliseconds.
 POLL_RETRY_TIMEOUT_S = 0.5  # A worker, or this node, may be slow.
 ACKNOWLEDGE_TIMEOUT_S = 0.5
@@ -34,33 +29,6 @@
 _log = structlog.get_logger(part="orders")
 
 
-class Ownership(typing.Protocol):
-    """What a watch asks of the ownership that it belongs to."""
-
-    epoch: int
-    lease_most_ms: int
-    stop_event: threading.Event
-    order_window: order_window.OrderWindow
-
-    def connect(self, info: work.WorkerInfo) -> typing.Any:
-        """Makes a client of a worker."""
-
-    def store_confirmed_at(self) -> float:
-        """Returns since when another node may have claimed the fleet."""
-
-    def wall_ms(self) -> int:
-        """Returns Unix time in milliseconds."""
-
-    def post(self, event: object) -> None:
-        """Hands an event over."""
-
-    def report_lost(self, why: str) -> None:
-        """Notes that another owner was seen."""
-
-    def run_later(self, delay_s: float, job: Callable[[], None]) -> typing.Any:
-        """Runs a function later on the calls' thread; it can be cancelled."""
-
-
 class WorkerPoller:
     """Looks at one worker for as long as this node owns the fleet.
 
@@ -75,7 +43,7 @@
 
     def __init__(
         self,
-        ownership: Ownership,
+        ownership: worker_ports.Ownership,
         info: work.WorkerInfo,
         fence: fencing.Fence | None = None,
     ) -> None:
@@ -98,7 +66,7 @@
         self._orders_in_flight = 0
         self._awaited_turns = 0
         self._is_silent = False
-        self.wait_ms = BUSY_WAIT_MS
+        self.wait_ms = poll_waits.BUSY_WAIT_MS
         self.stopped = False
 
     def acknowledge(self, incarnation_ms: int, number: int) -> None:
@@ -312,7 +280,7 @@
             ownership.store_confirmed_at(),
             ownership.lease_most_ms,
             wait_ms,
-            is_idle=self.wait_ms == IDLE_WAIT_MS,
+            is_idle=self.wait_ms == poll_waits.IDLE_WAIT_MS,
         )
         token = self.fence.token
         if until_ms:
@@ -434,10 +402,3 @@
         stop.task,
         stop.attempt,
     )
-
-
-def choose_wait(worker: worker_state.WorkerState) -> int:
-    """Returns how long a look at a worker waits for an end."""
-    if worker.latency_critical_millicores and worker.best_effort_millicores:
-        return SHARED_WAIT_MS
-    return BUSY_WAIT_MS if worker.runs else IDLE_WAIT_MS
--- /dev/null
+++ b/poplarspindle/node/worker_ports.py
@@ -0,0 +1,35 @@
+"""What polls and orders ask of the ownership that they belong to."""
+
+import threading
+import typing
+from collections.abc import Callable
+
+from poplarspindle.fleet import work
+from poplarspindle.node import order_window
+
+
+class Ownership(typing.Protocol):
+    """What a watch asks of the ownership that it belongs to."""
+
+    epoch: int
+    lease_most_ms: int
+    stop_event: threading.Event
+    order_window: order_window.OrderWindow
+
+    def connect(self, info: work.WorkerInfo) -> typing.Any:
+        """Makes a client of a worker."""
+
+    def store_confirmed_at(self) -> float:
+        """Returns since when another node may have claimed the fleet."""
+
+    def wall_ms(self) -> int:
+        """Returns Unix time in milliseconds."""
+
+    def post(self, event: object) -> None:
+        """Hands an event over."""
+
+    def report_lost(self, why: str) -> None:
+        """Notes that another owner was seen."""
+
+    def run_later(self, delay_s: float, job: Callable[[], None]) -> typing.Any:
+        """Runs a function later on the calls' thread; it can be cancelled."""
--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -7,7 +7,7 @@
 
 from poplarspindle import outcomes, resources
 from poplarspindle.fleet import events, orders, work
-from poplarspindle.node import order_window, polling
+from poplarspindle.node import order_window, poll_waits, polling
 
 WORKER = work.WorkerInfo("w", "a:1", "pool", "dc", resources.ZERO)
 LOST = outcomes.Failed(outcomes.Step.HOLD, "w", "timeout", "", True)
@@ -125,7 +125,7 @@
     poller.allow_leases(0)
     poller.poll()
     own.pass_time()
-    waits = [0, 0, polling.BUSY_WAIT_MS, 0, polling.BUSY_WAIT_MS]
+    waits = [0, 0, poll_waits.BUSY_WAIT_MS, 0, poll_waits.BUSY_WAIT_MS]
     assert client.waits == waits
 
 
