--- a/poplarspindle/fleet/leases.py
+++ b/poplarspindle/fleet/leases.py
@@ -9,7 +9,7 @@
 LONG_LEASE_AFTER_S = 0.8  # Then the store may be unavailable for longer.
 # A poll that renews leases is answered at once, and others renew none. So when
 # a worker dies or is cut off, seldom is an order out that may renew them late.
-RENEW_AFTER_S = 2.0
+RENEW_AFTER_S = 1.0
 MIN_WAIT_MS = 50  # Rather than wait for less, a poll renews the leases.
 # A start asks for little where polls have renewed the leases, as it adds that
 # to them when it is carried out late.
--- a/poplarspindle/tests/test_grants.py
+++ b/poplarspindle/tests/test_grants.py
@@ -92,7 +92,7 @@
 @pytest.mark.parametrize(
     ("after_s", "is_idle", "expected"),
     [
-        pytest.param(0.5, False, (0, 1000), id="waits"),
+        pytest.param(DUE_S - 0.9, False, (0, 900), id="waits"),
         pytest.param(DUE_S - 0.2, False, (0, 200), id="ends-when-one-is-due"),
         pytest.param(DUE_S - 0.2, True, (0, 1000), id="idle-waits-for-longer"),
         pytest.param(DUE_S, False, (DUE_MS, 0), id="renews"),
