--- a/poplarspindle/tests/test_walks.py
+++ b/poplarspindle/tests/test_walks.py
@@ -94,7 +94,7 @@
     assert {seed: found for seed, found in faults.items() if found} == {}
 
 
-@pytest.mark.parametrize("seed", [116, 130, 132])
+@pytest.mark.parametrize("seed", [115, 116, 130, 132])
 def test_task_that_awaits_a_verdict_is_not_ready(seed):
     """BUDGET: lost runs are settled before the crash is counted."""
     assert walks.list_faults(seed, PLANS["late-cuts"]) == []
