--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -9,13 +9,7 @@
 import structlog
 
 from poplarspindle import outcomes
-from poplarspindle.fleet import (
-    events,
-    fencing,
-    leases,
-    orders,
-    work,
-)
+from poplarspindle.fleet import events, fencing, leases, orders, work
 from poplarspindle.node import poll_waits, worker_ports
 
 POLL_TIMEOUT_S = 0.15  # Workers answer in milliseconds.
