Tests: a call whose kept connection breaks is sent twice (red)

A start on a kept connection that is closed or reset before its answer arrives at the worker twice; the owner is told the second answer only.

--- a/poplarspindle/tests/test_http_client.py
+++ b/poplarspindle/tests/test_http_client.py
@@ -1,6 +1,8 @@
 """Many calls on one thread, against peers that fail in each way."""
 
+import contextlib
 import socket
+import struct
 import threading
 import time
 
@@ -203,6 +205,57 @@
     assert (found.reason, found.may_have_acted) == ("broken", True)
 
 
+def read_call(connection):
+    """Reads one whole call; returns its body."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        received += connection.recv(65536)
+    head, _, body = received.partition(b"\r\n\r\n")
+    (length,) = (
+        int(line.partition(b":")[2])
+        for line in head.split(b"\r\n")
+        if line.lower().startswith(b"content-length:")
+    )
+    while len(body) < length:
+        body += connection.recv(65536)
+    return body
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_call_whose_kept_connection_breaks_is_not_sent_again(calls, resets):
+    """A worker may carry out both copies, and only the second is answered."""
+    ok = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+    received = []
+
+    def answer_once_then_break():
+        connection, _ = listening.accept()
+        received.append(read_call(connection))
+        connection.sendall(ok)
+        received.append(read_call(connection))
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        connection.close()
+        with contextlib.suppress(OSError):  # Nobody connects again.
+            connection, _ = listening.accept()
+            received.append(read_call(connection))
+            connection.sendall(busy)
+            connection.close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        thread = threading.Thread(target=answer_once_then_break)
+        thread.start()
+        send_all(calls, [make_call(address, body=b"first")])
+        (found,) = send_all(calls, [make_call(address, body=b"start")])
+        listening.shutdown(socket.SHUT_RDWR)
+        thread.join()
+    assert received == [b"first", b"start"]
+    assert isinstance(found, outcomes.Failed)
+    assert (found.reason, found.may_have_acted) == ("broken", True)
+
+
 def test_callback_that_raises_ends_nothing(calls, peer):
     raised = threading.Event()
 
