Pollers take their clock from outside; module of an ownership's pollers

Cause: the virtual fleet can't run node/polling as it reads the machine's clock, and which pollers and fences exist is decided in Ownership, which needs threads. So faults that stand there only can't show in it.

Change: worker_ports.Ownership.now(); OrderWindow takes its clock; node/pollers keeps pollers, fences and orders that are not handed over yet, and takes the ownership and run_soon from outside. No behaviour changes. Three tests patched polling.time, which is not imported any more: they patch time itself, which their fake ownership reads, so they set the same clock.

--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -134,13 +134,18 @@
     Used on the thread that carries the calls only; `waiting` and `limit` are
     read by others.
 
+    Args:
+        read_clock: Returns the present time, monotonic seconds; by default
+            that of the machine.
+
     Attributes:
         limit: The limit of orders in flight.
         in_flight: Orders in flight.
         waiting: Orders that wait for their turn or for their worker.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, read_clock: Callable[[], float] | None = None) -> None:
+        self._read_clock = read_clock or (lambda: time.monotonic())
         self.limit = Limit()
         self.in_flight = 0
         self.waiting = 0
@@ -172,7 +177,7 @@
             took_s: How long the order was in flight, seconds.
         """
         self.in_flight -= 1
-        now = time.monotonic()
+        now = self._read_clock()
         record_rate(self.limit, bool(self._waiting_senders), now)
         if record_answer(self.limit, took_s, now) < 0:
             _log.warning(
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -12,7 +12,6 @@
 from poplarspindle.fleet import (
     effects,
     events,
-    fencing,
     records,
     work,
     worker_state,
@@ -22,8 +21,7 @@
     http_client,
     listing,
     order_window,
-    poll_waits,
-    polling,
+    pollers,
     ports,
     settings,
 )
@@ -31,7 +29,6 @@
 APPEND_TIMEOUT_S = (
     1.2  # An append to a slow store takes hundreds of milliseconds.
 )
-MAX_KEPT_FENCES = 4096  # Far more workers than are ever unlisted and back.
 EXTEND_TIMEOUT_S = 0.4  # Workers answer in milliseconds; a stop must go on.
 
 _log = structlog.get_logger(part="owner")
@@ -79,11 +76,8 @@
         self.wall_ms = wall_ms
         self.lease_most_ms = own_settings.lease_most_ms
         self.stop_event = threading.Event()
-        self._pollers: dict[str, polling.WorkerPoller] = {}
-        # Of workers that are no longer listed; they may come back.
-        self._fences: dict[str, fencing.Fence] = {}
-        self._orders: collections.deque[effects.Order] = collections.deque()
         self._http_client = http_client.HttpClient()
+        self._pollers = pollers.Pollers(self, self._http_client.run_soon)
         self.order_window = order_window.OrderWindow()
         self._progress, self._shared, self._intake = (
             appending.Appender(
@@ -130,6 +124,10 @@
         """Makes a client of a worker."""
         return self._connect(self._http_client, info)
 
+    def now(self) -> float:
+        """Returns the present time on this node's clock, seconds."""
+        return time.monotonic()
+
     def run_later(self, delay_s: float, job: Callable[[], None]):
         """Runs a function later on the calls' thread."""
         return self._http_client.run_later(delay_s, job)
@@ -173,14 +171,14 @@
         """Has all workers keep their runs while ownership changes hands."""
         began = time.monotonic()
         extended = threading.Semaphore(0)
-        pollers = list(self._pollers.values())
+        told = self._pollers.list_all()
 
         def extend() -> None:
-            for poller in pollers:
+            for poller in told:
                 poller.extend_leases(extended.release)
 
         self._http_client.run_soon(extend)
-        left = len(pollers)
+        left = len(told)
         while left and extended.acquire(
             timeout=max(0.0, began + EXTEND_TIMEOUT_S - time.monotonic())
         ):
@@ -199,9 +197,7 @@
 
     def execute(self, effect: effects.Effect) -> None:
         """Carries one effect out, on other threads; orders with `flush`."""
-        if isinstance(effect, effects.Order):
-            self._orders.append(effect)
-        elif isinstance(effect, effects.Append):
+        if isinstance(effect, effects.Append):
             self._progress.put(
                 effect.records,
                 lambda at: self.post(events.Appended(at, effect.number)),
@@ -215,12 +211,11 @@
             )
         elif isinstance(effect, effects.Drop):
             self._drop(effect.jobs)
-        elif isinstance(effect, effects.AllowLeases | effects.Acknowledge):
-            poller = self._pollers.get(effect.worker_name)
-            if poller is not None:
-                self._http_client.run_soon(
-                    lambda: _update_poller(poller, effect)
-                )
+        elif isinstance(
+            effect,
+            effects.Order | effects.AllowLeases | effects.Acknowledge,
+        ):
+            self._pollers.execute(effect)
 
     def _drop(self, jobs: tuple[str, ...]) -> None:
         """Drops ended jobs: a job without its progress would begin anew."""
@@ -246,64 +241,19 @@
         """
         return order_window.compute_room(
             self.order_window.limit,
-            self.order_window.waiting + len(self._orders),
+            self.order_window.waiting + self._pollers.count_unsent(),
             self._progress.last_append_s,
         )
 
     def flush(self) -> None:
         """Sends the orders of a batch."""
-        if self._orders:
-            self._http_client.run_soon(self._send)
-
-    def _send(self) -> None:
-        """Gives the orders made so far to their pollers."""
-        for _ in range(len(self._orders)):
-            effect = self._orders.popleft()
-            poller = self._pollers.get(effect.worker_name)
-            if poller is not None:
-                poller.send_order(effect.order)
-                continue
-            now = time.monotonic()
-            answer = polling.UNREACHABLE
-            self.post(
-                events.OrderAnswered(
-                    now, effect.worker_name, now, effect.order, answer
-                )
-            )
+        self._pollers.flush()
 
     def update_pollers(
         self, workers: dict[str, worker_state.WorkerState]
     ) -> None:
         """Watches every worker that is listed or still holds runs."""
-        fresh = []
-        for name, worker in workers.items():
-            poller = self._pollers.get(name)
-            address = worker.info.address
-            if address and (poller is None or poller.worker.address != address):
-                if poller is not None:
-                    poller.stopped = True
-                fence = self._fences.pop(name, None)
-                if poller is not None:
-                    fence = poller.fence
-                poller = polling.WorkerPoller(self, worker.info, fence)
-                self._pollers[name] = poller
-                fresh.append(poller)
-            if poller is not None:
-                poller.wait_ms = poll_waits.choose_wait(worker)
-        for name in self._pollers.keys() - workers.keys():
-            poller = self._pollers.pop(name)
-            poller.stopped = True
-            self._keep_fence(name, poller.fence)
-        if fresh:
-            self._http_client.run_soon(
-                lambda: [poller.poll() for poller in fresh]
-            )
-
-    def _keep_fence(self, name: str, fence: fencing.Fence) -> None:
-        """Keeps the token of a worker that may be listed again."""
-        self._fences[name] = fence
-        while len(self._fences) > MAX_KEPT_FENCES:
-            self._fences.pop(next(iter(self._fences)))
+        self._pollers.update(workers)
 
 
 def _append_fenced(
@@ -341,13 +291,3 @@
         return answer
 
     return append
-
-
-def _update_poller(
-    poller: polling.WorkerPoller,
-    effect: effects.AllowLeases | effects.Acknowledge,
-) -> None:
-    if isinstance(effect, effects.AllowLeases):
-        poller.allow_leases(effect.failed_polls)
-    else:
-        poller.acknowledge(effect.incarnation_ms, effect.number)
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import time
 import typing
 from collections.abc import Callable
 
@@ -80,7 +79,7 @@
     def extend_leases(self, done: Callable[[], None]) -> None:
         """Asks for the longest leases, for the time until the next owner."""
         ownership = self._ownership
-        now = time.monotonic()
+        now = self._ownership.now()
         until_ms = leases.choose_lease(
             self._clock,
             now,
@@ -194,10 +193,10 @@
         if self._is_silent:
             return False
         confirmed_at = self._ownership.store_confirmed_at()
-        return time.monotonic() - confirmed_at <= leases.TAKEOVER_GRANT_S
+        return self._ownership.now() - confirmed_at <= leases.TAKEOVER_GRANT_S
 
     def _return_unsent(self, order: orders.Order) -> None:
-        self._post_answer(order, time.monotonic(), UNREACHABLE)
+        self._post_answer(order, self._ownership.now(), UNREACHABLE)
 
     def _send(
         self, order: orders.Order, end_turn: Callable[[float], None]
@@ -212,7 +211,7 @@
             end_turn: Takes how long it was in flight, seconds.
         """
         self._orders_in_flight += 1
-        sent_at = time.monotonic()
+        sent_at = self._ownership.now()
         order = dataclasses.replace(order, epoch=self.fence.token)
         if isinstance(order, orders.Start):
             until_ms = leases.extend_start_lease(
@@ -225,7 +224,7 @@
             self._record_answer(order, answer)
             answer = fencing.read_answer(self.fence, order, answer)
             self._post_answer(order, sent_at, answer)
-            end_turn(time.monotonic() - sent_at)
+            end_turn(self._ownership.now() - sent_at)
             self._send_queued()
 
         self.client.send(order, handle_answer)
@@ -253,7 +252,7 @@
     def _post_answer(
         self, order: orders.Order, sent_at: float, answer: orders.Answer
     ) -> None:
-        now, name = time.monotonic(), self.worker.name
+        now, name = self._ownership.now(), self.worker.name
         self._ownership.post(
             events.OrderAnswered(now, name, sent_at, order, answer)
         )
@@ -267,7 +266,7 @@
         if self.is_stopped():
             return
         ownership = self._ownership
-        sent_at = time.monotonic()
+        sent_at = self._ownership.now()
         until_ms, wait_ms = leases.choose_poll(
             self._clock,
             sent_at,
@@ -302,7 +301,7 @@
             return
         # An answer may be lost: what ended is asked for at once again. Leases
         # are not, so that one order at a time may renew them late.
-        sent_at = time.monotonic()
+        sent_at = self._ownership.now()
         order = orders.Poll(self.fence.token, 0, 0, 0)
         self.client.poll(
             order,
@@ -318,7 +317,7 @@
         ownership = self._ownership
         if self.is_stopped():
             return
-        at = time.monotonic()
+        at = self._ownership.now()
         if isinstance(answer, outcomes.Failed):
             if answer.reason == "fenced" and fencing.is_overtaken(
                 self.fence, order.epoch
--- a/poplarspindle/node/worker_ports.py
+++ b/poplarspindle/node/worker_ports.py
@@ -19,6 +19,9 @@
     def connect(self, info: work.WorkerInfo) -> typing.Any:
         """Makes a client of a worker."""
 
+    def now(self) -> float:
+        """Returns the present time on this node's clock, seconds."""
+
     def store_confirmed_at(self) -> float:
         """Returns since when another node may have claimed the fleet."""
 
--- a/poplarspindle/tests/test_fencing.py
+++ b/poplarspindle/tests/test_fencing.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import time
 
 import pytest
 
@@ -162,7 +163,7 @@
 def test_lease_of_a_start_that_waited_counts_from_its_sending(monkeypatch):
     """LOST: an overloaded owner's starts would all be refused as late."""
     clock = [1000.0]
-    monkeypatch.setattr(polling.time, "monotonic", lambda: clock[0])
+    monkeypatch.setattr(time, "monotonic", lambda: clock[0])
     _, link, poller = make_poller()
     poller.poll()
     link.polls[0][1](test_polling.make_report(8600))
--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -60,6 +60,10 @@
         """Returns the scripted link."""
         return self._client
 
+    def now(self):
+        """Returns the present time."""
+        return time.monotonic()
+
     def store_confirmed_at(self):
         """Tells that the store confirmed the ownership just now."""
         return time.monotonic()
@@ -117,7 +121,7 @@
 
 def test_repeated_look_does_not_wait_for_an_end(monkeypatch):
     """The second look renews the leases, so it does not wait either."""
-    monkeypatch.setattr(polling.time, "monotonic", lambda: 1000.0)
+    monkeypatch.setattr(time, "monotonic", lambda: 1000.0)
     answers = [make_report(5), make_report(6), LOST, make_report(7)]
     client = FakeClient(answers)
     own = FakeOwnership(client)
--- a/poplarspindle/tests/test_silent_workers.py
+++ b/poplarspindle/tests/test_silent_workers.py
@@ -1,5 +1,7 @@
 """Silent workers must not use up what an owner's orders share."""
 
+import time
+
 from poplarspindle import resources
 from poplarspindle.fleet import events, orders, work
 from poplarspindle.node import order_window, polling
@@ -42,7 +44,7 @@
     own._client = Link()
     well = polling.WorkerPoller(own, make_worker("well"))
     clock = [1000.0]
-    monkeypatch.setattr(polling.time, "monotonic", lambda: clock[0])
+    monkeypatch.setattr(time, "monotonic", lambda: clock[0])
 
     def repeat_stops():
         for poller in silent:
