Nodes: ages and deadlines by a clock that counts suspensions

What callers could see: TWICE. An owner asks for leases and sends starts for 4 s after the store last confirmed it, and the next owner waits for exactly that. Both ages came from the monotonic clock, which stands still while a machine is suspended, so an owner that was suspended for 5 s took a confirmation of before to be fresh and sent both. Change: nodes read a clock that counts suspensions (CLOCK_BOOTTIME) wherever ages are compared; the HTTP client's own time-outs stay on the monotonic one.

--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -2,14 +2,13 @@
 
 import queue
 import threading
-import time
 from collections.abc import Callable, Iterable, Iterator
 
 import structlog
 
 from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import threads
+from poplarspindle.node import clocks, threads
 
 RETRY_S = 0.05
 MAX_RETRY_S = 0.4
@@ -43,7 +42,7 @@
 
     Attributes:
         confirmed_at: When the last append that the store took was sent,
-            monotonic seconds. The answer may be read any time later, for
+            steady seconds. The answer may be read any time later, for
             example after this process was paused, so its time tells nothing.
         last_append_at: When that answer was read, on the same clock.
         last_append_s: How long that took, seconds.
@@ -145,11 +144,11 @@
         self._sequence += 1
         backoff_s = RETRY_S
         while not self._stop_event.is_set():
-            began = time.monotonic()
+            began = clocks.get_steady_s()
             answer = self._call(batch, self._sequence)
             if isinstance(answer, outcomes.Ok):
                 self.confirmed_at = began
-                self.last_append_at = time.monotonic()
+                self.last_append_at = clocks.get_steady_s()
                 self.last_append_s = self.last_append_at - began
                 self._counters.observe(
                     "poplarspindle_append_seconds",
--- a/poplarspindle/node/call_handlers.py
+++ b/poplarspindle/node/call_handlers.py
@@ -1,7 +1,6 @@
 """Answers callers from what the node knows, and hands their work in."""
 
 import dataclasses
-import time
 from collections.abc import Callable
 
 import structlog
@@ -59,7 +58,7 @@
         state: What the node knows.
         intake_writer: Appends what callers hand in.
         shared: Follows the shared log.
-        owner_seen_at: Returns when the owner was last heard, monotonic seconds.
+        owner_seen_at: Returns when the owner was last heard, steady seconds.
         epoch: Returns the epoch of the newest owner that was read, 0 for none.
     """
 
@@ -84,7 +83,7 @@
 
     def is_ready(self) -> bool:
         """Tells whether this node can take callers' work."""
-        stale_s = time.monotonic() - self._shared.tail_reached_at
+        stale_s = clocks.get_steady_s() - self._shared.tail_reached_at
         return (
             not self._shared_state.leaving
             and self._shared_state.loaded
@@ -108,13 +107,13 @@
 
     def handle(self, request: http_server.Request) -> http_server.Response:
         """Answers one request of a caller."""
-        began = time.monotonic()
+        began = clocks.get_steady_s()
         answer, call = self._answer(request, began)
         reason = call.kind.value if call else "malformed"
         self._counters.add(
             "poplarspindle_requests_total", f"{reason}-{answer.status}"
         )
-        took_s = time.monotonic() - began
+        took_s = clocks.get_steady_s() - began
         self._counters.observe("poplarspindle_call_seconds", reason, took_s)
         if (
             call is None
@@ -178,7 +177,9 @@
     ) -> caller_calls.Answer | None:
         """Returns the answer to a job for which there is no room."""
         retry_s = start_delay.find_retry_s(
-            self._shared_state.start_delays, queue.priority, time.monotonic()
+            self._shared_state.start_delays,
+            queue.priority,
+            clocks.get_steady_s(),
         )
         if retry_s:
             return _refuse(429, "Work waits too long to be started.", retry_s)
@@ -278,7 +279,7 @@
             records=len(intake.items),
             owner_parts=len(self._shared_state.published_offsets),
             epoch=self._epoch(),
-            heard_s=round(time.monotonic() - self._owner_seen_at(), 3),
+            heard_s=round(clocks.get_steady_s() - self._owner_seen_at(), 3),
             jobs=len(self._shared_state.published_jobs),
         )
         return caller_calls.Answer(410, error="There is no such job.")
@@ -318,7 +319,7 @@
         pending = shared_state.count_pending(
             self._shared_state, call.queue.name
         )
-        if time.monotonic() - self._owner_seen_at() >= OWNER_TIMEOUT_S:
+        if clocks.get_steady_s() - self._owner_seen_at() >= OWNER_TIMEOUT_S:
             unpublished = self._count_unpublished(call.queue.name)
             if isinstance(unpublished, outcomes.Failed):
                 reason = f"The log does not answer: {unpublished.reason}."
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -14,7 +14,7 @@
     records,
     takeover,
 )
-from poplarspindle.node import ports, settings, storage
+from poplarspindle.node import clocks, ports, settings, storage
 
 APPEND_TIMEOUT_S = (
     1.2  # An append to a slow store takes hundreds of milliseconds.
@@ -37,7 +37,7 @@
         end_offsets: Offset in each part of the hand-ins from which more
             follows.
         confirmed_at: When the append that claimed the progress log was sent,
-            monotonic seconds.
+            steady seconds.
     """
 
     epoch: int
@@ -66,7 +66,7 @@
     Returns:
         What was read, None where the claim is lost.
     """
-    began = time.monotonic()
+    began = clocks.get_steady_s()
     while is_wanted():
         prepared = _read_all(platform, claim)
         if isinstance(prepared, PreparedClaim):
@@ -75,7 +75,7 @@
                 epoch=claim.epoch,
                 progress=len(prepared.progress),
                 hand_ins=len(prepared.intake),
-                took_ms=int((time.monotonic() - began) * 1000),
+                took_ms=int((clocks.get_steady_s() - began) * 1000),
             )
             return prepared
         _log.warning("not-prepared", epoch=claim.epoch, why=prepared.reason)
@@ -89,7 +89,7 @@
     platform: ports.Platform, claim: records.Owner
 ) -> PreparedClaim | outcomes.Failed:
     store = platform.store
-    asked_at = time.monotonic()
+    asked_at = clocks.get_steady_s()
     fence = store.append(
         [records.encode_owner(claim)],
         APPEND_TIMEOUT_S,
--- a/poplarspindle/node/election.py
+++ b/poplarspindle/node/election.py
@@ -1,14 +1,13 @@
 """This node's standing in the group of nodes: who should own the fleet."""
 
 import threading
-import time
 from collections.abc import Callable
 
 import structlog
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import fencing, fitness, records
-from poplarspindle.node import storage, threads
+from poplarspindle.node import clocks, storage, threads
 
 JOIN_INTERVAL_S = 0.3
 CLAIM_TIMEOUT_S = 1.0  # Time for a claim to come back through the log.
@@ -63,8 +62,8 @@
         owner: The newest owner that was read, None for none.
         member: The chosen member, which does not own the fleet now.
         resigned: Newest epoch that was given up, 0 for none.
-        owner_seen_at: When the owner was last heard of, monotonic seconds.
-        now: Present time, monotonic seconds.
+        owner_seen_at: When the owner was last heard of, steady seconds.
+        now: Present time, steady seconds.
         owner_active: Whether it was heard as owner since it claimed.
     """
     if owner is None or resigned >= owner.epoch or owner.instance == member:
@@ -92,7 +91,7 @@
         store_heard_at: When the store last told this member that it is the
             chosen one; no proof that no other owns the fleet.
         resigned: Newest epoch that its owner gave up, 0 for none.
-        owner_seen_at: When the owner was last heard of, monotonic seconds.
+        owner_seen_at: When the owner was last heard of, steady seconds.
         owner_active: Whether it was heard as owner since it claimed.
     """
 
@@ -106,7 +105,7 @@
     ) -> None:
         self.fitness = node_fitness
         self.best_fitness = 0.0
-        self._began_at = time.monotonic()
+        self._began_at = clocks.get_steady_s()
         self._withdrawn_until = float("-inf")
         self._fitness_published_at = float("-inf")
         self._store = store
@@ -163,7 +162,7 @@
 
     def withdraw(self) -> None:
         """Lets another member be chosen for some time."""
-        self._withdrawn_until = time.monotonic() + WITHDRAW_S
+        self._withdrawn_until = clocks.get_steady_s() + WITHDRAW_S
         self._woken.set()
 
     def _may_own(self, now: float) -> bool:
@@ -177,7 +176,7 @@
     def _run(self) -> None:
         joined = True
         while not self._leaving.is_set():
-            now = time.monotonic()
+            now = clocks.get_steady_s()
             if self._may_own(now):
                 joined = True
                 self._join()
@@ -202,7 +201,7 @@
 
     def _join(self) -> None:
         answer = self._store.join(self._member, self._ttl_ms, self._generation)
-        now = time.monotonic()
+        now = clocks.get_steady_s()
         if isinstance(answer, outcomes.Failed):
             if not self._failed:
                 _log.warning("join-failed", why=answer.reason)
--- a/poplarspindle/node/followers.py
+++ b/poplarspindle/node/followers.py
@@ -8,7 +8,7 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import storage, threads
+from poplarspindle.node import clocks, storage, threads
 
 WAIT_MS = 1000  # Also how often a calm topic's tail is confirmed.
 BACKOFF_S = 0.1
@@ -34,7 +34,7 @@
 
     Attributes:
         next: Offset to read next, -1 before the newest records were read.
-        tail_reached_at: When the tail was last reached, monotonic seconds.
+        tail_reached_at: When the tail was last reached, steady seconds.
     """
 
     def __init__(
@@ -95,7 +95,9 @@
                     "lost",
                     topic=self._topic,
                     why=failure.reason,
-                    fresh_s=round(time.monotonic() - self.tail_reached_at, 3),
+                    fresh_s=round(
+                        clocks.get_steady_s() - self.tail_reached_at, 3
+                    ),
                 )
             failures += 1
             time.sleep(min(MAX_BACKOFF_S, BACKOFF_S * failures))
@@ -124,7 +126,7 @@
         self._reached_tail = at_tail
         self._apply(page.value.items, page.value.next, at_tail)
         if at_tail:
-            self.tail_reached_at = time.monotonic()
+            self.tail_reached_at = clocks.get_steady_s()
         pause_s = self._pause_s()
         if page.value.items and pause_s:
             time.sleep(pause_s)
--- a/poplarspindle/node/group_commit.py
+++ b/poplarspindle/node/group_commit.py
@@ -14,7 +14,7 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import ports, storage, threads
+from poplarspindle.node import clocks, ports, storage, threads
 
 MIN_TIMEOUT_S = 1.2  # A slow store takes hundreds of milliseconds.
 MAX_TIMEOUT_S = 2.6  # The store refuses what would wait for over 2 s.
@@ -30,7 +30,7 @@
 
     Attributes:
         record: The record.
-        deadline: When its caller gives up, monotonic seconds.
+        deadline: When its caller gives up, steady seconds.
         done: Set when the outcome is known.
         appended: Whether it is in the log.
         may_have_acted: Whether an append without an answer may hold it.
@@ -115,7 +115,7 @@
         with self._changed:
             self._waiting.append(entry)
             self._changed.notify()
-        entry.done.wait(max(0.0, deadline - time.monotonic()) + 0.05)
+        entry.done.wait(max(0.0, deadline - clocks.get_steady_s()) + 0.05)
         return entry
 
     def _run(self) -> None:
@@ -137,7 +137,7 @@
 
     def _append(self, batch: list[PendingRecord]) -> list[PendingRecord]:
         """Appends a batch; returns the entries that are to be tried again."""
-        now = time.monotonic()
+        now = clocks.get_steady_s()
         left_s = max(entry.deadline for entry in batch) - now
         if left_s <= 0:
             return self._finish(batch, "late")
@@ -147,7 +147,7 @@
             topic=self._topic,
             partition=self._partition,
         )
-        took_s = time.monotonic() - now
+        took_s = clocks.get_steady_s() - now
         self._timeout_s = choose_timeout(
             self._timeout_s, took_s, isinstance(answer, outcomes.Ok)
         )
@@ -165,7 +165,7 @@
         refused = [entry for entry in batch if not entry.may_have_acted]
         self._finish(refused, answer.reason)
         uncertain = [entry for entry in batch if entry.may_have_acted]
-        now = time.monotonic()
+        now = clocks.get_steady_s()
         late = [entry for entry in uncertain if now >= entry.deadline]
         self._finish(late, answer.reason)
         return [entry for entry in uncertain if now < entry.deadline]
--- a/poplarspindle/node/handover.py
+++ b/poplarspindle/node/handover.py
@@ -1,11 +1,10 @@
 """How an owner gives the fleet to another node."""
 
-import time
 from collections.abc import Callable
 
 import structlog
 
-from poplarspindle.node import election, ownership
+from poplarspindle.node import clocks, election, ownership
 
 STORE_UNREACHABLE_S = 0.8  # Joins and appends confirm the store more often.
 POLL_S = 0.05
@@ -27,11 +26,11 @@
             fleet.
         node_election: This node's standing.
         put: Takes events for the node's state.
-        until: When to give it up at the latest, monotonic seconds.
+        until: When to give it up at the latest, steady seconds.
     """
     while held_ownership is not None and not held_ownership.stop_event.is_set():
-        unheard_s = time.monotonic() - held_ownership.store_heard_at()
-        if unheard_s < STORE_UNREACHABLE_S or time.monotonic() >= until:
+        unheard_s = clocks.get_steady_s() - held_ownership.store_heard_at()
+        if unheard_s < STORE_UNREACHABLE_S or clocks.get_steady_s() >= until:
             held_ownership.extend_leases()
             break
         held_ownership.stop_event.wait(POLL_S)
--- a/poplarspindle/node/listing.py
+++ b/poplarspindle/node/listing.py
@@ -5,14 +5,13 @@
 """
 
 import threading
-import time
 from collections.abc import Callable, Iterable
 
 import structlog
 
 from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import events, records, work
-from poplarspindle.node import storage, threads
+from poplarspindle.node import clocks, storage, threads
 
 POLL_INTERVAL_S = 0.2
 RELOAD_INTERVAL_S = 3.0
@@ -75,7 +74,7 @@
         reloaded_at = float("-inf")
         offset = 0
         while not self._stop_event.is_set():
-            now = time.monotonic()
+            now = clocks.get_steady_s()
             if now - reloaded_at >= RELOAD_INTERVAL_S:
                 newest = storage.load_newest(self._store, self._topic)
                 if isinstance(newest, outcomes.Ok):
@@ -131,7 +130,7 @@
         self._read_at = asked_at
         self._report_reading(
             events.ListRead(
-                time.monotonic(),
+                clocks.get_steady_s(),
                 asked_at,
                 self._unbroken_since,
                 frozenset(self._values),
@@ -172,7 +171,7 @@
         if self._odd_reasons.get(key) == failure.reason:
             return
         self._odd_reasons[key] = failure.reason
-        now = time.monotonic()
+        now = clocks.get_steady_s()
         if now - self._log_interval_began_at >= LOG_INTERVAL_S:
             self._log_interval_began_at = now
             self._lines_left = MAX_LOG_LINES
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -198,10 +198,10 @@
         """Leaves rotation, hands ownership over, finishes what is answered."""
         _log.info("stopping", owning=self._election.is_owner)
         self._shared_state.leaving = True
-        rotated_at = time.monotonic()
+        rotated_at = clocks.get_steady_s()
         rotated_at += min(LEAVE_ROTATION_S, self._settings.leave_s / 2)
         self._hand_over(rotated_at)
-        time.sleep(max(0.0, rotated_at - time.monotonic()))
+        time.sleep(max(0.0, rotated_at - clocks.get_steady_s()))
         for server in self._servers:
             server.stop()
         _log.info("stopped")
@@ -237,14 +237,16 @@
     def _next_events(self) -> list:
         batch = []
         if self._fleet is not None:
-            pause_s = self._settled_at + SETTLE_INTERVAL_S - time.monotonic()
+            pause_s = (
+                self._settled_at + SETTLE_INTERVAL_S - clocks.get_steady_s()
+            )
             if pause_s > 0:
                 time.sleep(pause_s)
         with contextlib.suppress(queue.Empty):
             timeout = TICK_S if self._fleet else None
             batch.append(self._events.get(timeout=timeout))
         while len(batch) < BATCH_EVENTS:
-            at = time.monotonic()
+            at = clocks.get_steady_s()
             try:
                 batch.append(self._events.get_nowait())
             except queue.Empty:
@@ -257,7 +259,7 @@
             self._handle_event(event)
         if self._fleet is None:
             return
-        now, wall_ms = time.monotonic(), clocks.get_wall_ms()
+        now, wall_ms = clocks.get_steady_s(), clocks.get_wall_ms()
         event_times = [event.at for event in batch if hasattr(event, "at")]
         if event_times or not batch:
             self._check_lateness(event_times[0] if event_times else now)
@@ -270,17 +272,17 @@
         self._fleet.now, self._fleet.wall_ms = now, wall_ms
         self._fleet.order_room = self._ownership.compute_order_room()
         if now >= self._place_after:
-            began = time.monotonic()
+            began = clocks.get_steady_s()
             self._execute(reducer.settle(self._fleet))
-            took_s = time.monotonic() - began
+            took_s = clocks.get_steady_s() - began
             self._place_after = now + PLACE_SHARE * took_s
         else:
             self._execute(recording.flush(self._fleet))
         self._ownership.flush()
-        self._settled_at = time.monotonic()
+        self._settled_at = clocks.get_steady_s()
 
     def _check_lateness(self, oldest_at: float) -> None:
-        now = time.monotonic()
+        now = clocks.get_steady_s()
         if self._lateness.record(now - oldest_at, now):
             self._step_down("overrun")
 
@@ -354,7 +356,7 @@
             shared_state.find_owner_seen_at(
                 self._shared_state,
                 self._election.owner,
-                time.monotonic(),
+                clocks.get_steady_s(),
                 clocks.get_wall_ms(),
             )
         )
@@ -368,7 +370,7 @@
         for record in event.items:
             self._apply(record)
             if record.key in OWNER_KEYS:
-                self._election.owner_seen_at = time.monotonic()
+                self._election.owner_seen_at = clocks.get_steady_s()
                 self._election.owner_active = record.key == admission.LOAD_KEY
         if event.at_tail and not self._reset_due:
             self._shared_state.loaded = True
@@ -391,7 +393,7 @@
                 self._consider_candidate(fitness.decode_candidate(record.value))
             else:
                 shared_state.apply_record(
-                    self._shared_state, record, time.monotonic()
+                    self._shared_state, record, clocks.get_steady_s()
                 )
         except records.DECODE_ERRORS as error:
             self._record_malformed(record.key, repr(error))
@@ -405,7 +407,7 @@
         fleet = self._fleet
         if fleet is None or event.epoch != fleet.epoch:
             return
-        now, wall_ms = time.monotonic(), clocks.get_wall_ms()
+        now, wall_ms = clocks.get_steady_s(), clocks.get_wall_ms()
         for event_or_fault in intake.apply_batch(
             fleet.job_store, event, now, wall_ms
         ):
@@ -464,7 +466,7 @@
             or claim.epoch != prepared.epoch
         ):
             return
-        now = time.monotonic()
+        now = clocks.get_steady_s()
         self._fleet, drops, malformed = claims.make_fleet(
             prepared, self._settings, now
         )
@@ -541,7 +543,7 @@
             self._election.eligible = self._shared_state.loaded
             self._events.put(
                 events.Configured(
-                    time.monotonic(),
+                    clocks.get_steady_s(),
                     self._shared_state.configuration,
                     self._shared_state.evacuated,
                 )
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -3,7 +3,6 @@
 import collections
 import dataclasses
 import threading
-import time
 from collections.abc import Callable
 
 import structlog
@@ -18,6 +17,7 @@
 )
 from poplarspindle.node import (
     appending,
+    clocks,
     http_client,
     listing,
     order_window,
@@ -105,7 +105,7 @@
             platform.workers_topic,
             platform.read_worker,
             lambda workers: self.post(
-                events.WorkersListed(time.monotonic(), workers)
+                events.WorkersListed(clocks.get_steady_s(), workers)
             ),
             self.post,
             self.stop_event,
@@ -126,7 +126,7 @@
 
     def now(self) -> float:
         """Returns the present time on this node's clock, seconds."""
-        return time.monotonic()
+        return clocks.get_steady_s()
 
     def run_later(self, delay_s: float, job: Callable[[], None]):
         """Runs a function later on the calls' thread."""
@@ -169,7 +169,7 @@
 
     def extend_leases(self) -> None:
         """Has all workers keep their runs while ownership changes hands."""
-        began = time.monotonic()
+        began = clocks.get_steady_s()
         extended = threading.Semaphore(0)
         told = self._pollers.list_all()
 
@@ -180,7 +180,7 @@
         self._http_client.run_soon(extend)
         left = len(told)
         while left and extended.acquire(
-            timeout=max(0.0, began + EXTEND_TIMEOUT_S - time.monotonic())
+            timeout=max(0.0, began + EXTEND_TIMEOUT_S - clocks.get_steady_s())
         ):
             left -= 1
         _log.info(
@@ -188,7 +188,7 @@
             about="ownership",
             epoch=self.epoch,
             left=left,
-            took_ms=int((time.monotonic() - began) * 1000),
+            took_ms=int((clocks.get_steady_s() - began) * 1000),
         )
 
     def report_lost(self, why: str) -> None:
