Ask the platform's machines whether a missing worker is alive

Callers saw: two runs of one task at once (TWICE), by a test.

Cause: a worker whose entry is missing from the list for 2.5 s was taken to be gone, so that nothing could start there. A worker that reaches neither the store nor its owner is missing as well, and carries out a start 9 s late whose time counts from its arrival.

Why the fix works: a missing worker is gone only if the inventory does not name it either. The owner reads it, once a second at most, while a start without an answer there may be late; a worker that is alive is waited for as one that is listed, until no start can come. Where it can't be read, or names none of the listed workers, the list decides alone, after the same 2.5 s: no bound of test_gone_workers grows.

The stand-in for a worker that is gone was a worker that is alive and cut off, the very state of the TWICE test. The tests of LOST now run for a worker that is dead, with the inventory and without, and for the former stand-in without it, each with the bounds that they had. The test of a worker that was taken to be gone and is back runs without the inventory, as it is not taken so with it.

--- a/poplarspindle/fleet/absence.py
+++ b/poplarspindle/fleet/absence.py
@@ -1,14 +1,25 @@
-"""Decides by the list of workers that a worker is gone.
+"""Decides that a worker is gone, by the list of workers and the inventory.
 
 A worker writes its entry at each heartbeat, and the store drops the entry of
 one that is silent. It may drop others in an outage; those that are alive are
-back soon after it. So a worker is gone once its entry is missing from a list
-that was read without interruption for longer than that, unless it reports.
+back soon after it. So a worker may be gone once its entry is missing from a
+list that was read without interruption for longer than that, unless it reports.
+
+A worker that reaches neither the store nor its owner is missing as well, and
+alive: it may carry out a start late. The platform's inventory tells it from a
+dead one. Where that could not be read by then, the list decides alone.
 """
 
-from poplarspindle.fleet import effects, events, fleet_state, worker_state
+from poplarspindle.fleet import (
+    effects,
+    events,
+    fleet_state,
+    late_starts,
+    worker_state,
+)
 
 GONE_AFTER_S = 2.5  # Entries dropped in an outage are back by then.
+CHECK_INTERVAL_S = 1.0  # Each reading is priced.
 
 
 def handle_list_read(
@@ -16,6 +27,7 @@
 ) -> list[effects.Effect]:
     """Notes since when entries are missing, and which workers are gone."""
     effect_list: list[effects.Effect] = []
+    needs_check = False
     for name, worker in fleet.workers.items():
         if name in event.entries:
             worker.missing_since = float("inf")
@@ -28,9 +40,43 @@
         worker.gone = event.asked_at - worker.missing_since >= GONE_AFTER_S
         if worker.gone and worker.runs and not was_gone:
             effect_list.append(_make_note(worker, event))
+        needs_check = needs_check or _needs_check(fleet, worker, event.at)
+    if needs_check and event.at - fleet.inventory_asked_at >= CHECK_INTERVAL_S:
+        fleet.inventory_asked_at = event.at
+        effect_list.append(effects.ReadInventory())
     return effect_list
 
 
+def handle_inventory_read(
+    fleet: fleet_state.FleetState, event: events.InventoryRead
+) -> list[effects.Effect]:
+    """Takes a reading of the inventory, if it knows the workers at all."""
+    if not any(
+        worker.listed and name in event.alive
+        for name, worker in fleet.workers.items()
+    ):
+        return [fleet_state.make_log_note("workers", "inventory-unknown")]
+    fleet.inventory = event
+    return [
+        fleet_state.make_log_note(
+            "workers",
+            "missing-alive",
+            worker=name,
+            runs=len(worker.runs),
+            missing_ms=int((event.at - worker.missing_since) * 1000),
+        )
+        for name, worker in fleet.workers.items()
+        if name in event.alive and _needs_check(fleet, worker, event.at)
+    ]
+
+
+def is_gone(
+    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
+) -> bool:
+    """Returns whether a worker is gone, so that nothing can start there."""
+    return worker.gone and not _find_if_alive(fleet, worker)
+
+
 def record_report(worker: worker_state.WorkerState, at: float) -> None:
     """Notes that a worker reported, so it is not gone."""
     worker.gone = False
@@ -38,6 +84,31 @@
         worker.missing_since = max(worker.missing_since, at)
 
 
+def _find_if_alive(
+    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
+) -> bool | None:
+    """Returns what the inventory tells of a missing worker, None if nothing."""
+    reading = fleet.inventory
+    if reading is None or reading.asked_at < worker.missing_since:
+        return None
+    return worker.info.name in reading.alive
+
+
+def _needs_check(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    now: float,
+) -> bool:
+    """Tells whether tasks wait for a missing worker that may be dead."""
+    if worker.missing_since == float("inf"):
+        return False
+    if _find_if_alive(fleet, worker) is False:
+        return False
+    return any(
+        late_starts.may_run_late(run, now) for run in worker.runs.values()
+    )
+
+
 def _make_note(
     worker: worker_state.WorkerState, event: events.ListRead
 ) -> effects.Note:
--- a/poplarspindle/fleet/effects.py
+++ b/poplarspindle/fleet/effects.py
@@ -82,4 +82,18 @@
     jobs: tuple[str, ...]
 
 
-Effect = Append | Publish | Drop | Order | Acknowledge | AllowLeases | Note
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadInventory:
+    """Read which workers are alive; then post InventoryRead, if it is told."""
+
+
+Effect = (
+    Append
+    | Publish
+    | Drop
+    | Order
+    | Acknowledge
+    | AllowLeases
+    | Note
+    | ReadInventory
+)
--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -187,6 +187,21 @@
     wall_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InventoryRead:
+    """The inventory was read, as a ReadInventory effect asked for.
+
+    Attributes:
+        at: When the answer came.
+        asked_at: When it was asked for.
+        alive: Names of all workers that are alive.
+    """
+
+    at: float
+    asked_at: float
+    alive: frozenset[str]
+
+
 Event = (
     Claimed
     | JobRead
@@ -202,4 +217,5 @@
     | Appended
     | Published
     | Ticked
+    | InventoryRead
 )
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -7,6 +7,7 @@
 from poplarspindle.fleet import (
     crash_history,
     effects,
+    events,
     grants,
     job_store,
     late_starts,
@@ -76,6 +77,8 @@
         model_save_due: Whether the next append records the tail model.
         load_published_at: When the load was last published.
         listed_at: When the list of workers was last read.
+        inventory_asked_at: When the inventory was last asked for.
+        inventory: Its last reading, None for none.
         placement_needed: Whether the next placement round may place a task.
         mean_sizes_core_s: Mean work of a job, by queue.
         remaining_work: Estimated work by job and occurrence, if ready.
@@ -141,6 +144,8 @@
         self.failed_on: dict[work.TaskName, set[str]] = {}
         self.placement_needed = True
         self.load_published_at = float("-inf")
+        self.inventory_asked_at = float("-inf")
+        self.inventory: events.InventoryRead | None = None
         self.listed_at = float("-inf")
         self.model_saved_at = float("-inf")
         self.model_save_due = False
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -308,7 +308,7 @@
     ):
         for run in list(worker.runs.values()):
             may_run_late = late_starts.may_run_late(run, fleet.now)
-            if may_run_late and not worker.gone:
+            if may_run_late and not absence.is_gone(fleet, worker):
                 effect_list += _hold_back(fleet, worker, run)
                 continue
             crashes.remember_lost_run(fleet, worker, run)
@@ -385,6 +385,7 @@
     events.IntakeRead: _handle_intake_read,
     events.WorkersListed: _handle_workers_listed,
     events.ListRead: absence.handle_list_read,
+    events.InventoryRead: absence.handle_inventory_read,
     events.Configured: _handle_configured,
     events.Reported: reports.handle_report,
     events.LeaseGranted: _handle_lease_granted,
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -195,7 +195,7 @@
         leaves_at: Earliest time at which it shuts down, infinity if it stays.
         missing_since: Since when its entry is missing from the list and it has
             not reported, infinity if the list has it; see `absence`.
-        gone: Whether it is gone by that.
+        gone: Whether it may be gone by that.
     """
 
     def __init__(self, info: work.WorkerInfo) -> None:
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -193,6 +193,10 @@
         _log.info("reloaded", changed=changed)
         if changed_settings.store_address != before.store_address:
             self._platform.store.move(changed_settings.store_address)
+        address = changed_settings.inventory_address
+        inventory = self._platform.worker_inventory
+        if inventory is not None and address != before.inventory_address:
+            inventory.move(address)
 
     def stop(self) -> None:
         """Leaves rotation, hands ownership over, finishes what is answered."""
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -19,6 +19,7 @@
 from poplarspindle.node import (
     appending,
     http_client,
+    inventory,
     listing,
     order_window,
     pollers,
@@ -112,6 +113,10 @@
             counters,
         )
 
+        self._inventory = inventory.InventoryReader(
+            platform.worker_inventory, self.post, self.stop_event
+        )
+
     def start(self) -> None:
         """Starts all threads."""
         for component in (self._http_client, self._list, *self._appenders()):
@@ -209,6 +214,8 @@
                 if effect.has_unreachable
                 else None,
             )
+        elif isinstance(effect, effects.ReadInventory):
+            self._inventory.ask()
         elif isinstance(effect, effects.Drop):
             self._drop(effect.jobs)
         elif isinstance(
--- a/poplarspindle/node/ports.py
+++ b/poplarspindle/node/ports.py
@@ -5,7 +5,12 @@
 
 from poplarspindle import http_server, outcomes
 from poplarspindle.fleet import records, work
-from poplarspindle.node import caller_calls, operator_commands, storage
+from poplarspindle.node import (
+    caller_calls,
+    inventory,
+    operator_commands,
+    storage,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,6 +32,7 @@
         refuse_call: Returns the status of a request that is malformed.
         write_answer: Writes an answer to a caller.
         readiness_path: Path at which readiness is asked.
+        worker_inventory: Tells which workers are alive; None for none.
     """
 
     store: storage.Store
@@ -45,3 +51,4 @@
     refuse_call: Callable[[str], int]
     write_answer: Callable[[caller_calls.Answer], http_server.Response]
     readiness_path: str
+    worker_inventory: inventory.Inventory | None = None
--- a/poplarspindle/node/settings.py
+++ b/poplarspindle/node/settings.py
@@ -33,6 +33,7 @@
         processors: Processors of the machine.
         link_mbps: Bandwidth of the machine's link.
         memory_mb: Memory that the process may use.
+        inventory_address: `host:port` of the inventory, empty for none.
     """
 
     node: str
@@ -60,3 +61,4 @@
     processors: float
     link_mbps: float
     memory_mb: float
+    inventory_address: str = ""
--- a/poplarspindle/platform/__main__.py
+++ b/poplarspindle/platform/__main__.py
@@ -7,7 +7,14 @@
 from poplarspindle import metrics, programs
 from poplarspindle.node import log_output, node, ports
 from poplarspindle.node import settings as node_settings
-from poplarspindle.platform import callers, minions, operators, settings, store
+from poplarspindle.platform import (
+    callers,
+    machines,
+    minions,
+    operators,
+    settings,
+    store,
+)
 
 # A slow store takes 2.6 appends a second in a part, callers hand in 20.
 INTAKE_TOPICS = 3
@@ -31,6 +38,7 @@
         lambda reason: callers.FAULT_STATUS.get(reason, 400),
         callers.write_answer,
         "/api/readyz",
+        machines.Machines(own_settings.inventory_address),
     )
 
 
--- a/poplarspindle/platform/settings.py
+++ b/poplarspindle/platform/settings.py
@@ -80,4 +80,7 @@
         processors=number("limits.cpu_share", 1) * number("limits.cores", 1),
         link_mbps=number("limits.link_mbps", 1000),
         memory_mb=number("limits.memory_mb", 300),
+        inventory_address=(
+            address("cloud.address") if fields.get("cloud.address") else ""
+        ),
     )
--- a/poplarspindle/tests/test_gone_workers.py
+++ b/poplarspindle/tests/test_gone_workers.py
@@ -10,7 +10,14 @@
 import pytest
 
 from poplarspindle import metrics, outcomes, resources
-from poplarspindle.fleet import absence, events, fleet_state, job_store, work
+from poplarspindle.fleet import (
+    absence,
+    effects,
+    events,
+    fleet_state,
+    job_store,
+    work,
+)
 from poplarspindle.fleet import worker_state as worker_states
 from poplarspindle.node import listing, storage
 from poplarspindle.tools.fakes import fleets
@@ -37,10 +44,11 @@
     return world
 
 
-def submit_to_silent(world, step):
+def submit_to_silent(world, step, dead=False):
     """Submits a job; a worker goes silent before it answers a start.
 
-    Its entry is dropped after its heartbeats are missed.
+    Its entry is dropped after its heartbeats are missed. If it is not dead, it
+    is alive and reaches neither the store nor its owner.
     """
     tasks = 3 if step.get("gang") else 1
     world.submit(JOB, work.Step(tasks, CORE, 500, (), **step))
@@ -49,6 +57,10 @@
     names = [n for n, worker in world.fleet.workers.items() if worker.runs]
     silent = world.workers[names[0]]
     silent.reachable = False
+    if dead:
+        silent.crash()
+        silent.up = False
+        silent.listed_until = world.now + HEARTBEATS_S
     name = silent.description.name
     world.call_later(HEARTBEATS_S, lambda: world.unlisted.add(name))
     return silent
@@ -86,23 +98,35 @@
     return world.now - began
 
 
+# Whether the worker is dead, and whether the inventory tells so.
+GONE = [
+    pytest.param(True, True, id="dead"),
+    pytest.param(True, False, id="dead-inventory-away"),
+    pytest.param(False, False, id="cut-off-inventory-away"),
+]
+
+
+@pytest.mark.parametrize(("dead", "inventory_up"), GONE)
 @pytest.mark.parametrize("step", STEPS)
-def test_task_of_a_worker_that_is_gone_is_placed_soon(step):
+def test_task_of_a_worker_that_is_gone_is_placed_soon(step, dead, inventory_up):
     """LOST: it waited until no late start could have it at work."""
     world = make_world()
-    submit_to_silent(world, step)
+    world.inventory_up = inventory_up
+    submit_to_silent(world, step, dead)
     run_until_at_work(world, max(GONE_S, LEASES_S) + SLACK_S)
     assert world.notes["missing"] == 1
 
 
+@pytest.mark.parametrize(("dead", "inventory_up"), GONE)
 @pytest.mark.parametrize("step", STEPS)
 @pytest.mark.parametrize("owners_s", [[0.02], [0.02, 2.0], [3.0], [3.0, 3.0]])
 def test_task_of_a_worker_that_is_gone_is_placed_by_the_next_owner(
-    owners_s, step
+    owners_s, step, dead, inventory_up
 ):
     """LOST: the next owner waited 4 s more than that."""
     world = make_world()
-    submit_to_silent(world, step)
+    world.inventory_up = inventory_up
+    submit_to_silent(world, step, dead)
     for after_s in owners_s:
         world.run(after_s)
         world.take_over()
@@ -170,10 +194,14 @@
 
 @pytest.mark.parametrize("reborn", [False, True])
 def test_worker_that_is_back_is_told_to_stop_what_may_start_late(reborn):
-    """TWICE: its late starts are refused though their leases begin anew."""
+    """TWICE: its late starts are refused though their leases begin anew.
+
+    It is taken to be gone, as the inventory could not be read.
+    """
     world = make_world(
         late=1.0, late_s=(9.0, 9.0), late_incarnations=True, late_leases=True
     )
+    world.inventory_up = False
     world.submit(JOB, work.Step(1, CORE, 500, (), until_cancelled=True))
     while not world.notes["start-refused"]:
         world.run(fleets.TICK_S)
@@ -220,6 +248,37 @@
     assert world.list_violations() == []
 
 
+@pytest.mark.parametrize("late_s", [6.5, 9.0, 12.0])
+@pytest.mark.parametrize("owners_s", [[], [0.5], [6.5], [0.5, 6.0]])
+@pytest.mark.parametrize("step", STEPS)
+def test_late_start_on_a_worker_that_reaches_nobody_runs_alone(
+    step, owners_s, late_s
+):
+    """TWICE: the same for gangs and with other owners meanwhile."""
+    world = make_world(late=1.0, late_s=(late_s, late_s), late_leases=True)
+    silent = submit_to_silent(world, step)
+    put_starts_in_sockets(world, silent)
+    for after_s in owners_s:
+        world.run(after_s)
+        world.take_over()
+    world.run(late_s + NEXT_LEASES_S)
+    silent.reachable = True
+    world.unlisted.clear()
+    world.run(2 * RUN_S)
+    assert world.list_violations() == []
+
+
+def test_task_of_a_worker_that_dies_while_it_reaches_nobody_is_placed_soon():
+    """LOST: its owner was told that it is alive, and asked no more."""
+    world = make_world()
+    silent = submit_to_silent(world, {"until_cancelled": True})
+    world.run(GONE_S + 1.0)
+    assert not is_at_work(world)
+    silent.crash()
+    silent.up = False
+    run_until_at_work(world, absence.CHECK_INTERVAL_S + SLACK_S)
+
+
 # What the list tells.
 
 WORKER = work.WorkerInfo("w", "10.0.0.1:80", "pool", "dc", CORE)
@@ -270,6 +329,84 @@
     assert worker.gone
 
 
+# What the inventory tells.
+
+OTHER = work.WorkerInfo("v", "10.0.0.2:80", "pool", "dc", CORE)
+
+
+def make_fleet_with_late_start():
+    fleet, worker = make_fleet()
+    fleet.workers["v"] = worker_states.WorkerState(OTHER)
+    step = work.Step(1, CORE, 500)
+    queue = work.Queue("q", "h", "/q/", "pool", 0, 3, 1.5, 250)
+    job = job_store.Job(work.Submission(JOB, queue, "", (step,)))
+    task = job_store.Task(attempt=1)
+    run = worker_states.Run(work.TaskName(JOB, 0, 0, 0), job, task, 0.0, True)
+    run.may_run_late_until = 20.0
+    worker_states.add_run(worker, run)
+    return fleet, worker
+
+
+def read_missing(fleet, at):
+    """Reads the list without w; returns the kinds of the effects."""
+    fleet.now = at
+    event = events.ListRead(at, at, 0.0, frozenset({"v"}))
+    found = absence.handle_list_read(fleet, event)
+    return [type(effect) for effect in found]
+
+
+def read_inventory(fleet, asked_at, alive):
+    event = events.InventoryRead(asked_at + 0.1, asked_at, frozenset(alive))
+    return absence.handle_inventory_read(fleet, event)
+
+
+@pytest.mark.parametrize(
+    ("asked_at", "alive", "gone"),
+    [
+        pytest.param(None, set(), True, id="not-read"),
+        pytest.param(3.0, {"v"}, True, id="dead"),
+        pytest.param(3.0, {"v", "w"}, False, id="alive"),
+        pytest.param(1.0, {"v", "w"}, True, id="read-before-it-was-missing"),
+        pytest.param(3.0, set(), True, id="knows-no-worker"),
+        pytest.param(3.0, {"w"}, True, id="knows-no-listed-worker"),
+    ],
+)
+def test_missing_worker_that_the_inventory_has_is_not_gone(
+    asked_at, alive, gone
+):
+    fleet, worker = make_fleet_with_late_start()
+    read_missing(fleet, 2.0)
+    worker.listed = False
+    if asked_at is not None:
+        read_inventory(fleet, asked_at, alive)
+    read_missing(fleet, 4.6)
+    assert absence.is_gone(fleet, worker) == gone
+
+
+def test_inventory_is_read_once_a_second_while_a_late_start_is_waited_for():
+    """Each reading is priced."""
+    fleet, worker = make_fleet_with_late_start()
+    asked = []
+    for step in range(60):
+        at = 2.0 + 0.25 * step
+        if effects.ReadInventory in read_missing(fleet, at):
+            asked.append(at)
+            read_inventory(fleet, at, {"v", "w"} if at < 7 else {"v"})
+    assert asked == [2.0, 3.0, 4.0, 5.0, 6.0, 7.0]
+    assert absence.is_gone(fleet, worker)
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_inventory_is_not_read_for_runs_whose_starts_were_answered(answered):
+    fleet, worker = make_fleet_with_late_start()
+    if answered:
+        for run in worker.runs.values():
+            run.may_run_late_until = float("-inf")
+    found = [read_missing(fleet, at) for at in (2.0, 3.0, 4.6)]
+    asked = any(effects.ReadInventory in kinds for kinds in found)
+    assert asked == (not answered)
+
+
 def make_listing(confirmed, clock=None):
     return listing.Listing(
         storage.Store,
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -117,6 +117,7 @@
         self.fail_on: set[str] = set()
         self.unreachable_read_at = 0.0
         self.store_up = True
+        self.inventory_up = True
         self.store_confirmed_at = 0.0
         self._worker_list = worker_list.WorkerList()
         self.completed_at: dict[str, float] = {}
@@ -301,6 +302,8 @@
             self.call_later(
                 self.order_s, lambda: self._deliver_order(fleet, effect)
             )
+        elif isinstance(effect, effects.ReadInventory):
+            self.call_later(self.order_s, self._read_inventory)
         elif isinstance(effect, effects.AllowLeases):
             poll_state = self._polls.setdefault(effect.worker_name, {})
             if poll_state.get("misses", 0) == effect.failed_polls:
@@ -312,6 +315,12 @@
                     poll_state.get("seen", 0), effect.number
                 )
 
+    def _read_inventory(self) -> None:
+        """Tells the owner which workers are alive, if that can be read."""
+        if self.inventory_up:
+            alive = frozenset(n for n, w in self.workers.items() if w.up)
+            self._reduce(events.InventoryRead(self.now, self.now, alive))
+
     def _append(
         self, fleet: fleet_state.FleetState, effect: effects.Append
     ) -> None:
