--- a/poplarspindle/node/inventory.py
+++ b/poplarspindle/node/inventory.py
@@ -1,7 +1,6 @@
 """The platform's list of what workers run on, read when the owner asks."""
 
 import threading
-import time
 import typing
 from collections.abc import Callable
 
@@ -9,7 +8,7 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import events
-from poplarspindle.node import threads
+from poplarspindle.node import clocks, threads
 
 _log = structlog.get_logger(part="inventory")
 
@@ -51,7 +50,7 @@
 
     def _read(self) -> None:
         try:
-            asked_at = time.monotonic()
+            asked_at = clocks.get_steady_s()
             answer = self._inventory.read_alive()
         finally:
             if self._is_reading.locked():
@@ -59,5 +58,5 @@
         if isinstance(answer, outcomes.Failed):
             _log.warning("unread", why=answer.reason, detail=answer.detail)
             return
-        now = time.monotonic()
+        now = clocks.get_steady_s()
         self._post(events.InventoryRead(now, asked_at, answer.value))
--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -12,11 +12,12 @@
 import collections
 import dataclasses
 import statistics
-import time
 from collections.abc import Callable
 
 import structlog
 
+from poplarspindle.node import clocks
+
 INITIAL_LIMIT = 128
 MIN_LIMIT = 16
 MAX_LIMIT = 256
@@ -135,7 +136,7 @@
     read by others.
 
     Args:
-        read_clock: Returns the present time, monotonic seconds; by default
+        read_clock: Returns the present time, steady seconds; by default
             that of the machine.
 
     Attributes:
@@ -145,7 +146,7 @@
     """
 
     def __init__(self, read_clock: Callable[[], float] | None = None) -> None:
-        self._read_clock = read_clock or (lambda: time.monotonic())
+        self._read_clock = read_clock or clocks.get_steady_s
         self.limit = Limit()
         self.in_flight = 0
         self.waiting = 0
--- a/poplarspindle/tests/test_order_window.py
+++ b/poplarspindle/tests/test_order_window.py
@@ -147,7 +147,7 @@
 def clock(monkeypatch):
     """Time that the window reads; set by the test."""
     found = [0.0]
-    monkeypatch.setattr(order_window.time, "monotonic", lambda: found[0])
+    monkeypatch.setattr(order_window.clocks, "get_steady_s", lambda: found[0])
     return found
 
 
