Virtual fleet runs the real pollers; it loses its own copy of them

Cause: fakes/fleets decided by itself what a poll names, when it renews, waits and is repeated, and which fences there are.

Change: owners.Owner is an Ownership in virtual time, with the two threads of a node as two queues; network carries orders and polls (a long poll is answered when a run ends or its wait is over); messages has the message and the moment hook; time is exact instead of in steps of 50 ms. A call to a process that is down is refused, one to a machine that is down gets no answer.

Where a step of 50 ms used to stand for an order in flight, steps are finer.

--- a/poplarspindle/tests/test_capacity.py
+++ b/poplarspindle/tests/test_capacity.py
@@ -111,7 +111,7 @@
     world.tear_append = len
     world.submit(JOB, make_step(6))
     while not world.append_torn:
-        world.run(fleets.TICK_S)
+        world.run(fleets.APPEND_S)
     assert world.starts == 0
     set_capacity(world, 2)
     world.list_workers()
--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -124,6 +124,7 @@
 def test_refused_start_of_a_gang_member_stops_the_other_members():
     """Load: one worker is busy and refuses the start of its member."""
     world = fleets.World(1)
+    world.order_s = fleets.TICK_S
     world.submit("a" * 16, make_step(8, gang=True))
     while not any(
         run.start_in_flight
--- a/poplarspindle/tests/test_gang_failures.py
+++ b/poplarspindle/tests/test_gang_failures.py
@@ -9,11 +9,12 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import job_store, records, work
-from poplarspindle.tools.fakes import fleets, walks
+from poplarspindle.tools.fakes import fleets, network, walks
 
 JOB = "a" * 16
 MEMBERS = 8
 RUN_S = 0.5
+UNHEARD_S = 2.0  # By then a worker out of reach is known to be so.
 CAPACITY = resources.Resources(2000, 32000, 0)  # Two members to a worker.
 STEP = work.Step(
     MEMBERS, resources.Resources(1000, 1000, 0), 500, (), gang=True
@@ -43,7 +44,7 @@
         world.run(fleets.TICK_S)
     # The gang began at the last start; how its run ends is settled by then.
     while not list_failed(world):
-        world.run(fleets.TICK_S)
+        world.run(network.NETWORK_S / 2)  # The next run may begin at once.
     assert {name for name, _ in list_failed(world)} == workers
     world.fail_on.clear()
 
@@ -84,6 +85,13 @@
     run_until_failed(world, {"w0", "w1"})
     late = list(world.workers["w1"].ends)
     world.workers["w1"].reachable = False
+    others = world.workers.keys() - {"w1"}
+    for name in others:
+        world.hold_back(name)
+    # The next run must not be sent to w1, where a start would be waited for.
+    world.run(UNHEARD_S)
+    for name in others:
+        world.catch_up(name)
     world.run(7)
     assert world.notes["given-up"]
     if new_owner:
--- a/poplarspindle/tools/fakes/crashing.py
+++ b/poplarspindle/tools/fakes/crashing.py
@@ -70,7 +70,7 @@
         for run in self.runs.values():
             self.crashes.times[run.name].append(self.world.now)
         self.crash()
-        self.up = False
+        self.up, self.refuses = False, True
         self.listed_until = self.world.now + LISTED_S
         self.world.call_later(self.crashes.down_s, self._come_back)
 
--- a/poplarspindle/tools/fakes/gangs.py
+++ b/poplarspindle/tools/fakes/gangs.py
@@ -29,14 +29,14 @@
         """Lets a member wait for the others; the last one lets all work."""
         present = self._present.setdefault(_name_gang(run), {})
         present[run.name.index] = worker, run
-        run.ends = self._world.now + MEMBER_WAIT_S
+        worker.end_later(run, MEMBER_WAIT_S)
         run.planned = work.EndReason.ALONE
         if len(present) == self._world.find_step(run.name).tasks:
             self._begin([present[index] for index in sorted(present)])
 
     def _begin(self, members: list[tuple]) -> None:
         runs = [run for _, run in members]
-        ends = self._world.now + self._world.choose_time(runs[0].name)
+        work_s = self._world.choose_time(runs[0].name)
         failing = next(
             (
                 run
@@ -49,7 +49,8 @@
         others = work.EndReason.BROKEN if failing else work.EndReason.DONE
         for worker, run in members:
             fails_all = worker.description.name in self._world.fail_on
-            run.ends, run.planned = ends, others
+            worker.end_later(run, work_s)
+            run.planned = others
             if run is failing or fails_all:
                 run.planned = work.EndReason.FAILED
 
