--- a/poplarspindle/tests/test_lease_bounds.py
+++ b/poplarspindle/tests/test_lease_bounds.py
@@ -43,7 +43,9 @@
         self.loses = False
         self.waits_for_starts = False
         self.confirmed_at = None
-        fence = fencing.Fence(self.epoch, world._fences["w0"].token)
+        fence = fencing.Fence(
+            self.epoch, world.owner.pollers.get("w0").fence.token
+        )
         fence.account.leases_end_at = world.now + late.LEASE_S
         self.poller = polling.WorkerPoller(self, self.worker.description, fence)
         self.poller.poll()
