Tests: a poll answered 500 counts as one that renewed nothing (red)

TWICE: an order's answer 500 means that it may have been carried out, a poll's means that nothing was done. So its lease is taken off the owner's account and off the poller's, though the worker may have granted it.

--- a/poplarspindle/tests/test_odd_answers.py
+++ b/poplarspindle/tests/test_odd_answers.py
@@ -283,3 +283,17 @@
     data += store.encode_records([records.Record("k", b"v")])
     found = store.decode_records(data)
     assert found == [records.Record("", b""), records.Record("k", b"v")]
+
+
+# Statuses by which a worker says that it did nothing; 409 names a reason.
+REFUSED = [400, 421, 429, 503]
+BROKEN = [404, 408, 500, 502, 504]
+
+
+@pytest.mark.parametrize("status", [*REFUSED, *BROKEN])
+def test_poll_of_a_worker_that_breaks_may_have_renewed_leases(status):
+    """TWICE: its lease is taken off the account, as if it was not asked for."""
+    order = minions.read_answer(answer({}, status))
+    poll = minions.read_poll_answer("w", answer({}, status))
+    assert (order.refusal is orders.Refusal.NO_ANSWER) == (status in BROKEN)
+    assert poll.may_have_acted == (status in BROKEN)
