--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -263,3 +263,31 @@
         (orders.Stop, 2),
     ]
     assert (own.order_window.waiting, own.order_window.in_flight) == (0, 0)
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_stop_does_not_wait_behind_a_start_without_room(lost):
+    """UNASKED: a run whose job is cancelled goes on, though orders may be sent.
+
+    The start waits for answers to others, or for a poll that voids them.
+    """
+    client = Slow([make_report(5)])
+    own = FakeOwnership(client)
+    poller = polling.WorkerPoller(own, WORKER)
+    poller.poll()
+    own.pass_time()  # The next poll is out and waits for an end.
+    sent = []
+    send, client.send = (
+        client.send,
+        lambda *row: (sent.append(row[0]), send(*row)),
+    )
+    name = work.TaskName("j", 0, 0, 0)
+    until_ms = 5 + leases.LEASE_MS
+    for attempt in range(polling.MAX_ORDERS_IN_FLIGHT - 1):
+        poller.send_order(orders.Start(name, attempt, 16, "", until_ms))
+    assert len(sent) < polling.MAX_ORDERS_IN_FLIGHT - 1  # One has no room.
+    if lost:
+        for done in client.sent:
+            done(orders.Answer(orders.Refusal.NO_ANSWER))
+    poller.send_order(orders.Stop(name, 99, 16))
+    assert orders.Stop(name, 99, poller.fence.token) in sent
