Tests: leases beyond the next owner's wait (red)

TWICE: a poller of a worker at another address sends starts before it has read the clock, with leases that aren't cut to the bound; a poll that the next life answers counts by the clock of the life before.

--- a/poplarspindle/tests/test_lease_bounds.py
+++ b/poplarspindle/tests/test_lease_bounds.py
@@ -11,7 +11,14 @@
 import pytest
 
 from poplarspindle import outcomes
-from poplarspindle.fleet import fencing, lease_bounds, leases, orders, work
+from poplarspindle.fleet import (
+    events,
+    fencing,
+    lease_bounds,
+    leases,
+    orders,
+    work,
+)
 from poplarspindle.fleet import worker_state as worker_states
 from poplarspindle.node import polling
 from poplarspindle.tests import test_polling
@@ -303,3 +310,73 @@
     assert all(until_ms in (0, 1000 + room_ms) for until_ms in chosen)
     until_ms = leases.extend_start_lease(clock, NOW, 9000, room_ms)
     assert until_ms == 1000 + room_ms
+
+
+class SilentClient:
+    """Keeps the orders that are sent, and answers nothing."""
+
+    def __init__(self):
+        self.sent = []
+
+    def poll(self, order, timeout_s, done):
+        """Answers nothing."""
+
+    def send(self, order, done):
+        """Keeps an order."""
+        self.sent.append(order)
+
+
+class FixedOwnership(test_polling.FakeOwnership):
+    """An owner at one moment."""
+
+    unconfirmed_s = 0.0
+
+    def now(self):
+        """Returns the present time."""
+        return NOW
+
+    def store_confirmed_at(self):
+        """Tells when the store last confirmed the ownership."""
+        return NOW - self.unconfirmed_s
+
+
+@pytest.mark.parametrize("unconfirmed_s", [0.0, 1.0, 2.0, 3.0, 3.9])
+def test_starts_before_the_clock_was_read_stay_within_the_bound(unconfirmed_s):
+    """TWICE: its worker has another address now, so the poller is a new one."""
+    left_s, clock_ms = leases.MIN_RENEWED_MS / 1000 - 0.1, 50_000
+    client = SilentClient()
+    owner = FixedOwnership(client)
+    owner.unconfirmed_s = unconfirmed_s
+    fence = fencing.make_fence(owner.epoch)
+    fence.account.leases_end_at = NOW + left_s
+    poller = polling.WorkerPoller(owner, test_polling.WORKER, fence)
+    poller.poll()
+    lease_ms = leases.choose_start_lease(round(left_s * 1000), MOST_MS)
+    for index in range(polling.MAX_ORDERS_IN_FLIGHT):
+        name = work.TaskName("j", 0, 0, index)
+        order = orders.Start(name, 1, owner.epoch, "", clock_ms + lease_ms)
+        poller.send_order(order)
+    asked_s = sum(order.until_ms - clock_ms for order in client.sent) / 1000
+    latest_end_at = NOW + left_s + asked_s * DRIFT
+    assert latest_end_at <= owner.store_confirmed_at() + WAIT_S + 0.001
+
+
+def test_lease_in_the_next_life_counts_in_full():
+    """TWICE: its clock begins anew, so it grants more than was asked for."""
+    first, next_life = (
+        outcomes.Ok(work.Report(clock_ms, incarnation_ms, (), ()))
+        for clock_ms, incarnation_ms in ((50_000, 7), (40, 8))
+    )
+    owner = FixedOwnership(test_polling.FakeClient([first, next_life]))
+    poller = polling.WorkerPoller(owner, test_polling.WORKER)
+    poller.poll()
+    poller.allow_leases(0)
+    poller.poll()
+    (granted,) = [
+        event
+        for event in owner.posted
+        if isinstance(event, events.LeaseGranted)
+    ]
+    assert granted.until_ms > 50_000
+    longest_end_at = NOW + MOST_MS / 1000 * DRIFT
+    assert poller.fence.account.leases_end_at >= longest_end_at
