--- a/poplarspindle/tests/test_gone_workers.py
+++ b/poplarspindle/tests/test_gone_workers.py
@@ -279,6 +279,22 @@
     run_until_at_work(world, absence.CHECK_INTERVAL_S + SLACK_S)
 
 
+@pytest.mark.parametrize("read_s", [0.2, 1.5])
+def test_reading_of_the_inventory_does_not_count_for_ever(read_s):
+    """LOST: the worker was alive once; it dies, and no more can be read.
+
+    Where the inventory can't be read, the list of workers decides alone.
+    """
+    world = make_world()
+    silent = submit_to_silent(world, {"until_cancelled": True})
+    world.run(HEARTBEATS_S + read_s)
+    assert world.fleet.inventory is not None
+    world.inventory_up = False
+    silent.crash()
+    silent.up = False
+    run_until_at_work(world, LEASES_S + absence.GONE_AFTER_S + SLACK_S)
+
+
 # What the list tells.
 
 WORKER = work.WorkerInfo("w", "10.0.0.1:80", "pool", "dc", CORE)
