--- a/poplarspindle/tests/test_http_client.py
+++ b/poplarspindle/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Many calls on one thread, against peers that fail in each way."""
 
 import contextlib
+import os
 import socket
 import struct
 import threading
@@ -256,6 +257,61 @@
     assert (found.reason, found.may_have_acted) == ("broken", True)
 
 
+def test_late_answer_is_not_taken_for_that_of_the_next_call(calls):
+    """TWICE: a start would count as refused, or as carried out."""
+    received = []
+    go_on = threading.Event()
+
+    def answer(connection):
+        with connection, contextlib.suppress(OSError, ValueError):
+            while True:
+                body = read_call(connection)
+                received.append(body)
+                if body == b"late":
+                    go_on.wait(PATIENCE_S)
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                connection.sendall(head % len(body) + body)
+
+    def accept():
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = listening.accept()
+                threading.Thread(target=answer, args=(connection,)).start()
+
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+        threading.Thread(target=accept, daemon=True).start()
+        send_all(calls, [make_call(address, body=b"first")])
+        late = make_call(address, body=b"late", timeout_s=0.2)
+        (timed_out,) = send_all(calls, [late])
+        go_on.set()
+        found = send_all(calls, [make_call(address, body=b"next")])
+        found += send_all(calls, [make_call(address, body=b"last")])
+        listening.shutdown(socket.SHUT_RDWR)
+    assert (timed_out.reason, timed_out.may_have_acted) == ("timeout", True)
+    assert [outcome.value.body for outcome in found] == [b"next", b"last"]
+    assert received == [b"first", b"late", b"next", b"last"]
+
+
+def close_for_writing(address):
+    """Lets the next write to a peer fail, on all connections to it."""
+    port = int(address.rpartition(":")[2])
+    for entry in os.listdir("/proc/self/fd"):
+        with contextlib.suppress(OSError):
+            found = socket.socket(fileno=os.dup(int(entry)))
+            with found:
+                if found.getpeername()[1:] == (port,):
+                    found.shutdown(socket.SHUT_WR)
+
+
+def test_call_of_which_nothing_was_sent_goes_by_another_connection(calls, peer):
+    """Its kept connection takes no byte; a worker passes for out of reach."""
+    send_all(calls, [make_call(peer.address, body=b"first")])
+    close_for_writing(peer.address)
+    (found,) = send_all(calls, [make_call(peer.address, body=b"second")])
+    assert found == outcomes.Ok(http_client.Answer(200, b"second"))
+
+
 def test_callback_that_raises_ends_nothing(calls, peer):
     raised = threading.Event()
 
