Polls: an answer 500 or 504 may have renewed leases

What callers could see: two runs of one task at once. Cause: a poll that was answered by any status but 200 counted as not carried out, so the lease that it asked for was taken off the owner's account and off the poller's bound; an order with the same answer counted as unanswered. Evidence: test_poll_of_a_worker_that_breaks_may_have_renewed_leases, five statuses red before (found by the review), green now.

--- a/poplarspindle/platform/minions.py
+++ b/poplarspindle/platform/minions.py
@@ -269,6 +269,10 @@
     return fields
 
 
+# Only these statuses say that an order or a poll was not carried out.
+NOT_CARRIED_OUT = frozenset({400, 409, 421, 429, 503})
+
+
 def read_answer(outcome: http_client.Outcome) -> orders.Answer:
     """Reads the answer to an order."""
     if isinstance(outcome, outcomes.Failed):
@@ -293,7 +297,6 @@
         return orders.Answer(orders.Refusal.BUSY)
     if status == 400:
         return orders.Answer(orders.Refusal.MALFORMED)
-    # Only these statuses say that the order was not carried out.
     return orders.Answer(orders.Refusal.NO_ANSWER)
 
 
@@ -318,7 +321,12 @@
     if status == 421:
         return outcomes.Failed(outcomes.Step.HOLD, peer, "other-life")
     if status != 200:
-        return outcomes.Failed(outcomes.Step.HOLD, peer, f"status-{status}")
+        return outcomes.Failed(
+            outcomes.Step.HOLD,
+            peer,
+            f"status-{status}",
+            may_have_acted=status not in NOT_CARRIED_OUT,
+        )
     try:
         return outcomes.Ok(read_report(fields))
     except ValueError as error:
