Calls: begun anew where a kept connection takes no byte

A regression of the fix that sends no call twice, found by its review: a call of which nothing was sent, as its kept connection was closed, ended as unreachable, and the worker counted as out of reach.

--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -29,6 +29,8 @@
 LOOP_LAG_S = 0.1  # Timers on time fire within a few milliseconds.
 LOG_INTERVAL_S = 1.0
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# A kept connection turns out to be closed when a call is sent.
+_SEND_FAILURES = frozenset({pycurl.E_SEND_ERROR, pycurl.E_SEND_FAIL_REWIND})
 _NO_EXPECT = "Expect:"  # A body is sent without being asked for.
 _EVENTS = {
     pycurl.POLL_IN: (True, False),
@@ -292,13 +294,19 @@
         if not code:
             body = b"".join(transfer.body_chunks)
             outcome: Outcome = outcomes.Ok(Answer(status, body))
-        elif not sent and self._loop_lagged(transfer, code):
+        elif not sent and self._may_begin_anew(transfer, code):
             self._enqueue(call, transfer.done, transfer.tries + 1)
             return
         else:
             outcome = _describe_failure(call, code, text, sent)
         _guard(lambda: transfer.done(outcome))
 
+    def _may_begin_anew(self, transfer: _Transfer, code: int) -> bool:
+        """Tells whether to begin a call anew of which nothing was sent."""
+        if transfer.tries >= MAX_TRIES:
+            return False
+        return code in _SEND_FAILURES or self._loop_lagged(transfer, code)
+
     def _loop_lagged(self, transfer: _Transfer, code: int) -> bool:
         """Tells whether this thread, not the peer, let a call's time pass.
 
@@ -306,7 +314,7 @@
         they are sent. Taken for workers out of reach, their tasks would be
         placed anew, which costs more of what is short.
         """
-        if code != pycurl.E_OPERATION_TIMEDOUT or transfer.tries >= MAX_TRIES:
+        if code != pycurl.E_OPERATION_TIMEDOUT:
             return False
         now = time.monotonic()
         # Nothing was sent, so the time to connect in may be what was over.
