--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -157,7 +157,9 @@
                 self._return_unsent(self._queued_orders.popleft())
                 continue
             if not self._has_room(self._queued_orders[0]):
-                return
+                if not self._bring_forward():
+                    return
+                continue
             if self._is_silent:
                 if self._orders_in_flight:
                     return
@@ -194,6 +196,19 @@
             return True
         return self._leases.has_room(self._ownership.now())
 
+    def _bring_forward(self) -> bool:
+        """Moves an order that grants no leases ahead of waiting starts.
+
+        Returns:
+            Whether there is one.
+        """
+        for order in self._queued_orders:
+            if not isinstance(order, orders.Start):
+                self._queued_orders.remove(order)
+                self._queued_orders.appendleft(order)
+                return True
+        return False
+
     def _return_unsent(self, order: orders.Order) -> None:
         self._post_answer(order, self._ownership.now(), UNREACHABLE)
 
