Bound of leases: starts before the clock was read, and next lives

Two holes in the bound, found by its review. A poller of a new address sends starts before it has read the worker's clock, and their leases can't be shortened: they now wait unless there is room for the longest that a start asks for. A poll that renews and is answered by the next life under one id grants the longest lease, as that clock began anew: it counts in full. What is done with queued orders has a module of its own, as polling.py grew.

--- a/poplarspindle/fleet/leases.py
+++ b/poplarspindle/fleet/leases.py
@@ -64,14 +64,18 @@
 ) -> int:
     """Returns how long a lease is at most that is asked for now, milliseconds.
 
+    Before this poller read the clock, only starts ask for leases, for no longer
+    than `choose_start_lease` allows.
+
     Args:
         clock: The last reading of the worker's clock.
         now: Present time, on the owner's monotonic clock.
         until_ms: End of the lease.
         lease_most_ms: Longest lease that a worker grants.
     """
-    clock_ms = _estimate_ms(clock, now) if clock.ms else 0
-    return max(0, min(lease_most_ms, until_ms - clock_ms))
+    if not clock.ms:
+        return min(lease_most_ms, LEASE_MS)
+    return max(0, min(lease_most_ms, until_ms - _estimate_ms(clock, now)))
 
 
 def choose_poll(
--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -77,8 +77,12 @@
         return is_confirmed and (self.has_room(now) or self.awaits_answers())
 
     def has_room(self, now: float) -> bool:
-        """Returns whether the bound of the leases has room for a start."""
-        return self._find_longest_ms(now) >= leases.START_LEASE_MS
+        """Returns whether the bound of the leases has room for a start.
+
+        Before the worker's clock was read, a lease can't be shortened.
+        """
+        least_ms = leases.START_LEASE_MS if self.clock.ms else leases.LEASE_MS
+        return self._find_longest_ms(now) >= least_ms
 
     def awaits_answers(self) -> bool:
         """Returns whether orders that grant leases have no answer yet."""
@@ -105,6 +109,18 @@
         lease_bounds.record_carried_out(self._account, key, at)
         grants.void_overtaken(self._account, token, at)
 
+    def record_next_life(self, at: float) -> None:
+        """Records that another incarnation carried out a poll that renews.
+
+        Its clock began anew, so it grants the longest lease.
+        """
+        longest_end_at = worker_state.find_longest_lease_end(
+            at, self._ownership.lease_most_ms
+        )
+        self._account.leases_end_at = max(
+            self._account.leases_end_at, longest_end_at
+        )
+
     def record_refused(
         self,
         key: worker_state.GrantKey,
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -9,7 +9,12 @@
 
 from poplarspindle import outcomes
 from poplarspindle.fleet import events, fencing, orders, work, worker_state
-from poplarspindle.node import lease_keeping, poll_waits, worker_ports
+from poplarspindle.node import (
+    lease_keeping,
+    poll_waits,
+    queued_orders,
+    worker_ports,
+)
 
 POLL_TIMEOUT_S = 0.15  # Workers answer in milliseconds.
 POLL_RETRY_TIMEOUT_S = 0.5  # A worker, or this node, may be slow.
@@ -109,13 +114,7 @@
 
     def _drop_starts(self, stop: orders.Stop) -> None:
         """Returns queued starts of a run that is to stop as not delivered."""
-        dropped = [
-            queued
-            for queued in self._queued_orders
-            if orders.starts_run_of(queued, stop)
-        ]
-        for start in dropped:
-            self._queued_orders.remove(start)
+        for start in queued_orders.remove_starts(self._queued_orders, stop):
             self._count_waiting(-1)
             self._return_unsent(start)
 
@@ -157,7 +156,7 @@
                 self._return_unsent(self._queued_orders.popleft())
                 continue
             if not self._has_room(self._queued_orders[0]):
-                if not self._bring_forward():
+                if not queued_orders.bring_forward(self._queued_orders):
                     return
                 continue
             if self._is_silent:
@@ -196,19 +195,6 @@
             return True
         return self._leases.has_room(self._ownership.now())
 
-    def _bring_forward(self) -> bool:
-        """Moves an order that grants no leases ahead of waiting starts.
-
-        Returns:
-            Whether there is one.
-        """
-        for order in self._queued_orders:
-            if not isinstance(order, orders.Start):
-                self._queued_orders.remove(order)
-                self._queued_orders.appendleft(order)
-                return True
-        return False
-
     def _return_unsent(self, order: orders.Order) -> None:
         self._post_answer(order, self._ownership.now(), UNREACHABLE)
 
@@ -365,13 +351,7 @@
         report = answer.value
         fencing.record_answered(self.fence, order.epoch)
         if report.incarnation_ms != self._incarnation_ms:
-            if self._incarnation_ms:
-                fencing.record_new_incarnation(self.fence)
-                self._log_token("incarnation")
-            self._incarnation_ms, self._acknowledged_end = (
-                report.incarnation_ms,
-                0,
-            )
+            self._begin_incarnation(order, report.incarnation_ms, at)
         clock = self._leases.clock
         clock.ms, clock.at = report.clock_ms, at
         self._leases.record_carried_out(sent_at, order.epoch, at)
@@ -400,6 +380,17 @@
         else:
             self._poll_next()
 
+    def _begin_incarnation(
+        self, order: orders.Poll, incarnation_ms: int, at: float
+    ) -> None:
+        """Notes that another incarnation than before answered a poll."""
+        if self._incarnation_ms:
+            fencing.record_new_incarnation(self.fence)
+            self._log_token("incarnation")
+            if order.until_ms:
+                self._leases.record_next_life(at)
+        self._incarnation_ms, self._acknowledged_end = incarnation_ms, 0
+
     def _poll_next(self) -> None:
         self._awaited_end = 0
         if self._leases.clock.allowed:
