Tests: a repeated append confirms the ownership anew (red)

TWICE: the store answers the repeat of an append that it took as it did the first copy. An owner that was replaced between the two takes that for a confirmation, and grants leases and sends starts beyond the next owner's wait. The same for a claim that is prepared again.

--- a/poplarspindle/tests/test_unproven_ends.py
+++ b/poplarspindle/tests/test_unproven_ends.py
@@ -3,12 +3,19 @@
 import dataclasses
 import threading
 import time
+import types
 
 import pytest
 
 from poplarspindle import metrics, outcomes, resources
 from poplarspindle.fleet import orders, records, work
-from poplarspindle.node import appending, http_client, polling
+from poplarspindle.node import (
+    appending,
+    claims,
+    http_client,
+    polling,
+    storage,
+)
 from poplarspindle.platform import minions
 from poplarspindle.tests import test_polling
 from poplarspindle.tools.fakes import fleets
@@ -222,6 +229,74 @@
     assert 0.0 <= asked_at[0] - appender.confirmed_at < PAUSE_S
 
 
+# The store answers a repeat as it answered the first copy, which it took before
+# another owner claimed; that does not confirm the ownership anew.
+
+
+def test_repeated_append_confirms_the_ownership_from_its_first_sending():
+    """TWICE: an owner that was replaced meanwhile grants leases and starts."""
+    stop_event = threading.Event()
+    heard = threading.Event()
+    asked_at = []
+    lost = outcomes.Failed(outcomes.Step.APPEND, "s", "timeout", "", True)
+
+    def append(batch, sequence):
+        asked_at.append((time.monotonic(), sequence))
+        if len(asked_at) > 1:
+            return outcomes.Ok(0)
+        time.sleep(PAUSE_S)
+        return lost
+
+    appender = appending.Appender(
+        "progress", append, 1000, stop_event, print, metrics.Metrics()
+    )
+    appender.start()
+    appender.put([records.Record("key", b"")], lambda at: heard.set())
+    assert heard.wait(10)
+    stop_event.set()
+    appender.stop()
+    (first_at, sequence), (_, repeated) = asked_at
+    assert sequence == repeated
+    assert appender.confirmed_at - first_at < PAUSE_S
+
+
+@pytest.mark.parametrize("fails", ["append", "read_newest"])
+def test_repeated_claim_confirms_the_ownership_from_its_first_sending(fails):
+    """TWICE: the same for an owner that reads the log again."""
+    asked_at = []
+
+    class Store:
+        """Fails in one way at first."""
+
+        failed = False
+
+        def append(self, items, timeout_s, epoch, sequence, topic):
+            """Takes the claim, with or without an answer."""
+            asked_at.append(time.monotonic())
+            return self._answer("append", outcomes.Ok(0))
+
+        def read_newest(self, topic, after="", partition=0):
+            """Tells that the log is empty."""
+            newest = storage.Newest((), False, 0)
+            return self._answer("read_newest", outcomes.Ok(newest))
+
+        def _answer(self, call, answer):
+            if self.failed or call != fails:
+                return answer
+            self.failed = True
+            time.sleep(PAUSE_S)
+            step = outcomes.Step.APPEND
+            return outcomes.Failed(step, "s", "timeout", "", True)
+
+    platform = types.SimpleNamespace(
+        store=Store(), progress_topic="p", intake_topic="i", partitions=1
+    )
+    claim = records.Owner(16, "n", 0, 0.0)
+    prepared = claims.prepare(platform, claim, lambda: True)
+    assert len(asked_at) == 2
+    assert prepared.confirmed_at - asked_at[0] < PAUSE_S
+
+
 class _UnconfirmedOwnership(test_polling.FakeOwnership):
     """The store has not confirmed the ownership for a minute."""
 
