Appends: a repeat confirms the ownership from its first sending only

What callers could see: two runs of one task at once, by reckoning. Cause: an append without an answer is repeated under its number, and its answer confirmed the ownership from the repeat on. The store gives a repeat the answer of the first copy, which it may have taken before another owner claimed, so leases and starts went out for longer than the next owner counts on. The same for the claim of the progress log. Change: the time of the first sending counts. Class: an answer to one copy is taken for that to another, as with calls that libcurl repeated.

--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -41,8 +41,8 @@
         counters: The node's figures.
 
     Attributes:
-        confirmed_at: When the last append that the store took was sent,
-            steady seconds. The answer may be read any time later, for
+        confirmed_at: When the last append that the store took was first
+            sent, steady seconds. The answer may be read any time later, for
             example after this process was paused, so its time tells nothing.
         last_append_at: When that answer was read, on the same clock.
         last_append_s: How long that took, seconds.
@@ -143,11 +143,14 @@
         """Appends until the outcome is known; the sequence makes it once."""
         self._sequence += 1
         backoff_s = RETRY_S
+        # A repeat may be answered as its first copy was, which the store took
+        # before another owner claimed.
+        first_sent_at = clocks.get_steady_s()
         while not self._stop_event.is_set():
             began = clocks.get_steady_s()
             answer = self._call(batch, self._sequence)
             if isinstance(answer, outcomes.Ok):
-                self.confirmed_at = began
+                self.confirmed_at = first_sent_at
                 self.last_append_at = clocks.get_steady_s()
                 self.last_append_s = self.last_append_at - began
                 self._counters.observe(
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -36,8 +36,8 @@
             knew of no other jobs.
         end_offsets: Offset in each part of the hand-ins from which more
             follows.
-        confirmed_at: When the append that claimed the progress log was sent,
-            steady seconds.
+        confirmed_at: When the append that claimed the progress log was first
+            sent, steady seconds.
     """
 
     epoch: int
@@ -68,7 +68,7 @@
     """
     began = clocks.get_steady_s()
     while is_wanted():
-        prepared = _read_all(platform, claim)
+        prepared = _read_all(platform, claim, began)
         if isinstance(prepared, PreparedClaim):
             _log.info(
                 "prepared",
@@ -86,10 +86,9 @@
 
 
 def _read_all(
-    platform: ports.Platform, claim: records.Owner
+    platform: ports.Platform, claim: records.Owner, began: float
 ) -> PreparedClaim | outcomes.Failed:
     store = platform.store
-    asked_at = clocks.get_steady_s()
     fence = store.append(
         [records.encode_owner(claim)],
         APPEND_TIMEOUT_S,
@@ -118,7 +117,7 @@
         progress.items,
         tuple(record for partition in partitions for record in partition.items),
         tuple(partition.end for partition in partitions),
-        asked_at,
+        began,
     )
 
 
