Several owners at once in the virtual fleet; disruptions, guards, appends

Cause: one owner at a time could not show what a paused or replaced owner still does, nor a late, lost or repeated append, nor a thread that is behind.

A list that the store does not answer stays as it was read; a gap of readings interrupts them as in listing.

--- a/poplarspindle/tools/fakes/fleet_workers.py
+++ b/poplarspindle/tools/fakes/fleet_workers.py
@@ -7,9 +7,10 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import orders, work, worker_state
-from poplarspindle.tools.fakes import gangs, virtual_time
+from poplarspindle.tools.fakes import gangs, messages, virtual_time
 
 STOP_DURATION_S = 0.3
+ENDS_SOON_MS = 100
 CLOCK_RATE = 980  # Clocks are 2 % slow.
 MAX_REPORTED_ENDS = 500  # Listed at a time.
 
@@ -27,6 +28,11 @@
     def call_later(self, delay_s: float, call: Callable[[], None]) -> None:
         """Calls a function later in virtual time."""
 
+    def note_moment(
+        self, kind: messages.MomentKind, worker: str, subject: str
+    ) -> None:
+        """Tells that something happens."""
+
     def find_step(self, name: work.TaskName) -> work.Step:
         """Returns the step of a task."""
 
@@ -93,6 +99,7 @@
         self.paused_until = float("-inf")
         self.clock_rate = CLOCK_RATE
         self.waiting_polls: dict[int, Callable[..., None]] = {}
+        self._noted_lease: tuple | None = None
         self._poll_numbers = itertools.count()
         self.incarnation_ms = description.incarnation_ms
         self.fencing_epoch = 0
@@ -124,6 +131,8 @@
         for run in list(self.runs.values()):
             if run.ends <= now and run.how is None:
                 self.end(run, run.planned or self._judge(run))
+        if self.runs:
+            self._note_lease()
         if self.clock_ms() > self.until_ms:
             # An end counts as noted only if the lease held until then.
             for _, run in self.ends:
@@ -133,6 +142,19 @@
                 if run.how is None:
                     self.end(run, work.EndReason.LAPSED)
 
+    def _note_lease(self) -> None:
+        """Tells that the leases are about to lapse, or did."""
+        left_ms = self.until_ms - self.clock_ms()
+        kinds = messages.MomentKind
+        kind = kinds.LEASE_ENDS_SOON if left_ms >= 0 else kinds.LEASE_LAPSED
+        key = kind, self.until_ms
+        if left_ms <= ENDS_SOON_MS and key != self._noted_lease:
+            self._noted_lease = key
+            self._note(kind, str(self.until_ms))
+
+    def _note(self, kind: messages.MomentKind, subject: str) -> None:
+        self.world.note_moment(kind, self.description.name, subject)
+
     def end_later(self, run: FakeRun, seconds: float) -> None:
         """Lets a run end by itself in a while, infinite for never."""
         run.ends = round(self.world.now + seconds, virtual_time.DIGITS)
@@ -145,6 +167,7 @@
     def end(self, run: FakeRun, how: work.EndReason) -> None:
         """Ends a run, with a gang at work those of its other members."""
         run.how, run.ended = how, self.world.now
+        self._note(messages.MomentKind.RUN_ENDS, f"{run.name}#{run.attempt}")
         del self.runs[run.name, run.attempt]
         self.ends.append((next(self.numbers), run))
         self._answer_polls()
@@ -210,6 +233,7 @@
         self.highest[order.task] = order.attempt
         self.ledger.append(run)
         self.world.starts += 1
+        self._note(messages.MomentKind.RUN_BEGINS, f"{run.name}#{run.attempt}")
         if step.gang:
             self.world.gangs.join(self, run)
         else:
@@ -252,6 +276,10 @@
         for number, run in self.ends:
             if number <= order.acknowledged_end:
                 run.noted = min(run.noted, self.world.now)
+                self._note(
+                    messages.MomentKind.END_ACKNOWLEDGED,
+                    f"{run.name}#{run.attempt}",
+                )
         self.ends = [
             row for row in self.ends if row[0] > order.acknowledged_end
         ]
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -7,23 +7,21 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
-    effects,
     events,
-    fencing,
     fleet_state,
     job_store,
     mechanisms,
     orders,
     records,
-    takeover,
-    unreachable,
     work,
 )
 from poplarspindle.tools.fakes import (
+    disruptions,
+    elections,
     fleet_workers,
     gangs,
     judging,
@@ -31,6 +29,7 @@
     messages,
     network,
     owners,
+    virtual_store,
     virtual_time,
     worker_list,
 )
@@ -70,7 +69,12 @@
         after_tick: Called after each step of virtual time.
         after_deferred: Takes the name of the worker of each late order.
         order_s: How long an order waits in the owner, and then its answer.
-        owner: The newest owner.
+        owners: All owners, the newest one last; several may act.
+        elections: Lets other nodes claim the fleet.
+        store: The log, and the owners' appends to it.
+        disruptions: What may befall the fleet.
+        cuts: Workers that are cut off from nodes, None for all nodes.
+        list_lag_s: How old the list is that owners read.
         late_orders: Draws which messages are late.
         choose_fate: Chooses what becomes of a message to a worker.
         on_moment: Called at each moment that tells what happens.
@@ -101,7 +105,7 @@
         self.late_polls = late_polls
         self.append_s = APPEND_S
         self.order_s = ORDER_S
-        self._used_mechanisms = used_mechanisms
+        self.used_mechanisms = used_mechanisms
         self.tear_append: Callable[[tuple[records.Record, ...]], int | None] = (
             _store_whole_append
         )
@@ -125,11 +129,17 @@
         self.fail_on: set[str] = set()
         self.unreachable_read_at = 0.0
         self.store_up = True
-        self._worker_list = worker_list.WorkerList()
+        self.list_lag_s = 0.0
+        self.worker_history = worker_list.WorkerHistory()
+        self.cuts: list[tuple[str, frozenset[int] | None]] = []
+        self.owners: list[owners.Owner] = []
+        self.elections = elections.Elections(self)
+        self.store = virtual_store.Store(self)
+        self.disruptions = disruptions.Disruptions(self)
+        self._make_worker = make_worker
         self.completed_at: dict[str, float] = {}
         self._run_s = run_s
         self._fail = fail
-        self.log: dict[str, records.Record] = {}
         self.submissions: dict[str, work.Submission] = {}
         self.workers = {
             f"w{i}": make_worker(
@@ -150,13 +160,16 @@
         self.queue = work.Queue("q", "h", "/q/", "pool", 0, 3, 1.5, 250)
         self.configuration = work.Configuration(1, {"q": self.queue})
         self.evacuated: frozenset[str] = frozenset()
-        self.owner: owners.Owner | None = None
         self.notes: collections.Counter = collections.Counter()
         self.checker = judging.ExecutionChecker(self)
         self.after_tick: Callable[[], None] = lambda: None
         self.after_deferred: Callable[[str], None] = lambda name: None
         self.take_over()
 
+    def add_worker(self, info: work.WorkerInfo) -> None:
+        """Lets another worker begin."""
+        self.workers[info.name] = self._make_worker(self, info)
+
     def allow_attempts(self, attempts: int) -> None:
         """Configures after how many failed runs a task has failed."""
         self.queue = dataclasses.replace(self.queue, attempts=attempts)
@@ -199,15 +212,6 @@
             return worker.stop(order)
         return worker.pace(order)
 
-    def reaches(
-        self, client: network.Client, worker: fleet_workers.FakeWorker
-    ) -> bool:
-        """Tells whether an owner's client and a worker reach each other."""
-        return (
-            worker.reachable
-            and worker.description.address == client.info.address
-        )
-
     def _draw_fate(self, message: messages.Message) -> messages.Fate:
         worker = self.workers.get(message.worker)
         if worker is None or not worker.up or not worker.reachable:
@@ -220,81 +224,63 @@
         """Tells that something happens."""
         self.on_moment(messages.Moment(kind, worker, subject, self.now))
 
-    # The owner.
+    # The owners.
+
+    @property
+    def owner(self) -> owners.Owner:
+        """The newest owner."""
+        return self.owners[-1]
 
     @property
     def fleet(self) -> fleet_state.FleetState:
         """State of the newest owner."""
         return self.owner.fleet
 
+    @property
+    def log(self) -> dict[str, records.Record]:
+        """Newest record of each key."""
+        return self.store.log
+
     def take_over(self) -> None:
-        """Lets another owner begin from the log alone.
+        """Lets another owner begin at once, from the log alone.
 
         It is behind with no worker: what was held back is lost with the
         owner before it, and its own looks begin anew.
         """
-        last_epoch = self.owner.epoch if self.owner else 0
-        if self.owner:
-            self.owner.stop()
-        epoch = last_epoch + fencing.TOKENS_PER_EPOCH
-        known, malformed = takeover.load_intake(self.log.values())
-        assert not malformed
-        progress = [
-            record
-            for key, record in self.log.items()
-            if key.partition("/")[0] in (records.PROGRESS, records.TASKS)
-        ]
-        drops, malformed = takeover.load_progress(known, progress)
-        assert not malformed
-        assert not drops or self.append_torn
-        self._write(drops)
-        fleet = fleet_state.FleetState(
-            known,
-            self.lease_most_ms,
-            used_mechanisms=self._used_mechanisms,
-        )
-        self.owner = owners.Owner(self, epoch, fleet)
-        for worker in self.workers.values():
-            worker.mark_reported(False)
-        self.checker.begin(epoch)
-        silent = {}
-        if unreachable.UNREACHABLE_KEY in self.log:
-            # The log is followed, so the record was read when it came.
-            silent = unreachable.decode_unreachable(
-                self.log[unreachable.UNREACHABLE_KEY].value,
-                self.unreachable_read_at,
-            )
-        shown = {
-            key.partition("/")[2]: records.decode_state(record.value)
-            for key, record in self.log.items()
-            if key.partition("/")[0] == records.STATE
-        }
-        self._reduce(
-            events.Claimed(self.now, self.wall_ms(), epoch, silent, shown)
-        )
-        self._reduce(
-            events.Configured(self.now, self.configuration, self.evacuated)
-        )
-        self.list_workers()
+        self.elections.take_over()
 
     def end_owner(self, owner: owners.Owner) -> None:
-        """Ends an owner that saw a later one."""
+        """Ends an owner that saw a later one, or gave the fleet up."""
         owner.stop()
+        self.elections.enabled |= owner is self.owner
+
+    def step_down(self, owner: owners.Owner) -> None:
+        """Lets an owner that is late give the fleet up, if others may claim."""
+        if self.elections.enabled:
+            disruptions.hand_over(self, owner)
+
+    def end_torn(self) -> None:
+        """Ends an owner of whose append a part was stored."""
+        self.append_torn, self.tear_append = True, _store_whole_append
+        self.take_over()
 
     def wall_ms(self) -> int:
         """Returns Unix time in milliseconds."""
         return WALL_MS + int(self.now * 1000)
 
     def list_workers(self) -> None:
-        """Lets the owner read the list."""
+        """Lets the owners read the list."""
         listed = [
             worker.description
             for name, worker in self.workers.items()
             if (worker.up or self.now < worker.listed_until)
             and name not in self.unlisted
         ]
-        for event in self._worker_list.read(self.now, listed, self.store_up):
-            self.owner.post(event)
+        seen = self.worker_history.record(
+            self.now, listed, self.list_lag_s, self.note_moment
+        )
+        for owner in self.owners:
+            owner.read_list(seen, self.store_up)
 
     def submit(self, job: str, *steps: work.Step, **options) -> None:
         """Hands a job in."""
@@ -309,17 +295,28 @@
         self.submissions[job] = submission
         record = records.encode_submission(submission)
         self.log[record.key] = record
-        job_store.add_job(self.fleet.job_store, submission)
-        self._reduce(events.JobRead(self.now, job))
-        self.owner.settle()
+        for owner in self._list_live_owners():
+            owner.hand_in(lambda o=owner: self._take_in(o, submission))
+
+    def _take_in(
+        self, owner: owners.Owner, submission: work.Submission
+    ) -> events.Event:
+        job_store.add_job(owner.fleet.job_store, submission)
+        return events.JobRead(self.now, submission.job)
 
     def cancel(self, job: str) -> None:
         """Cancels a job."""
         record = records.encode_cancel(job)
         self.log[record.key] = record
-        job_store.cancel_job(self.fleet.job_store.jobs[job])
-        self._reduce(events.CancelRead(self.now, self.wall_ms(), job))
-        self.owner.settle()
+        for owner in self._list_live_owners():
+            owner.hand_in(lambda o=owner: self._cancel_at(o, job))
+
+    def _cancel_at(self, owner: owners.Owner, job: str) -> events.Event:
+        job_store.cancel_job(owner.fleet.job_store.jobs[job])
+        return events.CancelRead(self.now, self.wall_ms(), job)
+
+    def _list_live_owners(self) -> list[owners.Owner]:
+        return [owner for owner in self.owners if not owner.is_over()]
 
     def _reduce(self, event: events.Event) -> None:
         self.owner.reduce(event)
@@ -338,56 +335,15 @@
         """Tells whether an event waits in an owner as orders do."""
         return bool(self.order_s) and isinstance(event, events.OrderAnswered)
 
-    def store_effect(
-        self, owner: owners.Owner, effect: effects.Append | effects.Publish
-    ) -> None:
-        """Lets records of an owner be stored, in a while."""
-        store = (
-            self._append
-            if isinstance(effect, effects.Append)
-            else self._publish
-        )
-        self.call_later(self.append_s, lambda: store(owner, effect))
-
-    def _append(self, owner: owners.Owner, effect: effects.Append) -> None:
-        if owner.is_over():
-            return
-        if not self.store_up:
-            self.call_later(0.2, lambda: self._append(owner, effect))
-            return
-        stored = self.tear_append(effect.records)
-        if stored is not None:
-            self.append_torn, self.tear_append = True, _store_whole_append
-            self._write(effect.records[:stored])
-            self.take_over()
-            return
-        self._write(effect.records)
-        owner.post(events.Appended(self.now, effect.number))
-        owner.post(lambda: self._note_completed(owner))
-
-    def _note_completed(self, owner: owners.Owner) -> None:
+    def note_completed(self, owner: owners.Owner) -> None:
+        """Notes when jobs are first known to be completed."""
         for name, job in owner.fleet.job_store.jobs.items():
             if job.published_state is job_store.State.COMPLETED:
                 self.completed_at.setdefault(name, self.now)
 
-    def _publish(self, owner: owners.Owner, effect: effects.Publish) -> None:
-        if owner.is_over():
-            return
-        if not self.store_up:
-            self.call_later(0.2, lambda: self._publish(owner, effect))
-            return
-        self._write(effect.records)
-        if effect.has_unreachable:
-            owner.post(events.Published(self.now))
-
-    def _write(self, found) -> None:
-        for record in found:
-            if record.value:
-                self.log[record.key] = record
-            else:
-                self.log.pop(record.key, None)
-            if record.key == unreachable.UNREACHABLE_KEY:
-                self.unreachable_read_at = self.now
+    def write(self, found: Iterable[records.Record]) -> None:
+        """Stores records."""
+        self.store.write(found)
 
     def hold_back(self, worker: str) -> None:
         """Lets the owner fall behind with all that comes from a worker.
@@ -422,10 +378,10 @@
     def _tick(self) -> None:
         for worker in self.workers.values():
             worker.advance()
-        if self.store_up:
-            self.owner.confirmed_at = self.now
+        self.elections.watch()
         self.list_workers()
-        self.owner.tick()
+        for owner in self.owners:
+            owner.tick()
         self.after_tick()
 
     def get_state(self, job: str) -> str:
--- a/poplarspindle/tools/fakes/load_world.py
+++ b/poplarspindle/tools/fakes/load_world.py
@@ -122,8 +122,9 @@
 
         self.call_later(at - self.now, submit)
 
-    def _write(self, found) -> None:
-        super()._write(found)
+    def write(self, found) -> None:
+        """Stores records; counts how often the load was told."""
+        super().write(found)
         self._loads_read += sum(
             record.key == admission.LOAD_KEY for record in found
         )
--- a/poplarspindle/tools/fakes/network.py
+++ b/poplarspindle/tools/fakes/network.py
@@ -71,6 +71,21 @@
         self._world = world
         self._sent: collections.Counter = collections.Counter()
 
+    def reaches(
+        self, client: "Client", worker: fleet_workers.FakeWorker
+    ) -> bool:
+        """Tells whether an owner's client and a worker reach each other."""
+        is_cut = any(
+            name == client.info.name
+            and (nodes is None or client.owner.node in nodes)
+            for name, nodes in self._world.cuts
+        )
+        return (
+            worker.reachable
+            and not is_cut
+            and worker.description.address == client.info.address
+        )
+
     def send(
         self,
         client: "Client",
@@ -158,7 +173,7 @@
             self._respond(worker, self._refuse_connection())
             return
         is_late = self.fate.carried_out_after_s > 0
-        if not is_late and not world.reaches(self.client, worker):
+        if not is_late and not world.network.reaches(self.client, worker):
             return
         if not worker.up or (is_late and not self._outlives(worker)):
             return
@@ -249,7 +264,7 @@
         )
         if is_silent or not self.fate.answered:
             return
-        if not self.world.reaches(self.client, worker):
+        if not self.world.network.reaches(self.client, worker):
             return
         if isinstance(outcome, outcomes.Ok):
             for end in outcome.value.ended:
@@ -260,7 +275,7 @@
                 )
 
         def arrive() -> None:
-            if self.world.reaches(self.client, worker):
+            if self.world.network.reaches(self.client, worker):
                 self.call.answer(outcome)
 
         self.world.call_later(NETWORK_S, arrive)
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -8,11 +8,24 @@
 import collections
 import threading
 import typing
-from collections.abc import Callable
-
-from poplarspindle.fleet import effects, events, fleet_state, reducer, work
+from collections.abc import Callable, Iterable
+
+from poplarspindle.fleet import (
+    effects,
+    events,
+    fitness,
+    fleet_state,
+    reducer,
+    work,
+)
 from poplarspindle.node import node, order_window, pollers
-from poplarspindle.tools.fakes import messages, network, virtual_time
+from poplarspindle.tools.fakes import (
+    messages,
+    network,
+    virtual_store,
+    virtual_time,
+    worker_list,
+)
 
 if typing.TYPE_CHECKING:
     from poplarspindle.tools.fakes import fleets
@@ -27,17 +40,25 @@
         world: The virtual fleet.
         epoch: Its epoch.
         fleet: The state that it begins with.
+        confirmed_at: When the claim was sent that the store took.
 
     Attributes:
         fleet: Its state.
         order_window: How many orders it has in flight.
         pollers: Its pollers.
+        node: Number of its node; each owner is on another one.
         confirmed_at: When the store last confirmed its ownership.
+        heard_at: When it last read an answer of the store.
         hears_store: Whether the store is in its reach.
+        worker_list: What it has read of the list.
     """
 
     def __init__(
-        self, world: "fleets.World", epoch: int, fleet: fleet_state.FleetState
+        self,
+        world: "fleets.World",
+        epoch: int,
+        fleet: fleet_state.FleetState,
+        confirmed_at: float,
     ) -> None:
         self._world = world
         self.epoch = epoch
@@ -46,9 +67,18 @@
         self.stop_event = threading.Event()
         self.order_window = order_window.OrderWindow(self.now)
         self.pollers = pollers.Pollers(self, self.run_soon)
-        self.confirmed_at = world.now
+        self.node = len(world.owners)
+        self.confirmed_at = confirmed_at
+        self.heard_at = world.now
         self.hears_store = True
-        self.last_append_s = 0.0
+        self.worker_list = worker_list.WorkerList()
+        self._last_append_s = 0.0
+        self._frozen_until = world.now
+        self._lateness = fitness.Lateness(world.now)
+        self._progress, self._shared = (
+            virtual_store.Appender(world, self, topic)
+            for topic in (virtual_store.PROGRESS, virtual_store.SHARED)
+        )
         self._stalled_until = {DECISIONS: world.now, CALLS: world.now}
         self._events: collections.deque = collections.deque()
         self._is_due = False
@@ -74,6 +104,27 @@
         wake = self._handle_events if thread == DECISIONS else self._run_calls
         self._world.call_later(until - self._world.now, wake)
 
+    def is_frozen(self) -> bool:
+        """Tells whether its process stands still."""
+        return self._world.now < self._frozen_until
+
+    def freeze(self, seconds: float) -> None:
+        """Lets its process stand still."""
+        until = max(self._frozen_until, self._world.now + seconds)
+        self._frozen_until = until
+        self.stall(DECISIONS, seconds)
+        self.stall(CALLS, seconds)
+
+    def when_awake(self, job: Callable[[], None]) -> None:
+        """Runs a function now, or when its process goes on."""
+        if self.is_frozen():
+            self._world.call_later(
+                self._frozen_until - self._world.now,
+                lambda: self.when_awake(job),
+            )
+        else:
+            job()
+
     def run_soon(self, job: Callable[[], None]) -> None:
         """Runs a function on the thread that carries the calls."""
         self._jobs.append(job)
@@ -150,11 +201,19 @@
         self._is_due = False
         if self.is_stalled(DECISIONS):
             return
+        if self._events:
+            self._check_lateness(self._events[0])
         while self._events and not self.is_over():
             for _ in range(min(node.BATCH_EVENTS, len(self._events))):
                 self._handle_event(self._events.popleft())
             self.settle()
 
+    def _check_lateness(self, event: object) -> None:
+        """Resigns where events were handled too late for a while."""
+        at = getattr(event, "at", self.now())
+        if self._lateness.record(self.now() - at, self.now()):
+            self._world.step_down(self)
+
     def _handle_event(self, event: object) -> None:
         if self.is_over():
             return
@@ -194,7 +253,7 @@
         fleet.order_room = order_window.compute_room(
             self.order_window.limit,
             self.order_window.waiting + self.pollers.count_unsent(),
-            self.last_append_s,
+            self._last_append_s,
         )
         self._execute(reducer.settle(fleet))
         if self.pollers.count_unsent():
@@ -205,14 +264,59 @@
         for effect in effect_list:
             if isinstance(effect, effects.Note):
                 world.notes[effect.event] += 1
-            elif isinstance(effect, effects.Append | effects.Publish):
-                world.store_effect(self, effect)
+            elif isinstance(effect, effects.Append):
+                self._append(effect)
+            elif isinstance(effect, effects.Publish):
+                published = self._report_published
+                self._shared.put(
+                    effect.records,
+                    published if effect.has_unreachable else None,
+                )
             elif isinstance(effect, effects.Order):
                 self.pollers.execute(world.checker.judge(self.epoch, effect))
             elif isinstance(effect, effects.AllowLeases | effects.Acknowledge):
                 self._note_recorded(effect)
                 self.pollers.execute(effect)
 
+    def _append(self, effect: effects.Append) -> None:
+        def report() -> None:
+            self.post(events.Appended(self.now(), effect.number))
+            self.post(lambda: self._world.note_completed(self))
+
+        self._progress.put(effect.records, report)
+
+    def _report_published(self) -> None:
+        self.post(events.Published(self.now()))
+
+    def record_append(self, began: float) -> None:
+        """Notes that the store took an append that was sent at a time."""
+        self.confirmed_at = max(self.confirmed_at, began)
+        self.heard_at = self.now()
+        self._last_append_s = self.now() - began
+
+    def hand_in(self, take_in: Callable[[], events.Event]) -> None:
+        """Takes in what callers handed in, at once if it can."""
+
+        def handle() -> None:
+            self.reduce(take_in())
+
+        if self.is_stalled(DECISIONS):
+            self._queue_event(handle)
+        else:
+            handle()
+            self.settle()
+
+    def read_list(
+        self, listed: Iterable[work.WorkerInfo], store_up: bool
+    ) -> None:
+        """Reads the list of workers, unless its process stands still."""
+        if self.is_over() or self.is_frozen():
+            return
+        for event in self.worker_list.read(
+            self.now(), listed, store_up and self.hears_store
+        ):
+            self.post(event)
+
     def _note_recorded(
         self, effect: effects.AllowLeases | effects.Acknowledge
     ) -> None:
