--- a/poplarspindle/tests/test_lease_bounds.py
+++ b/poplarspindle/tests/test_lease_bounds.py
@@ -126,7 +126,8 @@
 def make_last_owner():
     """Makes a world with runs on w0, and an owner that renews there."""
     world = late.make_world({}, [late.IN_LEASE_S])
-    owner = LastOwner(world)  # The worker refuses the world's own one now.
+    owner = LastOwner(world)
+    world.owner.stop()
     world.run(1.2)
     return world, owner
 
