--- a/poplarspindle/tests/test_disruptions.py
+++ b/poplarspindle/tests/test_disruptions.py
@@ -95,6 +95,26 @@
     assert len(at_work) == 1
 
 
+@pytest.mark.parametrize(
+    "disrupt",
+    [
+        lambda found: found.pause_worker("w0", 2.0),
+        lambda found: found.freeze_owner(2.0),
+        lambda found: found.delay_thread("calls", 2.0),
+    ],
+)
+def test_pause_that_begins_between_two_microseconds_ends(disrupt):
+    """What waited for its end was put off by nothing for ever."""
+    world = make_world()
+    world.run(1.0 + 1 / 3)
+    world.disruptions.pause_worker("w1", 1 / 3)
+    world.call_later(0.1, lambda: disrupt(world.disruptions))
+    world._time.now += 4e-7
+    disrupt(world.disruptions)
+    world.run(CALM_S)
+    assert list_faults(world) == []
+
+
 def test_owner_that_wakes_acts_beside_the_next_one():
     world = make_world()
     world.run(1.0)
--- a/poplarspindle/tools/fakes/disruptions.py
+++ b/poplarspindle/tools/fakes/disruptions.py
@@ -7,7 +7,7 @@
 from poplarspindle.node import handover
 from poplarspindle.node import node as real_node
 from poplarspindle.node import ownership as node_ownership
-from poplarspindle.tools.fakes import owners
+from poplarspindle.tools.fakes import owners, virtual_time
 
 if typing.TYPE_CHECKING:
     from poplarspindle.tools.fakes import fleets
@@ -84,7 +84,7 @@
     def pause_worker(self, name: str, for_s: float) -> None:
         """Lets a worker take in nothing for a while, and all of it then."""
         worker = self._world.workers[name]
-        worker.paused_until = self._world.now + for_s
+        worker.paused_until = virtual_time.add(self._world.now, for_s)
 
     def slow_clock(self, name: str, factor: float = 1.02) -> None:
         """Lets a worker's clock be slow by a factor from now on."""
@@ -222,7 +222,7 @@
     done: Callable[[], None],
 ) -> None:
     """Waits until an owner is over, for some time at most."""
-    until = world.now + seconds
+    until = virtual_time.add(world.now, seconds)
 
     def look() -> None:
         if owner.is_over() or world.now >= until:
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -99,7 +99,8 @@
 
     def stall(self, thread: str, seconds: float) -> None:
         """Lets one of its threads stand still."""
-        until = max(self._stalled_until[thread], self._world.now + seconds)
+        until = virtual_time.add(self.now(), seconds)
+        until = max(self._stalled_until[thread], until)
         self._stalled_until[thread] = until
         wake = self._handle_events if thread == DECISIONS else self._run_calls
         self._world.call_later(until - self._world.now, wake)
@@ -110,7 +111,7 @@
 
     def freeze(self, seconds: float) -> None:
         """Lets its process stand still."""
-        until = max(self._frozen_until, self._world.now + seconds)
+        until = max(self._frozen_until, virtual_time.add(self.now(), seconds))
         self._frozen_until = until
         self.stall(DECISIONS, seconds)
         self.stall(CALLS, seconds)
--- a/poplarspindle/tools/fakes/virtual_time.py
+++ b/poplarspindle/tools/fakes/virtual_time.py
@@ -39,7 +39,7 @@
     def call_later(self, delay_s: float, call: Callable[[], None]) -> Timer:
         """Runs a function later; those of one time in the order of calls."""
         timer = Timer(call)
-        at = round(self.now + max(0.0, delay_s), DIGITS)
+        at = add(self.now, max(0.0, delay_s))
         heapq.heappush(self._due, (at, next(self._numbers), timer))
         return timer
 
@@ -52,3 +52,8 @@
                 self.now = at
                 timer.call()
         self.now = until
+
+
+def add(at: float, seconds: float) -> float:
+    """Returns the time some seconds after another; what waits for it ends."""
+    return round(at + seconds, DIGITS)
