--- a/poplarspindle/tests/test_lease_bounds.py
+++ b/poplarspindle/tests/test_lease_bounds.py
@@ -28,7 +28,7 @@
 
 
 class LastOwner(test_polling.FakeOwnership):
-    """An owner that looks at w0 by a real poller, in a world's time.
+    """An owner that looks at w0 by a real poller, in the world's owner's place.
 
     Its renewals and starts are answered until they are lost; the worker is not
     reached from then on.
@@ -43,7 +43,9 @@
         self.loses = False
         self.waits_for_starts = False
         self.confirmed_at = None
-        fence = fencing.Fence(self.epoch, world._fences["w0"].token)
+        replaced = world.owner.pollers.get("w0")
+        replaced.stopped = True
+        fence = fencing.Fence(self.epoch, replaced.fence.token)
         fence.account.leases_end_at = world.now + late.LEASE_S
         self.poller = polling.WorkerPoller(self, self.worker.description, fence)
         self.poller.poll()
@@ -117,7 +119,7 @@
 def make_last_owner():
     """Makes a world with runs on w0, and an owner that renews there."""
     world = late.make_world({}, [late.IN_LEASE_S])
-    owner = LastOwner(world)  # The worker refuses the world's own one now.
+    owner = LastOwner(world)
     world.run(1.2)
     return world, owner
 
