--- a/poplarspindle/node/appending.py
+++ b/poplarspindle/node/appending.py
@@ -2,14 +2,13 @@
 
 import queue
 import threading
-import time
 from collections.abc import Callable, Iterable, Iterator
 
 import structlog
 
 from poplarspindle import metrics, outcomes
 from poplarspindle.fleet import records
-from poplarspindle.node import threads
+from poplarspindle.node import clocks, threads
 
 RETRY_S = 0.05
 MAX_RETRY_S = 0.4
@@ -42,8 +41,8 @@
         counters: The node's figures.
 
     Attributes:
-        confirmed_at: When the last append that the store took was sent,
-            monotonic seconds. The answer may be read any time later, for
+        confirmed_at: When the last append that the store took was first
+            sent, steady seconds. The answer may be read any time later, for
             example after this process was paused, so its time tells nothing.
         last_append_at: When that answer was read, on the same clock.
         last_append_s: How long that took, seconds.
@@ -144,12 +143,15 @@
         """Appends until the outcome is known; the sequence makes it once."""
         self._sequence += 1
         backoff_s = RETRY_S
+        # A repeat may be answered as its first copy was, which the store took
+        # before another owner claimed.
+        first_sent_at = clocks.get_steady_s()
         while not self._stop_event.is_set():
-            began = time.monotonic()
+            began = clocks.get_steady_s()
             answer = self._call(batch, self._sequence)
             if isinstance(answer, outcomes.Ok):
-                self.confirmed_at = began
-                self.last_append_at = time.monotonic()
+                self.confirmed_at = first_sent_at
+                self.last_append_at = clocks.get_steady_s()
                 self.last_append_s = self.last_append_at - began
                 self._counters.observe(
                     "poplarspindle_append_seconds",
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -14,7 +14,7 @@
     records,
     takeover,
 )
-from poplarspindle.node import ports, settings, storage
+from poplarspindle.node import clocks, ports, settings, storage
 
 APPEND_TIMEOUT_S = (
     1.2  # An append to a slow store takes hundreds of milliseconds.
@@ -36,8 +36,8 @@
             knew of no other jobs.
         end_offsets: Offset in each part of the hand-ins from which more
             follows.
-        confirmed_at: When the append that claimed the progress log was sent,
-            monotonic seconds.
+        confirmed_at: When the append that claimed the progress log was first
+            sent, steady seconds.
     """
 
     epoch: int
@@ -66,16 +66,16 @@
     Returns:
         What was read, None where the claim is lost.
     """
-    began = time.monotonic()
+    began = clocks.get_steady_s()
     while is_wanted():
-        prepared = _read_all(platform, claim)
+        prepared = _read_all(platform, claim, began)
         if isinstance(prepared, PreparedClaim):
             _log.info(
                 "prepared",
                 epoch=claim.epoch,
                 progress=len(prepared.progress),
                 hand_ins=len(prepared.intake),
-                took_ms=int((time.monotonic() - began) * 1000),
+                took_ms=int((clocks.get_steady_s() - began) * 1000),
             )
             return prepared
         _log.warning("not-prepared", epoch=claim.epoch, why=prepared.reason)
@@ -86,10 +86,9 @@
 
 
 def _read_all(
-    platform: ports.Platform, claim: records.Owner
+    platform: ports.Platform, claim: records.Owner, began: float
 ) -> PreparedClaim | outcomes.Failed:
     store = platform.store
-    asked_at = time.monotonic()
     fence = store.append(
         [records.encode_owner(claim)],
         APPEND_TIMEOUT_S,
@@ -118,7 +117,7 @@
         progress.items,
         tuple(record for partition in partitions for record in partition.items),
         tuple(partition.end for partition in partitions),
-        asked_at,
+        began,
     )
 
 
--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import dataclasses
+import io
 import threading
 import time
 from collections.abc import Callable
@@ -28,6 +29,9 @@
 LOOP_LAG_S = 0.1  # Timers on time fire within a few milliseconds.
 LOG_INTERVAL_S = 1.0
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# A kept connection turns out to be closed when a call is sent.
+_SEND_FAILURES = frozenset({pycurl.E_SEND_ERROR, pycurl.E_SEND_FAIL_REWIND})
+_NO_EXPECT = "Expect:"  # A body is sent without being asked for.
 _EVENTS = {
     pycurl.POLL_IN: (True, False),
     pycurl.POLL_OUT: (False, True),
@@ -46,7 +50,7 @@
         peer: Name of the peer, for a failure.
         url: Address and target.
         headers: Headers as `Name: value`.
-        body: Body.
+        body: Body, at least one byte.
         timeout_s: Time for the answer.
     """
 
@@ -189,8 +193,11 @@
         handle = self._idle.pop() if self._idle else _make_handle()
         body_chunks: list[bytes] = []
         handle.setopt(pycurl.URL, call.url)
-        handle.setopt(pycurl.HTTPHEADER, call.headers)
-        handle.setopt(pycurl.POSTFIELDS, call.body)
+        handle.setopt(pycurl.HTTPHEADER, (*call.headers, _NO_EXPECT))
+        # libcurl sends a body that it can't read again only once. Otherwise it
+        # repeats a call whose kept connection breaks, without telling.
+        handle.setopt(pycurl.READFUNCTION, io.BytesIO(call.body).read)
+        handle.setopt(pycurl.POSTFIELDSIZE, len(call.body))
         transfer_timeout_s = TRANSFER_TIMEOUT_FACTOR * call.timeout_s
         handle.setopt(pycurl.TIMEOUT_MS, max(1, int(transfer_timeout_s * 1000)))
         handle.setopt(pycurl.WRITEFUNCTION, body_chunks.append)
@@ -287,13 +294,19 @@
         if not code:
             body = b"".join(transfer.body_chunks)
             outcome: Outcome = outcomes.Ok(Answer(status, body))
-        elif not sent and self._loop_lagged(transfer, code):
+        elif not sent and self._may_begin_anew(transfer, code):
             self._enqueue(call, transfer.done, transfer.tries + 1)
             return
         else:
             outcome = _describe_failure(call, code, text, sent)
         _guard(lambda: transfer.done(outcome))
 
+    def _may_begin_anew(self, transfer: _Transfer, code: int) -> bool:
+        """Tells whether to begin a call anew of which nothing was sent."""
+        if transfer.tries >= MAX_TRIES:
+            return False
+        return code in _SEND_FAILURES or self._loop_lagged(transfer, code)
+
     def _loop_lagged(self, transfer: _Transfer, code: int) -> bool:
         """Tells whether this thread, not the peer, let a call's time pass.
 
@@ -301,7 +314,7 @@
         they are sent. Taken for workers out of reach, their tasks would be
         placed anew, which costs more of what is short.
         """
-        if code != pycurl.E_OPERATION_TIMEDOUT or transfer.tries >= MAX_TRIES:
+        if code != pycurl.E_OPERATION_TIMEDOUT:
             return False
         now = time.monotonic()
         # Nothing was sent, so the time to connect in may be what was over.
@@ -343,6 +356,7 @@
 
 def _make_handle() -> pycurl.Curl:
     handle = pycurl.Curl()
+    handle.setopt(pycurl.POST, 1)
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -69,7 +69,6 @@
         unlisted: Workers that are up and missing from the list.
         after_tick: Called after each step of virtual time.
         after_deferred: Takes the name of the worker of each late order.
-        inventory_up: Whether the inventory can be read.
         order_s: How long an order waits in the owner, and then its answer.
         owner: The newest owner.
         late_orders: Draws which messages are late.
@@ -355,7 +354,8 @@
         """Tells an owner which workers are alive, if that can be read."""
         if self.inventory_up:
             alive = frozenset(n for n, w in self.workers.items() if w.up)
-            owner.post(events.InventoryRead(self.now, self.now, alive))
+            event = events.InventoryRead(self.now, self.now, alive)
+            self.call_later(self.order_s, lambda: owner.post(event))
 
     def _append(self, owner: owners.Owner, effect: effects.Append) -> None:
         if owner.is_over():
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -207,12 +207,10 @@
                 world.notes[effect.event] += 1
             elif isinstance(effect, effects.Append | effects.Publish):
                 world.store_effect(self, effect)
+            elif isinstance(effect, effects.ReadInventory):
+                self._world.read_inventory(self)
             elif isinstance(effect, effects.Order):
                 self.pollers.execute(world.checker.judge(self.epoch, effect))
-            elif isinstance(effect, effects.ReadInventory):
-                world.call_later(
-                    world.order_s, lambda: world.read_inventory(self)
-                )
             elif isinstance(effect, effects.AllowLeases | effects.Acknowledge):
                 self._note_recorded(effect)
                 self.pollers.execute(effect)
