Runs that ended in a life not heard before are not lost with the one before

Cause: a worker begins anew under its id between two polls; a start reaches the new life, is answered, and its run ends before the first report of that life. The report lists the end and no longer the run. The owner looked at what it lists as running only, so the run passed for one that the life before took with it: a crash was counted for its task, the run was given up, and the end in the same report came too late and was acknowledged.

Evidence: test_run_that_is_done_in_a_life_not_heard_before_counts_as_done, red for tasks and gangs before the fix: one crash, three runs given up.

Why the fix works: what a report lists as ended began in that life as well, so it is adopted like what it lists as running, and its end is handled after that. A run that is in neither list still counts as lost with its worker.

Run: test_unheard_lives, test_next_lives, test_crashes, test_start_answers, test_late_acknowledgements, test_fleet, test_ends, test_crash_records, test_blame, test_gang_failures, test_unproven_ends, test_walks: green.

--- a/poplarspindle/fleet/crashes.py
+++ b/poplarspindle/fleet/crashes.py
@@ -64,7 +64,7 @@
         worker: The worker.
         incarnation_ms: Incarnation that answered; UNKNOWN_INCARNATION if it is
             only known to be another one.
-        listed_runs: Keys of the runs that this incarnation has.
+        listed_runs: Keys of the runs that this incarnation has or had.
     """
     name = worker.info.name
     suspects = _take_lost_runs(fleet, name, incarnation_ms)
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -68,7 +68,7 @@
             fleet,
             worker,
             report.incarnation_ms,
-            {(running.task, running.attempt) for running in report.running},
+            report.list_runs(),
         )
     if is_reborn:
         effect_list += _begin_incarnation(fleet, worker, report)
@@ -105,14 +105,12 @@
     """Replaces the state of a worker's earlier incarnation.
 
     A start in flight may still arrive at the new incarnation. A run that the
-    new one already lists is adopted; a start that may still arrive is made
-    void by a stop sent ahead of it.
+    new one already lists, at work or ended, is adopted; a start that may still
+    arrive is made void by a stop sent ahead of it.
     """
     effect_list = []
     incarnation_ms = report.incarnation_ms
-    listed_runs = {
-        (listed_run.task, listed_run.attempt) for listed_run in report.running
-    }
+    listed_runs = report.list_runs()
     for run in list(worker.runs.values()):
         if run.task.incarnation_ms == incarnation_ms:
             continue
--- a/poplarspindle/fleet/work.py
+++ b/poplarspindle/fleet/work.py
@@ -264,3 +264,7 @@
     running: tuple[Running, ...]
     ended: tuple[Ended, ...]
     ends_complete: bool = True
+
+    def list_runs(self) -> set[tuple[TaskName, int]]:
+        """Returns the runs that began in this incarnation, by what it says."""
+        return {(run.task, run.attempt) for run in (*self.running, *self.ended)}
