--- a/poplarspindle/tests/test_disruptions.py
+++ b/poplarspindle/tests/test_disruptions.py
@@ -98,19 +98,19 @@
 @pytest.mark.parametrize(
     "disrupt",
     [
-        lambda found: found.pause_worker("w0", 2.0),
-        lambda found: found.freeze_owner(2.0),
-        lambda found: found.delay_thread("calls", 2.0),
+        lambda found, pause_s: found.pause_worker("w0", pause_s),
+        lambda found, pause_s: found.freeze_owner(pause_s),
     ],
+    ids=["worker", "owner"],
 )
-def test_pause_that_begins_between_two_microseconds_ends(disrupt):
-    """What waited for its end was put off by nothing for ever."""
+def test_pause_that_ends_between_two_microseconds_ends(disrupt):
+    """What waited for its end was called just before it, again and again."""
     world = make_world()
-    world.run(1.0 + 1 / 3)
-    world.disruptions.pause_worker("w1", 1 / 3)
-    world.call_later(0.1, lambda: disrupt(world.disruptions))
-    world._time.now += 4e-7
-    disrupt(world.disruptions)
+    world.run(1.0)
+    pause_s = 2.1
+    while world.now + pause_s <= round(world.now + pause_s, 6):
+        pause_s += 0.001
+    disrupt(world.disruptions, pause_s)
     world.run(CALM_S)
     assert list_faults(world) == []
 
