Red test: a start that waits for the calls' thread outlasts its run

What callers would see: TWICE. The thread that carries calls stands still for over 19.35 s; the owner gives the run up and places it elsewhere, and the thread then sends both starts.

--- a/poplarspindle/tests/test_disruptions.py
+++ b/poplarspindle/tests/test_disruptions.py
@@ -150,6 +150,42 @@
     assert list_faults(world) == []
 
 
+@pytest.mark.parametrize(
+    "stalls",
+    [
+        pytest.param([(0.0, 15.0)], id="once"),
+        pytest.param([(0.0, 15.0), (4.9, 15.0)], id="twice"),
+    ],
+)
+def test_start_that_waits_for_the_calls_thread_outlasts_its_run(stalls):
+    """TWICE: the run is given up before its start is sent.
+
+    The thread that carries the calls stands still; the answer to the poll
+    before that was lost, so none tells the clock of then as that of now.
+    """
+    world = fleets.World(1, workers=2, run_s=lambda rng: 12.0)
+    world.run(1.0)
+    polls = []
+
+    def lose_answers_to_polls(message):
+        if message.kind is messages.Kind.START or world.now > 10.0:
+            return messages.DELIVERED
+        polls.append(message.kind)
+        return messages.Fate(answered=False)
+
+    world.choose_fate = lose_answers_to_polls
+    while messages.Kind.RENEWAL not in polls:
+        world.run(fleets.TICK_S)
+    world.submit(TASK, work.Step(1, CORE, 500))
+    for at_s, stall_s in stalls:
+        world.call_later(
+            at_s,
+            lambda s=stall_s: world.disruptions.delay_thread("calls", s),
+        )
+    world.run(2 * CALM_S)
+    assert list_faults(world) == []
+
+
 def list_faults_of_a_renewal_that_is_late():
     """Loses a renewal that comes when the leases are about to lapse."""
     world = fleets.World(1, workers=2, run_s=lambda rng: 20.0)
--- a/poplarspindle/tools/fakes/disruptions.py
+++ b/poplarspindle/tools/fakes/disruptions.py
@@ -57,8 +57,13 @@
             )
 
     def restart_worker(self, name: str, same_id: bool) -> None:
-        """Ends a worker's life; another one begins at its address."""
+        """Ends a worker's life; another one begins at its address.
+
+        A worker whose life has ended is left as it is.
+        """
         world, worker = self._world, self._world.workers[name]
+        if not worker.up:
+            return
         worker.crash()
         if same_id:
             return
