Starts that waited for long in their owner are not sent

What callers could see: two runs of one task at once. Cause: the thread that carries calls stands still while the one that decides goes on; the run is given up 19.3 s after its start was decided, and the start is sent only then, with a lease that counts from its sending. Change: a start names when it was decided, and one that waited for over 3 s is returned as unsent, which leaves 12 s of the 15 s after which none can come. Raised tokens are logged in a module of their own, as polling.py grew.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -386,5 +386,6 @@
         run.job.submission.spec,
         until_ms,
         run.task.checkpoint,
+        fleet.now,
     )
     return [effects.Order(worker.info.name, order)]
--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -15,7 +15,7 @@
 
 import typing
 
-from poplarspindle.fleet import grants, leases, work, worker_state
+from poplarspindle.fleet import grants, leases, orders, work, worker_state
 
 if typing.TYPE_CHECKING:
     from poplarspindle.fleet import fleet_state
@@ -26,6 +26,9 @@
     + leases.LEASE_MS / 1000 * worker_state.MAX_CLOCK_DRIFT
     + worker_state.LEASE_END_SLACK_S
 )
+# A start that waited for longer in its owner is not sent; with the delay of an
+# order after that it stays within MAX_ORDER_DELAY_S.
+MAX_START_AGE_S = 3.0
 # Shorter runs are over before a record of their answered starts would matter.
 RECORD_ANSWERED_AFTER_S = 0.25
 
@@ -36,6 +39,11 @@
     run.may_run_late_until = now + MAX_LATE_RUN_S
 
 
+def is_too_old(order: orders.Start, now: float) -> bool:
+    """Returns whether a start may outlast the wait for its run if sent now."""
+    return now - order.decided_at > MAX_START_AGE_S
+
+
 def rule_out_earlier_owners(worker: worker_state.WorkerState) -> None:
     """Records that a worker answered under this epoch.
 
--- a/poplarspindle/fleet/orders.py
+++ b/poplarspindle/fleet/orders.py
@@ -18,6 +18,7 @@
         spec: The job's opaque text.
         until_ms: End of the worker's leases, on its clock.
         checkpoint: Checkpoint to resume from, empty for none.
+        decided_at: When it was decided, on the owner's clock.
     """
 
     task: work.TaskName
@@ -26,6 +27,7 @@
     spec: str
     until_ms: int
     checkpoint: str = ""
+    decided_at: float = dataclasses.field(default=float("inf"), compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -5,14 +5,20 @@
 import typing
 from collections.abc import Callable
 
-import structlog
-
 from poplarspindle import outcomes
-from poplarspindle.fleet import events, fencing, orders, work, worker_state
+from poplarspindle.fleet import (
+    events,
+    fencing,
+    late_starts,
+    orders,
+    work,
+    worker_state,
+)
 from poplarspindle.node import (
     lease_keeping,
     poll_waits,
     queued_orders,
+    token_log,
     worker_ports,
 )
 
@@ -24,8 +30,6 @@
 MAX_ORDERS_IN_FLIGHT = 8  # At a time to one worker; it takes few connections.
 UNREACHABLE = orders.Answer(orders.Refusal.UNREACHABLE)
 
-_log = structlog.get_logger(part="orders")
-
 
 class WorkerPoller:
     """Looks at one worker for as long as this node owns the fleet.
@@ -182,12 +186,15 @@
         """Returns whether this owner may still send an order.
 
         The next owner does not know of starts that are sent after the log lists
-        their worker as unreachable.
+        their worker as unreachable, and the owner gives up a run whose start
+        waits here for too long.
         """
         if not isinstance(order, orders.Start):
             return True
         now = self._ownership.now()
-        return not self._is_silent and self._leases.may_start(now)
+        if self._is_silent or late_starts.is_too_old(order, now):
+            return False
+        return self._leases.may_start(now)
 
     def _has_room(self, order: orders.Order) -> bool:
         """Returns whether an order need not wait for answers to others."""
@@ -241,19 +248,7 @@
             return
         self._leases.record_refused(key, now, answer.refusal)
         if answer.refusal is orders.Refusal.NO_ANSWER:
-            self._record_unanswered(order)
-
-    def _record_unanswered(self, order: orders.Order | orders.Poll) -> None:
-        if fencing.record_unanswered(self.fence, order):
-            self._log_token(type(order).__name__.lower())
-
-    def _log_token(self, unanswered: str) -> None:
-        _log.info(
-            "token-raised",
-            worker=self.worker.name,
-            unanswered=unanswered,
-            token=self.fence.token,
-        )
+            token_log.record_unanswered(self.fence, order, self.worker.name)
 
     def _post_answer(
         self, order: orders.Order, sent_at: float, answer: orders.Answer
@@ -297,7 +292,7 @@
     ) -> None:
         lost = isinstance(answer, outcomes.Failed) and answer.may_have_acted
         if lost:
-            self._record_unanswered(order)
+            token_log.record_unanswered(self.fence, order, self.worker.name)
         if not lost or self.is_stopped():
             self._handle_final_answer(order, sent_at, answer)
             return
@@ -329,7 +324,7 @@
                 self.poll()
                 return
             if answer.may_have_acted:
-                self._record_unanswered(order)
+                token_log.record_unanswered(self.fence, order, self.worker.name)
             self._failed_polls += 1
             self._set_silent(True)
             self._leases.clock.allowed = False
@@ -385,8 +380,7 @@
     ) -> None:
         """Notes that another incarnation than before answered a poll."""
         if self._incarnation_ms:
-            fencing.record_new_incarnation(self.fence)
-            self._log_token("incarnation")
+            token_log.record_new_incarnation(self.fence, self.worker.name)
             if order.until_ms:
                 self._leases.record_next_life(at)
         self._incarnation_ms, self._acknowledged_end = incarnation_ms, 0
