--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.stamp-$(shell cksum < requirements.lock | cut -d' ' -f1)
 
-.PHONY: demo test lint format bench slopes fuzz pages clean
+.PHONY: demo test lint format bench slopes fuzz explore pages clean
 
 $(STAMP):
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -38,5 +38,8 @@
 fuzz: $(STAMP)
 	$(PY) -m poplarspindle.tools.fuzz $(ARGS)
 
+explore: $(STAMP)
+	$(PY) -m poplarspindle.tools.explorer $(ARGS)
+
 clean:
 	rm -rf $(VENV) out .ruff_cache .hypothesis
--- /dev/null
+++ b/poplarspindle/tools/explorer/__init__.py
@@ -0,0 +1,1 @@
+"""Plays every ordered pair of disruptions in the virtual fleet."""
