--- a/poplarspindle/tools/explorer/course.py
+++ b/poplarspindle/tools/explorer/course.py
@@ -1,137 +1,56 @@
-"""A virtual fleet that tells of its moments and lets messages be lost.
-
-A thin layer over `fleets.World`: what a message's fate is, and what happens at
-a moment, is decided by whoever plays the course.
-"""
+"""A virtual fleet that tells a player of its messages and moments."""
 
+import collections
 import dataclasses
+import re
 from collections.abc import Callable
 
-from poplarspindle.fleet import effects, events, leases, orders, work
-from poplarspindle.tools.fakes import fleet_workers, fleets
-
+from poplarspindle.fleet import effects
+from poplarspindle.tools.fakes import (
+    fleet_workers,
+    fleets,
+    messages,
+    owners,
+)
+
+NEXT_OWNER_AFTER_S = 2.5  # Of silence of an owner; the group and its log.
+RESIGNED_AFTER_S = 0.4  # From the last renewals to the next owner's claim.
+NO_CLOCK_S = float("-inf")
+APPEND_RETRY_S = 0.2
 ENTRY_EXPIRES_S = 3.3  # After its last heartbeat an entry is dropped.
-LEASE_ENDS_SOON_MS = 100
 STATISTICS = ("load",)  # Lines of the owner's log that tell of no decision.
-MESSAGE_KINDS = {
-    orders.Start: "START",
-    orders.Stop: "STOP",
-    orders.Pace: "PACE",
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Message:
-    """An order or a poll that is about to be sent.
-
-    Attributes:
-        kind: START, RENEWAL (a poll that asks for leases), ACKNOWLEDGEMENT (a
-            poll that names ends and asks for none), LOOK, STOP or PACE.
-        worker: The worker that it is sent to.
-        order: The order or poll.
-    """
-
-    kind: str
-    worker: str
-    order: orders.Order | orders.Poll
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fate:
-    """What becomes of a message.
-
-    Attributes:
-        carried_out_after_s: How late it is carried out, None for never.
-        answered: Whether its answer arrives.
-        from_arrival: Whether the leases that it grants count from its arrival.
-    """
-
-    carried_out_after_s: float | None = 0.0
-    answered: bool = True
-    from_arrival: bool = False
-
-
-ANSWERED = Fate()
-
-
-def name_task(name: work.TaskName) -> str:
-    """Returns a short name of a task: job, step and index."""
-    return f"{name.job[0]}.{name.step}.{name.index}"
-
-
-def name_run(order) -> str:
-    """Returns a short name of the run that an order or an end names."""
-    return f"{name_task(order.task)} {order.attempt}"
-
-
-class CourseWorker(fleet_workers.FakeWorker):
-    """A worker that tells what happens on it."""
-
-    def __init__(self, world, description) -> None:
-        super().__init__(world, description)
-        self._ends_soon = False
-        self._listed_ends: set[int] = set()
-        self._named_end = 0
-
-    def _tell(self, kind: str, subject: str = "") -> None:
-        self.world.tell(kind, self.description.name, subject)
+TASK = re.compile(
+    r"TaskName\(job='(.)\w*', occurrence=\d+, step=(\d+), index=(\d+)\)(.*)"
+)
+NOTE = "note"
+POLL = "poll"  # Moments of polls are told of by the kind of message.
 
-    def advance(self) -> None:
-        """Tells that the leases of runs are about to end, or have ended."""
-        left_ms = self.until_ms - self.clock_ms()
-        soon = bool(self.runs) and left_ms <= LEASE_ENDS_SOON_MS
-        if soon and not self._ends_soon:
-            self._tell("LEASE_ENDS_SOON")
-        self._ends_soon = soon
-        super().advance()
+Tell = Callable[[str, str, str], None]
 
-    def start(self, order: orders.Start) -> orders.Answer:
-        """Tells that a run begins."""
-        begun = len(self.ledger)
-        answer = super().start(order)
-        if len(self.ledger) > begun:
-            self._tell("RUN_BEGINS", name_run(order))
-        return answer
 
-    def end(self, run, how) -> None:
-        """Tells that a run ends."""
-        super().end(run, how)
-        run_name = f"{name_task(run.name)} {run.attempt}"
-        self._tell("RUN_ENDS", f"{run_name} {how.value}")
+class _Notes(collections.Counter):
+    """Counts the lines of the owners' logs, and tells of them."""
 
-    def crash(self) -> None:
-        """Forgets what was told of the life before."""
-        super().crash()
-        self._listed_ends.clear()
-        self._named_end = 0
+    def __init__(self, tell: Tell) -> None:
+        super().__init__()
+        self._tell = tell
 
-    def poll(self, order: orders.Poll):
-        """Tells of ends that are listed or acknowledged for the first time."""
-        report = super().poll(order)
-        if report is None:
-            return None
-        if order.acknowledged_end > self._named_end:
-            self._named_end = order.acknowledged_end
-            self._tell("END_ACKNOWLEDGED", str(order.acknowledged_end))
-        for end in report.ended:
-            if end.number not in self._listed_ends:
-                self._listed_ends.add(end.number)
-                self._tell("END_LISTED", name_run(end))
-        return report
+    def __setitem__(self, event: str, count: int) -> None:
+        super().__setitem__(event, count)
+        if event not in STATISTICS:
+            self._tell(NOTE, "", event)
 
 
 class Course(fleets.World):
-    """A virtual fleet that tells of its moments.
+    """A virtual fleet that tells a player of its messages and moments.
 
     Args:
         workers: Number of workers.
         run_s: How long a task takes, seconds.
         fail: Tells whether a run fails by itself.
-
-    Attributes:
-        on_moment: Takes the kind, worker and subject of each moment.
-        choose_fate: Returns the fate of a message.
-        calm_at: When the last disruption is over and nothing is late.
+        tell: Takes the kind, worker and subject of each moment; a message is
+            told of as it is sent.
+        choose_fate: Returns the fate of the message that was told of last.
     """
 
     def __init__(
@@ -139,141 +58,173 @@
         workers: int,
         run_s: float,
         fail: Callable[[fleet_workers.FakeRun], bool],
+        tell: Tell,
+        choose_fate: Callable[[], messages.Fate],
     ) -> None:
-        self.on_moment: Callable[[str, str, str], None] = lambda *moment: None
-        self.choose_fate: Callable[[Message], Fate] = lambda message: ANSWERED
-        self.calm_at = 0.0
-        self._cuts: dict[str, int] = {}
-        self._missing: dict[str, int] = {}
-        super().__init__(
-            1,
-            workers,
-            run_s=lambda rng: run_s,
-            fail=fail,
-            make_worker=CourseWorker,
-        )
+        super().__init__(1, workers, run_s=lambda rng: run_s, fail=fail)
+        self._cuts: collections.Counter = collections.Counter()
+        self._missing: collections.Counter = collections.Counter()
+        self._owners_before: list[owners.Owner] = []
+        # Owners that hear nothing of the store, and until when.
+        self._cut_owners: dict[int, float] = {}
+        self.notes = _Notes(tell)
+
+        def handle_moment(moment: messages.Moment) -> None:
+            if moment.kind in messages.SENT.values():
+                return
+            kind, subject = moment.kind.value, _shorten(moment.subject)
+            if kind.startswith(POLL):
+                kind, subject = subject + kind.removeprefix(POLL), ""
+            tell(kind, moment.worker, subject)
 
-    def tell(self, kind: str, worker: str = "", subject: str = "") -> None:
-        """Tells of a moment."""
-        self.on_moment(kind, worker, subject)
+        def handle_message(message: messages.Message) -> messages.Fate:
+            kind, subject = message.kind.value, _name_subject(message.order)
+            tell(f"{kind}-sent", message.worker, subject)
+            return choose_fate()
 
-    # Messages.
+        self.on_moment = handle_moment
+        self.choose_fate = handle_message
 
-    def _deliver_order(self, fleet, effect: effects.Order) -> None:
-        fence = self._fences[effect.worker_name]
-        order = dataclasses.replace(effect.order, epoch=fence.token)
-        if isinstance(order, orders.Start):
-            clock = self._polls.get(effect.worker_name, {}).get("clock")
-            until_ms = leases.extend_start_lease(
-                clock or leases.Clock(), self.now, order.until_ms
-            )
-            order = dataclasses.replace(order, until_ms=until_ms)
-        self.checker.record_stamped(effect.order, order)
-        effect = dataclasses.replace(effect, order=order)
-        name = effect.worker_name
-        kind = MESSAGE_KINDS[type(order)]
-        subject = name_run(order)
-        self.tell(f"{kind}_SENT", name, subject)
-        fate = self.choose_fate(Message(kind, name, order))
-        worker = self.workers[name]
-        no_answer = orders.Answer(orders.Refusal.NO_ANSWER)
-        if fate.carried_out_after_s:
-            self._carry_out_late(worker, order, fate)
-        if (
-            not worker.up
-            or not worker.reachable
-            or fate.carried_out_after_s != 0.0
+    # Owners, of which several may act at once.
+
+    def take_over_beside(self) -> None:
+        """Lets another owner begin; the one before acts on."""
+        before = self.owner
+        stop, before.stop = before.stop, lambda: None
+        self.take_over()
+        before.stop = stop
+        self._owners_before.append(before)
+
+    def _hears_store(self, owner: owners.Owner) -> bool:
+        is_cut = self.now < self._cut_owners.get(owner.epoch, NO_CLOCK_S)
+        return self.store_up and not is_cut
+
+    def _tick(self) -> None:
+        confirmed_at = self.owner.confirmed_at
+        if self.owner.is_stalled(owners.DECISIONS) or not self._hears_store(
+            self.owner
         ):
-            self._answer(fleet, effect, no_answer)
-            return
-        answer = self._execute_order(worker, order)
-        said = answer.refusal.value if answer.refusal else "ok"
-        self.tell(f"{kind}_CARRIED_OUT", name, f"{subject} {said}")
-        is_heard = fate.answered and worker.reachable
-        self._answer(fleet, effect, answer if is_heard else no_answer)
-
-    def _carry_out_late(self, worker, order, fate: Fate) -> None:
-        delay_s = fate.carried_out_after_s
-        if fate.from_arrival:
-            until_ms = order.until_ms + int(delay_s * 1000)
-            order = dataclasses.replace(order, until_ms=until_ms)
-        self.calm_at = max(self.calm_at, self.now + delay_s)
-        born_ms = worker.incarnation_ms
-
-        def carry_out() -> None:
-            # What comes before any owner spoke to a life none can refuse.
-            same_life = worker.incarnation_ms == born_ms
-            if not worker.up or not (same_life or worker.fencing_epoch):
-                return
-            worker.advance()
-            if isinstance(order, orders.Poll):
-                said = worker.poll(order) is not None
-                self.tell("LATE_POLL", worker.description.name, str(said))
-                return
-            answer = self._execute_order(worker, order)
-            said = answer.refusal.value if answer.refusal else "ok"
-            kind = MESSAGE_KINDS[type(order)]
-            self.tell(f"LATE_{kind}", worker.description.name, said)
-
-        self.call_later(delay_s, carry_out)
-
-    def _is_answered(self, worker, poll: orders.Poll) -> bool:
-        name, kind = worker.description.name, _name_poll(poll)
-        self.tell(f"{kind}_SENT", name)
-        fate = self.choose_fate(Message(kind, name, poll))
-        if fate.carried_out_after_s:
-            self._carry_out_late(worker, poll, fate)
-        reached = worker.up and worker.reachable
-        if reached and fate.carried_out_after_s == 0.0:
-            if fate.answered:
-                return True
-            worker.advance()
-            worker.poll(poll)
-        self.tell(f"{kind}_UNANSWERED", name)
-        return False
-
-    def _reduce(self, event: events.Event) -> None:
-        if isinstance(event, events.OrderAnswered):
-            kind = MESSAGE_KINDS[type(event.order)]
-            refusal = event.answer.refusal
-            said = refusal.value if refusal else "ok"
-            self.tell(f"{kind}_ANSWERED", event.worker_name, said)
-        super()._reduce(event)
-
-    def _execute_effect(self, effect: effects.Effect) -> None:
-        if isinstance(effect, effects.Note):
-            if effect.event not in STATISTICS:
-                self.tell("NOTE", "", f"{effect.event} {effect.job}")
-        if isinstance(effect, effects.Acknowledge):
-            self.tell("END_RECORDED", effect.worker_name, str(effect.number))
-        super()._execute_effect(effect)
-
-    def take_over(self) -> None:
-        """Lets another owner begin from the log alone."""
-        self.tell("CLAIMED")
-        super().take_over()
-        self.tell("TAKEN_OVER")
-
-    # Disruptions.
-
-    def _heal_later(self, for_s: float, heal: Callable[[], None]) -> None:
-        self.calm_at = max(self.calm_at, self.now + for_s)
-        self.call_later(for_s, heal)
+            self.owner.confirmed_at = confirmed_at
+            store_up, self.store_up = self.store_up, False
+            super()._tick()
+            self.store_up = store_up
+        else:
+            super()._tick()
+        for owner in self._owners_before:
+            owner.tick()
+
+    def _append(self, owner: owners.Owner, effect: effects.Append) -> None:
+        if self._may_store(owner, lambda: self._append(owner, effect)):
+            super()._append(owner, effect)
+
+    def _publish(self, owner: owners.Owner, effect: effects.Publish) -> None:
+        if self._may_store(owner, lambda: self._publish(owner, effect)):
+            super()._publish(owner, effect)
+
+    def _may_store(
+        self, owner: owners.Owner, repeat: Callable[[], None]
+    ) -> bool:
+        """Tells whether the store takes an append of an owner now.
+
+        It refuses that of one that another has replaced, which then hears of
+        it; what it does not hear is sent again.
+        """
+        if owner.is_over():
+            return False
+        if not self._hears_store(owner) or owner.is_stalled(owners.DECISIONS):
+            self.call_later(APPEND_RETRY_S, repeat)
+            return False
+        if owner is not self.owner:
+            owner.report_lost("fenced")
+            return False
+        return True
+
+    def _replace_later(self, owner: owners.Owner, after_s: float) -> None:
+        def claim() -> None:
+            if owner is self.owner:
+                self.take_over_beside()
+
+        self.call_later(after_s, claim)
+
+    def freeze_owner(self, for_s: float) -> None:
+        """Stops an owner's threads; another one begins if it is for long.
+
+        Its clock goes on. When it wakes, calls run before decisions.
+        """
+        owner = self.owner
+        owner.stall(owners.CALLS, for_s)
+        owner.stall(owners.DECISIONS, for_s)
+        if for_s > NEXT_OWNER_AFTER_S:
+            self._replace_later(owner, NEXT_OWNER_AFTER_S)
+
+    def delay_thread(self, which: str, for_s: float) -> None:
+        """Stops one of an owner's threads; the other one goes on."""
+        self.owner.stall(which, for_s)
+
+    def cut_owner_from_store(self, for_s: float) -> None:
+        """Lets the store and an owner not hear each other for a while."""
+        owner = self.owner
+        self._cut_owners[owner.epoch] = self.now + for_s
+        if for_s > NEXT_OWNER_AFTER_S:
+            self._replace_later(owner, NEXT_OWNER_AFTER_S)
+
+    def kill_owner(self) -> None:
+        """Ends an owner; another one begins once it is missed."""
+        self.owner.stop()
+        self._replace_later(self.owner, NEXT_OWNER_AFTER_S)
+
+    def terminate_owner(self) -> None:
+        """Lets an owner renew all leases a last time and give the fleet up."""
+        owner = self.owner
+
+        def extend() -> None:
+            for poller in owner.pollers.list_all():
+                poller.extend_leases(lambda: None)
+
+        def resign() -> None:
+            if owner is self.owner:
+                self.take_over()
+
+        owner.run_soon(extend)
+        self.call_later(RESIGNED_AFTER_S, resign)
+
+    # Disruptions of workers and of the store.
 
     def cut_worker(self, name: str, for_s: float, from_store: bool) -> None:
         """Cuts a worker off from the owner, and from the store if told so."""
-        self._cuts[name] = self._cuts.get(name, 0) + 1
+        self._cuts[name] += 1
         self.workers[name].reachable = False
 
         def mend() -> None:
             self._cuts[name] -= 1
             self.workers[name].reachable = not self._cuts[name]
-            self.tell("MENDED", name)
 
-        self._heal_later(for_s, mend)
+        self.call_later(for_s, mend)
         if from_store:
             self.silence_worker(name, for_s)
 
+    def cut_worker_from(self, name: str, for_s: float, nexts: bool) -> None:
+        """Cuts a worker off from some owners.
+
+        Args:
+            name: The worker.
+            for_s: For how long, seconds.
+            nexts: Whether from all owners after the present one, or from this
+                one only.
+        """
+        epoch, until = self.owner.epoch, self.now + for_s
+        reaches = self.reaches
+
+        def reaches_still(client, worker) -> bool:
+            is_cut = (
+                worker.description.name == name
+                and self.now < until
+                and (client.owner.epoch > epoch) == nexts
+            )
+            return not is_cut and reaches(client, worker)
+
+        self.reaches = reaches_still
+
     def silence_worker(self, name: str, for_s: float) -> None:
         """Cuts a worker off from the store; its entry expires meanwhile."""
         if for_s > ENTRY_EXPIRES_S:
@@ -284,17 +235,15 @@
 
     def unlist_worker(self, name: str, for_s: float) -> None:
         """Drops a worker's entry for a while."""
-        self._missing[name] = self._missing.get(name, 0) + 1
+        self._missing[name] += 1
         self.unlisted.add(name)
-        self.tell("WORKER_UNLISTED", name)
 
         def relist() -> None:
             self._missing[name] -= 1
             if not self._missing[name]:
                 self.unlisted.discard(name)
-                self.tell("WORKER_LISTED", name)
 
-        self._heal_later(for_s, relist)
+        self.call_later(for_s, relist)
 
     def restart_worker(self, name: str, same_id: bool) -> None:
         """Begins a new life, under the same id or, elsewhere, a new one."""
@@ -302,21 +251,15 @@
         if worker.replaced:
             return
         worker.crash()
-        self.calm_at = max(self.calm_at, self.now)
         if same_id:
             return
         worker.up, worker.replaced = False, True
         worker.listed_until = self.now + ENTRY_EXPIRES_S
         new_name = f"{name}+"
-        self.workers[new_name] = CourseWorker(
+        self.workers[new_name] = fleet_workers.FakeWorker(
             self, dataclasses.replace(worker.description, name=new_name)
         )
 
-    def replace_owner(self) -> None:
-        """Lets another owner begin."""
-        self.calm_at = max(self.calm_at, self.now)
-        self.take_over()
-
     def stop_store(self, for_s: float) -> None:
         """Lets the store answer nothing for a while."""
         self.store_up = False
@@ -324,10 +267,19 @@
         def mend() -> None:
             self.store_up = True
 
-        self._heal_later(for_s, mend)
+        self.call_later(for_s, mend)
+
+
+def _name_subject(order) -> str:
+    task = getattr(order, "task", None)
+    if task is None:
+        return ""
+    return _shorten(f"{task}#{order.attempt}")
 
 
-def _name_poll(poll: orders.Poll) -> str:
-    if poll.until_ms:
-        return "RENEWAL"
-    return "ACKNOWLEDGEMENT" if poll.acknowledged_end else "LOOK"
+def _shorten(subject: str) -> str:
+    """Returns a subject with a short name of its task."""
+    found = TASK.match(subject)
+    if found is None:
+        return subject
+    return "{}.{}.{}{}".format(*found.groups())
--- a/poplarspindle/tools/explorer/disruptions.py
+++ b/poplarspindle/tools/explorer/disruptions.py
@@ -4,14 +4,20 @@
 import itertools
 from collections.abc import Callable
 
-from poplarspindle.tools.explorer import course
+from poplarspindle.tools.explorer import course, moments
+from poplarspindle.tools.fakes import messages, owners
 
 LATE_S = (0.5, 3.0, 7.0, 12.0)
 CUT_S = (2.0, 5.0, 12.0)
+FROZEN_S = (2.0, 7.0, 15.0)
+OWNER_CUT_S = (2.0, 5.0, 12.0)
+BEHIND_S = (0.5, 2.0, 7.0, 15.0)
+CUT_SOME_S = (5.0, 16.0)
 STORE_DOWN_S = (2.0, 7.0)
-# Moments of workers are disrupted at their worker, all others at the first.
+# Moments of workers are disrupted at their worker, all others at this one.
 FIRST_WORKER = "w0"
-NOT_DISRUPTED = ("NOTE", "DISRUPTED", "LATE_", "MENDED")
+FROM_ARRIVAL = "-from-arrival"
+UNDISRUPTED = (course.NOTE, moments.DISRUPTED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,51 +27,76 @@
     Attributes:
         message: Kind of the messages that it befalls, empty for none.
         fate: What becomes of such a message.
-        apply: Lets it begin, at once; takes the course and a worker's name.
+        apply: Lets it begin; takes the course and a worker's name.
+        lasts_s: When it is over, seconds after it began.
         is_immediate: Whether it begins within the moment, not just after it.
-        needs_worker: Whether it is put at moments of workers only.
+        needs_worker: Whether it befalls the worker of the moment.
+        at_looks: Whether it is put at moments of polls that ask for nothing.
     """
 
     message: str = ""
-    fate: course.Fate = course.ANSWERED
+    fate: messages.Fate = messages.DELIVERED
     apply: Callable[[course.Course, str], None] = lambda world, name: None
+    lasts_s: float = 0.0
     is_immediate: bool = True
     needs_worker: bool = True
+    at_looks: bool = False
 
     def may_be_put_at(self, kind: str, worker: str) -> bool:
         """Returns whether it can be put at a moment."""
         if self.message:
-            return kind == f"{self.message}_SENT"
-        if kind.startswith(NOT_DISRUPTED):
+            return kind == f"{self.message}-sent"
+        if kind.startswith(UNDISRUPTED):
+            return False
+        if kind.startswith(messages.Kind.LOOK.value) and not self.at_looks:
             return False
         return bool(worker) or not self.needs_worker
 
 
-def _list_fates(message: str) -> dict[str, course.Fate]:
+def _list_fates(message: str) -> dict[str, messages.Fate]:
     """Returns the fates of one kind of message by name."""
-    found = {
-        "lost": course.Fate(None, False),
-        "unanswered": course.Fate(0.0, False),
-    }
-    for late_s in LATE_S:
-        found[f"late-{late_s:g}"] = course.Fate(late_s, False)
-        if message in ("START", "RENEWAL"):
-            fate = course.Fate(late_s, False, True)
-            found[f"late-{late_s:g}-from-arrival"] = fate
+    found = {"lost": messages.Fate(None, answered=False)}
+    if message == messages.Kind.LOOK:
+        return found  # A late one does nothing.
+    found["unanswered"] = messages.Fate(answered=False)
+    grants = message in (messages.Kind.START, messages.Kind.RENEWAL)
+    for late_s, from_arrival in itertools.product(LATE_S, (False, True)):
+        if from_arrival and not grants:
+            continue
+        name = f"late-{late_s:g}{FROM_ARRIVAL * from_arrival}"
+        found[name] = messages.Fate(
+            late_s, answered=False, from_arrival=from_arrival, next_lives=True
+        )
     return found
 
 
-def _list_message_disruptions() -> dict[str, Disruption]:
-    return {
-        f"{message.lower()}-{name}": Disruption(message, fate)
-        for message in ("START", "RENEWAL", "ACKNOWLEDGEMENT", "STOP", "LOOK")
-        for name, fate in _list_fates(message).items()
-    }
+MESSAGE_KINDS = (
+    messages.Kind.START,
+    messages.Kind.RENEWAL,
+    messages.Kind.ACKNOWLEDGEMENT,
+    messages.Kind.STOP,
+    messages.Kind.LOOK,
+)
+MESSAGES = {
+    f"{kind.value}-{name}": Disruption(
+        kind.value, fate, lasts_s=fate.carried_out_after_s or 0.0
+    )
+    for kind in MESSAGE_KINDS
+    for name, fate in _list_fates(kind).items()
+}
 
 
 def _cut(for_s: float, from_store: bool) -> Disruption:
     return Disruption(
-        apply=lambda world, name: world.cut_worker(name, for_s, from_store)
+        apply=lambda world, name: world.cut_worker(name, for_s, from_store),
+        lasts_s=for_s,
+    )
+
+
+def _cut_from(for_s: float, nexts: bool) -> Disruption:
+    return Disruption(
+        apply=lambda world, name: world.cut_worker_from(name, for_s, nexts),
+        lasts_s=for_s,
     )
 
 
@@ -73,39 +104,102 @@
     return Disruption(
         apply=lambda world, name: world.restart_worker(name, same_id),
         is_immediate=False,
+        at_looks=True,
     )
 
 
 def _unlist(for_s: float) -> Disruption:
     return Disruption(
-        apply=lambda world, name: world.unlist_worker(name, for_s)
+        apply=lambda world, name: world.unlist_worker(name, for_s),
+        lasts_s=for_s,
     )
 
 
-def _stop_store(for_s: float) -> Disruption:
+def _change_owner(
+    apply: Callable[[course.Course], None], lasts_s: float = 0.0
+) -> Disruption:
     return Disruption(
-        apply=lambda world, name: world.stop_store(for_s), needs_worker=False
+        apply=lambda world, name: apply(world),
+        lasts_s=lasts_s,
+        is_immediate=False,
+        needs_worker=False,
     )
 
 
-WORKERS = {
-    f"cut-{for_s:g}{'-unlisted' * from_store}": _cut(for_s, from_store)
-    for from_store, for_s in itertools.product((False, True), CUT_S)
-    if not from_store or for_s > course.ENTRY_EXPIRES_S
-} | {
-    "reborn": _restart(True),
-    "reborn-renamed": _restart(False),
-    "unlisted-1": _unlist(1.0),
-    "unlisted-8": _unlist(8.0),
-}
-OWNER = {
-    "owner-replaced": Disruption(
-        apply=lambda world, name: world.replace_owner(),
-        is_immediate=False,
-        needs_worker=False,
-    ),
+WORKERS = (
+    {f"cut-{for_s:g}": _cut(for_s, False) for for_s in CUT_S}
+    | {
+        f"cut-{for_s:g}-unlisted": _cut(for_s, True)
+        for for_s in CUT_S
+        if for_s > course.ENTRY_EXPIRES_S
+    }
+    | {
+        f"cut-from-{who}-{for_s:g}": _cut_from(for_s, who == "nexts")
+        for who in ("nexts", "present")
+        for for_s in CUT_SOME_S
+    }
+    | {
+        "reborn": _restart(True),
+        "reborn-renamed": _restart(False),
+        "unlisted-1": _unlist(1.0),
+        "unlisted-8": _unlist(8.0),
+    }
+)
+OWNER = (
+    {"owner-replaced": _change_owner(lambda world: world.take_over())}
+    | {
+        f"owner-frozen-{for_s:g}": _change_owner(
+            lambda world, for_s=for_s: world.freeze_owner(for_s), for_s
+        )
+        for for_s in FROZEN_S
+    }
+    | {
+        f"owner-cut-{for_s:g}": _change_owner(
+            lambda world, for_s=for_s: world.cut_owner_from_store(for_s),
+            for_s,
+        )
+        for for_s in OWNER_CUT_S
+    }
+    | {
+        "owner-killed": _change_owner(
+            lambda world: world.kill_owner(), course.NEXT_OWNER_AFTER_S
+        ),
+        "owner-terminated": _change_owner(
+            lambda world: world.terminate_owner(), course.RESIGNED_AFTER_S
+        ),
+    }
+    | {
+        f"{thread}-behind-{for_s:g}": _change_owner(
+            lambda world, thread=thread, for_s=for_s: world.delay_thread(
+                thread, for_s
+            ),
+            for_s,
+        )
+        for thread in (owners.DECISIONS, owners.CALLS)
+        for for_s in BEHIND_S
+    }
+)
+STORE = {
+    f"store-down-{for_s:g}": _change_owner(
+        lambda world, for_s=for_s: world.stop_store(for_s), for_s
+    )
+    for for_s in STORE_DOWN_S
 }
-STORE = {f"store-down-{s:g}": _stop_store(s) for s in STORE_DOWN_S}
-MESSAGES = _list_message_disruptions()
 # In the order in which they are explored.
 DISRUPTIONS = MESSAGES | WORKERS | OWNER | STORE
+
+
+def split_name(name: str) -> tuple[str, float, str]:
+    """Splits a name at its seconds, 0 for none."""
+    words = name.split("-")
+    for index, word in enumerate(words):
+        if word.replace(".", "").isdigit():
+            before, after = words[:index], words[index + 1 :]
+            return "-".join(before), float(word), "-".join(after)
+    return name, 0.0, ""
+
+
+def find_kind(name: str) -> str:
+    """Returns a name without its seconds."""
+    before, _, after = split_name(name)
+    return f"{before} {after}"
--- a/poplarspindle/tools/explorer/explore.py
+++ b/poplarspindle/tools/explorer/explore.py
@@ -58,8 +58,9 @@
         processes or os.cpu_count() or 1, until
     )
     tally = exploring.explore(
-        begin, names, depth, run_all, exploring.print_progress
+        begin, [names] * depth, run_all, exploring.print_progress
     )
+    exploring.silence_logs()
     print("\n".join(report.format_tally(tally)))
     _print_failures(tally, shown)
     return 1 if tally.failures else 0
--- a/poplarspindle/tools/explorer/exploring.py
+++ b/poplarspindle/tools/explorer/exploring.py
@@ -4,13 +4,18 @@
 import concurrent.futures
 import dataclasses
 import functools
+import logging
 import sys
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+
+import structlog
 
 from poplarspindle.tools.explorer import cases, disruptions, playing
+from poplarspindle.tools.fakes import messages
 
 PROGRESS_S = 5.0
+WAITING = 8  # Results are taken in order; so many may wait for the first.
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,19 +69,21 @@
 def play_next(
     case: cases.Case,
     names: tuple[str, ...],
-    play: Callable[[cases.Case], playing.Outcome] = playing.play,
+    is_last: bool = False,
+    play: Callable[[cases.Case, bool], playing.Outcome] = playing.play,
 ) -> list[Played]:
     """Plays a case with each disruption more.
 
     Args:
         case: The case.
         names: Names of the disruptions.
+        is_last: Whether no disruption will be put at what follows these.
         play: Plays a case.
     """
     table = {name: disruptions.DISRUPTIONS[name] for name in names}
     found = []
-    for longer in cases.list_next(case, play(case).moments, table):
-        outcome = play(longer)
+    for longer in cases.list_next(case, play(case, False).moments, table):
+        outcome = play(longer, is_last)
         found.append(
             Played(
                 longer,
@@ -105,8 +112,8 @@
 
         Returns:
             Those to play with one disruption more: of cases with the same
-            last disruption and the same sequence the first one, and none that
-            broke a promise.
+            sequence, and with disruptions that differ in nothing but time, the
+            first one; none that broke a promise.
         """
         longer = []
         for one in played:
@@ -124,26 +131,39 @@
                 if is_new:
                     self.tally.failures.append((case, one.violations))
                 continue
-            if (names, sequence) not in self._extended:
-                self._extended.add((names, sequence))
+            extended = tuple(map(_name_fold, names)), sequence
+            if extended not in self._extended:
+                self._extended.add(extended)
                 longer.append(case)
         return longer
 
 
+def _name_fold(name: str) -> str:
+    """Returns what names of disruptions that may be folded share.
+
+    How late an order is that counts from its arrival, or names ends, tells
+    only once something else happens.
+    """
+    if name.endswith(disruptions.FROM_ARRIVAL) or name.startswith(
+        messages.Kind.ACKNOWLEDGEMENT.value
+    ):
+        return name
+    return disruptions.find_kind(name)
+
+
 def explore(
     begin: list[cases.Case],
-    names: tuple[str, ...],
-    depth: int,
+    names: Sequence[tuple[str, ...]],
     run_all: Callable[[Callable, list[cases.Case]], Iterable[list[Played]]],
     report: Callable[[str], None] = lambda line: None,
-    play: Callable[[cases.Case], playing.Outcome] = playing.play,
+    play: Callable[[cases.Case, bool], playing.Outcome] = playing.play,
 ) -> Tally:
     """Plays cases with ever more disruptions.
 
     Args:
         begin: Cases without disruptions.
-        names: Names of the disruptions, in the order of their worth.
-        depth: Most disruptions of a case.
+        names: Names of the first disruptions, of the second ones and so on,
+            in the order of their worth.
         run_all: Applies a function to cases, in processes or not; may stop
             early.
         report: Takes lines on the progress.
@@ -151,13 +171,21 @@
     """
     exploration = Exploration()
     level = begin
-    for number in range(1, depth + 1):
-        extend = functools.partial(play_next, names=names, play=play)
+    for number, level_names in enumerate(names, 1):
+        extend = functools.partial(
+            play_next,
+            names=level_names,
+            is_last=number == len(names),
+            play=play,
+        )
         done, longer = 0, []
         told_at = time.monotonic()
         for played in run_all(extend, level):
+            known = len(exploration.tally.failures)
             longer += exploration.take_in(played)
             done += 1
+            for case, violations in exploration.tally.failures[known:]:
+                report(f"{violations[0]}: {case}")
             if time.monotonic() > told_at + PROGRESS_S:
                 told_at = time.monotonic()
                 report(_describe_progress(exploration, number, done, level))
@@ -165,7 +193,7 @@
         exploration.tally.left = len(level) - done
         if done < len(level):
             break
-        level = _sort_by_worth(longer, names)
+        level = _sort_by_worth(longer)
     return exploration.tally
 
 
@@ -178,11 +206,9 @@
     )
 
 
-def _sort_by_worth(
-    found: list[cases.Case], names: tuple[str, ...]
-) -> list[cases.Case]:
+def _sort_by_worth(found: list[cases.Case]) -> list[cases.Case]:
     """Sorts cases by their disruptions, all works of one at a time."""
-    rank = {name: place for place, name in enumerate(names)}
+    rank = {name: place for place, name in enumerate(disruptions.DISRUPTIONS)}
     return sorted(
         found,
         key=lambda case: [rank[p.disruption] for p in case.placements],
@@ -207,14 +233,16 @@
     """
 
     def run_all(extend, level):
-        pool = concurrent.futures.ProcessPoolExecutor(processes)
+        pool = concurrent.futures.ProcessPoolExecutor(
+            processes, initializer=silence_logs
+        )
         waiting = collections.deque(level)
         running = collections.deque()
         with pool:
             while waiting or running:
                 while (
                     waiting
-                    and len(running) < 2 * processes
+                    and len(running) < WAITING * processes
                     and time.monotonic() < until
                 ):
                     running.append(pool.submit(extend, waiting.popleft()))
@@ -228,3 +256,10 @@
 def print_progress(line: str) -> None:
     """Prints a line on standard error."""
     print(line, file=sys.stderr, flush=True)
+
+
+def silence_logs() -> None:
+    """Keeps what the owners of the courses log from being printed."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
--- a/poplarspindle/tools/explorer/moments.py
+++ b/poplarspindle/tools/explorer/moments.py
@@ -6,7 +6,9 @@
 
 # Looks at workers and lines of the owner's log repeat for as long as nothing
 # happens; of these only the first one counts until something does.
-REPEATED = ("LOOK", "RENEWAL", "ACKNOWLEDGEMENT", "NOTE")
+REPEATED = ("look", "renewal", "acknowledgement", "note")
+INVOLVING = ("start-sent", "stop-sent")
+DISRUPTED = "disrupted"
 MAX_MOMENTS = 400  # Of a course; a longer one is cut short.
 
 
@@ -15,7 +17,7 @@
     """Something that happens in a course.
 
     Attributes:
-        kind: What happens, such as START_SENT.
+        kind: What happens, such as `start-sent`.
         worker: The worker concerned, empty for none.
         subject: What else tells it from others: the task, the outcome.
         at: When, in seconds of virtual time.
@@ -50,12 +52,22 @@
         self.disruptions = 0
         self._numbers: collections.Counter = collections.Counter()
         self._repeated: set[tuple[str, str, str]] = set()
+        self._involved: set[str] = set()
 
     def record(
         self, kind: str, worker: str, subject: str, at: float
     ) -> Moment | None:
-        """Records a moment; returns None if it repeats an earlier one."""
+        """Records a moment.
+
+        Returns:
+            None if it repeats an earlier one, or befalls a worker that no
+            order was sent to so far.
+        """
         name = kind, worker, subject
+        if kind in INVOLVING:
+            self._involved.add(worker)
+        if worker and worker not in self._involved:
+            return None
         if kind.startswith(REPEATED):
             if name in self._repeated:
                 return None
@@ -71,7 +83,7 @@
 
     def record_disruption(self, name: str, worker: str, at: float) -> None:
         """Records a disruption; moments are counted anew after it."""
-        self.record(f"DISRUPTED {name}", worker, "", at)
+        self.record(f"{DISRUPTED} {name}", worker, "", at)
         self.disruptions += 1
         self._numbers.clear()
         self._repeated.clear()
@@ -85,6 +97,6 @@
     """Returns a hash of a sequence, the same in each process."""
     digest = hashlib.blake2b(digest_size=8)
     for moment in moments:
-        if not moment.kind.startswith("DISRUPTED"):
+        if not moment.kind.startswith(DISRUPTED):
             digest.update("\0".join((*moment.name, "")).encode())
     return int.from_bytes(digest.digest(), "big")
--- a/poplarspindle/tools/explorer/playing.py
+++ b/poplarspindle/tools/explorer/playing.py
@@ -1,8 +1,9 @@
 """Plays one case, and judges it from the workers' ledgers."""
 
 import dataclasses
+from collections.abc import Mapping
 
-from poplarspindle.fleet import job_store
+from poplarspindle.fleet import job_store, work
 from poplarspindle.tools.explorer import (
     cases,
     course,
@@ -10,11 +11,12 @@
     moments,
     works,
 )
-from poplarspindle.tools.fakes import fleets, judging
+from poplarspindle.tools.fakes import fleets, judging, messages
 
 LISTED_S = 0.5  # All workers are known before work is handed in.
 QUIET_S = 0.5  # After the work has ended and all is calm.
 # In calm: the longest leases, a start that may be late, and a round.
+SETTLED_S = 3.0
 AT_WORK_AFTER_S = 20.0
 IDLE_S = 3.0  # For so long nothing of an open job may run then.
 END_AFTER_S = 75.0  # In calm, all runs of all works end by then.
@@ -43,26 +45,35 @@
     def __init__(self, case: cases.Case, table) -> None:
         self._case = case
         self._table = table
-        self._fate: course.Fate | None = None
+        self._fate = messages.DELIVERED
+        self.calm_at = 0.0
+        self.is_recording = False
         self.recorder = moments.Recorder()
         work = works.WORKS[case.work]
         self.world = course.Course(
             case.workers,
             work.run_s,
             lambda run: work.fails_first and run.attempt == 1,
+            self._handle_moment,
+            self._take_fate,
         )
-        self.world.on_moment = self._handle_moment
-        self.world.choose_fate = self._choose_fate
 
     @property
     def placed(self) -> int:
         """How many disruptions found their moment."""
         return self.recorder.disruptions
 
+    @property
+    def is_done(self) -> bool:
+        """Whether all disruptions found their moment."""
+        return self.placed == len(self._case.placements)
+
     def _handle_moment(self, kind: str, worker: str, subject: str) -> None:
+        if not self.is_recording:
+            return
         at = self.world.now
         moment = self.recorder.record(kind, worker, subject, at)
-        if moment is None or self.placed == len(self._case.placements):
+        if moment is None or self.is_done:
             return
         placement = self._case.placements[self.placed]
         if (placement.kind, placement.worker, placement.number) != (
@@ -73,7 +84,7 @@
             return
         disruption = self._table[placement.disruption]
         self.recorder.record_disruption(placement.disruption, worker, at)
-        self.world.calm_at = max(self.world.calm_at, at)
+        self.calm_at = max(self.calm_at, at + disruption.lasts_s)
         if disruption.message:
             self._fate = disruption.fate
             return
@@ -85,38 +96,45 @@
                 0.0, lambda: disruption.apply(self.world, name)
             )
 
-    def _choose_fate(self, message: course.Message) -> course.Fate:
-        fate, self._fate = self._fate, None
-        return fate or course.ANSWERED
+    def _take_fate(self) -> messages.Fate:
+        fate, self._fate = self._fate, messages.DELIVERED
+        return fate
 
 
-def play(case: cases.Case, table=disruptions.DISRUPTIONS) -> Outcome:
+def play(
+    case: cases.Case,
+    is_last: bool = False,
+    table: Mapping[str, disruptions.Disruption] = disruptions.DISRUPTIONS,
+) -> Outcome:
     """Plays a case.
 
     Args:
         case: The case.
+        is_last: Whether the course may end before the work does, once it is
+            sure to end: no disruption will be put at what follows.
         table: The disruptions by name.
     """
     player = _Player(case, table)
-    world, work = player.world, works.WORKS[case.work]
+    world, kind = player.world, works.WORKS[case.work]
     begun_at = world.now + LISTED_S
     lost: list[str] = []
-    if work.second_at_s < float("inf"):
+    if kind.second_at_s < float("inf"):
         # The second job has to be where the first one is.
         others = set(world.workers) - {disruptions.FIRST_WORKER}
         world.unlisted |= others
     _run_until(world, begun_at)
-    world.submit(works.FIRST_JOB, *work.steps)
-    if work.second_at_s < float("inf"):
-        _run_until(world, begun_at + work.second_at_s)
-        world.submit(works.SECOND_JOB, *work.steps)
+    player.is_recording = True
+    world.submit(works.FIRST_JOB, *kind.steps)
+    if kind.second_at_s < float("inf"):
+        _run_until(world, begun_at + kind.second_at_s)
+        world.submit(works.SECOND_JOB, *kind.steps)
         world.run(0.1)
         world.unlisted -= others
-    if work.cancelled_at_s < float("inf"):
-        _run_until(world, begun_at + work.cancelled_at_s)
-        _run_until_at_work(world, lost)
+    if kind.cancelled_at_s < float("inf"):
+        _run_until(world, begun_at + kind.cancelled_at_s)
+        _run_until_at_work(player, lost)
         world.cancel(works.FIRST_JOB)
-    _run_to_the_end(world, lost)
+    _run_to_the_end(player, lost, is_last)
     found = dict.fromkeys(
         world.list_violations()
         + world.checker.violations
@@ -151,11 +169,12 @@
     return [name for name in _list_open_jobs(world) if name not in running]
 
 
-def _run_until_at_work(world: course.Course, lost: list[str]) -> None:
+def _run_until_at_work(player: _Player, lost: list[str]) -> None:
     """Lets a lasting job run; in calm it is at work after a while."""
+    world = player.world
     while _list_idle_jobs(world):
         world.run(fleets.TICK_S)
-        if world.now > world.calm_at + AT_WORK_AFTER_S:
+        if world.now > player.calm_at + AT_WORK_AFTER_S:
             lost += [f"not at work: {name}" for name in _list_idle_jobs(world)]
             return
 
@@ -166,21 +185,53 @@
     ]
 
 
-def _run_to_the_end(world: course.Course, lost: list[str]) -> None:
+def _is_sure_to_end(player: _Player) -> bool:
+    """Tells whether all is calm and all that is open runs as its owner knows.
+
+    The leases were renewed by then, and nothing is late.
+    """
+    world = player.world
+    if world.now < player.calm_at + SETTLED_S or not player.is_done:
+        return False
+    runs = {
+        key: name
+        for name, worker in world.workers.items()
+        for key in worker.runs
+    }
+    tasks = [
+        (work.TaskName(job, occurrence, step, index), task)
+        for job in _list_open_jobs(world)
+        for occurrence, steps in world.fleet.job_store.jobs[
+            job
+        ].occurrences.items()
+        for step, tasks in enumerate(steps)
+        for index, task in enumerate(tasks)
+    ]
+    return len(runs) == len(tasks) and all(
+        task.phase is job_store.Phase.PLACED
+        and runs.get((name, task.attempt)) == task.worker_name
+        for name, task in tasks
+    )
+
+
+def _run_to_the_end(player: _Player, lost: list[str], is_last: bool) -> None:
+    world = player.world
     idle_since = float("inf")
     while (
         _list_open_jobs(world)
         or _list_running_jobs(world)
-        or world.now < world.calm_at + QUIET_S
+        or world.now < player.calm_at + QUIET_S
     ):
         world.run(fleets.TICK_S)
-        if world.now > world.calm_at + AT_WORK_AFTER_S:
+        if is_last and _is_sure_to_end(player):
+            return
+        if world.now > player.calm_at + AT_WORK_AFTER_S:
             idle = _list_idle_jobs(world)
             idle_since = min(idle_since, world.now) if idle else float("inf")
             if world.now > idle_since + IDLE_S:
                 lost += [f"nothing runs: {name}" for name in idle]
                 return
-        if world.now > world.calm_at + END_AFTER_S:
+        if world.now > player.calm_at + END_AFTER_S:
             open_jobs = _list_open_jobs(world) + _list_running_jobs(world)
             lost += [f"does not end: {name}" for name in open_jobs]
             return
--- a/poplarspindle/tools/explorer/report.py
+++ b/poplarspindle/tools/explorer/report.py
@@ -36,8 +36,8 @@
 
 
 def _format_step(moment: moments.Moment) -> str:
-    what = moment.kind.lower().replace("_", " ")
-    if moment.kind.startswith("DISRUPTED"):
+    what = moment.kind.replace("-", " ")
+    if moment.kind.startswith(moments.DISRUPTED):
         what = f"**{moment.kind.partition(' ')[2]}**"
     return f"| {moment.at:.2f} | {what} | {moment.worker} | {moment.subject} |"
 
--- a/poplarspindle/tools/explorer/shrinking.py
+++ b/poplarspindle/tools/explorer/shrinking.py
@@ -80,23 +80,10 @@
     name: str, table: Mapping[str, disruptions.Disruption]
 ) -> list[str]:
     """Lists disruptions of the same kind that last for less."""
-    kind, seconds, suffix = _split(name)
-    if not seconds:
-        return []
+    _, seconds, _ = disruptions.split_name(name)
     return [
         other
         for other in table
-        if (parts := _split(other))[0] == kind
-        and parts[2] == suffix
-        and 0 < parts[1] < seconds
+        if disruptions.find_kind(other) == disruptions.find_kind(name)
+        and disruptions.split_name(other)[1] < seconds
     ]
-
-
-def _split(name: str) -> tuple[str, float, str]:
-    """Splits the name of a disruption at its seconds, 0 for none."""
-    words = name.split("-")
-    for index, word in enumerate(words):
-        if word.replace(".", "").isdigit():
-            before, after = words[:index], words[index + 1 :]
-            return "-".join(before), float(word), "-".join(after)
-    return name, 0.0, ""
--- a/poplarspindle/tools/explorer/works.py
+++ b/poplarspindle/tools/explorer/works.py
@@ -7,7 +7,7 @@
 
 CORE = resources.Resources(1000, 1000, 0)
 SHORT_S = 0.6
-LONG_S = 14.0  # Longer than any lease that an owner may reckon with.
+LONG_S = 30.0  # Longer than any lease that an owner may reckon with.
 FIRST_JOB, SECOND_JOB = "a" * 16, "b" * 16
 
 
@@ -41,7 +41,7 @@
     "chain": Work((_make_step(), _make_step(after=(0,))), SHORT_S),
     "gang": Work((_make_step(2, gang=True),), LONG_S),
     "lasting": Work(
-        (_make_step(until_cancelled=True),), LONG_S, cancelled_at_s=LONG_S
+        (_make_step(until_cancelled=True),), LONG_S, cancelled_at_s=LONG_S / 2
     ),
     "failing": Work((_make_step(),), SHORT_S, fails_first=True),
     "two-jobs": Work((_make_step(),), LONG_S, second_at_s=0.8),
