--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -125,6 +125,7 @@
         self.fail_on: set[str] = set()
         self.unreachable_read_at = 0.0
         self.store_up = True
+        self.inventory_up = True
         self._worker_list = worker_list.WorkerList()
         self.completed_at: dict[str, float] = {}
         self._run_s = run_s
@@ -349,6 +350,13 @@
         )
         self.call_later(self.append_s, lambda: store(owner, effect))
 
+    def read_inventory(self, owner: owners.Owner) -> None:
+        """Tells an owner which workers are alive, if that can be read."""
+        if self.inventory_up:
+            alive = frozenset(n for n, w in self.workers.items() if w.up)
+            event = events.InventoryRead(self.now, self.now, alive)
+            self.call_later(self.order_s, lambda: owner.post(event))
+
     def _append(self, owner: owners.Owner, effect: effects.Append) -> None:
         if owner.is_over():
             return
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -207,6 +207,8 @@
                 world.notes[effect.event] += 1
             elif isinstance(effect, effects.Append | effects.Publish):
                 world.store_effect(self, effect)
+            elif isinstance(effect, effects.ReadInventory):
+                self._world.read_inventory(self)
             elif isinstance(effect, effects.Order):
                 self.pollers.execute(world.checker.judge(self.epoch, effect))
             elif isinstance(effect, effects.AllowLeases | effects.Acknowledge):
