--- a/poplarspindle/tools/explorer/course.py
+++ b/poplarspindle/tools/explorer/course.py
@@ -13,7 +13,7 @@
     owners,
 )
 
-NEXT_OWNER_AFTER_S = 2.5  # Of silence of an owner; the group and its log.
+NEXT_OWNER_AFTER_S = 1.3  # Of silence of an owner.
 RESIGNED_AFTER_S = 0.4  # From the last renewals to the next owner's claim.
 NO_CLOCK_S = float("-inf")
 APPEND_RETRY_S = 0.2
@@ -61,12 +61,12 @@
         tell: Tell,
         choose_fate: Callable[[], messages.Fate],
     ) -> None:
+        # Owners that hear nothing of the store, and until when.
+        self._cut_owners: dict[int, float] = {}
+        self._missing: collections.Counter = collections.Counter()
         super().__init__(1, workers, run_s=lambda rng: run_s, fail=fail)
         self._cuts: collections.Counter = collections.Counter()
-        self._missing: collections.Counter = collections.Counter()
         self._owners_before: list[owners.Owner] = []
-        # Owners that hear nothing of the store, and until when.
-        self._cut_owners: dict[int, float] = {}
         self.notes = _Notes(tell)
 
         def handle_moment(moment: messages.Moment) -> None:
@@ -113,6 +113,11 @@
         for owner in self._owners_before:
             owner.tick()
 
+    def list_workers(self) -> None:
+        """Lets the newest owner read the list, if it hears the store."""
+        if self.now >= self._cut_owners.get(self.owner.epoch, NO_CLOCK_S):
+            super().list_workers()
+
     def _append(self, owner: owners.Owner, effect: effects.Append) -> None:
         if self._may_store(owner, lambda: self._append(owner, effect)):
             super()._append(owner, effect)
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -69,7 +69,9 @@
 
     def stall(self, thread: str, seconds: float) -> None:
         """Lets one of its threads stand still."""
-        until = max(self._stalled_until[thread], self._world.now + seconds)
+        # Rounded as the times at which functions run: else it never wakes.
+        until = round(self._world.now + seconds, virtual_time.DIGITS)
+        until = max(self._stalled_until[thread], until)
         self._stalled_until[thread] = until
         wake = self._handle_events if thread == DECISIONS else self._run_calls
         self._world.call_later(until - self._world.now, wake)
