--- a/poplarspindle/tools/explorer/disruptions.py
+++ b/poplarspindle/tools/explorer/disruptions.py
@@ -12,6 +12,10 @@
 FROZEN_S = (2.0, 7.0, 15.0)
 OWNER_CUT_S = (2.0, 5.0, 12.0)
 BEHIND_S = (0.5, 2.0, 7.0, 15.0)
+NEXT_OWNERS = 30  # More than a course has.
+NEXT_OWNER_AFTER_S = 2.0  # Of silence of an owner; then all is calm again.
+RESIGNED_AFTER_S = 1.0
+ENTRY_EXPIRES_S = 3.3  # After its last heartbeat an entry is dropped.
 CUT_SOME_S = (5.0, 16.0)
 STORE_DOWN_S = (2.0, 7.0)
 # Moments of workers are disrupted at their worker, all others at this one.
@@ -93,21 +97,34 @@
 
 def _cut(for_s: float, from_store: bool) -> Disruption:
     return Disruption(
-        apply=lambda world, name: world.cut_worker(name, for_s, from_store),
+        apply=lambda world, name: world.disruptions.cut_worker(
+            name, for_s, from_store=from_store
+        ),
         lasts_s=for_s,
     )
 
 
+def _list_nodes(world: course.Course, nexts: bool) -> range:
+    """Lists the node of the present owner, or those of the next ones."""
+    present = world.owner.node
+    first = present + 1 if nexts else present
+    return range(first, first + NEXT_OWNERS if nexts else first + 1)
+
+
 def _cut_from(for_s: float, nexts: bool) -> Disruption:
     return Disruption(
-        apply=lambda world, name: world.cut_worker_from(name, for_s, nexts),
+        apply=lambda world, name: world.disruptions.cut_worker(
+            name, for_s, nodes=_list_nodes(world, nexts)
+        ),
         lasts_s=for_s,
     )
 
 
 def _restart(same_id: bool) -> Disruption:
     return Disruption(
-        apply=lambda world, name: world.restart_worker(name, same_id),
+        apply=lambda world, name: world.disruptions.restart_worker(
+            name, same_id
+        ),
         is_immediate=False,
         at_looks=True,
     )
@@ -115,7 +132,7 @@
 
 def _unlist(for_s: float) -> Disruption:
     return Disruption(
-        apply=lambda world, name: world.unlist_worker(name, for_s),
+        apply=lambda world, name: world.disruptions.unlist_worker(name, for_s),
         lasts_s=for_s,
     )
 
@@ -136,7 +153,7 @@
     | {
         f"cut-{for_s:g}-unlisted": _cut(for_s, True)
         for for_s in CUT_S
-        if for_s > course.ENTRY_EXPIRES_S
+        if for_s > ENTRY_EXPIRES_S
     }
     | {
         f"cut-from-{who}-{for_s:g}": _cut_from(for_s, who == "nexts")
@@ -154,29 +171,32 @@
     {"owner-replaced": _change_owner(lambda world: world.take_over())}
     | {
         f"owner-frozen-{for_s:g}": _change_owner(
-            lambda world, for_s=for_s: world.freeze_owner(for_s), for_s
+            lambda world, for_s=for_s: world.disruptions.freeze_owner(for_s),
+            for_s,
         )
         for for_s in FROZEN_S
     }
     | {
         f"owner-cut-{for_s:g}": _change_owner(
-            lambda world, for_s=for_s: world.cut_owner_from_store(for_s),
+            lambda world, for_s=for_s: world.disruptions.cut_owner_from_store(
+                for_s
+            ),
             for_s,
         )
         for for_s in OWNER_CUT_S
     }
     | {
         "owner-killed": _change_owner(
-            lambda world: world.kill_owner(), course.NEXT_OWNER_AFTER_S
+            lambda world: world.disruptions.kill_owner(), NEXT_OWNER_AFTER_S
         ),
         "owner-terminated": _change_owner(
-            lambda world: world.terminate_owner(), course.RESIGNED_AFTER_S
+            lambda world: world.disruptions.terminate_owner(), RESIGNED_AFTER_S
         ),
     }
     | {
         f"{thread}-behind-{for_s:g}": _change_owner(
-            lambda world, thread=thread, for_s=for_s: world.delay_thread(
-                thread, for_s
+            lambda world, thread=thread, for_s=for_s: (
+                world.disruptions.delay_thread(thread, for_s)
             ),
             for_s,
         )
@@ -186,7 +206,7 @@
 )
 STORE = {
     f"store-down-{for_s:g}": _change_owner(
-        lambda world, for_s=for_s: world.stop_store(for_s), for_s
+        lambda world, for_s=for_s: world.disruptions.stop_store(for_s), for_s
     )
     for for_s in STORE_DOWN_S
 }
