--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -101,6 +101,8 @@
     Attributes:
         retries_after_lag: Calls begun anew since this thread let their time
             pass.
+        retries_after_send_failure: Calls begun anew since their kept connection
+            took no byte.
     """
 
     def __init__(self) -> None:
@@ -121,6 +123,7 @@
         self._stopping = False
         self._logged_at = float("-inf")
         self.retries_after_lag = 0
+        self.retries_after_send_failure = 0
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -305,7 +308,24 @@
         """Tells whether to begin a call anew of which nothing was sent."""
         if transfer.tries >= MAX_TRIES:
             return False
-        return code in _SEND_FAILURES or self._loop_lagged(transfer, code)
+        if code not in _SEND_FAILURES:
+            return self._loop_lagged(transfer, code)
+        self.retries_after_send_failure += 1
+        if self._may_log():
+            _log.info(
+                "not-sent",
+                peer=transfer.call.peer,
+                calls_begun_anew=self.retries_after_send_failure,
+            )
+        return True
+
+    def _may_log(self) -> bool:
+        """Tells whether the last line about calls begun anew is old enough."""
+        now = time.monotonic()
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return False
+        self._logged_at = now
+        return True
 
     def _loop_lagged(self, transfer: _Transfer, code: int) -> bool:
         """Tells whether this thread, not the peer, let a call's time pass.
@@ -323,8 +343,7 @@
         if late_s < LOOP_LAG_S:
             return False
         self.retries_after_lag += 1
-        if now - self._logged_at >= LOG_INTERVAL_S:
-            self._logged_at = now
+        if self._may_log():
             _log.warning(
                 "late",
                 late_s=round(late_s, 3),
--- a/poplarspindle/tests/test_http_client.py
+++ b/poplarspindle/tests/test_http_client.py
@@ -310,6 +310,7 @@
     close_for_writing(peer.address)
     (found,) = send_all(calls, [make_call(peer.address, body=b"second")])
     assert found == outcomes.Ok(http_client.Answer(200, b"second"))
+    assert calls.retries_after_send_failure == 1
 
 
 def test_callback_that_raises_ends_nothing(calls, peer):
