Explorer: appends, stale reads, lapsed entries, restarts of all nodes, pauses

Of the table of disruptions the fates of appends to both logs, reads that are stale, entries that lapse, all nodes restarted, workers paused, relisted or with a slow clock were missing. Not in it: an owner whose clock stands still (the node reads one that does not; test_suspensions), offsets that move back and partitions dealt anew (one log without partitions).

--- a/poplarspindle/tools/explorer/disruptions.py
+++ b/poplarspindle/tools/explorer/disruptions.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from poplarspindle.tools.explorer import course, moments
-from poplarspindle.tools.fakes import messages, owners
+from poplarspindle.tools.fakes import messages, owners, virtual_store
 
 LATE_S = (0.5, 3.0, 7.0, 12.0)
 CUT_S = (2.0, 5.0, 12.0)
@@ -18,6 +18,21 @@
 ENTRY_EXPIRES_S = 3.3  # After its last heartbeat an entry is dropped.
 CUT_SOME_S = (5.0, 16.0)
 STORE_DOWN_S = (2.0, 7.0)
+PAUSED_S = (2.0, 7.0)
+STALE_S, STALE_FOR_S = 3.0, 6.0
+LAPSED_S = 2.0
+NODES_RESTART_AFTER_S = (0.1, 1.0, 6.0)
+OTHER_ADDRESS = "10.9.0.1:80"
+APPEND_FATES = tuple(
+    virtual_store.AppendFate(outcome, late_s)
+    for outcome, late_s in (
+        (virtual_store.AppendOutcome.UNANSWERED, 0.0),
+        (virtual_store.AppendOutcome.LATE, 1.0),
+        (virtual_store.AppendOutcome.LATE, 6.0),
+        (virtual_store.AppendOutcome.LOST, 0.0),
+        (virtual_store.AppendOutcome.BUSY, 0.0),
+    )
+)
 # Moments of workers are disrupted at their worker, all others at this one.
 FIRST_WORKER = "w0"
 FROM_ARRIVAL = "-from-arrival"
@@ -148,6 +163,46 @@
     )
 
 
+def _pause(for_s: float) -> Disruption:
+    return Disruption(
+        apply=lambda world, name: world.disruptions.pause_worker(name, for_s),
+        lasts_s=for_s,
+    )
+
+
+def _restart_nodes(after_s: float) -> Disruption:
+    return _change_owner(
+        lambda world: world.call_later(
+            after_s, world.disruptions.restart_all_nodes
+        ),
+        after_s + NEXT_OWNER_AFTER_S,
+    )
+
+
+def _change_append(topic: str, fate: virtual_store.AppendFate) -> Disruption:
+    """Returns what befalls the next append to a topic."""
+
+    def apply(world: course.Course) -> None:
+        choose = world.store.choose_append_fate
+
+        def choose_once(
+            found: virtual_store.AppendTry,
+        ) -> virtual_store.AppendFate:
+            if found.topic != topic:
+                return choose(found)
+            world.store.choose_append_fate = choose
+            return fate
+
+        world.store.choose_append_fate = choose_once
+
+    return _change_owner(apply, fate.late_s)
+
+
+def _name_append(topic: str, fate: virtual_store.AppendFate) -> str:
+    late = f"-{fate.late_s:g}" if fate.late_s else ""
+    return f"append-{topic}-{fate.outcome.value}{late}"
+
+
 WORKERS = (
     {f"cut-{for_s:g}": _cut(for_s, False) for for_s in CUT_S}
     | {
@@ -165,7 +220,16 @@
         "reborn-renamed": _restart(False),
         "unlisted-1": _unlist(1.0),
         "unlisted-8": _unlist(8.0),
+        "relisted": Disruption(
+            apply=lambda world, name: world.disruptions.relist_worker(
+                name, OTHER_ADDRESS
+            )
+        ),
+        "clock-slow": Disruption(
+            apply=lambda world, name: world.disruptions.slow_clock(name)
+        ),
     }
+    | {f"paused-{for_s:g}": _pause(for_s) for for_s in PAUSED_S}
 )
 OWNER = (
     {"owner-replaced": _change_owner(lambda world: world.take_over())}
@@ -204,14 +268,35 @@
         for for_s in BEHIND_S
     }
 )
-STORE = {
-    f"store-down-{for_s:g}": _change_owner(
-        lambda world, for_s=for_s: world.disruptions.stop_store(for_s), for_s
-    )
-    for for_s in STORE_DOWN_S
+STORE = (
+    {
+        f"store-down-{for_s:g}": _change_owner(
+            lambda world, for_s=for_s: world.disruptions.stop_store(for_s),
+            for_s,
+        )
+        for for_s in STORE_DOWN_S
+    }
+    | {
+        _name_append(topic, fate): _change_append(topic, fate)
+        for topic in (virtual_store.PROGRESS, virtual_store.SHARED)
+        for fate in APPEND_FATES
+    }
+    | {
+        "reads-stale-3": _change_owner(
+            lambda world: world.disruptions.stale_reads(STALE_S, STALE_FOR_S),
+            STALE_FOR_S,
+        ),
+        "entries-lapse-2": _change_owner(
+            lambda world: world.disruptions.lapse_entries(LAPSED_S), LAPSED_S
+        ),
+    }
+)
+NODES = {
+    f"nodes-restarted-{after_s:g}": _restart_nodes(after_s)
+    for after_s in NODES_RESTART_AFTER_S
 }
 # In the order in which they are explored.
-DISRUPTIONS = MESSAGES | WORKERS | OWNER | STORE
+DISRUPTIONS = MESSAGES | WORKERS | OWNER | STORE | NODES
 
 
 def split_name(name: str) -> tuple[str, float, str]:
