Orders: the most urgent that wait are sent first

Cause: orders that wait for the window had their turns in order of arrival, so starts of priority 0 waited behind hundreds of starts of priority 2. Turns, and the orders that wait for one worker, are now ordered by the priority of their queue, then by age; stops and paces come before starts, as before. Test: test_urgent_start_does_not_wait_behind_starts_that_can_wait (starts had no priority before).

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -387,5 +387,6 @@
         until_ms,
         run.task.checkpoint,
         fleet.now,
+        find_queue(fleet, run.job).priority,
     )
     return [effects.Order(worker.info.name, order)]
--- a/poplarspindle/fleet/orders.py
+++ b/poplarspindle/fleet/orders.py
@@ -19,6 +19,7 @@
         until_ms: End of the worker's leases, on its clock.
         checkpoint: Checkpoint to resume from, empty for none.
         decided_at: When it was decided, on the owner's clock.
+        priority: Priority of the job's queue; 0 comes first.
     """
 
     task: work.TaskName
@@ -28,6 +29,7 @@
     until_ms: int
     checkpoint: str = ""
     decided_at: float = dataclasses.field(default=float("inf"), compare=False)
+    priority: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +73,14 @@
     wait_ms: int
 
 
+URGENCY_OF_OTHERS = -1  # Stops free resources, paces protect what serves.
+
+
+def find_urgency(order: Order) -> int:
+    """Returns the urgency of an order to a worker; the lowest goes first."""
+    return order.priority if isinstance(order, Start) else URGENCY_OF_OTHERS
+
+
 def starts_run_of(order: Order, stop: Stop) -> bool:
     """Tells whether an order is to start the run that another is to stop."""
     run = (stop.task, stop.attempt)
--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -5,12 +5,17 @@
 they are sent again, over new connections, and less and less is carried out.
 With few in flight each is answered in time and the others wait their turn.
 
+Among the orders that wait, the most urgent have their turn first: while the
+owner is late, hundreds of starts of work that can wait are in line, and a start
+that is urgent would wait behind all of them, at each step of its job.
+
 The limit follows how long answers take: it shrinks while half of them come
 late, so a few slow workers do not shrink it, and grows while it is used up.
 """
 
-import collections
 import dataclasses
+import heapq
+import itertools
 import statistics
 from collections.abc import Callable
 
@@ -150,29 +155,32 @@
         self.limit = Limit()
         self.in_flight = 0
         self.waiting = 0
-        self._waiting_senders: collections.deque[Callable[[], None]] = (
-            collections.deque()
-        )
+        # Urgency, order of arrival and sender of each order that waits.
+        self._waiting_senders: list[tuple[int, int, Callable[[], None]]] = []
+        self._arrivals = itertools.count()
 
-    def try_begin(self, send: Callable[[], None]) -> bool:
+    def try_begin(self, send: Callable[[], None], urgency: int = 0) -> bool:
         """Takes a place for one order.
 
         Args:
             send: Called at the sender's turn where there is no place now; it
                 tries again then.
+            urgency: Urgency of the order; the lowest has its turn first.
 
         Returns:
             Whether there is a place.
         """
         if self.in_flight >= self.limit.orders:
             self.limit.was_reached = True
-            self._waiting_senders.append(send)
+            heapq.heappush(
+                self._waiting_senders, (urgency, next(self._arrivals), send)
+            )
             return False
         self.in_flight += 1
         return True
 
     def end(self, took_s: float) -> None:
-        """Gives a place back and lets the senders that waited longest send.
+        """Gives a place back and lets the senders whose turn it is send.
 
         Args:
             took_s: How long the order was in flight, seconds.
@@ -190,4 +198,5 @@
         for _ in range(len(self._waiting_senders)):
             if self.in_flight >= self.limit.orders:
                 return
-            self._waiting_senders.popleft()()
+            _, _, send = heapq.heappop(self._waiting_senders)
+            send()
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import typing
 from collections.abc import Callable
 
@@ -62,11 +63,10 @@
         self._failed_polls = 0
         self._awaited_end = 0  # Number of the end whose record is waited for.
         self._poll_timer: typing.Any = None
-        self._queued_orders: collections.deque[orders.Order] = (
-            collections.deque()
-        )
+        self._queued_orders: queued_orders.Queue = []
         self._orders_in_flight = 0
-        self._awaited_turns = 0
+        # Turns in the window's line, by urgency.
+        self._awaited_turns: collections.Counter[int] = collections.Counter()
         self._is_silent = False
         self.wait_ms = poll_waits.BUSY_WAIT_MS
         self.stopped = False
@@ -113,7 +113,7 @@
                 return
             self._drop_starts(order)
         self._count_waiting(1)
-        self._queued_orders.append(order)
+        queued_orders.insert(self._queued_orders, order)
         self._send_queued()
 
     def _drop_starts(self, stop: orders.Stop) -> None:
@@ -143,8 +143,8 @@
         self._count_waiting(queued)
         self._send_queued()
 
-    def _take_turn(self) -> None:
-        self._awaited_turns -= 1
+    def _take_turn(self, urgency: int) -> None:
+        self._awaited_turns[urgency] -= 1
         self._send_queued()
 
     def _send_queued(self) -> None:
@@ -157,30 +157,33 @@
         while self._queued_orders and not self.is_stopped():
             if not self._may_send(self._queued_orders[0]):
                 self._count_waiting(-1)
-                self._return_unsent(self._queued_orders.popleft())
+                self._return_unsent(self._queued_orders.pop(0))
                 continue
+            # Orders that grant no leases need none, and come first.
             if not self._has_room(self._queued_orders[0]):
-                if not queued_orders.bring_forward(self._queued_orders):
-                    return
-                continue
+                return
             if self._is_silent:
                 if self._orders_in_flight:
                     return
-                self._send(self._queued_orders.popleft(), lambda took_s: None)
+                self._send(self._queued_orders.pop(0), lambda took_s: None)
                 continue
             if self._orders_in_flight >= MAX_ORDERS_IN_FLIGHT:
                 return
-            if self._awaited_turns >= len(self._queued_orders):
+            urgency = queued_orders.find_urgency_without_turn(
+                self._queued_orders, self._awaited_turns
+            )
+            if urgency is None:
                 return
-            if not window.try_begin(self._take_turn):
-                self._awaited_turns += 1
+            turn = functools.partial(self._take_turn, urgency)
+            if not window.try_begin(turn, urgency):
+                self._awaited_turns[urgency] += 1
                 continue
             self._count_waiting(-1)
-            self._send(self._queued_orders.popleft(), window.end)
+            self._send(self._queued_orders.pop(0), window.end)
         while self._queued_orders:
             # The worker has another address now; none of these was sent.
             self._count_waiting(-1)
-            self._return_unsent(self._queued_orders.popleft())
+            self._return_unsent(self._queued_orders.pop(0))
 
     def _may_send(self, order: orders.Order) -> bool:
         """Returns whether this owner may still send an order.
--- a/poplarspindle/node/queued_orders.py
+++ b/poplarspindle/node/queued_orders.py
@@ -1,24 +1,37 @@
-"""Orders that wait for their worker, in the order in which they are sent."""
+"""Orders that wait for their worker: the most urgent first, then the oldest."""
 
+import bisect
 import collections
 
 from poplarspindle.fleet import orders
 
-Queue = collections.deque[orders.Order]
+Queue = list[orders.Order]
 
 
-def bring_forward(queue: Queue) -> bool:
-    """Moves the first order that grants no leases ahead of all starts.
+def insert(queue: Queue, order: orders.Order) -> None:
+    """Adds an order behind those that are as urgent."""
+    bisect.insort(queue, order, key=orders.find_urgency)
+
+
+def find_urgency_without_turn(
+    queue: Queue, awaited_turns: collections.Counter[int]
+) -> int | None:
+    """Returns the urgency of the first order that has no turn in line.
+
+    Args:
+        queue: The orders that wait.
+        awaited_turns: Turns in line, by urgency.
 
     Returns:
-        Whether there is one.
+        The urgency, None if each order has a turn.
     """
+    turns_left = collections.Counter(awaited_turns)
     for order in queue:
-        if not isinstance(order, orders.Start):
-            queue.remove(order)
-            queue.appendleft(order)
-            return True
-    return False
+        urgency = orders.find_urgency(order)
+        if not turns_left[urgency]:
+            return urgency
+        turns_left[urgency] -= 1
+    return None
 
 
 def remove_starts(queue: Queue, stop: orders.Stop) -> list[orders.Order]:
--- a/poplarspindle/tests/test_order_room.py
+++ b/poplarspindle/tests/test_order_room.py
@@ -2,6 +2,8 @@
 
 import threading
 
+import pytest
+
 from poplarspindle import resources
 from poplarspindle.fleet import effects, orders, work, worker_state
 from poplarspindle.node import polling
@@ -103,3 +105,28 @@
         done(orders.Answer(None))
     assert sent == list(range(len(sequence)))
     assert (own.order_window.waiting, own.order_window.in_flight) == (0, 0)
+
+
+@pytest.mark.parametrize("workers", [1, 4])
+def test_urgent_start_does_not_wait_behind_starts_that_can_wait(workers):
+    """SHORT: the owner is late, and hundreds of starts are in line.
+
+    Each step of a job with priority 0 waits behind those with priority 2.
+    """
+    own = test_polling.FakeOwnership(test_overrun.SlowClient())
+    own.order_window.limit.orders = 1
+    pollers = [polling.WorkerPoller(own, WORKER) for _ in range(workers)]
+    priorities = [2, 2, 2, 0, 2, 1, 0, 2]
+    for number, priority in enumerate(priorities):
+        name = work.TaskName("j", 0, 0, number)
+        pollers[number % workers].send_order(
+            orders.Start(name, 1, 16, "", 9000, priority=priority)
+        )
+    client, sent = pollers[0].client, []
+    while client.sent:
+        ((order, done),) = client.sent
+        client.sent = []
+        sent.append(order.task.index)
+        done(orders.Answer(None))
+    assert sent == [0, 3, 6, 5, 1, 2, 4, 7]
+    assert (own.order_window.waiting, own.order_window.in_flight) == (0, 0)
