Looks at shared workers each 550 ms only where tails need them

A look at tails that are below 0.85 of their targets beside runs at full speed changes nothing, and ends of runs are told at once anyway. So such a worker is looked at each second, as others with runs are, and each 550 ms again as soon as a tail is near its target or a run is slowed down.

--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -174,6 +174,9 @@
     else:
         worker.target_missed_since = min(worker.target_missed_since, fleet.now)
     tail_model.learn(fleet.tail_model, worker, fleet.now)
+    worker.tails_need_watch = tail_ratio >= HIGH_TAIL_SHARE or any(
+        run.percent != 100 for run in best_effort_runs
+    )
     if not best_effort_runs or fleet.now - worker.paced_at < PACE_INTERVAL_S:
         return []
     over_s = fleet.now - worker.target_missed_since
@@ -190,6 +193,7 @@
         new_paces = plan_paces(fleet, worker, best_effort_runs)
     if not new_paces:
         return []
+    worker.tails_need_watch = True
     worker.paced_at = fleet.now
     effect_list: list = []
     for run in best_effort_runs:
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -190,6 +190,8 @@
         poll_failed: Whether it did not answer the last poll.
         logged_unreachable: Whether the log may list it as unreachable.
         paced_at: When the pace of its best-effort runs last changed.
+        tails_need_watch: Whether its tail latencies are near their targets, or
+            best-effort runs are slowed down for their sake.
         target_missed_since: Since when a tail latency exceeds its target,
             infinity if none does.
         leaves_at: Earliest time at which it shuts down, infinity if it stays.
@@ -232,6 +234,7 @@
         self.poll_failed = False
         self.logged_unreachable = False
         self.paced_at = float("-inf")
+        self.tails_need_watch = True
         self.target_missed_since = float("inf")
         self.leaves_at = float("inf")
         self.missing_since = float("inf")
