Owner: a line each second about its calls and the orders that wait

The line 'calls' names calls by kind, waiting orders by urgency, the window and how late the thread that carries the calls is.

--- a/poplarspindle/node/order_window.py
+++ b/poplarspindle/node/order_window.py
@@ -13,6 +13,7 @@
 late, so a few slow workers do not shrink it, and grows while it is used up.
 """
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -148,6 +149,7 @@
         limit: The limit of orders in flight.
         in_flight: Orders in flight.
         waiting: Orders that wait for their turn or for their worker.
+        calls: Calls to workers by kind, since this was last cleared.
     """
 
     def __init__(self, read_clock: Callable[[], float] | None = None) -> None:
@@ -155,6 +157,7 @@
         self.limit = Limit()
         self.in_flight = 0
         self.waiting = 0
+        self.calls: collections.Counter[str] = collections.Counter()
         # Urgency, order of arrival and sender of each order that waits.
         self._waiting_senders: list[tuple[int, int, Callable[[], None]]] = []
         self._arrivals = itertools.count()
@@ -179,6 +182,12 @@
         self.in_flight += 1
         return True
 
+    def count_waiting(self) -> dict[int, int]:
+        """Counts the orders that wait for their turn, by urgency."""
+        return dict(
+            collections.Counter(row[0] for row in self._waiting_senders)
+        )
+
     def end(self, took_s: float) -> None:
         """Gives a place back and lets the senders whose turn it is send.
 
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -17,6 +17,7 @@
 )
 from poplarspindle.node import (
     appending,
+    call_log,
     clocks,
     http_client,
     inventory,
@@ -121,6 +122,11 @@
         """Starts all threads."""
         for component in (self._http_client, self._list, *self._appenders()):
             component.start()
+        self._http_client.run_soon(
+            lambda: call_log.start(
+                self._http_client.run_later, self.order_window, self.now
+            )
+        )
 
     def _appenders(self) -> tuple[appending.Appender, ...]:
         return self._progress, self._shared, self._intake
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -127,6 +127,9 @@
         if not self._is_silent:
             self._ownership.order_window.waiting += change
 
+    def _count_call(self, kind: str) -> None:
+        self._ownership.order_window.calls[kind] += 1
+
     def _set_silent(self, is_silent: bool) -> None:
         """Notes whether the worker answers looks.
 
@@ -221,6 +224,7 @@
             end_turn: Takes how long it was in flight, seconds.
         """
         self._orders_in_flight += 1
+        self._count_call(type(order).__name__.lower())
         sent_at = self._ownership.now()
         order = dataclasses.replace(order, epoch=self.fence.token)
         key = (order.task, order.attempt, sent_at)
@@ -284,6 +288,7 @@
         acknowledged_end = 0 if self._is_silent else self._acknowledged_end
         order = orders.Poll(token, acknowledged_end, until_ms, wait_ms)
         self._leases.record_sent(sent_at, order, sent_at)
+        self._count_call("renewing-poll" if until_ms else "waiting-poll")
         self.client.poll(
             order,
             POLL_TIMEOUT_S,
@@ -303,6 +308,7 @@
         # are not, so that one order at a time may renew them late.
         sent_at = self._ownership.now()
         order = orders.Poll(self.fence.token, 0, 0, 0)
+        self._count_call("repeated-poll")
         self.client.poll(
             order,
             POLL_RETRY_TIMEOUT_S,
