Keep workers' costs between steps instead of ranking all for each

Callers saw urgent work end late on the large site while the owner's machine was busy. All accepting workers were ranked for each step tried, in each round: 67,833 ranks for 1,083 placements at 445 workers, of which few had changed since the step before.

A worker now keeps its cost by kind of step (need, label, rack, best effort, image of serving tasks) until its entry, runs or suspects change. What a best-effort task would harm moves with all that is learned of tails, but only adds to the cost. So the kept cost is a lower bound, and the harm is predicted anew for the workers at the top of the heap only, until the cheapest one has it. The headroom of a worker is still taken when it is first looked at after a change, so decisions are the same. Workers that accept tasks are listed without a call for each.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -20,6 +20,7 @@
     tail_model,
     usage,
     work,
+    worker_chooser,
     worker_state,
 )
 
@@ -39,6 +40,7 @@
         unplaceable_needs: Smallest need that fits no worker, by kind of step.
         unplaceable_reset_at: When all kinds were last tried on all workers.
         ranks: Rank of each ready step, and when it was computed.
+        cost_kinds: Numbers the kinds of steps by which workers are ranked.
         unplaceable_since: Since when a ready step fits on no worker.
         starved_tried_at: When a starved step was last tried on all workers.
         vacating_worker: Worker that tasks are moved away from, "" for none.
@@ -108,6 +110,7 @@
         ] = {}
         self.unplaceable_reset_at = float("-inf")
         self.ranks: dict[tuple[str, int, int], tuple[tuple, float]] = {}
+        self.cost_kinds = worker_chooser.CostKinds()
         self.unplaceable_since: dict[tuple[str, int, int], float] = {}
         self.starved_tried_at: dict[tuple[str, int, int], float] = {}
         self.vacating_worker = ""
--- a/poplarspindle/fleet/pacing.py
+++ b/poplarspindle/fleet/pacing.py
@@ -103,9 +103,14 @@
     """
 
     def predict(worker: worker_state.WorkerState) -> float:
+        headroom = worker.headroom_by_image
+        if headroom is None:
+            headroom = get_headroom(fleet, worker)
+        if not headroom:
+            return 0.0
         share = tail_model.get_requested_share(worker, step)
         max_use = 0.0
-        for image, image_headroom in get_headroom(fleet, worker).items():
+        for image, image_headroom in headroom.items():
             weight = weights.get(image)
             if weight is None:
                 weight = tail_model.estimate_weight(
@@ -114,10 +119,9 @@
                 weights[image] = weight
             slowdown = weight * share
             if slowdown > NEGLIGIBLE_SLOWDOWN:
-                max_use = max(
-                    max_use,
-                    slowdown / max(image_headroom, NEGLIGIBLE_SLOWDOWN / 100),
-                )
+                use = slowdown / max(image_headroom, NEGLIGIBLE_SLOWDOWN / 100)
+                if use > max_use:
+                    max_use = use
         return max_use
 
     return predict
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -152,6 +152,7 @@
                 key,
                 pacing.make_predictor(fleet, step, weights),
                 fleet.mechanisms,
+                fleet.cost_kinds,
             )
             effect_list = place_step(fleet, chooser, job, step, key)
             if count_start_room(fleet) <= 0:
@@ -204,6 +205,7 @@
             key,
             starvation.admit_any_harm(predict),
             fleet.mechanisms,
+            fleet.cost_kinds,
         )
         return place_step(fleet, chooser, job, step, key, 1)
 
@@ -227,13 +229,9 @@
             )
             accepting_workers = self._accepting_workers[
                 service, changed_only
-            ] = [
-                worker
-                for worker in workers
-                if worker_selection.accepts_tasks(
-                    worker, service, fleet.excluded_data_centres, fleet.now
-                )
-            ]
+            ] = worker_selection.list_accepting(
+                workers, service, fleet.excluded_data_centres, fleet.now
+            )
         return accepting_workers
 
 
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -108,7 +108,7 @@
         elif worker.info.presence is not info.presence:
             effect_list.append(_make_worker_note("presence", info))
         if worker.info is not info or not worker.listed:
-            worker.available = None
+            worker_state.forget_computed(worker)
             worker.may_accept_more = fleet.placement_needed = True
         worker.listed = True
         worker.info = info
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -170,7 +170,7 @@
         for listed_run in event.report.running
     }
     worker.unknown_run_resources = resources.ZERO
-    worker.available = None
+    worker_state.forget_computed(worker)
     for key, listed_run in listed_runs.items():
         run = worker.runs.get(key)
         if run is None:
--- a/poplarspindle/fleet/worker_chooser.py
+++ b/poplarspindle/fleet/worker_chooser.py
@@ -1,11 +1,14 @@
 """Chooses the workers for all tasks of one step. Used within a placement round.
 
-Load pattern: steps of many tasks in a fleet of hundreds of workers. Placing a
-task changes the rank of its own worker only, so workers are ranked once per
-step and kept in a heap.
+Load pattern: steps of many tasks in a fleet of hundreds of workers, of which
+few change between two steps. So a worker's cost for a kind of step is kept
+until the worker changes, and workers are taken from a heap. What a best-effort
+task would harm changes with all that is learned of tail latencies; it only
+raises a cost, so it is predicted for the workers at the top of the heap alone.
 """
 
 import heapq
+import itertools
 from collections.abc import Callable
 
 from poplarspindle.fleet import (
@@ -15,7 +18,46 @@
     worker_state,
 )
 
+MAX_COST_KINDS = 1000
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
+# A cost, the worker's name, the worker, and whether the cost has the harm.
+_Entry = tuple[float, str, worker_state.WorkerState, bool]
+_UNKNOWN = ()
+
+
+class CostKinds:
+    """Numbers the kinds of steps for which a worker's cost is the same.
+
+    Workers keep their costs by these numbers. No number is used twice.
+    """
+
+    def __init__(self) -> None:
+        self._numbers: dict[tuple, int] = {}
+        self._next = itertools.count()
+
+    def find(self, step: work.Step, rack: str) -> int:
+        """Returns the number of a step's kind.
+
+        Args:
+            step: The step.
+            rack: Rack of its other tasks, empty for any.
+        """
+        kind = (
+            step.need.millicores,
+            step.need.memory_mb,
+            step.need.accelerators,
+            step.best_effort,
+            step.label,
+            step.rack or rack,
+            bool(step.target_ms),
+            step.image if step.target_ms else "",
+        )
+        number = self._numbers.get(kind)
+        if number is None:
+            if len(self._numbers) >= MAX_COST_KINDS:
+                self._numbers.clear()
+            number = self._numbers[kind] = next(self._next)
+        return number
 
 
 class WorkerChooser:
@@ -30,8 +72,10 @@
         key: Its job id, occurrence and step number.
         predict_headroom_use: Predicts which share of a worker's tail-latency
             headroom a best-effort task of the step would use; above 1 is
-            too much.
+            too much, and no less than 0.
         used: Mechanisms in use.
+        cost_kinds: Numbers of the costs that the workers keep; always the same
+            one, and with the same mechanisms.
     """
 
     def __init__(
@@ -40,21 +84,21 @@
         step: work.Step,
         key: StepKey,
         predict_headroom_use: Callable[[worker_state.WorkerState], float],
-        used: mechanisms.Mechanisms = mechanisms.ALL,
+        used: mechanisms.Mechanisms,
+        cost_kinds: CostKinds,
     ) -> None:
         self._workers = workers
         self._step = step
         self._key = key
         self._predict_headroom_use = predict_headroom_use
         self._used = used
+        self._cost_kinds = cost_kinds
         self._reserved = worker_state.get_reserved(step)
         self._min_free_millicores = (
             worker_selection.MIN_BEST_EFFORT_SHARE * step.need.millicores
         )
         self._rack = ""
-        self._heap: list[tuple[float, str, worker_state.WorkerState]] | None = (
-            None
-        )
+        self._heap: list[_Entry] | None = None
 
     def choose(
         self,
@@ -83,10 +127,27 @@
             if worker is not None:
                 return worker
         if self._heap is None:
-            entries = (self._rank_worker(worker) for worker in self._workers)
-            self._heap = [entry for entry in entries if entry is not None]
+            self._heap = self._list_entries(self._workers)
             heapq.heapify(self._heap)
-        return self._heap[0][2] if self._heap else None
+        return self._choose_first(self._heap)
+
+    def _choose_first(
+        self, heap: list[_Entry]
+    ) -> worker_state.WorkerState | None:
+        """Adds the harm to costs at the top, until the lowest one has it."""
+        while heap:
+            _, name, worker, has_harm = heap[0]
+            if has_harm:
+                return worker
+            headroom_use = self._predict_headroom_use(worker)
+            if headroom_use > worker_selection.MAX_HEADROOM_USE:
+                heapq.heappop(heap)
+                continue
+            cost = worker_selection.rank_worker(
+                worker, self._step, self._rack, headroom_use, self._used
+            )
+            heapq.heapreplace(heap, (cost, name, worker, True))
+        return None
 
     def _choose_for_suspect(
         self, may_share: bool
@@ -114,22 +175,47 @@
             self._heap = None
         if self._heap is None:
             return
-        new_entry = self._rank_worker(worker)
+        new_entries = self._list_entries([worker])
         if self._heap and self._heap[0][2] is worker:
-            if new_entry is None:
-                heapq.heappop(self._heap)
+            if new_entries:
+                heapq.heapreplace(self._heap, new_entries[0])
             else:
-                heapq.heapreplace(self._heap, new_entry)
+                heapq.heappop(self._heap)
             return
         self._heap = [entry for entry in self._heap if entry[2] is not worker]
-        if new_entry is not None:
-            self._heap.append(new_entry)
+        self._heap += new_entries
         heapq.heapify(self._heap)
 
-    def _rank_worker(
-        self, worker: worker_state.WorkerState
-    ) -> tuple[float, str, worker_state.WorkerState] | None:
-        """Returns a worker's heap entry, None if it can't take a task."""
+    def _list_entries(
+        self, workers: list[worker_state.WorkerState]
+    ) -> list[_Entry]:
+        """Lists the entries of those workers that can take a task.
+
+        The costs of best-effort tasks are without their harm.
+        """
+        kind = self._cost_kinds.find(self._step, self._rack)
+        entries = []
+        for worker in workers:
+            entry = worker.costs.get(kind, _UNKNOWN)
+            if entry is _UNKNOWN:
+                entry = worker.costs[kind] = self._make_entry(worker)
+            if entry is not None:
+                entries.append(entry)
+        if not self._step.max_per_worker:
+            return entries
+        return [
+            entry
+            for entry in entries
+            if worker_selection.meets_constraints(
+                entry[2], self._step, self._key
+            )
+        ]
+
+    def _make_entry(self, worker: worker_state.WorkerState) -> _Entry | None:
+        """Makes a worker's entry without harm, None if it can't take a task.
+
+        Whether it has too many tasks of the step already is not looked at.
+        """
         step = self._step
         if (
             step.best_effort
@@ -139,14 +225,12 @@
             return None
         if not self._reserved.fits_in(worker_state.get_available(worker)):
             return None
-        if not worker_selection.meets_constraints(worker, step, self._key):
-            return None
-        headroom_use = (
-            self._predict_headroom_use(worker) if step.best_effort else 0.0
-        )
-        if headroom_use > worker_selection.MAX_HEADROOM_USE:
+        if step.label and step.label not in worker.info.labels:
             return None
-        rank = worker_selection.rank_worker(
-            worker, step, self._rack, headroom_use, self._used
+        if step.best_effort:
+            # Keeps the headroom as it is now, however late it is needed.
+            self._predict_headroom_use(worker)
+        cost = worker_selection.rank_worker(
+            worker, step, self._rack, 0.0, self._used
         )
-        return rank, worker.info.name, worker
+        return cost, worker.info.name, worker, not step.best_effort
--- a/poplarspindle/fleet/worker_selection.py
+++ b/poplarspindle/fleet/worker_selection.py
@@ -52,6 +52,38 @@
     )
 
 
+def list_accepting(
+    workers: Iterable[worker_state.WorkerState],
+    service: str,
+    excluded_data_centres: frozenset[str],
+    at: float,
+) -> list[worker_state.WorkerState]:
+    """Lists the workers that accept tasks of a service.
+
+    Load pattern: hundreds of workers are asked in each placement round. The
+    checks are those of `accepts_tasks`, without a call for each worker.
+
+    Args:
+        workers: The workers.
+        service: Name of the service.
+        excluded_data_centres: Data centres that get no new tasks.
+        at: Current time, local clock.
+    """
+    never = float("-inf")
+    ready = work.Presence.READY
+    return [
+        worker
+        for worker in workers
+        if worker.listed
+        and at >= worker.no_placement_until
+        and worker.last_report_at > never
+        and not worker.logged_unreachable
+        and (info := worker.info).service == service
+        and info.presence is ready
+        and info.data_centre not in excluded_data_centres
+    ]
+
+
 def meets_constraints(
     worker: worker_state.WorkerState, step: work.Step, key: tuple
 ) -> bool:
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -168,6 +168,8 @@
         reserved: Resources that its runs reserve, without the processors of
             best-effort runs.
         available: Free resources, None if they have to be computed again.
+        costs: Its costs for tasks as `worker_chooser` keeps them, by kind of
+            task; emptied at each change.
         best_effort_millicores: Millicores that its best-effort runs are
             expected to use at full speed.
         latency_critical_millicores: Millicores that its latency-critical runs
@@ -217,6 +219,7 @@
         self.suspects: set[tuple[work.TaskName, int]] = set()
         self.reserved = resources.ZERO
         self.available: resources.Resources | None = None
+        self.costs: dict[int, tuple | None] = {}
         self.best_effort_millicores = 0
         self.latency_critical_millicores = 0
         self.latency_critical_by_image: collections.Counter = (
@@ -250,10 +253,20 @@
     return resources.Resources(0, step.need.memory_mb, step.need.accelerators)
 
 
+def forget_computed(worker: WorkerState) -> None:
+    """Drops what was computed from a worker's entry and runs, but headroom.
+
+    To be called whenever these or its suspects have changed.
+    """
+    worker.available = None
+    worker.costs.clear()
+
+
 def add_run(worker: WorkerState, run: Run) -> None:
     """Adds a run to a worker and reserves its resources."""
     worker.runs[run.key] = run
-    worker.available = worker.headroom_by_image = None
+    forget_computed(worker)
+    worker.headroom_by_image = None
     worker.reserved = worker.reserved + get_reserved(run.step)
     worker.runs_by_step[_get_step_key(run)] += 1
     if run.task.is_suspect:
@@ -273,7 +286,8 @@
         return
     worker.may_accept_more = True
     worker.suspects.discard(run.key)
-    worker.available = worker.headroom_by_image = None
+    forget_computed(worker)
+    worker.headroom_by_image = None
     worker.reserved = worker.reserved - get_reserved(run.step)
     key = _get_step_key(run)
     worker.runs_by_step[key] -= 1
@@ -292,6 +306,7 @@
     worker: WorkerState, run: Run, millicores: int
 ) -> None:
     """Changes what a best-effort run on a worker is expected to use."""
+    forget_computed(worker)
     worker.best_effort_millicores += millicores - run.expected_millicores
     run.expected_millicores = millicores
 
--- a/poplarspindle/tests/test_placement_rounds.py
+++ b/poplarspindle/tests/test_placement_rounds.py
@@ -7,6 +7,7 @@
 from poplarspindle import resources
 from poplarspindle.fleet import (
     job_store,
+    mechanisms,
     work,
     worker_chooser,
     worker_selection,
@@ -119,7 +120,12 @@
     expected = place_tasks(scanned_workers, step, choose_by_scan)
     workers = make_workers(random.Random(seed), 60)
     chooser = worker_chooser.WorkerChooser(
-        workers, step, key, predict_headroom_use
+        workers,
+        step,
+        key,
+        predict_headroom_use,
+        mechanisms.ALL,
+        worker_chooser.CostKinds(),
     )
 
     def choose(chosen_workers):
