Pass over settled workers at ticks, and count runs by job

Callers saw urgent work end late on the large site while the owner's machine was busy. Every run of every worker was looked at 20 times a second, for answers to record and stops to repeat; each end of a job went through the steps of the runs of all workers. Both grow with workers.

A worker's runs are settled when none is stopping and the log tells of each that its starts were answered. That lasts until a run is added or told to stop, so a tick passes over such a worker if it was heard within the last second, answers polls and stays. The end of leases is searched for only where a worker is silent, and not sorted for without orders that got no answer. Workers count runs by job, so that the end of a job asks each once.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -331,6 +331,7 @@
         requeue(fleet, run)
         return []
     run.stopping = True
+    worker.runs_settled = False
     if run.stop_in_flight or fleet.now < run.stop_after:
         return []
     run.stop_in_flight = True
@@ -357,7 +358,7 @@
         del fleet.failed_on[task]
     effect_list = [make_log_note("jobs", "ended", name, state=state.value)]
     for worker in fleet.workers.values():
-        if not any(key[0] == name for key in worker.runs_by_step):
+        if name not in worker.runs_by_job:
             continue
         for run in [r for r in worker.runs.values() if r.name.job == name]:
             effect_list += stop_run(fleet, worker, run)
--- a/poplarspindle/fleet/grants.py
+++ b/poplarspindle/fleet/grants.py
@@ -85,6 +85,8 @@
 def find_leases_end(worker: Account) -> float:
     """Returns when all leases of a worker are over at the latest."""
     end = worker.leases_end_at
+    if not worker.unanswered_grants:
+        return end
     for grant in sorted(
         worker.unanswered_grants, key=lambda grant: grant.latest_at
     ):
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -16,13 +16,13 @@
     fleet_state,
     grants,
     job_store,
-    late_starts,
     orders,
     placement_rounds,
     ranking,
     ready_steps,
     recording,
     reports,
+    run_checks,
     takeover,
     waiting,
     work,
@@ -30,7 +30,6 @@
     worker_state,
 )
 
-DRAIN_MARGIN_MS = 900
 LOAD_SUMMARY_INTERVAL_S = 1.0
 POLL_FAILED_EXCLUSION_S = 1.0
 EXCLUSION_END_WINDOW_S = 0.5  # Longer than a tick, so no end is missed.
@@ -229,15 +228,16 @@
         job = fleet.job_store.jobs[name]
         if job.submission.occurrence_count:
             fleet_state.open_due_occurrences(fleet, job)
+    now = fleet.now
     for worker in list(fleet.workers.values()):
         if (
             worker.no_placement_until
-            <= fleet.now
+            <= now
             < worker.no_placement_until + EXCLUSION_END_WINDOW_S
         ):
             worker.may_accept_more = True
-        if worker.runs:
-            effect_list += _check_worker(fleet, worker)
+        if worker.runs and not run_checks.is_settled(worker, now):
+            effect_list += run_checks.check_runs(fleet, worker)
     if fleet.now - fleet.load_logged_at >= LOAD_SUMMARY_INTERVAL_S:
         fleet.load_logged_at = fleet.now
         effect_list.append(_make_load_note(fleet))
@@ -290,74 +290,6 @@
     )
 
 
-def _check_worker(
-    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
-) -> list:
-    """Requeues a worker's runs after its leases, or stops those due to end.
-
-    Its leases include what an order without an answer may add to them. A run
-    that a late start may begin waits beyond them, unless the worker is gone. On
-    a worker that leaves, runs that last until cancelled stop at once, others
-    shortly before it leaves. A run whose start was not sent is stopped if the
-    worker fails polls.
-    """
-    effect_list = []
-    if (
-        fleet.now >= grants.find_leases_end(worker)
-        and fleet.now - worker.last_report_at > 1.0
-    ):
-        for run in list(worker.runs.values()):
-            may_run_late = late_starts.may_run_late(run, fleet.now)
-            if may_run_late and not absence.is_gone(fleet, worker):
-                effect_list += _hold_back(fleet, worker, run)
-                continue
-            crashes.remember_lost_run(fleet, worker, run)
-            why = "worker-gone" if may_run_late else "lease-lapsed"
-            effect_list += fleet_state.requeue_lost_run(
-                fleet, worker, run, why, True
-            )
-        worker.last_report_at = float("-inf")
-        return effect_list
-    remaining_ms = (worker.leaves_at - fleet.now) * 1000
-    leaves_soon = remaining_ms < DRAIN_MARGIN_MS + 900
-    for run in list(worker.runs.values()):
-        must_move = run.step.until_cancelled and worker.leaves_at < float("inf")
-        start_blocked = (
-            worker.poll_failed and run.recorded and not run.start_sent
-        )
-        if late_starts.is_answer_to_record(run, fleet.now):
-            run.task.answered_attempt = run.attempt
-            fleet_state.mark_task_changed(fleet, run.name)
-        if run.stopping or leaves_soon or must_move or start_blocked:
-            effect_list += fleet_state.stop_run(fleet, worker, run)
-    return effect_list
-
-
-def _hold_back(
-    fleet: fleet_state.FleetState,
-    worker: worker_state.WorkerState,
-    run: worker_state.Run,
-) -> list:
-    """Notes once that a run's task waits although the leases ended."""
-    if run.held_back:
-        return []
-    run.held_back = True
-    until = late_starts.find_late_run_end(run)
-    return [
-        fleet_state.make_log_note(
-            "runs",
-            "held-back",
-            run.name.job,
-            task=fleet_state.format_task(run.name),
-            attempt=run.attempt,
-            worker=worker.info.name,
-            silences=run.unanswered_starts,
-            in_flight=run.start_in_flight,
-            for_ms=int((until - fleet.now) * 1000),
-        )
-    ]
-
-
 def _drop_expired_jobs(fleet: fleet_state.FleetState) -> list:
     """Drops the records of jobs whose retention time is over, oldest first."""
     expired_jobs: list = []
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Hashable
 
 from poplarspindle import resources
 from poplarspindle.fleet import job_store, work
@@ -163,7 +164,11 @@
         runs: Runs placed on it.
         unknown_run_resources: Resources of runs that it reports but that are
             not placed on it; they are being stopped.
+        runs_settled: Whether no run was found to be stopping, or started
+            without a record of the answer, since one was last added; see
+            `run_checks`.
         runs_by_step: Number of runs by job, occurrence and step.
+        runs_by_job: Number of runs by job.
         suspects: Keys of its runs that may have crashed another worker.
         reserved: Resources that its runs reserve, without the processors of
             best-effort runs.
@@ -215,7 +220,9 @@
         self.last_end_recorded = 0
         self.runs: dict[tuple[work.TaskName, int], Run] = {}
         self.unknown_run_resources = resources.ZERO
+        self.runs_settled = False
         self.runs_by_step: collections.Counter = collections.Counter()
+        self.runs_by_job: collections.Counter = collections.Counter()
         self.suspects: set[tuple[work.TaskName, int]] = set()
         self.reserved = resources.ZERO
         self.available: resources.Resources | None = None
@@ -265,10 +272,12 @@
 def add_run(worker: WorkerState, run: Run) -> None:
     """Adds a run to a worker and reserves its resources."""
     worker.runs[run.key] = run
+    worker.runs_settled = False
     forget_computed(worker)
     worker.headroom_by_image = None
     worker.reserved = worker.reserved + get_reserved(run.step)
     worker.runs_by_step[_get_step_key(run)] += 1
+    worker.runs_by_job[run.name.job] += 1
     if run.task.is_suspect:
         worker.suspects.add(run.key)
     if run.step.best_effort:
@@ -289,10 +298,8 @@
     forget_computed(worker)
     worker.headroom_by_image = None
     worker.reserved = worker.reserved - get_reserved(run.step)
-    key = _get_step_key(run)
-    worker.runs_by_step[key] -= 1
-    if not worker.runs_by_step[key]:
-        del worker.runs_by_step[key]
+    _count_down(worker.runs_by_step, _get_step_key(run))
+    _count_down(worker.runs_by_job, run.name.job)
     if run.step.best_effort:
         worker.best_effort_millicores -= run.expected_millicores
     if run.step.target_ms:
@@ -302,6 +309,12 @@
         )
 
 
+def _count_down(counter: collections.Counter, key: Hashable) -> None:
+    counter[key] -= 1
+    if not counter[key]:
+        del counter[key]
+
+
 def set_expected_millicores(
     worker: WorkerState, run: Run, millicores: int
 ) -> None:
