--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Hashable
 
 from poplarspindle import resources
 from poplarspindle.fleet import job_store, work
@@ -163,11 +164,17 @@
         runs: Runs placed on it.
         unknown_run_resources: Resources of runs that it reports but that are
             not placed on it; they are being stopped.
+        runs_settled: Whether no run was found to be stopping, or started
+            without a record of the answer, since one was last added; see
+            `run_checks`.
         runs_by_step: Number of runs by job, occurrence and step.
+        runs_by_job: Number of runs by job.
         suspects: Keys of its runs that may have crashed another worker.
         reserved: Resources that its runs reserve, without the processors of
             best-effort runs.
         available: Free resources, None if they have to be computed again.
+        costs: Its costs for tasks as `worker_chooser` keeps them, by kind of
+            task; emptied at each change.
         best_effort_millicores: Millicores that its best-effort runs are
             expected to use at full speed.
         latency_critical_millicores: Millicores that its latency-critical runs
@@ -215,10 +222,13 @@
         self.last_end_recorded = 0
         self.runs: dict[tuple[work.TaskName, int], Run] = {}
         self.unknown_run_resources = resources.ZERO
+        self.runs_settled = False
         self.runs_by_step: collections.Counter = collections.Counter()
+        self.runs_by_job: collections.Counter = collections.Counter()
         self.suspects: set[tuple[work.TaskName, int]] = set()
         self.reserved = resources.ZERO
         self.available: resources.Resources | None = None
+        self.costs: dict[int, tuple | None] = {}
         self.best_effort_millicores = 0
         self.latency_critical_millicores = 0
         self.latency_critical_by_image: collections.Counter = (
@@ -253,12 +263,24 @@
     return resources.Resources(0, step.need.memory_mb, step.need.accelerators)
 
 
+def forget_computed(worker: WorkerState) -> None:
+    """Drops what was computed from a worker's entry and runs, but headroom.
+
+    To be called whenever these or its suspects have changed.
+    """
+    worker.available = None
+    worker.costs.clear()
+
+
 def add_run(worker: WorkerState, run: Run) -> None:
     """Adds a run to a worker and reserves its resources."""
     worker.runs[run.key] = run
-    worker.available = worker.headroom_by_image = None
+    worker.runs_settled = False
+    forget_computed(worker)
+    worker.headroom_by_image = None
     worker.reserved = worker.reserved + get_reserved(run.step)
     worker.runs_by_step[_get_step_key(run)] += 1
+    worker.runs_by_job[run.name.job] += 1
     if run.task.is_suspect:
         worker.suspects.add(run.key)
     if run.step.best_effort:
@@ -276,12 +298,11 @@
         return
     worker.may_accept_more = True
     worker.suspects.discard(run.key)
-    worker.available = worker.headroom_by_image = None
+    forget_computed(worker)
+    worker.headroom_by_image = None
     worker.reserved = worker.reserved - get_reserved(run.step)
-    key = _get_step_key(run)
-    worker.runs_by_step[key] -= 1
-    if not worker.runs_by_step[key]:
-        del worker.runs_by_step[key]
+    _count_down(worker.runs_by_step, _get_step_key(run))
+    _count_down(worker.runs_by_job, run.name.job)
     if run.step.best_effort:
         worker.best_effort_millicores -= run.expected_millicores
     if run.step.target_ms:
@@ -291,10 +312,17 @@
         )
 
 
+def _count_down(counter: collections.Counter, key: Hashable) -> None:
+    counter[key] -= 1
+    if not counter[key]:
+        del counter[key]
+
+
 def set_expected_millicores(
     worker: WorkerState, run: Run, millicores: int
 ) -> None:
     """Changes what a best-effort run on a worker is expected to use."""
+    forget_computed(worker)
     worker.best_effort_millicores += millicores - run.expected_millicores
     run.expected_millicores = millicores
 
