Learn the rate of starts only while the store answers

What callers saw: after the store was silent, work of lower priority was refused for up to 8 s more (429, "Work waits too long to be started."). Cause: no start is sent before its placement is recorded, and placements without a record use up the room for starts. Each half second of silence counted as one in which the owner sent nothing and was limited, so the smoothed rate fell to half each time. Why it works: a period in which the store acknowledged nothing while an append was awaited changes neither the rate nor the count of limited periods.

--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -149,7 +149,9 @@
 
 def _publish_start_delays(fleet: fleet_state.FleetState) -> list:
     """Publishes how long work waits for the owner, while it does."""
-    start_delay.end_period(fleet.start_statistics, fleet.now)
+    start_delay.end_period(
+        fleet.start_statistics, fleet.now, bool(fleet.appends_in_flight)
+    )
     delays_s = start_delay.estimate_delays(
         fleet.start_statistics,
         (
@@ -242,6 +244,7 @@
     """
     if number not in fleet.appends_in_flight:
         return []
+    fleet.start_statistics.appends += 1
     job_states, runs, deferred = fleet.appends_in_flight.pop(number)
     effect_list = list(deferred)
     published = []
--- a/poplarspindle/fleet/start_delay.py
+++ b/poplarspindle/fleet/start_delay.py
@@ -31,6 +31,7 @@
 
     Attributes:
         starts: Starts sent in this period.
+        appends: Appends that the store acknowledged in this period.
         rounds: Placement rounds of this period.
         cut_rounds: Those that ended since no more starts could be sent.
         limited_periods: Periods on end in which most rounds ended so.
@@ -39,6 +40,7 @@
     """
 
     starts: int = 0
+    appends: int = 0
     rounds: int = 0
     cut_rounds: int = 0
     limited_periods: int = 0
@@ -67,17 +69,25 @@
     statistics.cut_rounds += was_cut
 
 
-def end_period(statistics: StartStatistics, now: float) -> None:
+def end_period(
+    statistics: StartStatistics, now: float, awaits_append: bool = False
+) -> None:
     """Ends a period if it has lasted long enough.
 
+    Load pattern: the store is silent for seconds. No start is sent before its
+    placement is recorded, and placements use up the room for starts. Such a
+    period tells nothing of how many starts the owner can send.
+
     Args:
         statistics: The statistics.
         now: Present time, the owner's clock.
+        awaits_append: Whether an append has no acknowledgement.
     """
     lasted_s = now - statistics.period_began_at
     if lasted_s < PERIOD_S:
         return
-    if math.isfinite(lasted_s):
+    was_store_silent = awaits_append and not statistics.appends
+    if math.isfinite(lasted_s) and not was_store_silent:
         rate = statistics.starts / lasted_s
         statistics.starts_per_s += RATE_WEIGHT * (
             rate - statistics.starts_per_s
@@ -87,7 +97,8 @@
             statistics.limited_periods = (
                 statistics.limited_periods + 1 if is_limited else 0
             )
-    statistics.starts = statistics.rounds = statistics.cut_rounds = 0
+    statistics.starts = statistics.appends = 0
+    statistics.rounds = statistics.cut_rounds = 0
     statistics.period_began_at = now
 
 
