Keep costs over reports that change nothing; slots for workers' state

Callers saw urgent work end late on the large site while the owner's machine was busy. Each report of a worker dropped its free resources and costs, although most reports change neither. And each look at a worker went through a dict of 40 attributes, too many for Python to share their keys between instances.

Costs are dropped where unknown runs, suspects or the expected use of a run really change. The headroom is taken anew at the first look after each report, as before. Run and WorkerState are dataclasses with slots; they compare and print as before.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -169,8 +169,7 @@
         (listed_run.task, listed_run.attempt): listed_run
         for listed_run in event.report.running
     }
-    worker.unknown_run_resources = resources.ZERO
-    worker_state.forget_computed(worker)
+    worker_state.set_unknown_run_resources(worker, resources.ZERO)
     for key, listed_run in listed_runs.items():
         run = worker.runs.get(key)
         if run is None:
@@ -181,8 +180,8 @@
         run.at_full_speed = listed_run.percent >= AT_WORK_PERCENT
         if run.first_seen_at > event.at:
             run.first_seen_at = event.at
-        if event.at - run.first_seen_at >= SUSPECT_WATCH_S:
-            worker.suspects.discard(key)
+        if worker.suspects and event.at - run.first_seen_at >= SUSPECT_WATCH_S:
+            worker_state.clear_suspect(worker, key)
         if fleet.mechanisms.measured_use:
             usage.record_usage(fleet.usage_model, worker, run, event.at)
         if (
@@ -232,8 +231,9 @@
     job = fleet.job_store.jobs.get(listed_run.task.job)
     if job is not None and listed_run.task.step < len(job.submission.steps):
         step = job.submission.steps[listed_run.task.step]
-        worker.unknown_run_resources = (
-            worker.unknown_run_resources + worker_state.get_reserved(step)
+        worker_state.set_unknown_run_resources(
+            worker,
+            worker.unknown_run_resources + worker_state.get_reserved(step),
         )
     order = orders.Stop(listed_run.task, listed_run.attempt, fleet.epoch)
     return [
--- a/poplarspindle/fleet/worker_chooser.py
+++ b/poplarspindle/fleet/worker_chooser.py
@@ -195,12 +195,17 @@
         """
         kind = self._cost_kinds.find(self._step, self._rack)
         entries = []
+        best_effort = self._step.best_effort
         for worker in workers:
             entry = worker.costs.get(kind, _UNKNOWN)
             if entry is _UNKNOWN:
                 entry = worker.costs[kind] = self._make_entry(worker)
-            if entry is not None:
-                entries.append(entry)
+            if entry is None:
+                continue
+            entries.append(entry)
+            if best_effort and worker.headroom_by_image is None:
+                # Keeps the headroom as it is now, however late it is needed.
+                self._predict_headroom_use(worker)
         if not self._step.max_per_worker:
             return entries
         return [
@@ -227,9 +232,6 @@
             return None
         if step.label and step.label not in worker.info.labels:
             return None
-        if step.best_effort:
-            # Keeps the headroom as it is now, however late it is needed.
-            self._predict_headroom_use(worker)
         cost = worker_selection.rank_worker(
             worker, step, self._rack, 0.0, self._used
         )
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -35,6 +35,7 @@
     lease_s: float
 
 
+@dataclasses.dataclass(slots=True, eq=False, repr=False)
 class Run:
     """One run of a task, from its placement to its end.
 
@@ -73,62 +74,33 @@
             use at full speed, in thousandths.
     """
 
-    __slots__ = (
-        "answered_at",
-        "at_full_speed",
-        "attempt",
-        "confirmed",
-        "expected_millicores",
-        "first_seen_at",
-        "held_back",
-        "job",
-        "may_run_late_until",
-        "name",
-        "percent",
-        "placed_at",
-        "recorded",
-        "start_in_flight",
-        "start_sent",
-        "start_sent_at",
-        "step",
-        "stop_after",
-        "stop_in_flight",
-        "stopping",
-        "task",
-        "unanswered_starts",
-        "usage",
-    )
-
-    def __init__(
-        self,
-        name: work.TaskName,
-        job: job_store.Job,
-        task: job_store.Task,
-        placed_at: float,
-        recorded: bool,
-    ) -> None:
-        self.name = name
-        self.job = job
-        self.task = task
-        self.step = job.submission.steps[name.step]
-        self.attempt = task.attempt
-        self.placed_at = placed_at
-        self.recorded = recorded
-        self.start_sent = False
-        self.start_sent_at = float("-inf")
-        self.answered_at = float("inf")
-        self.confirmed = False
-        self.unanswered_starts = 0
-        self.may_run_late_until = float("-inf")
-        self.held_back = False
-        self.stopping = False
-        self.stop_in_flight = False
-        self.stop_after = float("-inf")
-        self.start_in_flight = False
-        self.percent = 100
-        self.at_full_speed = False
-        self.usage: float | None = None
-        self.first_seen_at = float("inf")
+    name: work.TaskName
+    job: job_store.Job
+    task: job_store.Task
+    placed_at: float
+    recorded: bool
+    step: work.Step = dataclasses.field(init=False)
+    attempt: int = dataclasses.field(init=False)
+    expected_millicores: int = dataclasses.field(init=False)
+    start_sent: bool = False
+    start_sent_at: float = float("-inf")
+    answered_at: float = float("inf")
+    confirmed: bool = False
+    unanswered_starts: int = 0
+    may_run_late_until: float = float("-inf")
+    held_back: bool = False
+    stopping: bool = False
+    stop_in_flight: bool = False
+    stop_after: float = float("-inf")
+    start_in_flight: bool = False
+    percent: int = 100
+    at_full_speed: bool = False
+    usage: float | None = None
+    first_seen_at: float = float("inf")
+
+    def __post_init__(self) -> None:
+        self.step = self.job.submission.steps[self.name.step]
+        self.attempt = self.task.attempt
         self.expected_millicores = self.step.need.millicores
 
     @property
@@ -137,6 +109,7 @@
         return self.name, self.attempt
 
 
+@dataclasses.dataclass(slots=True, eq=False, repr=False)
 class WorkerState:
     """State of one worker, as the fleet's owner sees it.
 
@@ -164,9 +137,7 @@
         runs: Runs placed on it.
         unknown_run_resources: Resources of runs that it reports but that are
             not placed on it; they are being stopped.
-        runs_settled: Whether no run was found to be stopping, or started
-            without a record of the answer, since one was last added; see
-            `run_checks`.
+        runs_settled: Whether ticks need not look at its runs; see `run_checks`.
         runs_by_step: Number of runs by job, occurrence and step.
         runs_by_job: Number of runs by job.
         suspects: Keys of its runs that may have crashed another worker.
@@ -205,47 +176,58 @@
         gone: Whether it may be gone by that.
     """
 
-    def __init__(self, info: work.WorkerInfo) -> None:
-        self.info = info
-        self.listed = True
-        self.incarnation_ms = 0
-        self.last_report_at = float("-inf")
-        self.clock_ms = 0
-        self.clock_at = float("-inf")
-        self.leases_until_ms = 0
-        self.leases_end_at = float("-inf")
-        self.answered_until_ms = 0
-        self.unanswered_grants: list[UnansweredGrant] = []
-        self.last_end_handled = 0
-        self.last_end_recorded = 0
-        self.runs: dict[tuple[work.TaskName, int], Run] = {}
-        self.unknown_run_resources = resources.ZERO
-        self.runs_settled = False
-        self.runs_by_step: collections.Counter = collections.Counter()
-        self.runs_by_job: collections.Counter = collections.Counter()
-        self.suspects: set[tuple[work.TaskName, int]] = set()
-        self.reserved = resources.ZERO
-        self.available: resources.Resources | None = None
-        self.costs: dict[int, tuple | None] = {}
-        self.best_effort_millicores = 0
-        self.latency_critical_millicores = 0
-        self.latency_critical_by_image: collections.Counter = (
-            collections.Counter()
-        )
-        self.no_placement_until = float("-inf")
-        self.may_accept_more = True
-        self.failing_jobs: set[str] = set()
-        self.exclusion_s = 0.0
-        self.ended_best_effort: list[tuple[float, str, float]] = []
-        self.learned_at = float("-inf")
-        self.headroom_by_image: dict[str, float] | None = None
-        self.poll_failed = False
-        self.logged_unreachable = False
-        self.paced_at = float("-inf")
-        self.target_missed_since = float("inf")
-        self.leaves_at = float("inf")
-        self.missing_since = float("inf")
-        self.gone = False
+    info: work.WorkerInfo
+    listed: bool = True
+    incarnation_ms: int = 0
+    last_report_at: float = float("-inf")
+    clock_ms: int = 0
+    clock_at: float = float("-inf")
+    leases_until_ms: int = 0
+    leases_end_at: float = float("-inf")
+    answered_until_ms: int = 0
+    unanswered_grants: list[UnansweredGrant] = dataclasses.field(
+        default_factory=list
+    )
+    last_end_handled: int = 0
+    last_end_recorded: int = 0
+    runs: dict[tuple[work.TaskName, int], Run] = dataclasses.field(
+        default_factory=dict
+    )
+    unknown_run_resources: resources.Resources = resources.ZERO
+    runs_settled: bool = False
+    runs_by_step: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    runs_by_job: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    suspects: set[tuple[work.TaskName, int]] = dataclasses.field(
+        default_factory=set
+    )
+    reserved: resources.Resources = resources.ZERO
+    available: resources.Resources | None = None
+    costs: dict[int, tuple | None] = dataclasses.field(default_factory=dict)
+    best_effort_millicores: int = 0
+    latency_critical_millicores: int = 0
+    latency_critical_by_image: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    no_placement_until: float = float("-inf")
+    may_accept_more: bool = True
+    failing_jobs: set[str] = dataclasses.field(default_factory=set)
+    exclusion_s: float = 0.0
+    ended_best_effort: list[tuple[float, str, float]] = dataclasses.field(
+        default_factory=list
+    )
+    learned_at: float = float("-inf")
+    headroom_by_image: dict[str, float] | None = None
+    poll_failed: bool = False
+    logged_unreachable: bool = False
+    paced_at: float = float("-inf")
+    target_missed_since: float = float("inf")
+    leaves_at: float = float("inf")
+    missing_since: float = float("inf")
+    gone: bool = False
 
     @property
     def has_reported(self) -> bool:
@@ -319,11 +301,28 @@
     worker: WorkerState, run: Run, millicores: int
 ) -> None:
     """Changes what a best-effort run on a worker is expected to use."""
+    if millicores == run.expected_millicores:
+        return
     forget_computed(worker)
     worker.best_effort_millicores += millicores - run.expected_millicores
     run.expected_millicores = millicores
 
 
+def set_unknown_run_resources(
+    worker: WorkerState, unknown: resources.Resources
+) -> None:
+    """Changes what runs hold that a worker has and that are not placed."""
+    if unknown != worker.unknown_run_resources:
+        worker.unknown_run_resources = unknown
+        forget_computed(worker)
+
+
+def clear_suspect(worker: WorkerState, key: tuple[work.TaskName, int]) -> None:
+    """Clears a run of the suspicion that it crashes its worker."""
+    worker.suspects.discard(key)
+    forget_computed(worker)
+
+
 def _get_step_key(run: Run) -> tuple[str, int, int]:
     return run.name.job, run.name.occurrence, run.name.step
 
@@ -331,11 +330,9 @@
 def get_available(worker: WorkerState) -> resources.Resources:
     """Returns a worker's free resources."""
     if worker.available is None:
-        worker.available = (
-            worker.info.capacity
-            - worker.reserved
-            - worker.unknown_run_resources
-        )
+        worker.available = worker.info.capacity - worker.reserved
+        if worker.unknown_run_resources is not resources.ZERO:
+            worker.available -= worker.unknown_run_resources
     return worker.available
 
 
--- a/poplarspindle/tests/test_worker_chooser.py
+++ b/poplarspindle/tests/test_worker_chooser.py
@@ -204,3 +204,56 @@
         site.run(3.0)
     assert sites[0].starts > 50
     assert sites[0].read_decisions() == sites[1].read_decisions()
+
+
+@pytest.mark.parametrize(
+    ("change", "kept"),
+    [
+        pytest.param(
+            lambda worker, run: worker_state.set_unknown_run_resources(
+                worker, resources.Resources()
+            ),
+            True,
+            id="no unknown run, as before",
+        ),
+        pytest.param(
+            lambda worker, run: worker_state.set_unknown_run_resources(
+                worker, resources.Resources(100)
+            ),
+            False,
+            id="unknown run",
+        ),
+        pytest.param(
+            lambda worker, run: worker_state.set_expected_millicores(
+                worker, run, run.expected_millicores
+            ),
+            True,
+            id="use as expected",
+        ),
+        pytest.param(
+            lambda worker, run: worker_state.set_expected_millicores(
+                worker, run, run.expected_millicores - 1
+            ),
+            False,
+            id="less use",
+        ),
+        pytest.param(
+            lambda worker, run: worker_state.clear_suspect(worker, run.key),
+            False,
+            id="suspect cleared",
+        ),
+        pytest.param(worker_state.remove_run, False, id="run ended"),
+    ],
+)
+def test_costs_are_kept_until_a_change(change, kept):
+    rng = random.Random(2)
+    worker = next(
+        worker
+        for worker in test_placement_rounds.make_workers(rng, 9)
+        if worker.runs
+    )
+    room = worker_state.get_available(worker)
+    worker.costs[0] = None
+    change(worker, next(iter(worker.runs.values())))
+    assert (0 in worker.costs) is kept
+    assert (worker_state.get_available(worker) is room) is kept
