Ownership: an epoch that was owned is not owned again

Cause: a node that loses an ownership (state-failed, overrun, fenced by a worker) and then reads the shared log anew finds its own claim there as the newest, and prepared it again. The numbers of its appends began anew under the same epoch. The store answers a repeat of one of the last five appends as it answered the first copy, so the first appends of the second time were answered and not stored, and starts followed that the log does not hold (TWICE under the next owner).

Evidence: test_epoch_that_was_owned_is_not_owned_again, red before: the node owned epoch 16 once more.

Why the fix works: the node keeps the last epoch that it owned, and prepares later ones only. A claim that never was an ownership is still prepared again (second test). A chosen node claims anew, as the newest claim is its own.

--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -98,6 +98,7 @@
         self._queue_emptied_at = float("-inf")
         self._reset_due = False  # Pages on their way do not make up for it.
         self._stepping_down = False
+        self._owned_epoch = 0
         self._election = election.Election(
             platform.store,
             self.incarnation,
@@ -439,6 +440,7 @@
             if (
                 self._fleet is None
                 and self._election.preparing_epoch < claim.epoch
+                and self._owned_epoch < claim.epoch
             ):
                 self._election.preparing_epoch = claim.epoch
                 threads.start(lambda: self._prepare(claim))
@@ -489,6 +491,9 @@
             prepared.confirmed_at,
         )
         self._ownership.start()
+        # Numbers of appends begin anew: the store would take another
+        # ownership's for repeats of these.
+        self._owned_epoch = prepared.epoch
         self._election.is_owner = True
         if drops:
             self._ownership.execute(effects.Append(0, tuple(drops)))
