Ownership: an append of an earlier ownership is not taken for one of the next

Cause: Ownership.post asks whether the ownership is over and then hands the event over; a thread that stands still in between hands an Appended over when the same node may own the fleet again. Appends were numbered from 1 in each ownership, so it released the starts and ends of another append, which the log need not hold.

Why the fix works: numbers begin above the epoch, so those of two ownerships differ, and the number of another one is not in flight.

--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -20,6 +20,7 @@
     1.2  # An append to a slow store takes hundreds of milliseconds.
 )
 RETRY_PAUSE_S = 0.1
+APPEND_NUMBER_BITS = 32  # Of an append's number, below the owner's epoch.
 
 _log = structlog.get_logger(part="ownership")
 
@@ -144,6 +145,8 @@
         own_settings.keep_ended_s,
         own_settings.harm_ms,
     )
+    # A thread of an earlier ownership may hand its append over late.
+    fleet.last_append_number = prepared.epoch << APPEND_NUMBER_BITS
     for record in prepared.progress:
         if record.key != model_persistence.MODEL_KEY or not record.value:
             continue
