Ended jobs are not dropped by a clock that jumps

Cause: ended jobs were dropped 240 s after their end by the time of day. A clock that jumps ahead by minutes dropped all of them at once: a GET was told 410 (LOST), and a hand-in that its caller sends again, or that the store carries out seconds late, began the job anew (TWICE).

Why the fix works: an owner drops nothing before it has kept all for 120 s by its own clock, and reckons the age of ends from the least offset of the time of day that it has seen; so a jump ahead adds nothing, and one that was there when it took over can't outrun the 120 s. Costs the same for any number of jobs. A clock that jumped back for a while keeps jobs longer, until the next owner.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -16,6 +16,7 @@
     orders,
     ranking,
     records,
+    retention,
     start_delay,
     tail_model,
     usage,
@@ -85,6 +86,7 @@
         load_logged_at: When a summary of the fleet was last logged.
         crash_history: What is remembered of workers that went silent.
         expiring_jobs: Ids of ended jobs in the order in which they ended.
+        retention: For how long ended jobs have been kept.
         mechanisms: Mechanisms by which the owner decides.
     """
 
@@ -138,6 +140,7 @@
         self.tail_model = tail_model.Model()
         self.usage_model = usage.UsageModel()
         self.expiring_jobs: dict[str, None] = {}
+        self.retention = retention.Retention()
         self.unreachable_changed = False
         self.logged_unreachable_workers: set[str] = set()
         self.unreachable_in_flight: set[str] | None = None
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -23,6 +23,7 @@
     ready_steps,
     recording,
     reports,
+    retention,
     takeover,
     waiting,
     work,
@@ -244,7 +245,7 @@
         effect_list += waiting.make_notes(fleet)
     effect_list += crashes.forget_gone(fleet)
     effect_list += consolidation.review_consolidation(fleet)
-    return effect_list + _drop_expired_jobs(fleet)
+    return effect_list + retention.drop_expired_jobs(fleet)
 
 
 def _make_load_note(fleet: fleet_state.FleetState) -> effects.Note:
@@ -358,26 +359,6 @@
     ]
 
 
-def _drop_expired_jobs(fleet: fleet_state.FleetState) -> list:
-    """Drops the records of jobs whose retention time is over, oldest first."""
-    expired_jobs: list = []
-    for name in fleet.expiring_jobs:
-        job = fleet.job_store.jobs.get(name)
-        if job is None:
-            expired_jobs.append(name)
-            continue
-        age_s = (fleet.wall_ms - job.ended_ms) / 1000
-        if age_s < 2 * fleet.keep_ended_s or name in fleet.changed_jobs:
-            break
-        expired_jobs.append(name)
-    for name in expired_jobs:
-        del fleet.expiring_jobs[name]
-        fleet.job_store.jobs.pop(name, None)
-    if not expired_jobs:
-        return []
-    return [effects.Drop(tuple(expired_jobs))]
-
-
 _HANDLERS = {
     events.Claimed: takeover.take_over,
     events.JobRead: _handle_job_read,
