Takeover: progress of jobs that can't be read is not dropped

What callers saw: nothing yet; found by asking when an owner does not know a job that exists.

Cause: an owner drops progress records without a job. A hand-in that it can't read, as another version wrote it, counted as none. The next owner that reads the hand-in began the job anew: tasks at work or done ran again (TWICE).

Evidence: test_task_that_goes_on_under_an_owner_that_can_not_read_its_job_runs_on, red before: 4 starts of two tasks.

Why the fix works: only progress of jobs that are not handed in at all is dropped; the intake is read after the progress log refuses earlier owners, so such jobs are gone.

--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -138,6 +138,13 @@
     """
     jobs, malformed = takeover.load_intake(prepared.intake)
     drops, unread = takeover.load_progress(jobs, prepared.progress)
+    # Another version may read these jobs.
+    unreadable_jobs = {key.partition("/")[2] for key in malformed}
+    drops = [
+        record
+        for record in drops
+        if record.key.split("/")[1] not in unreadable_jobs
+    ]
     fleet = fleet_state.FleetState(
         jobs,
         own_settings.lease_most_ms,
