Ends of runs whose job is not known are kept

What callers saw: nothing yet; found by asking when an owner does not know a job that exists: a hand-in that another version wrote and this one can't read, or one that is read later than the worker's report (by the order of reading at a takeover that can't be; it is covered as well).

Cause: an end of a task that the owner does not know was acknowledged and dropped. Once the job is known, under the same or a later owner, the task runs again after an end that was taken note of (TWICE), or a failed run does not count (BUDGET).

Why the fix works: such an end is put in the progress log before it is acknowledged, so no worker has to list it for longer and none behind it waits (Acks). It is applied when the job is read or the next owner takes over, and its record is dropped then; that of a job that is gone at the next takeover, which reads all hand-ins after the log refuses earlier owners.

--- a/poplarspindle/fleet/ends.py
+++ b/poplarspindle/fleet/ends.py
@@ -2,12 +2,14 @@
 
 import dataclasses
 
+from poplarspindle import resources
 from poplarspindle.fleet import (
     effects,
     fleet_state,
     job_store,
     late_starts,
     tail_model,
+    unknown_ends,
     work,
     worker_state,
 )
@@ -81,6 +83,9 @@
     """
     task = job_store.find_task(fleet.job_store, end.task)
     job = fleet.job_store.jobs.get(end.task.job)
+    if job is None:
+        unknown_ends.keep(fleet.unknown_ends, end)
+        return []
     if (
         task is None
         or task.phase is job_store.Phase.DONE
@@ -111,6 +116,27 @@
     ) + _record_failure(fleet, run)
 
 
+def apply_unknown_ends(fleet: fleet_state.FleetState, job: str) -> list:
+    """Applies the ends that were kept until their job is known."""
+    effect_list = []
+    for end in unknown_ends.take(fleet.unknown_ends, job):
+        key = (end.task, end.attempt)
+        worker = next(
+            (found for found in fleet.workers.values() if key in found.runs),
+            None,
+        )
+        if worker is None:
+            nobody = worker_state.WorkerState(
+                work.WorkerInfo("", "", "", "", resources.ZERO)
+            )
+            effect_list += _handle_late_end(fleet, nobody, end)
+        else:
+            effect_list += end_run(
+                fleet, worker, worker.runs[key], end.end_reason, ""
+            )
+    return effect_list
+
+
 def _record_failure(
     fleet: fleet_state.FleetState, run: worker_state.Run
 ) -> list:
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -19,6 +19,7 @@
     retention,
     start_delay,
     tail_model,
+    unknown_ends,
     usage,
     work,
     worker_state,
@@ -87,6 +88,7 @@
         crash_history: What is remembered of workers that went silent.
         expiring_jobs: Ids of ended jobs in the order in which they ended.
         retention: For how long ended jobs have been kept.
+        unknown_ends: Ends of runs whose job is not known.
         mechanisms: Mechanisms by which the owner decides.
     """
 
@@ -141,6 +143,7 @@
         self.usage_model = usage.UsageModel()
         self.expiring_jobs: dict[str, None] = {}
         self.retention = retention.Retention()
+        self.unknown_ends = unknown_ends.UnknownEnds()
         self.unreachable_changed = False
         self.logged_unreachable_workers: set[str] = set()
         self.unreachable_in_flight: set[str] | None = None
--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -62,7 +62,10 @@
         + _publish_intake_offsets(fleet)
     )
     if fleet.appends_in_flight or not (
-        fleet.changed_jobs or fleet.changed_groups or fleet.deferred_effects
+        fleet.changed_jobs
+        or fleet.changed_groups
+        or fleet.deferred_effects
+        or fleet.unknown_ends.to_record
     ):
         return effect_list
     changed_records = _encode_changed_groups(fleet)
@@ -75,6 +78,8 @@
     # job's end follows its tasks and precedes the tombstones of its groups.
     changed_records += [records.encode_progress(job) for job in changed_jobs]
     changed_records += _make_tombstones(changed_jobs)
+    changed_records += fleet.unknown_ends.to_record
+    fleet.unknown_ends.to_record = []
     if fleet.model_save_due and fleet.interference_weights.weights:
         changed_records.append(
             model_persistence.encode_model(fleet.interference_weights)
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -12,6 +12,7 @@
     crash_history,
     crashes,
     effects,
+    ends,
     events,
     fleet_state,
     grants,
@@ -55,6 +56,16 @@
     return placement_rounds.place_ready(fleet) + recording.flush(fleet)
 
 
+def _handle_claimed(
+    fleet: fleet_state.FleetState, event: events.Claimed
+) -> list:
+    effect_list = takeover.take_over(fleet, event)
+    for job in list(fleet.unknown_ends.by_job):
+        if job in fleet.job_store.jobs:
+            effect_list += ends.apply_unknown_ends(fleet, job)
+    return effect_list
+
+
 def _handle_job_read(
     fleet: fleet_state.FleetState, event: events.JobRead
 ) -> list:
@@ -71,7 +82,7 @@
     fleet.open_jobs[event.job] = None
     ranking.learn_size(fleet.mean_sizes_core_s, job.submission)
     fleet_state.open_due_occurrences(fleet, job)
-    return []
+    return ends.apply_unknown_ends(fleet, event.job)
 
 
 def _handle_intake_read(
@@ -360,7 +371,7 @@
 
 
 _HANDLERS = {
-    events.Claimed: takeover.take_over,
+    events.Claimed: _handle_claimed,
     events.JobRead: _handle_job_read,
     events.CancelRead: _handle_cancel_read,
     events.IntakeRead: _handle_intake_read,
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -13,6 +13,7 @@
     model_persistence,
     records,
     takeover,
+    unknown_ends,
 )
 from poplarspindle.node import clocks, ports, settings, storage
 
@@ -145,6 +146,9 @@
         for record in drops
         if record.key.split("/")[1] not in unreadable_jobs
     ]
+    kept_ends, ended_drops, unread_ends = unknown_ends.load(
+        prepared.progress, jobs.jobs.keys() | unreadable_jobs
+    )
     fleet = fleet_state.FleetState(
         jobs,
         own_settings.lease_most_ms,
@@ -152,6 +156,7 @@
         own_settings.keep_ended_s,
         own_settings.harm_ms,
     )
+    fleet.unknown_ends = kept_ends
     # A thread of an earlier ownership may hand its append over late.
     fleet.last_append_number = prepared.epoch << APPEND_NUMBER_BITS
     for record in prepared.progress:
@@ -163,4 +168,4 @@
             )
         except records.DECODE_ERRORS:
             unread.append(record.key)
-    return fleet, drops, malformed + unread
+    return fleet, drops + ended_drops, malformed + unread + unread_ends
--- a/poplarspindle/tests/test_unknown_ends.py
+++ b/poplarspindle/tests/test_unknown_ends.py
@@ -5,6 +5,7 @@
 """
 
 import msgpack
+import pytest
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
@@ -130,6 +131,77 @@
     return log
 
 
+def make_ends(log, *reasons):
+    """Makes ends of the runs that were started, in their order."""
+    return [
+        work.Ended(number, *key, reason, "")
+        for number, (key, reason) in enumerate(
+            zip(log.started, reasons, strict=True), 1
+        )
+    ]
+
+
+STEPS = [
+    pytest.param({}, id="task"),
+    pytest.param({"gang": True}, id="gang"),
+]
+
+
+@pytest.mark.parametrize("options", STEPS)
+def test_task_that_was_done_under_an_owner_that_can_not_read_its_job_runs_once(
+    options,
+):
+    """TWICE: an owner of an earlier version between two of a later one."""
+    need = resources.Resources(1000, 1000, 0)
+    log = make_log(work.Step(2, need, 500, (), **options))
+    ends = make_ends(log, work.EndReason.DONE, work.EndReason.DONE)
+    log.take_over(log.unreadable)
+    log.report(ended=ends)
+    assert log.acknowledged == 2
+    log.take_over(log.readable)
+    log.report()
+    assert len(log.started) == 2
+    assert log.get_state() == "completed"
+
+
+def test_task_whose_end_came_before_its_job_was_read_runs_once():
+    """TWICE: the hand-in is read later than the worker's report."""
+    log = make_log()
+    ends = make_ends(log, work.EndReason.DONE, work.EndReason.DONE)
+    log.take_over()
+    log.report(ended=ends)
+    log.hand_in()
+    log.report()
+    assert len(log.started) == 2
+    assert log.get_state() == "completed"
+
+
+def test_end_counts_under_the_owner_after_the_one_that_kept_it():
+    """TWICE: two owners in turn can't read the job."""
+    log = make_log()
+    ends = make_ends(log, work.EndReason.DONE, work.EndReason.DONE)
+    log.take_over(log.unreadable)
+    log.report(ended=ends)
+    log.take_over(log.unreadable)
+    log.report()
+    log.take_over(log.readable)
+    log.report()
+    assert len(log.started) == 2
+    assert log.get_state() == "completed"
+
+
+def test_task_that_failed_under_an_owner_that_can_not_read_its_job_has_failed():
+    """BUDGET: one failed run is allowed, and it does not count."""
+    log = make_log()
+    ends = make_ends(log, work.EndReason.FAILED, work.EndReason.DONE)
+    log.take_over(log.unreadable)
+    log.report(ended=ends)
+    log.take_over(log.readable)
+    log.report()
+    assert len(log.started) == 2
+    assert log.get_state() == "failed"
+
+
 def test_task_that_goes_on_under_an_owner_that_can_not_read_its_job_runs_on():
     """TWICE: its progress is dropped, and the next owner begins it anew."""
     log = make_log()
@@ -137,3 +209,27 @@
     log.take_over(log.readable)
     log.report(running=[work.Running(*key, "", 100) for key in log.started])
     assert len(log.started) == 2
+
+
+def test_ends_of_a_job_that_is_gone_are_acknowledged_and_not_kept():
+    """Acks: workers would list them for ever, the log hold them for ever."""
+    log = make_log()
+    ends = make_ends(log, work.EndReason.DONE, work.EndReason.DONE)
+    log.take_over()
+    log.report(ended=ends)
+    assert log.acknowledged == 2
+    log.take_over()
+    log.settle()
+    assert log.progress == {}
+
+
+def test_ends_that_were_applied_are_not_kept():
+    """Load: the log would hold them for ever."""
+    log = make_log()
+    ends = make_ends(log, work.EndReason.DONE, work.EndReason.DONE)
+    log.take_over(log.unreadable)
+    log.report(ended=ends)
+    log.take_over(log.readable)
+    log.settle()
+    kinds = {key.partition("/")[0] for key in log.progress}
+    assert kinds == {records.PROGRESS}
