--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -12,6 +12,7 @@
     crash_history,
     crashes,
     effects,
+    ends,
     events,
     fleet_state,
     grants,
@@ -22,6 +23,7 @@
     ready_steps,
     recording,
     reports,
+    retention,
     run_checks,
     takeover,
     waiting,
@@ -53,6 +55,16 @@
     return placement_rounds.place_ready(fleet) + recording.flush(fleet)
 
 
+def _handle_claimed(
+    fleet: fleet_state.FleetState, event: events.Claimed
+) -> list:
+    effect_list = takeover.take_over(fleet, event)
+    for job in list(fleet.unknown_ends.by_job):
+        if job in fleet.job_store.jobs:
+            effect_list += ends.apply_unknown_ends(fleet, job)
+    return effect_list
+
+
 def _handle_job_read(
     fleet: fleet_state.FleetState, event: events.JobRead
 ) -> list:
@@ -69,7 +81,7 @@
     fleet.open_jobs[event.job] = None
     ranking.learn_size(fleet.mean_sizes_core_s, job.submission)
     fleet_state.open_due_occurrences(fleet, job)
-    return []
+    return ends.apply_unknown_ends(fleet, event.job)
 
 
 def _handle_intake_read(
@@ -244,7 +256,7 @@
         effect_list += waiting.make_notes(fleet)
     effect_list += crashes.forget_gone(fleet)
     effect_list += consolidation.review_consolidation(fleet)
-    return effect_list + _drop_expired_jobs(fleet)
+    return effect_list + retention.drop_expired_jobs(fleet)
 
 
 def _make_load_note(fleet: fleet_state.FleetState) -> effects.Note:
@@ -290,28 +302,8 @@
     )
 
 
-def _drop_expired_jobs(fleet: fleet_state.FleetState) -> list:
-    """Drops the records of jobs whose retention time is over, oldest first."""
-    expired_jobs: list = []
-    for name in fleet.expiring_jobs:
-        job = fleet.job_store.jobs.get(name)
-        if job is None:
-            expired_jobs.append(name)
-            continue
-        age_s = (fleet.wall_ms - job.ended_ms) / 1000
-        if age_s < 2 * fleet.keep_ended_s or name in fleet.changed_jobs:
-            break
-        expired_jobs.append(name)
-    for name in expired_jobs:
-        del fleet.expiring_jobs[name]
-        fleet.job_store.jobs.pop(name, None)
-    if not expired_jobs:
-        return []
-    return [effects.Drop(tuple(expired_jobs))]
-
-
 _HANDLERS = {
-    events.Claimed: takeover.take_over,
+    events.Claimed: _handle_claimed,
     events.JobRead: _handle_job_read,
     events.CancelRead: _handle_cancel_read,
     events.IntakeRead: _handle_intake_read,
--- a/poplarspindle/node/claims.py
+++ b/poplarspindle/node/claims.py
@@ -13,6 +13,7 @@
     model_persistence,
     records,
     takeover,
+    unknown_ends,
 )
 from poplarspindle.node import clocks, ports, settings, storage
 
@@ -20,6 +21,7 @@
     1.2  # An append to a slow store takes hundreds of milliseconds.
 )
 RETRY_PAUSE_S = 0.1
+APPEND_NUMBER_BITS = 32  # Of an append's number, below the owner's epoch.
 
 _log = structlog.get_logger(part="ownership")
 
@@ -137,6 +139,16 @@
     """
     jobs, malformed = takeover.load_intake(prepared.intake)
     drops, unread = takeover.load_progress(jobs, prepared.progress)
+    # Another version may read these jobs.
+    unreadable_jobs = {key.partition("/")[2] for key in malformed}
+    drops = [
+        record
+        for record in drops
+        if record.key.split("/")[1] not in unreadable_jobs
+    ]
+    kept_ends, ended_drops, unread_ends = unknown_ends.load(
+        prepared.progress, jobs.jobs.keys() | unreadable_jobs
+    )
     fleet = fleet_state.FleetState(
         jobs,
         own_settings.lease_most_ms,
@@ -144,6 +156,9 @@
         own_settings.keep_ended_s,
         own_settings.harm_ms,
     )
+    fleet.unknown_ends = kept_ends
+    # A thread of an earlier ownership may hand its append over late.
+    fleet.last_append_number = prepared.epoch << APPEND_NUMBER_BITS
     for record in prepared.progress:
         if record.key != model_persistence.MODEL_KEY or not record.value:
             continue
@@ -153,4 +168,4 @@
             )
         except records.DECODE_ERRORS:
             unread.append(record.key)
-    return fleet, drops, malformed + unread
+    return fleet, drops + ended_drops, malformed + unread + unread_ends
