Crashes with several starts in doubt count for suspects no further

Callers saw a job shown as failed after one failed run (LOST): the starts of a task got no answer at workers that others had crashed, and each crash counted for it though it had run on one of these only.

Cause: blame.judge took a run whose start had no answer for one that was aboard. If all starts that an owner sent to a worker are in doubt, the worker was most likely down before they came, and the task is no more suspect than those beside it, yet it had the most crashes and was given up.

Now such a crash counts for a task that is suspect already only if its run surely ran there, or is the only one in doubt (a task that crashes its worker before it answers). At a first crash it still makes a suspect, which is tried apart, so a task that does crash its workers is found a start or two later.

--- a/poplarspindle/fleet/blame.py
+++ b/poplarspindle/fleet/blame.py
@@ -7,6 +7,9 @@
 - At a first crash all runs aboard become suspects.
 - At a later one those with most crashes are counted, and those that came after
   them. What was at work before them did not crash the worker then.
+- A start without an answer may never have been carried out, as the worker may
+  have been down before. If there were several of these, such a crash makes a
+  task a suspect, which is tried apart, and counts no further.
 - Two crashes are enough for a task that had surely just started in both and was
   the only one to be counted in the second, if no other worker went silent then.
 - Workers that go silent together may have another cause, as a rack without
@@ -39,6 +42,7 @@
         placed_at: When it was placed.
         first_seen_at: When a report first listed it.
         silent_at: When the worker went silent.
+        was_at_work: Whether it surely ran on the worker.
     """
 
     crashes: int
@@ -48,6 +52,7 @@
     placed_at: float
     first_seen_at: float
     silent_at: float
+    was_at_work: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +79,15 @@
     Returns:
         A verdict for each task, in their order.
     """
-    counted = [_is_blamed(entry, aboard, silent_together) for entry in aboard]
+    blamed = [_is_blamed(entry, aboard, silent_together) for entry in aboard]
+    in_doubt = sum(
+        is_blamed and not entry.was_at_work
+        for entry, is_blamed in zip(aboard, blamed, strict=True)
+    )
+    counted = [
+        is_blamed and (entry.was_at_work or entry.crashes == 0 or in_doubt == 1)
+        for entry, is_blamed in zip(aboard, blamed, strict=True)
+    ]
     is_certain = sum(counted) == 1 and not silent_together
     return [
         Verdict(is_counted, is_counted and _is_given_up(entry, is_certain))
--- a/poplarspindle/fleet/crashes.py
+++ b/poplarspindle/fleet/crashes.py
@@ -36,6 +36,7 @@
     name: work.TaskName
     attempt: int
     certain: bool
+    was_at_work: bool
     placed_at: float = float("inf")
     first_seen_at: float = float("inf")
 
@@ -74,6 +75,7 @@
                 run.name,
                 run.attempt,
                 _came_soon_after_start(fleet, worker, run),
+                run.confirmed,
                 run.placed_at,
                 run.first_seen_at,
             )
@@ -209,7 +211,7 @@
         fleet_state.mark_task_changed(fleet, key[0])
         _queue_again(fleet, key[0], task)
         if lost.incarnation_ms != incarnation_ms:
-            suspects.append(_Suspect(*key, lost.certain))
+            suspects.append(_Suspect(*key, lost.certain, lost.certain))
     return suspects
 
 
@@ -322,6 +324,7 @@
         min(suspect.placed_at for suspect in unit),
         min(suspect.first_seen_at for suspect in unit),
         silent_at,
+        any(suspect.was_at_work for suspect in unit),
     )
 
 
