A run that is done ends the exclusion of its worker

Callers saw tasks and wide gangs wait beside room for up to 24 s (LOST): a worker that failed runs of several jobs is excluded, and a run done there reset how long the next exclusion lasts, but not the one under way.

Cause: ends._update_exclusion cleared exclusion_s and left no_placement_until. It now ends the exclusion with the report that lists the end; what refusals and failed polls excluded the worker for is older than that report.

--- a/poplarspindle/fleet/ends.py
+++ b/poplarspindle/fleet/ends.py
@@ -202,7 +202,8 @@
 
     Load pattern: a worker on which every run fails is soon empty and attracts
     all new tasks. Failures of a single job count against that job only. The
-    exclusion doubles each time; a run that is done resets it.
+    exclusion doubles each time; a run that is done resets it, and ends one
+    that is under way: work would wait beside room on a worker that runs it.
 
     Args:
         fleet: State of the fleet.
@@ -212,7 +213,13 @@
     """
     if end_reason is work.EndReason.DONE:
         worker.failing_jobs.clear()
-        worker.exclusion_s = 0.0
+        if worker.exclusion_s:
+            # What refusals and polls excluded it for ends here too: the worker
+            # has answered since and is free of a run.
+            worker.exclusion_s = 0.0
+            worker.no_placement_until = min(
+                worker.no_placement_until, fleet.now
+            )
         return []
     if end_reason is not work.EndReason.FAILED:
         return []
--- a/poplarspindle/tests/test_gang_failures.py
+++ b/poplarspindle/tests/test_gang_failures.py
@@ -192,3 +192,25 @@
 def test_worker_that_completed_a_run_is_no_longer_excluded():
     """LOST: gangs wait for workers whose exclusion outlasts a run done."""
     assert walks.list_faults(21, make_plan(16)) == []
+
+
+def test_worker_that_completed_a_run_gets_work_before_its_exclusion_ends():
+    """LOST: tasks wait beside room for an exclusion of up to 24 s."""
+    first, second, done = "a" * 16, "b" * 16, "c" * 16
+    world = fleets.World(
+        1,
+        workers=1,
+        run_s=lambda rng: 1.0,
+        fail=lambda run: run.attempt == 1 and run.name.job != done,
+    )
+    step = work.Step(1, resources.Resources(1000, 1000, 0), 500, ())
+    for job in (first, second):
+        world.submit(job, step)
+    world.run(0.5)
+    world.submit(done, step)
+    world.run(0.9)
+    assert world.notes["closed"] == 1
+    assert world.starts == 3
+    world.run(0.7)
+    assert world.get_state(done) == "completed"
+    assert world.starts == 5
