A member of a gang waits for no news of an attempt that is counted

A task that may have crashed three workers waits until it is known what became of its lost runs. A crash counts once for each attempt of a gang, for all its members, but a member's lost run of that same attempt was still added: after two counted crashes it waited though nothing could count a third (LOST), or was ready and held for waiting at the same time.

--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -166,10 +166,15 @@
     def awaits_verdict(self) -> bool:
         """Whether it may have crashed as many workers as a task may at most.
 
-        It is not started until it is known what became of them.
+        It is not started until it is known what became of them. A lost run of
+        an attempt that a crash was counted for, as it was for another member of
+        its gang, can't count again.
         """
-        possible = self.crash_record.crashes + len(self.lost_runs)
-        return possible >= blame.MAX_CRASHES
+        record = self.crash_record
+        uncounted = sum(
+            lost.attempt > record.last_attempt for lost in self.lost_runs
+        )
+        return record.crashes + uncounted >= blame.MAX_CRASHES
 
 
 class Job:
--- a/poplarspindle/tests/test_crash_records.py
+++ b/poplarspindle/tests/test_crash_records.py
@@ -1,5 +1,7 @@
 """Crashes counted for a task are in its record in the progress log."""
 
+import dataclasses
+
 import msgpack
 import pytest
 
@@ -54,3 +56,13 @@
     records.apply_group(job, (0, 0, 0), value)
     task = job.occurrences[0][0][0]
     assert (task.attempt, task.crash_record) == (6, job_store.NO_CRASHES)
+
+
+@pytest.mark.parametrize(("attempt", "awaits"), [(5, False), (6, True)])
+def test_task_waits_for_news_of_attempts_that_no_crash_counts_for(
+    attempt, awaits
+):
+    """LOST: a member of a gang waits for what can't count again."""
+    lost = dataclasses.replace(LOST, attempt=attempt)
+    task = job_store.Task(*QUEUED, (), RECORD, (lost,))
+    assert task.awaits_verdict == awaits
