Lost runs are counted before their task is ready again

A task that may have crashed three workers was ready and could start a fourth time (BUDGET): when news of one of its lost runs came, _take_lost_runs forgot the run and queued the task, and only then the crash was counted for it, which made it wait again, but left it among the ready ones.

The crash is counted first now; the tasks concerned are queued after it.

Evidence: test_task_that_may_have_crashed_three_workers_is_not_ready is red without the change.

--- a/poplarspindle/fleet/crashes.py
+++ b/poplarspindle/fleet/crashes.py
@@ -67,10 +67,9 @@
             only known to be another one.
         listed_runs: Keys of the runs that this incarnation has or had.
     """
-    name = worker.info.name
-    suspects = _take_lost_runs(fleet, name, incarnation_ms)
+    suspects = []
     if not _is_leaving(worker):
-        suspects += [
+        suspects = [
             _Suspect(
                 run.name,
                 run.attempt,
@@ -84,7 +83,7 @@
             and run.key not in listed_runs
             and may_have_started(run)
         ]
-    return _count_crash(fleet, name, suspects)
+    return _judge_lost_runs(fleet, worker.info.name, incarnation_ms, suspects)
 
 
 def handle_listed(
@@ -101,8 +100,7 @@
             if (lost := _find_lost_run(fleet, key)) is not None
         }
         if info.address in addresses:
-            suspects = _take_lost_runs(fleet, name, UNKNOWN_INCARNATION)
-            effect_list += _count_crash(fleet, name, suspects)
+            effect_list += _judge_lost_runs(fleet, name, UNKNOWN_INCARNATION)
     return effect_list
 
 
@@ -120,6 +118,7 @@
         if fleet.now - max(lost_at.values()) < GONE_AFTER_S:
             continue
         lost = _take_lost_runs(fleet, name, UNKNOWN_INCARNATION)
+        _queue_again(fleet, lost_at)
         effect_list.append(
             fleet_state.make_log_note(
                 "workers", "gone", worker=name, runs=len(lost)
@@ -209,23 +208,44 @@
             other for other in task.lost_runs if other is not lost
         )
         fleet_state.mark_task_changed(fleet, key[0])
-        _queue_again(fleet, key[0], task)
         if lost.incarnation_ms != incarnation_ms:
             suspects.append(_Suspect(*key, lost.certain, lost.certain))
     return suspects
 
 
+def _judge_lost_runs(
+    fleet: fleet_state.FleetState,
+    worker_name: str,
+    incarnation_ms: int,
+    suspects: Iterable[_Suspect] = (),
+) -> list[effects.Effect]:
+    """Counts a crash for the lost runs of a worker, and for others aboard.
+
+    Tasks that waited for it are ready again once it is counted, unless they
+    still may have crashed too many workers.
+    """
+    keys = list(fleet.crash_history.lost_at.get(worker_name, ()))
+    lost = _take_lost_runs(fleet, worker_name, incarnation_ms)
+    effect_list = _count_crash(fleet, worker_name, [*lost, *suspects])
+    _queue_again(fleet, keys)
+    return effect_list
+
+
 def _queue_again(
-    fleet: fleet_state.FleetState, name: work.TaskName, task: job_store.Task
+    fleet: fleet_state.FleetState, keys: Iterable[crash_history.RunKey]
 ) -> None:
-    """Makes a task ready that waited for news of its workers."""
-    job = fleet.job_store.jobs[name.job]
-    if (
-        task.phase is job_store.Phase.QUEUED
-        and not task.awaits_verdict
-        and job.state not in job_store.ENDED
-    ):
-        fleet_state.queue_step(fleet, job, name.occurrence, name.step)
+    """Makes tasks ready that waited for news of their workers."""
+    for name, _ in keys:
+        task = job_store.find_task(fleet.job_store, name)
+        if task is None:
+            continue
+        job = fleet.job_store.jobs[name.job]
+        if (
+            task.phase is job_store.Phase.QUEUED
+            and not task.awaits_verdict
+            and job.state not in job_store.ENDED
+        ):
+            fleet_state.queue_step(fleet, job, name.occurrence, name.step)
 
 
 def _count_crash(
--- a/poplarspindle/tests/test_crashes.py
+++ b/poplarspindle/tests/test_crashes.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarspindle import resources
-from poplarspindle.fleet import work
+from poplarspindle.fleet import crashes, job_store, work
 from poplarspindle.tools.fakes import crashing, fleets
 
 CORE = resources.Resources(1000, 1000, 0)
@@ -253,3 +253,27 @@
             world.submit(f"d{number:015x}", make_step(3))
     world.run(60)
     assert {world.get_state(name) for name in names} == {"completed"}
+
+
+def test_task_that_may_have_crashed_three_workers_is_not_ready():
+    """BUDGET: it was queued before the crash was counted, and stayed so."""
+    world = make_world(crashing.Crashes())
+    world.run(0.5)
+    fleet, worker = world.fleet, world.fleet.workers["w1"]
+    world.submit("a" * 16, make_step(1))
+    name = work.TaskName("a" * 16, 0, 0, 0)
+    task = job_store.find_task(fleet.job_store, name)
+    task.phase = job_store.Phase.QUEUED
+    task.crash_record = job_store.CrashRecord(1, 0, 1)
+    task.lost_runs = tuple(
+        job_store.LostRun(attempt, worker_name, 1, "", True)
+        for attempt, worker_name in ((2, "w1"), (3, "w2"))
+    )
+    fleet.crash_history.lost_at = {
+        lost.worker_name: {(name, lost.attempt): 0.0} for lost in task.lost_runs
+    }
+    fleet.ready.clear()
+    crashes.handle_incarnation(fleet, worker, worker.incarnation_ms)
+    assert (task.crash_record.crashes, len(task.lost_runs)) == (2, 1)
+    assert task.awaits_verdict
+    assert not fleet.ready
