Calls: sockets of kept connections stay registered

Cause: libcurl tells for each call that it waits for a socket and, after the answer, that it does not. Each time the socket was registered with the event loop or taken out: two system calls and two walks through asyncio a call.

Change: the client's sockets are in an epoll object of their own, which the event loop reads as one descriptor; node/watched_sockets.py keeps those of idle connections registered. A peer that closes an idle connection has its socket taken out. The kernel forgets a closed socket without telling, so libcurl announces each new connection's socket (SOCKOPTFUNCTION) before it is waited for. All sockets that are ready are read before libcurl is asked which calls are over, once a turn instead of once a socket.

Tests: without the announcement test_new_connection_with_the_number_of_a_closed_one_is_told and test_connection_gets_its_answer_on_a_reused_descriptor fail.

--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -18,6 +18,7 @@
 import structlog
 
 from poplarspindle import outcomes
+from poplarspindle.node import watched_sockets
 
 CONNECT_MS = 400  # Every peer is a few milliseconds away.
 MAX_IDLE_CONNECTIONS = 2500  # Idle connections kept; below the descriptors.
@@ -112,7 +113,8 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
         self._timer: asyncio.TimerHandle | None = None
-        self._watched: set[int] = set()
+        self._sockets = watched_sockets.WatchedSockets()
+        self._loop.add_reader(self._sockets.descriptor, self._read_answers)
         self._idle: list[pycurl.Curl] = []
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         self._pending: collections.deque[tuple[Call, OutcomeCallback, int]] = (
@@ -175,7 +177,7 @@
             return
         for _ in range(min(MAX_STARTS_PER_TURN, len(self._pending))):
             self._try_to_start(*self._pending.popleft())
-        self._handle_socket(pycurl.SOCKET_TIMEOUT, 0)
+        self._run_due()
         if self._pending:
             self._loop.call_soon(self._start_pending)
 
@@ -193,7 +195,7 @@
     def _start_transfer(
         self, call: Call, done: OutcomeCallback, tries: int
     ) -> None:
-        handle = self._idle.pop() if self._idle else _make_handle()
+        handle = self._idle.pop() if self._idle else self._make_handle()
         body_chunks: list[bytes] = []
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.HTTPHEADER, (*call.headers, _NO_EXPECT))
@@ -214,6 +216,17 @@
             self._loop.call_later(call.timeout_s, self._time_out, handle),
         )
 
+    def _make_handle(self) -> pycurl.Curl:
+        handle = pycurl.Curl()
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_MS)
+        handle.setopt(pycurl.MAXFILESIZE, MAX_BODY_BYTES)
+        handle.setopt(pycurl.SOCKOPTFUNCTION, self._announce_socket)
+        return handle
+
     def _time_out(self, handle: pycurl.Curl) -> None:
         """Ends a call without an answer; what has arrived was read before.
 
@@ -236,6 +249,8 @@
             self._multi.remove_handle(handle)
         self._transfers.clear()
         self._multi.close()
+        self._loop.remove_reader(self._sockets.descriptor)
+        self._sockets.close()
         self._loop.stop()
 
     def _run_inbox(self) -> None:
@@ -245,23 +260,15 @@
 
     def _watch_socket(self, event: int, descriptor: int, *_: object) -> None:
         """Called by libcurl: which sockets it waits for."""
-        reads, writes = _EVENTS.get(event, (False, False))
-        if descriptor in self._watched:
-            if not reads:
-                self._loop.remove_reader(descriptor)
-            if not writes:
-                self._loop.remove_writer(descriptor)
-        self._watched.discard(descriptor)
-        if reads:
-            self._loop.add_reader(
-                descriptor, self._handle_socket, descriptor, pycurl.CSELECT_IN
-            )
-        if writes:
-            self._loop.add_writer(
-                descriptor, self._handle_socket, descriptor, pycurl.CSELECT_OUT
-            )
-        if reads or writes:
-            self._watched.add(descriptor)
+        if event in _EVENTS:
+            self._sockets.watch(descriptor, *_EVENTS[event])
+        else:
+            self._sockets.stop_watching(descriptor)
+
+    def _announce_socket(self, descriptor: int, _: int) -> int:
+        """Called by libcurl for each new connection, before it connects."""
+        self._sockets.announce(descriptor)
+        return pycurl.SOCKOPT_OK
 
     def _set_timer(self, delay_ms: int) -> None:
         """Called by libcurl: when it wants to be called without an event."""
@@ -269,14 +276,31 @@
             self._timer.cancel()
             self._timer = None
         if delay_ms >= 0:
-            self._timer = self._loop.call_later(
-                delay_ms / 1000, self._handle_socket, pycurl.SOCKET_TIMEOUT, 0
-            )
+            self._timer = self._loop.call_later(delay_ms / 1000, self._run_due)
+
+    def _run_due(self) -> None:
+        """Lets libcurl begin calls, and do what it wanted to do by now."""
+        if not self._stopping:
+            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+            self._finish_transfers()
 
-    def _handle_socket(self, descriptor: int, events: int) -> None:
+    def _read_answers(self) -> None:
+        """Lets libcurl read and write the sockets that are ready."""
         if self._stopping:
             return
-        self._multi.socket_action(descriptor, events)
+        self._sockets.poll(self._act_on_socket)
+        self._finish_transfers()
+
+    def _act_on_socket(
+        self, descriptor: int, reads: bool, writes: bool
+    ) -> None:
+        self._multi.socket_action(
+            descriptor,
+            (pycurl.CSELECT_IN if reads else 0)
+            | (pycurl.CSELECT_OUT if writes else 0),
+        )
+
+    def _finish_transfers(self) -> None:
         more = True
         while more:
             left, finished, failed = self._multi.info_read()
@@ -371,14 +395,3 @@
         work()
     except Exception as error:
         _log.exception("raised", why=repr(error))
-
-
-def _make_handle() -> pycurl.Curl:
-    handle = pycurl.Curl()
-    handle.setopt(pycurl.POST, 1)
-    handle.setopt(pycurl.NOSIGNAL, 1)
-    handle.setopt(pycurl.PROXY, "")
-    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-    handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_MS)
-    handle.setopt(pycurl.MAXFILESIZE, MAX_BODY_BYTES)
-    return handle
--- /dev/null
+++ b/poplarspindle/node/watched_sockets.py
@@ -0,0 +1,91 @@
+"""Sockets that libcurl waits for, registered with an epoll object.
+
+libcurl tells anew for each call that it waits for a socket, and after the
+answer that it does not. Connections are kept between calls, so their sockets
+stay registered for reading too: no system call per call. A peer that closes an
+idle connection makes its socket readable; it is taken out then.
+
+The kernel takes a closed socket out by itself and tells nobody, and its number
+is given to a new one. So each new connection's socket is announced before it
+is waited for.
+"""
+
+import contextlib
+import select
+from collections.abc import Callable
+
+
+class WatchedSockets:
+    """Sockets waited for; used on one thread.
+
+    Attributes:
+        descriptor: Becomes readable when a socket is ready.
+    """
+
+    def __init__(self) -> None:
+        self._epoll = select.epoll()
+        self.descriptor = self._epoll.fileno()
+        # Events that each descriptor is registered for.
+        self._registered: dict[int, int] = {}
+        # Of these, the sockets of idle connections; some may be closed.
+        self._idle: set[int] = set()
+        self._connections: set[int] = set()
+
+    def announce(self, descriptor: int) -> None:
+        """Tells of a new connection's socket; what is known of it is old."""
+        self._connections.add(descriptor)
+        self._idle.discard(descriptor)
+        self._registered.pop(descriptor, None)
+
+    def watch(self, descriptor: int, reads: bool, writes: bool) -> None:
+        """Waits for a socket to become readable or writable."""
+        events = (select.EPOLLIN if reads else 0) | (
+            select.EPOLLOUT if writes else 0
+        )
+        self._idle.discard(descriptor)
+        before = self._registered.get(descriptor)
+        if before == events:
+            return
+        if before is None:
+            self._epoll.register(descriptor, events)
+        else:
+            self._epoll.modify(descriptor, events)
+        self._registered[descriptor] = events
+
+    def stop_watching(self, descriptor: int) -> None:
+        """Waits no more for a socket, which may be closed after this."""
+        if (
+            descriptor in self._connections
+            and self._registered.get(descriptor) == select.EPOLLIN
+        ):
+            self._idle.add(descriptor)
+        else:
+            self._unregister(descriptor)
+
+    def poll(self, act: Callable[[int, bool, bool], None]) -> None:
+        """Acts on the sockets waited for that are ready now.
+
+        Args:
+            act: Takes a descriptor, whether it can be read and whether it can
+                be written; one that has failed can be both.
+        """
+        for descriptor, events in self._epoll.poll(0):
+            if descriptor in self._idle:
+                self._unregister(descriptor)
+            else:
+                act(
+                    descriptor,
+                    bool(events & ~select.EPOLLOUT),
+                    bool(events & ~select.EPOLLIN),
+                )
+
+    def close(self) -> None:
+        """Gives the epoll object back."""
+        self._epoll.close()
+
+    def _unregister(self, descriptor: int) -> None:
+        self._idle.discard(descriptor)
+        if self._registered.pop(descriptor, None) is not None:
+            # It is gone already where the socket was closed.
+            with contextlib.suppress(OSError):
+                self._epoll.unregister(descriptor)
