Calls: one timer for all calls' timeouts and libcurl's

Cause: each call made a timer of the event loop for its time and cancelled it, and libcurl had two more made and cancelled.

Change: timeouts of calls are in one heap (node/call_deadlines.py), libcurl's wanted time is a number, and one timer of the loop is moved only where it would run too late. It reads all sockets that are ready before it ends calls, as before. Sockets' events go to libcurl without a step between.

--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections
 import dataclasses
-import io
 import threading
 import time
 from collections.abc import Callable
@@ -18,21 +17,15 @@
 import structlog
 
 from poplarspindle import outcomes
-from poplarspindle.node import watched_sockets
+from poplarspindle.node import call_deadlines, curl_handles, watched_sockets
 
-CONNECT_MS = 400  # Every peer is a few milliseconds away.
 MAX_IDLE_CONNECTIONS = 2500  # Idle connections kept; below the descriptors.
 MAX_STARTS_PER_TURN = 16  # Calls begun before answers are looked at: a few ms.
 MAX_TRIES = 3
-# The transfer's own timeout; a call is over sooner, by a timer that runs after
-# all answers that have arrived were read.
-TRANSFER_TIMEOUT_FACTOR = 4
 LOOP_LAG_S = 0.1  # Timers on time fire within a few milliseconds.
 LOG_INTERVAL_S = 1.0
-MAX_BODY_BYTES = 8 * 1024 * 1024
 # A kept connection turns out to be closed when a call is sent.
 _SEND_FAILURES = frozenset({pycurl.E_SEND_ERROR, pycurl.E_SEND_FAIL_REWIND})
-_NO_EXPECT = "Expect:"  # A body is sent without being asked for.
 _EVENTS = {
     pycurl.POLL_IN: (True, False),
     pycurl.POLL_OUT: (False, True),
@@ -85,7 +78,7 @@
         body_chunks: What came of the answer's body.
         started_at: When it began, monotonic seconds.
         tries: How often it began.
-        timeout: Ends it when the call's time is over.
+        deadline: Number of its entry among the deadlines.
     """
 
     call: Call
@@ -93,7 +86,7 @@
     body_chunks: list[bytes]
     started_at: float
     tries: int
-    timeout: asyncio.TimerHandle
+    deadline: int
 
 
 class HttpClient:
@@ -112,6 +105,9 @@
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
+        self._libcurl_due_at = float("inf")
+        self._deadlines = call_deadlines.CallDeadlines()
+        # Wakes the loop at the earliest of these, or earlier.
         self._timer: asyncio.TimerHandle | None = None
         self._sockets = watched_sockets.WatchedSockets()
         self._loop.add_reader(self._sockets.descriptor, self._read_answers)
@@ -177,7 +173,9 @@
             return
         for _ in range(min(MAX_STARTS_PER_TURN, len(self._pending))):
             self._try_to_start(*self._pending.popleft())
-        self._run_due()
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._finish_transfers()
+        self._move_timer()
         if self._pending:
             self._loop.call_soon(self._start_pending)
 
@@ -195,47 +193,31 @@
     def _start_transfer(
         self, call: Call, done: OutcomeCallback, tries: int
     ) -> None:
-        handle = self._idle.pop() if self._idle else self._make_handle()
+        handle = (
+            self._idle.pop()
+            if self._idle
+            else curl_handles.make_handle(self._announce_socket)
+        )
         body_chunks: list[bytes] = []
-        handle.setopt(pycurl.URL, call.url)
-        handle.setopt(pycurl.HTTPHEADER, (*call.headers, _NO_EXPECT))
-        # libcurl sends a body that it can't read again only once. Otherwise it
-        # repeats a call whose kept connection breaks, without telling.
-        handle.setopt(pycurl.READFUNCTION, io.BytesIO(call.body).read)
-        handle.setopt(pycurl.POSTFIELDSIZE, len(call.body))
-        transfer_timeout_s = TRANSFER_TIMEOUT_FACTOR * call.timeout_s
-        handle.setopt(pycurl.TIMEOUT_MS, max(1, int(transfer_timeout_s * 1000)))
-        handle.setopt(pycurl.WRITEFUNCTION, body_chunks.append)
+        curl_handles.prepare(
+            handle,
+            call.url,
+            call.headers,
+            call.body,
+            call.timeout_s,
+            body_chunks.append,
+        )
         self._multi.add_handle(handle)
+        now = time.monotonic()
         self._transfers[handle] = _Transfer(
             call,
             done,
             body_chunks,
-            time.monotonic(),
+            now,
             tries,
-            self._loop.call_later(call.timeout_s, self._time_out, handle),
+            self._deadlines.add(now + call.timeout_s, handle),
         )
 
-    def _make_handle(self) -> pycurl.Curl:
-        handle = pycurl.Curl()
-        handle.setopt(pycurl.POST, 1)
-        handle.setopt(pycurl.NOSIGNAL, 1)
-        handle.setopt(pycurl.PROXY, "")
-        handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_MS)
-        handle.setopt(pycurl.MAXFILESIZE, MAX_BODY_BYTES)
-        handle.setopt(pycurl.SOCKOPTFUNCTION, self._announce_socket)
-        return handle
-
-    def _time_out(self, handle: pycurl.Curl) -> None:
-        """Ends a call without an answer; what has arrived was read before.
-
-        Load pattern: this thread is late, and answers that wait to be read
-        would pass for silence of the peers.
-        """
-        if handle in self._transfers and not self._stopping:
-            self._finish(handle, pycurl.E_OPERATION_TIMEDOUT, "no answer")
-
     def _run(self) -> None:
         try:
             self._loop.run_forever()
@@ -244,8 +226,7 @@
 
     def _close(self) -> None:
         self._stopping = True
-        for handle, transfer in self._transfers.items():
-            transfer.timeout.cancel()
+        for handle in self._transfers:
             self._multi.remove_handle(handle)
         self._transfers.clear()
         self._multi.close()
@@ -272,33 +253,52 @@
 
     def _set_timer(self, delay_ms: int) -> None:
         """Called by libcurl: when it wants to be called without an event."""
+        self._libcurl_due_at = (
+            time.monotonic() + delay_ms / 1000
+            if delay_ms >= 0
+            else float("inf")
+        )
+
+    def _move_timer(self) -> None:
+        """Sets the loop's timer where it would run too late.
+
+        One that runs too early costs less than one that is moved for each
+        call, as most calls are over long before their time.
+        """
+        due_at = min(self._libcurl_due_at, self._deadlines.get_first())
         if self._timer is not None:
+            if self._timer.when() <= due_at:
+                return
             self._timer.cancel()
             self._timer = None
-        if delay_ms >= 0:
-            self._timer = self._loop.call_later(delay_ms / 1000, self._run_due)
+        if due_at < float("inf"):
+            self._timer = self._loop.call_at(due_at, self._handle_timer)
+
+    def _handle_timer(self) -> None:
+        """Ends calls without an answer; what has arrived was read before.
 
-    def _run_due(self) -> None:
-        """Lets libcurl begin calls, and do what it wanted to do by now."""
-        if not self._stopping:
+        Load pattern: this thread is late, and answers that wait to be read
+        would pass for silence of the peers.
+        """
+        self._timer = None
+        if self._stopping:
+            return
+        now = time.monotonic()
+        self._sockets.poll(self._multi.socket_action)
+        if self._libcurl_due_at <= now:
             self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-            self._finish_transfers()
+        self._finish_transfers()
+        for handle in self._deadlines.take_due(now):
+            self._finish(handle, pycurl.E_OPERATION_TIMEDOUT, "no answer")
+        self._move_timer()
 
     def _read_answers(self) -> None:
         """Lets libcurl read and write the sockets that are ready."""
         if self._stopping:
             return
-        self._sockets.poll(self._act_on_socket)
+        self._sockets.poll(self._multi.socket_action)
         self._finish_transfers()
-
-    def _act_on_socket(
-        self, descriptor: int, reads: bool, writes: bool
-    ) -> None:
-        self._multi.socket_action(
-            descriptor,
-            (pycurl.CSELECT_IN if reads else 0)
-            | (pycurl.CSELECT_OUT if writes else 0),
-        )
+        self._move_timer()
 
     def _finish_transfers(self) -> None:
         more = True
@@ -312,7 +312,7 @@
 
     def _finish(self, handle: pycurl.Curl, code: int, text: str) -> None:
         transfer = self._transfers.pop(handle)
-        transfer.timeout.cancel()
+        self._deadlines.remove(transfer.deadline)
         self._multi.remove_handle(handle)
         sent = handle.getinfo(pycurl.REQUEST_SIZE) > 0
         status = handle.getinfo(pycurl.RESPONSE_CODE)
@@ -362,7 +362,7 @@
             return False
         now = time.monotonic()
         # Nothing was sent, so the time to connect in may be what was over.
-        allowed_s = min(transfer.call.timeout_s, CONNECT_MS / 1000)
+        allowed_s = min(transfer.call.timeout_s, curl_handles.CONNECT_MS / 1000)
         late_s = now - transfer.started_at - allowed_s
         if late_s < LOOP_LAG_S:
             return False
--- a/poplarspindle/node/watched_sockets.py
+++ b/poplarspindle/node/watched_sockets.py
@@ -14,6 +14,8 @@
 import select
 from collections.abc import Callable
 
+import pycurl
+
 
 class WatchedSockets:
     """Sockets waited for; used on one thread.
@@ -62,22 +64,20 @@
         else:
             self._unregister(descriptor)
 
-    def poll(self, act: Callable[[int, bool, bool], None]) -> None:
+    def poll(self, act: Callable[[int, int], object]) -> None:
         """Acts on the sockets waited for that are ready now.
 
         Args:
-            act: Takes a descriptor, whether it can be read and whether it can
-                be written; one that has failed can be both.
+            act: Takes a descriptor and in which ways it is ready: CSELECT_IN,
+                CSELECT_OUT; a socket that has failed is ready in both.
         """
         for descriptor, events in self._epoll.poll(0):
             if descriptor in self._idle:
                 self._unregister(descriptor)
-            else:
-                act(
-                    descriptor,
-                    bool(events & ~select.EPOLLOUT),
-                    bool(events & ~select.EPOLLIN),
-                )
+                continue
+            reads = pycurl.CSELECT_IN if events & ~select.EPOLLOUT else 0
+            writes = pycurl.CSELECT_OUT if events & ~select.EPOLLIN else 0
+            act(descriptor, reads | writes)
 
     def close(self) -> None:
         """Gives the epoll object back."""
--- a/poplarspindle/tests/test_watched_sockets.py
+++ b/poplarspindle/tests/test_watched_sockets.py
@@ -6,12 +6,14 @@
 import socket
 import threading
 
+import pycurl
 import pytest
 
 from poplarspindle import outcomes
 from poplarspindle.node import http_client, watched_sockets
 from poplarspindle.tests import test_http_client
 
+READS, WRITES = pycurl.CSELECT_IN, pycurl.CSELECT_OUT
 calls = test_http_client.calls
 peer = test_http_client.peer
 
@@ -69,7 +71,9 @@
         peer.send(b"x")
         sockets.watch(own.fileno(), reads, writes)
         assert is_ready(sockets)
-        assert poll(sockets) == [(own.fileno(), reads, writes)]
+        assert poll(sockets) == [
+            (own.fileno(), (READS if reads else 0) | (WRITES if writes else 0))
+        ]
         sockets.stop_watching(own.fileno())
         assert poll(sockets) == []
         assert not is_ready(sockets)
@@ -82,9 +86,9 @@
     sockets.watch(own.fileno(), True, False)
     assert poll(sockets) == []
     peer.send(b"x")
-    assert poll(sockets) == [(own.fileno(), True, False)]
+    assert poll(sockets) == [(own.fileno(), READS)]
     sockets.watch(own.fileno(), False, True)
-    assert poll(sockets) == [(own.fileno(), False, True)]
+    assert poll(sockets) == [(own.fileno(), WRITES)]
 
 
 def test_idle_connection_that_the_peer_closes_does_not_spin(sockets, pair):
@@ -112,7 +116,7 @@
         sockets.watch(own.fileno(), True, False)
         assert poll(sockets) == []
         new_peer.send(b"x")
-        assert poll(sockets) == [(own.fileno(), True, False)]
+        assert poll(sockets) == [(own.fileno(), READS)]
 
 
 def test_connection_closed_while_waited_for_leaves_nothing_to_the_next(
@@ -127,7 +131,7 @@
         sockets.watch(own.fileno(), True, False)
         assert poll(sockets) == []
         new_peer.send(b"x")
-        assert poll(sockets) == [(own.fileno(), True, False)]
+        assert poll(sockets) == [(own.fileno(), READS)]
 
 
 def test_socket_that_is_closed_first_is_forgotten(sockets, pair):
