Find the runs of a job that ends without going through all workers

Each end of a job asked every worker whether it has runs of it, although nearly all jobs end with their last run. A job now counts its placed runs by worker; where it has none, no worker is looked at. This replaces the count by job that each worker had.

--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -357,8 +357,8 @@
     for task in [task for task in fleet.failed_on if task.job == name]:
         del fleet.failed_on[task]
     effect_list = [make_log_note("jobs", "ended", name, state=state.value)]
-    for worker in fleet.workers.values():
-        if name not in worker.runs_by_job:
+    for worker in fleet.workers.values() if job.runs_by_worker else ():
+        if worker.info.name not in job.runs_by_worker:
             continue
         for run in [r for r in worker.runs.values() if r.name.job == name]:
             effect_list += stop_run(fleet, worker, run)
--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -3,6 +3,7 @@
 Nodes that have read the log up to the same point have the same state.
 """
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Iterable
@@ -185,6 +186,8 @@
         occurrences: Tasks by occurrence, step and index, of occurrences that
             are not done.
         recorded_groups: Task groups that the progress log contains.
+        runs_by_worker: Number of its runs that the owner has placed, by the
+            name of their worker; not recorded.
     """
 
     __slots__ = (
@@ -194,6 +197,7 @@
         "opened_occurrences",
         "published_state",
         "recorded_groups",
+        "runs_by_worker",
         "state",
         "submission",
     )
@@ -207,6 +211,7 @@
         self.opened_occurrences = 0
         self.occurrences: dict[int, list[list[Task]]] = {}
         self.recorded_groups: set[Group] = set()
+        self.runs_by_worker: collections.Counter = collections.Counter()
 
 
 class JobStore:
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -139,7 +139,6 @@
             not placed on it; they are being stopped.
         runs_settled: Whether ticks need not look at its runs; see `run_checks`.
         runs_by_step: Number of runs by job, occurrence and step.
-        runs_by_job: Number of runs by job.
         suspects: Keys of its runs that may have crashed another worker.
         reserved: Resources that its runs reserve, without the processors of
             best-effort runs.
@@ -198,9 +197,6 @@
     runs_by_step: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
-    runs_by_job: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
     suspects: set[tuple[work.TaskName, int]] = dataclasses.field(
         default_factory=set
     )
@@ -259,7 +255,7 @@
     worker.headroom_by_image = None
     worker.reserved = worker.reserved + get_reserved(run.step)
     worker.runs_by_step[_get_step_key(run)] += 1
-    worker.runs_by_job[run.name.job] += 1
+    run.job.runs_by_worker[worker.info.name] += 1
     if run.task.is_suspect:
         worker.suspects.add(run.key)
     if run.step.best_effort:
@@ -281,7 +277,7 @@
     worker.headroom_by_image = None
     worker.reserved = worker.reserved - get_reserved(run.step)
     _count_down(worker.runs_by_step, _get_step_key(run))
-    _count_down(worker.runs_by_job, run.name.job)
+    _count_down(run.job.runs_by_worker, worker.info.name)
     if run.step.best_effort:
         worker.best_effort_millicores -= run.expected_millicores
     if run.step.target_ms:
--- a/poplarspindle/tests/test_run_checks.py
+++ b/poplarspindle/tests/test_run_checks.py
@@ -1,12 +1,15 @@
 """Workers that a tick passes over have nothing to be done for their runs."""
 
 import collections
+import dataclasses
 import random
 
 import pytest
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
+    effects,
+    fleet_state,
     grants,
     job_store,
     late_starts,
@@ -61,10 +64,16 @@
     world = load_world.LoadWorld(loads.draw_load(kind, 5), 5, mechanisms.ALL)
     world.run(24)
     assert answers[True] > 300 and answers[False] > 300
-    for worker in world.fleet.workers.values():
-        assert worker.runs_by_job == collections.Counter(
-            run.name.job for run in worker.runs.values()
+    placed = [
+        (name, run.job)
+        for name, worker in world.fleet.workers.items()
+        for run in worker.runs.values()
+    ]
+    for job in world.fleet.job_store.jobs.values():
+        assert job.runs_by_worker == collections.Counter(
+            name for name, its_job in placed if its_job is job
         )
+    assert placed
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -114,11 +123,12 @@
     assert checked
 
 
-def test_count_of_runs_by_job_follows_the_runs():
+def test_count_of_a_jobs_runs_follows_the_runs():
     rng = random.Random(1)
-    (worker,) = test_placement_rounds.make_workers(rng, 1)
-    for run in list(worker.runs.values()):
-        worker_state.remove_run(worker, run)
+    workers = test_placement_rounds.make_workers(rng, 3)
+    for worker in workers:
+        for run in list(worker.runs.values()):
+            worker_state.remove_run(worker, run)
     queue = work.Queue("q", "h", "/q/", "pool")
     step = work.Step(9, resources.Resources(1000, 1000, 0))
     jobs = [
@@ -128,6 +138,7 @@
     for job in jobs:
         job_store.open_occurrence(job)
     for _ in range(300):
+        worker = rng.choice(workers)
         job, index = rng.choice(jobs), rng.randrange(9)
         name = work.TaskName(job.submission.job, 0, 0, index)
         task = job.occurrences[0][0][index]
@@ -136,7 +147,39 @@
             worker_state.remove_run(worker, run)
         else:
             worker_state.add_run(worker, run)
-        assert worker.runs_by_job == collections.Counter(
-            run.name.job for run in worker.runs.values()
+        expected = collections.Counter(
+            worker.info.name
+            for worker in workers
+            for run in worker.runs.values()
+            if run.job is job
         )
-        assert 0 not in worker.runs_by_job.values()
+        assert dict(job.runs_by_worker) == dict(expected)
+
+
+def test_end_of_a_job_looks_at_no_worker_without_its_runs():
+    """Load: dozens of jobs end a second, beside hundreds of workers."""
+    world = fleets.World(1, 20)
+    step = work.Step(6, resources.Resources(1000, 1000, 0), 500)
+    for number in range(3):
+        world.submit(f"{number:016x}", step)
+    world.run(0.3)
+    fleet = world.fleet
+    looked_at = []
+
+    class Workers(dict):
+        """Notes that all workers are gone through."""
+
+        def values(self):
+            looked_at.append(len(self))
+            return super().values()
+
+    job = fleet.job_store.jobs["0" * 16]
+    assert job.runs_by_worker
+    other = job_store.Job(dataclasses.replace(job.submission, job="f" * 16))
+    fleet.workers = Workers(fleet.workers)
+    fleet_state.end_job(fleet, other, job_store.State.COMPLETED)
+    assert not looked_at
+    stopped = fleet_state.end_job(fleet, job, job_store.State.CANCELLED)
+    assert looked_at
+    orders_sent = [e for e in stopped if isinstance(e, effects.Order)]
+    assert len(orders_sent) == sum(job.runs_by_worker.values()) == 6
