Test of waiting steps: count the workers looked at as well

The test counted checks of free resources, which are no longer made for workers whose cost is kept. With both shortcuts of placing switched off (`_unplaced_needs`, `unplaceable_needs`) it passed since, where it failed before (76,320 checks). It now also bounds, by the same number, the workers that are looked at, and fails so again (76,000).

--- a/poplarspindle/tests/test_placement_rounds.py
+++ b/poplarspindle/tests/test_placement_rounds.py
@@ -153,15 +153,28 @@
             fit_checks.append(1) or original(worker)
         ),
     )
+    looked_at = []
+    list_entries = worker_chooser.WorkerChooser._list_entries
+    monkeypatch.setattr(
+        worker_chooser.WorkerChooser,
+        "_list_entries",
+        lambda self, workers: (
+            looked_at.extend(workers) or list_entries(self, workers)
+        ),
+    )
     for number in range(100):
         world.submit(f"{number:016x}", step)
     # The fleet has room for 320 tasks. At first each step scans all workers.
     assert sum(map(len, world.fleet.ready.values())) == 100 * 60 - 320
+    assert len(looked_at) >= 40 + 320
     fit_checks.clear()
+    looked_at.clear()
     world.run(1)
     # All workers are checked twice a second, and each one after its reports.
     # That does not grow with the number of waiting steps.
     assert len(fit_checks) <= 100 * 4 + 40 * 4 * 2 * 3
+    # Also where a worker's cost is kept and its room not checked again.
+    assert 0 < len(looked_at) <= 100 * 4 + 40 * 4 * 2 * 3
     assert world.list_violations() == []
 
 
