Bound the work that is accepted by all that is left of it

Cause: the published delay of starts - counted ready tasks only; later steps of the same jobs bring as many again when the owner is behind already, - took all starts to be left for each priority, though urgent work that keeps coming got some 200 of 450 starts a second, - began at a rate of 0 after a takeover: 10.9 s instead of 5.5 s at first. Why it works: all tasks left of jobs of a priority, at the rate that higher priorities leave to it, count as a wait if they are more than 8 s of starts; ready ones still count in full. The rate left is a quarter at least, as bursts pass. The share of the time before a takeover is taken out of the rates.

--- a/poplarspindle/fleet/ready_steps.py
+++ b/poplarspindle/fleet/ready_steps.py
@@ -1,6 +1,8 @@
 """Orders the steps with ready tasks, and counts their tasks."""
 
-from poplarspindle.fleet import fleet_state, ranking
+from collections.abc import Iterator
+
+from poplarspindle.fleet import fleet_state, job_store, ranking
 
 # Ranks change with time, but computing all of them each round is too slow.
 MAX_RANK_AGE_S = 0.25
@@ -53,3 +55,30 @@
         for key, indexes in fleet.ready.items()
         if fleet.job_store.jobs[key[0]].submission.steps[key[2]].best_effort
     )
+
+
+def list_ready_counts(
+    fleet: fleet_state.FleetState,
+) -> Iterator[tuple[int, int]]:
+    """Lists priority and number of ready tasks of each step."""
+    for key, indexes in fleet.ready.items():
+        job = fleet.job_store.jobs[key[0]]
+        yield fleet_state.find_queue(fleet, job).priority, len(indexes)
+
+
+def list_later_counts(
+    fleet: fleet_state.FleetState,
+) -> Iterator[tuple[int, int]]:
+    """Lists priority and number of tasks of steps that wait for others."""
+    for name in fleet.open_jobs:
+        job = fleet.job_store.jobs[name]
+        later_tasks = sum(
+            len(tasks)
+            for occurrence, step_tasks in job.occurrences.items()
+            for step, tasks in enumerate(step_tasks)
+            if tasks
+            and tasks[0].phase is job_store.Phase.QUEUED
+            and (name, occurrence, step) not in fleet.ready
+        )
+        if later_tasks:
+            yield fleet_state.find_queue(fleet, job).priority, later_tasks
--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -10,6 +10,7 @@
     fleet_state,
     job_store,
     model_persistence,
+    ready_steps,
     records,
     start_delay,
     unreachable,
@@ -154,15 +155,8 @@
     )
     delays_s = start_delay.estimate_delays(
         fleet.start_statistics,
-        (
-            (
-                fleet_state.find_queue(
-                    fleet, fleet.job_store.jobs[key[0]]
-                ).priority,
-                len(indexes),
-            )
-            for key, indexes in fleet.ready.items()
-        ),
+        ready_steps.list_ready_counts(fleet),
+        ready_steps.list_later_counts(fleet),
     )
     was_published = fleet.start_delays_published
     fleet.start_delays_published = bool(delays_s)
@@ -266,6 +260,7 @@
         if run.job.state in job_store.ENDED or run.stopping or is_unreachable:
             effect_list += fleet_state.stop_run(fleet, worker, run)
         else:
-            fleet.start_statistics.starts += 1
+            priority = fleet_state.find_queue(fleet, run.job).priority
+            start_delay.record_start(fleet.start_statistics, priority)
             effect_list += withdrawals.send_start(fleet, worker, run)
     return effect_list
--- a/poplarspindle/tests/test_start_rate.py
+++ b/poplarspindle/tests/test_start_rate.py
@@ -2,7 +2,17 @@
 
 import pytest
 
-from poplarspindle.fleet import effects, events, reducer, start_delay
+from poplarspindle import resources
+from poplarspindle.fleet import (
+    effects,
+    events,
+    fleet_state,
+    job_store,
+    ready_steps,
+    reducer,
+    start_delay,
+    work,
+)
 from poplarspindle.tests import test_overrun
 
 TICK_S = 0.05
@@ -93,3 +103,87 @@
     owner.run(3.0, is_store_silent=True)
     assert owner.fleet.start_statistics.limited_periods == 0
     assert not owner.delays
+
+
+def make_statistics(periods, starts_by_priority):
+    """Makes statistics of an owner that is limited from its beginning on."""
+    statistics = start_delay.StartStatistics()
+    start_delay.end_period(statistics, 0.0)
+    for period in range(1, periods + 1):
+        start_delay.record_round(statistics, True)
+        for priority, starts in starts_by_priority.items():
+            for _ in range(starts):
+                start_delay.record_start(statistics, priority)
+        start_delay.end_period(statistics, period * start_delay.PERIOD_S)
+    return statistics
+
+
+@pytest.mark.parametrize("periods", [2, 3, 8])
+def test_new_owner_knows_its_rate_of_starts_after_two_periods(periods):
+    """SHORT: a second after a takeover delays were published too long."""
+    statistics = make_statistics(periods, {0: 300})
+    found = start_delay.estimate_delays(statistics, [(0, 1500)])
+    assert found == ((0, pytest.approx(2.5, rel=0.02)),)
+
+
+@pytest.mark.parametrize(
+    ("starts_by_priority", "delay_s"),
+    [
+        pytest.param({2: 225}, 2.0, id="no other work"),
+        pytest.param({0: 105, 2: 120}, 3.75, id="half goes to what is urgent"),
+        pytest.param({2: 225, 5: 75}, 1.5, id="what comes later waits"),
+        pytest.param({0: 215, 2: 10}, 8.0, id="a burst of what is urgent"),
+    ],
+)
+def test_work_waits_for_the_starts_that_urgent_work_leaves(
+    starts_by_priority, delay_s
+):
+    """SHORT: of 450 starts a second, work of priority 2 got 240.
+
+    900 tasks were taken for a wait of 2 s, so too many jobs were accepted and
+    half of the tasks of each were started too late to earn anything.
+    """
+    statistics = make_statistics(8, starts_by_priority)
+    found = dict(start_delay.estimate_delays(statistics, [(2, 900)]))
+    assert found == {2: pytest.approx(delay_s, rel=0.02)}
+
+
+@pytest.mark.parametrize(
+    ("ready", "later", "delay_s"),
+    [
+        pytest.param(900, 0, 2.0, id="all are ready"),
+        pytest.param(900, 900, 2.0, id="as many follow"),
+        pytest.param(900, 2700, 3.0, id="most is yet to come"),
+        pytest.param(0, 7200, 6.0, id="nothing is ready now"),
+    ],
+)
+def test_steps_that_wait_for_others_count_as_work_left(ready, later, delay_s):
+    """LOST: 17 s after the last job, tasks that could run were not started.
+
+    The ready ones were work for 6 s; as many more of the same jobs followed.
+    """
+    statistics = make_statistics(8, {2: 225})
+    found = dict(
+        start_delay.estimate_delays(statistics, [(2, ready)], [(2, later)])
+    )
+    assert found == {2: pytest.approx(delay_s, rel=0.02)}
+
+
+def test_tasks_of_later_steps_are_counted_once():
+    fleet, _ = test_overrun.make_waiting_fleet(jobs=0, tasks=1)
+    need = resources.Resources(1000, 1, 0)
+    steps = (
+        work.Step(20, need),
+        work.Step(30, need, prerequisites=(0,)),
+        work.Step(50, need, prerequisites=(1,)),
+    )
+    for number in range(3):
+        submission = work.Submission(
+            f"{number:016x}", test_overrun.QUEUE, "", steps
+        )
+        job = job_store.add_job(fleet.job_store, submission)
+        fleet.open_jobs[submission.job] = None
+        fleet_state.open_due_occurrences(fleet, job)
+    ready = sum(count for _, count in ready_steps.list_ready_counts(fleet))
+    later = sum(count for _, count in ready_steps.list_later_counts(fleet))
+    assert (ready, later) == (60, 240)
