Starts that wait in a poller are taken back when their worker shrinks

Cause: a start is checked against its worker's capacity when it is sent or sent again. One that waits in a poller, for answers to others or for room in the bound of the leases, was sent whatever the worker's entry said by then, and brought a worker that does not refuse it over its capacity (LIMIT).

Evidence: test_start_that_waits_is_sent_to_a_worker_that_shrank, red before: 4 starts over capacity.

--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -27,6 +27,7 @@
     retention,
     takeover,
     waiting,
+    withdrawals,
     work,
     worker_selection,
     worker_state,
@@ -123,7 +124,9 @@
             worker.available = None
             worker.may_accept_more = fleet.placement_needed = True
         worker.listed = True
-        worker.info = info
+        worker.info, info_before = info, worker.info
+        if info.capacity != info_before.capacity:
+            effect_list += withdrawals.withdraw_unanswered_starts(fleet, worker)
         if info.presence is work.Presence.LEAVING:
             leaves_at = event.at + info.leaves_ms / 1000
             worker.leaves_at = min(worker.leaves_at, leaves_at)
--- a/poplarspindle/fleet/withdrawals.py
+++ b/poplarspindle/fleet/withdrawals.py
@@ -25,6 +25,32 @@
     """
     if run.confirmed or not is_over_capacity(worker):
         return fleet_state.send_start(fleet, worker, run)
+    return _take_back(fleet, worker, run)
+
+
+def withdraw_unanswered_starts(
+    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
+) -> list[effects.Effect]:
+    """Takes back what may not have begun on a worker that has shrunk.
+
+    Starts may wait in this node, for their turn or for room in the bound of the
+    leases.
+    """
+    if not is_over_capacity(worker):
+        return []
+    return [
+        effect
+        for run in list(worker.runs.values())
+        if run.start_in_flight and not run.confirmed and not run.stopping
+        for effect in _take_back(fleet, worker, run)
+    ]
+
+
+def _take_back(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> list[effects.Effect]:
     return [
         fleet_state.make_log_note(
             "runs",
--- a/poplarspindle/tests/test_capacity.py
+++ b/poplarspindle/tests/test_capacity.py
@@ -6,7 +6,8 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import work, worker_state
-from poplarspindle.tools.fakes import fleet_workers, fleets
+from poplarspindle.node import polling
+from poplarspindle.tools.fakes import fleet_workers, fleets, messages
 
 CORE = resources.Resources(1000, 1000, 0)
 JOB = "a" * 16
@@ -104,6 +105,32 @@
     assert world.list_violations() == []
 
 
+def test_start_that_waits_is_sent_to_a_worker_that_shrank(monkeypatch):
+    """LIMIT: starts wait in their poller for answers to others."""
+    monkeypatch.setattr(polling, "MAX_ORDERS_IN_FLIGHT", 1)
+    world = make_world()
+    world.run(1)
+    started = []
+
+    def delay_start(message):
+        if message.kind is not messages.Kind.START:
+            return messages.DELIVERED
+        started.append(message)
+        return messages.Fate(0.2)
+
+    world.choose_fate = delay_start
+    world.submit(JOB, make_step(6))
+    while not started:
+        world.run(fleets.TICK_S)
+    set_capacity(world, 2)
+    world.run(3)
+    assert count_over_capacity(world) == 0
+    set_capacity(world, 8)
+    world.run(15)
+    assert world.get_state(JOB) == "completed"
+    assert world.list_violations() == []
+
+
 def test_next_owner_repeats_starts_to_a_worker_that_shrank():
     """LIMIT: the last owner recorded the starts and did not send them."""
     world = make_world()
