--- a/poplarspindle/tests/test_call_deadlines.py
+++ b/poplarspindle/tests/test_call_deadlines.py
@@ -7,7 +7,7 @@
 import pytest
 
 from poplarspindle.node import call_deadlines, http_client
-from poplarspindle.tests import test_http_client
+from poplarspindle.tests import test_http_client, test_watched_sockets
 
 PATIENCE_S = test_http_client.PATIENCE_S
 SHORT_S = 0.1
@@ -129,3 +129,17 @@
     calls._thread.join(PATIENCE_S)
     assert not calls._thread.is_alive()
     assert ends == []
+
+
+def test_timer_moves_to_a_deadline_that_is_earlier(calls, silent_address):
+    """A call would end with the timer of another one, however late."""
+    for timeout_s in (PATIENCE_S, SHORT_S):
+        call = test_http_client.make_call(silent_address, timeout_s=timeout_s)
+        calls.run_soon(lambda call=call: calls.send(call, lambda _: None))
+        for _ in range(2):  # The call is begun a turn after it was made.
+            test_watched_sockets.run_on_thread(calls, lambda: None)
+        timer_at, first = test_watched_sockets.run_on_thread(
+            calls,
+            lambda: (calls._timer.when(), calls._deadlines.get_first()),
+        )
+        assert timer_at <= first
