Starts: the rate is not split by priority again

Cause: divided what waits by the rate that urgent work leaves, for ready tasks and for the backlog. That is too strict where urgent work is a sixth of all, and after the load all starts are for the backlog. Why it works: the bound of 8 s for what is left, which LOST asks for, and the rate after a takeover stay; ready tasks count as before.

--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -265,7 +265,6 @@
         if run.job.state in job_store.ENDED or run.stopping or is_unreachable:
             effect_list += fleet_state.stop_run(fleet, worker, run)
         else:
-            priority = fleet_state.find_queue(fleet, run.job).priority
-            start_delay.record_start(fleet.start_statistics, priority)
+            fleet.start_statistics.starts += 1
             effect_list += withdrawals.send_start(fleet, worker, run)
     return effect_list
--- a/poplarspindle/fleet/start_delay.py
+++ b/poplarspindle/fleet/start_delay.py
@@ -9,9 +9,6 @@
 Load pattern: jobs have steps that wait for others. Half of the work that was
 accepted is not ready yet, and follows when the owner is behind already. So what
 is left of all jobs has a bound as well.
-
-Load pattern: work of a higher priority keeps coming. It overtakes what waits,
-so other work is started at the rate that is left, not at the owner's.
 """
 
 import collections
@@ -27,7 +24,6 @@
 PERIOD_S = 0.5
 MIN_LIMITED_PERIODS = 2
 RATE_WEIGHT = 0.5  # Of the newest period in the smoothed rate.
-MIN_RATE_LEFT_SHARE = 0.25  # Bursts of a higher priority soon pass.
 MAX_UNLEARNED_SHARE = 0.01  # Less changes no decision.
 MIN_STARTS_PER_S = 1.0
 MAX_START_DELAY_S = 3.0
@@ -43,30 +39,22 @@
 
     Attributes:
         starts: Starts sent in this period.
-        starts_by_priority: The same by priority.
         appends: Appends that the store acknowledged in this period.
         rounds: Placement rounds of this period.
         cut_rounds: Those that ended since no more starts could be sent.
         limited_periods: Periods on end in which most rounds ended so.
         starts_per_s: Smoothed rate of starts.
-        starts_per_s_by_priority: The same by priority.
-        unlearned_share: Weight in the smoothed rates of what was there before
+        unlearned_share: Weight in the smoothed rate of what was there before
             the first period, 1 before it.
         period_began_at: When this period began, the owner's clock.
     """
 
     starts: int = 0
-    starts_by_priority: collections.Counter[int] = dataclasses.field(
-        default_factory=collections.Counter
-    )
     appends: int = 0
     rounds: int = 0
     cut_rounds: int = 0
     limited_periods: int = 0
     starts_per_s: float = 0.0
-    starts_per_s_by_priority: dict[int, float] = dataclasses.field(
-        default_factory=dict
-    )
     unlearned_share: float = 1.0
     period_began_at: float = float("-inf")
 
@@ -92,12 +80,6 @@
     statistics.cut_rounds += was_cut
 
 
-def record_start(statistics: StartStatistics, priority: int) -> None:
-    """Records a start that is sent, and the priority of its queue."""
-    statistics.starts += 1
-    statistics.starts_by_priority[priority] += 1
-
-
 def end_period(
     statistics: StartStatistics, now: float, awaits_append: bool = False
 ) -> None:
@@ -117,45 +99,27 @@
         return
     was_store_silent = awaits_append and not statistics.appends
     if math.isfinite(lasted_s) and not was_store_silent:
-        _learn_rates(statistics, lasted_s)
+        rate = statistics.starts / lasted_s
+        statistics.starts_per_s += RATE_WEIGHT * (
+            rate - statistics.starts_per_s
+        )
+        statistics.unlearned_share *= 1 - RATE_WEIGHT
         if statistics.rounds:
             is_limited = 2 * statistics.cut_rounds >= statistics.rounds
             statistics.limited_periods = (
                 statistics.limited_periods + 1 if is_limited else 0
             )
     statistics.starts = statistics.appends = 0
-    statistics.starts_by_priority.clear()
     statistics.rounds = statistics.cut_rounds = 0
     statistics.period_began_at = now
 
 
-def _learn_rates(statistics: StartStatistics, lasted_s: float) -> None:
-    """Learns the rates of starts from a period."""
-    statistics.unlearned_share *= 1 - RATE_WEIGHT
-    rate = statistics.starts / lasted_s
-    statistics.starts_per_s += RATE_WEIGHT * (rate - statistics.starts_per_s)
-    rates = statistics.starts_per_s_by_priority
-    for priority in rates.keys() | statistics.starts_by_priority.keys():
-        before = rates.get(priority, 0.0)
-        rate = statistics.starts_by_priority[priority] / lasted_s
-        rates[priority] = before + RATE_WEIGHT * (rate - before)
-
-
-def _find_rate_left(statistics: StartStatistics, priority: int) -> float:
-    """Returns the rate of starts that higher priorities leave to one.
-
-    Soon after a takeover the smoothed rates still hold the time before it, in
-    which there were none.
-    """
-    rate_left = statistics.starts_per_s - sum(
-        rate
-        for other, rate in statistics.starts_per_s_by_priority.items()
-        if other < priority
-    )
-    rate_left = max(rate_left, MIN_RATE_LEFT_SHARE * statistics.starts_per_s)
+def _find_rate(statistics: StartStatistics) -> float:
+    """Returns the rate of starts, without the time before the first period."""
+    rate = statistics.starts_per_s
     if statistics.unlearned_share > MAX_UNLEARNED_SHARE:
-        rate_left /= 1 - statistics.unlearned_share
-    return max(MIN_STARTS_PER_S, rate_left)
+        rate /= 1 - statistics.unlearned_share
+    return max(MIN_STARTS_PER_S, rate)
 
 
 def estimate_delays(
@@ -178,6 +142,7 @@
     """
     if statistics.limited_periods < MIN_LIMITED_PERIODS:
         return ()
+    starts_per_s = _find_rate(statistics)
     ready_by_priority = _sum_by_priority(ready_tasks)
     later_by_priority = _sum_by_priority(later_tasks)
     delays = []
@@ -188,8 +153,7 @@
         tasks_ahead = max(
             ready_ahead, backlog * MAX_START_DELAY_S / MAX_BACKLOG_S
         )
-        delay_s = tasks_ahead / _find_rate_left(statistics, priority)
-        delays.append((priority, round(delay_s, 3)))
+        delays.append((priority, round(tasks_ahead / starts_per_s, 3)))
     return tuple(delays)
 
 
