make explore plays what cases share once

All pairs took hours: a case was played from its beginning, though it differs from others in its last disruption only, which on long runs comes at 14 to 28 s of 20 to 36 s on average (sample of 12 pairs of 6 first disruptions each).

The course without the last disruption is played once now; at each moment of a last disruption from 5 s on a child process goes on from there.

make explore also prints for how long it explored.

--- a/poplarspindle/tests/test_explorer.py
+++ b/poplarspindle/tests/test_explorer.py
@@ -7,6 +7,7 @@
 
 from poplarspindle.fleet import fencing, grants, lease_bounds
 from poplarspindle.tools.explorer import (
+    branching,
     cases,
     disruptions,
     exploring,
@@ -195,6 +196,40 @@
     assert results[0][1].failures == results[1][1].failures
 
 
+# Branching.
+
+NAMES = ("renewal-lost", "cut-2", "owner-replaced", "nodes-restarted-0.1")
+
+
+@pytest.mark.parametrize("shared_s", [0.0, branching.MIN_SHARED_S])
+@pytest.mark.parametrize("placements", [(), ("cut-2",)])
+def test_cases_that_part_from_a_course_are_played_as_from_the_beginning(
+    placements, shared_s, monkeypatch
+):
+    monkeypatch.setattr(branching, "MIN_SHARED_S", shared_s)
+    case = cases.Case(
+        "task",
+        2,
+        tuple(cases.Placement(one, "start-sent", "w0") for one in placements),
+    )
+    played = exploring.play_next(case, NAMES, True)
+    branched = exploring.play_next(
+        case, NAMES, True, play_branches=branching.play_branches
+    )
+    assert branched == played
+    assert len(played) > len(NAMES)
+
+
+def test_child_that_fails_is_reported(monkeypatch):
+    monkeypatch.setattr(branching, "MIN_SHARED_S", 0.0)
+    broken = disruptions.Disruption(apply=lambda world, name: 1 / 0)
+    table = {"cut-2": broken}
+    course = playing.play(CASE).moments
+    longer = cases.list_next(CASE, course, table)
+    with pytest.raises(RuntimeError, match="ZeroDivisionError"):
+        branching.play_branches(CASE, longer, True, table)
+
+
 # Shrinking.
 
 
--- a/poplarspindle/tools/explorer/explore.py
+++ b/poplarspindle/tools/explorer/explore.py
@@ -9,6 +9,7 @@
 
 import poplarspindle
 from poplarspindle.tools.explorer import (
+    branching,
     cases,
     disruptions,
     exploring,
@@ -57,9 +58,15 @@
     run_all = exploring.run_in_processes(
         processes or os.cpu_count() or 1, until
     )
+    began_at = time.monotonic()
     tally = exploring.explore(
-        begin, [names] * depth, run_all, exploring.print_progress
+        begin,
+        [names] * depth,
+        run_all,
+        exploring.print_progress,
+        play_branches=branching.play_branches,
     )
+    print(f"explored for {time.monotonic() - began_at:.0f} s")
     exploring.silence_logs()
     print("\n".join(report.format_tally(tally)))
     _print_failures(tally, shown)
--- a/poplarspindle/tools/explorer/exploring.py
+++ b/poplarspindle/tools/explorer/exploring.py
@@ -15,6 +15,9 @@
 from poplarspindle.tools.fakes import messages
 
 PROGRESS_S = 5.0
+PlayBranches = Callable[
+    [cases.Case, Sequence[cases.Case], bool], list[playing.Outcome]
+]
 WAITING = 8  # Results are taken in order; so many may wait for the first.
 
 
@@ -71,6 +74,7 @@
     names: tuple[str, ...],
     is_last: bool = False,
     play: Callable[[cases.Case, bool], playing.Outcome] = playing.play,
+    play_branches: PlayBranches | None = None,
 ) -> list[Played]:
     """Plays a case with each disruption more.
 
@@ -79,20 +83,23 @@
         names: Names of the disruptions.
         is_last: Whether no disruption will be put at what follows these.
         play: Plays a case.
+        play_branches: Plays cases that part from one; None to play each.
     """
     table = {name: disruptions.DISRUPTIONS[name] for name in names}
-    found = []
-    for longer in cases.list_next(case, play(case, False).moments, table):
-        outcome = play(longer, is_last)
-        found.append(
-            Played(
-                longer,
-                outcome.violations,
-                outcome.fingerprint,
-                outcome.placed == len(longer.placements),
-            )
+    longer = cases.list_next(case, play(case, False).moments, table)
+    if play_branches is None:
+        outcomes = [play(one, is_last) for one in longer]
+    else:
+        outcomes = play_branches(case, longer, is_last)
+    return [
+        Played(
+            one,
+            outcome.violations,
+            outcome.fingerprint,
+            outcome.placed == len(one.placements),
         )
-    return found
+        for one, outcome in zip(longer, outcomes, strict=True)
+    ]
 
 
 class Exploration:
@@ -157,6 +164,7 @@
     run_all: Callable[[Callable, list[cases.Case]], Iterable[list[Played]]],
     report: Callable[[str], None] = lambda line: None,
     play: Callable[[cases.Case, bool], playing.Outcome] = playing.play,
+    play_branches: PlayBranches | None = None,
 ) -> Tally:
     """Plays cases with ever more disruptions.
 
@@ -168,6 +176,7 @@
             early.
         report: Takes lines on the progress.
         play: Plays a case.
+        play_branches: Plays cases that part from one; None to play each.
     """
     exploration = Exploration()
     level = begin
@@ -177,6 +186,7 @@
             names=level_names,
             is_last=number == len(names),
             play=play,
+            play_branches=play_branches,
         )
         done, longer = 0, []
         told_at = time.monotonic()
--- a/poplarspindle/tools/explorer/playing.py
+++ b/poplarspindle/tools/explorer/playing.py
@@ -1,7 +1,7 @@
 """Plays one case, and judges it from the workers' ledgers."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from poplarspindle.fleet import job_store, work
 from poplarspindle.tools.explorer import (
@@ -39,11 +39,31 @@
     placed: int
 
 
-class _Player:
-    """Puts the disruptions of a case at their moments."""
+class Player:
+    """Puts the disruptions of a case at their moments.
 
-    def __init__(self, case: cases.Case, table) -> None:
-        self._case = case
+    Args:
+        case: The case.
+        is_last: Whether the course may end before the work does, once it is
+            sure to end: no disruption will be put at what follows.
+        table: The disruptions by name.
+
+    Attributes:
+        case: The case.
+        is_last: Whether the course may end early.
+        choose_case: Called at each moment after the disruptions of the case;
+            may set a case with one disruption more, put at this moment.
+    """
+
+    def __init__(
+        self,
+        case: cases.Case,
+        is_last: bool,
+        table: Mapping[str, disruptions.Disruption],
+    ) -> None:
+        self.case = case
+        self.is_last = is_last
+        self.choose_case: Callable[[moments.Moment], None] = lambda moment: None
         self._table = table
         self._fate = messages.DELIVERED
         self.calm_at = 0.0
@@ -66,16 +86,20 @@
     @property
     def is_done(self) -> bool:
         """Whether all disruptions found their moment."""
-        return self.placed == len(self._case.placements)
+        return self.placed == len(self.case.placements)
 
     def _handle_moment(self, kind: str, worker: str, subject: str) -> None:
         if not self.is_recording:
             return
         at = self.world.now
         moment = self.recorder.record(kind, worker, subject, at)
-        if moment is None or self.is_done:
+        if moment is None:
             return
-        placement = self._case.placements[self.placed]
+        if self.is_done:
+            self.choose_case(moment)
+        if self.is_done:
+            return
+        placement = self.case.placements[self.placed]
         if (placement.kind, placement.worker, placement.number) != (
             moment.kind,
             moment.worker,
@@ -114,8 +138,12 @@
             sure to end: no disruption will be put at what follows.
         table: The disruptions by name.
     """
-    player = _Player(case, table)
-    world, kind = player.world, works.WORKS[case.work]
+    return play_to_the_end(Player(case, is_last, table))
+
+
+def play_to_the_end(player: Player) -> Outcome:
+    """Plays the case of a player."""
+    world, kind = player.world, works.WORKS[player.case.work]
     begun_at = world.now + LISTED_S
     lost: list[str] = []
     if kind.second_at_s < float("inf"):
@@ -134,7 +162,7 @@
         _run_until(world, begun_at + kind.cancelled_at_s)
         _run_until_at_work(player, lost)
         world.cancel(works.FIRST_JOB)
-    _run_to_the_end(player, lost, is_last)
+    _run_to_the_end(player, lost)
     found = dict.fromkeys(
         world.list_violations()
         + world.checker.violations
@@ -169,7 +197,7 @@
     return [name for name in _list_open_jobs(world) if name not in running]
 
 
-def _run_until_at_work(player: _Player, lost: list[str]) -> None:
+def _run_until_at_work(player: Player, lost: list[str]) -> None:
     """Lets a lasting job run; in calm it is at work after a while."""
     world = player.world
     while _list_idle_jobs(world):
@@ -185,7 +213,7 @@
     ]
 
 
-def _is_sure_to_end(player: _Player) -> bool:
+def _is_sure_to_end(player: Player) -> bool:
     """Tells whether all is calm and all that is open runs as its owner knows.
 
     The leases were renewed by then, and nothing is late.
@@ -214,7 +242,7 @@
     )
 
 
-def _run_to_the_end(player: _Player, lost: list[str], is_last: bool) -> None:
+def _run_to_the_end(player: Player, lost: list[str]) -> None:
     world = player.world
     idle_since = float("inf")
     while (
@@ -223,7 +251,7 @@
         or world.now < player.calm_at + QUIET_S
     ):
         world.run(fleets.TICK_S)
-        if is_last and _is_sure_to_end(player):
+        if player.is_last and _is_sure_to_end(player):
             return
         if world.now > player.calm_at + AT_WORK_AFTER_S:
             idle = _list_idle_jobs(world)
