--- a/poplarspindle/tests/test_explorer.py
+++ b/poplarspindle/tests/test_explorer.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import time
 
 import pytest
 
@@ -230,6 +231,22 @@
         branching.play_branches(CASE, longer, True, table)
 
 
+# Time.
+
+
+def extend_slowly(case):
+    """Takes the place of an extension that takes its time."""
+    time.sleep(0.2)
+    return [case]
+
+
+def test_what_has_not_begun_in_time_is_left():
+    """Each process had up to seven courses to go after the end of the time."""
+    run_all = exploring.run_in_processes(1, time.monotonic() + 0.3)
+    found = list(run_all(extend_slowly, [CASE] * 20))
+    assert 0 < len(found) < exploring.WAITING
+
+
 # Shrinking.
 
 
--- a/poplarspindle/tools/explorer/exploring.py
+++ b/poplarspindle/tools/explorer/exploring.py
@@ -256,6 +256,9 @@
                     and time.monotonic() < until
                 ):
                     running.append(pool.submit(extend, waiting.popleft()))
+                if time.monotonic() >= until:
+                    begun = [one for one in running if not one.cancel()]
+                    running = collections.deque(begun)
                 if not running:
                     return
                 yield running.popleft().result()
