--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -364,10 +364,9 @@
         del fleet.failed_on[task]
     effect_list = [make_log_note("jobs", "ended", name, state=state.value)]
     for worker in fleet.workers.values() if job.runs_by_worker else ():
-        if worker.info.name not in job.runs_by_worker:
-            continue
-        for run in [r for r in worker.runs.values() if r.name.job == name]:
-            effect_list += stop_run(fleet, worker, run)
+        if worker.info.name in job.runs_by_worker:
+            for run in [r for r in worker.runs.values() if r.name.job == name]:
+                effect_list += stop_run(fleet, worker, run)
     job.occurrences = {}
     return effect_list
 
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -87,19 +87,18 @@
 
     def extend_leases(self, done: Callable[[], None]) -> None:
         """Asks for the longest leases, for the time until the next owner."""
-        ownership = self._ownership
         now = self._ownership.now()
         until_ms = self._leases.choose_last(now)
-        if until_ms:
-            token = self.fence.token
-            ownership.post(
-                events.LeaseGranted(now, self.worker.name, until_ms, token)
-            )
-            last_poll = orders.Poll(token, self._acknowledged_end, until_ms, 0)
-            self._leases.record_sent(now, last_poll, now)
-            self.client.poll(last_poll, POLL_RETRY_TIMEOUT_S, lambda _: done())
-        else:
+        if not until_ms:
             done()
+            return
+        token = self.fence.token
+        self._ownership.post(
+            events.LeaseGranted(now, self.worker.name, until_ms, token)
+        )
+        last_poll = orders.Poll(token, self._acknowledged_end, until_ms, 0)
+        self._leases.record_sent(now, last_poll, now)
+        self.client.poll(last_poll, POLL_RETRY_TIMEOUT_S, lambda _: done())
 
     def send_order(self, order: orders.Order) -> None:
         """Sends an order; beyond some at a time they wait for each other.
@@ -204,9 +203,8 @@
 
     def _has_room(self, order: orders.Order) -> bool:
         """Returns whether an order need not wait for answers to others."""
-        if not isinstance(order, orders.Start):
-            return True
-        return self._leases.has_room(self._ownership.now())
+        grants_leases = isinstance(order, orders.Start)
+        return not grants_leases or self._leases.has_room(self._ownership.now())
 
     def _return_unsent(self, order: orders.Order) -> None:
         self._post_answer(order, self._ownership.now(), UNREACHABLE)
@@ -312,9 +310,7 @@
         self.client.poll(
             order,
             POLL_RETRY_TIMEOUT_S,
-            lambda last_answer: self._handle_final_answer(
-                order, sent_at, last_answer
-            ),
+            functools.partial(self._handle_final_answer, order, sent_at),
         )
 
     def _handle_final_answer(
