Revert 'Polls after an outage: not four times a second while long leases last'

Nothing shows a fault of the longer waits; they come back together with a remedy of that fault. Until then each worker is asked four times a second for as long as leases of an outage last, some 4 s.

--- a/poplarspindle/fleet/leases.py
+++ b/poplarspindle/fleet/leases.py
@@ -11,7 +11,7 @@
 LAST_RENEWAL_LEFT_S = 0.8  # Of the leases, when it is asked for.
 LAST_RENEWAL_AFTER_S = 3.5  # At the latest, after the last confirmation.
 LEAST_GAIN_S = 0.2  # What adds less to the leases is not asked for.
-SHORT_WAIT_MS = 250  # At least, until leases that add enough are asked for.
+SHORT_WAIT_MS = 250  # Until leases that would add too little are asked for.
 # A poll that renews leases is answered at once, and others renew none. So when
 # a worker dies or is cut off, seldom is an order out that may renew them late.
 RENEW_AFTER_S = 1.0
@@ -119,9 +119,8 @@
         waits_on = is_idle and not is_store_silent
         return 0, wait_ms if waits_on else min(wait_ms, int(left_ms))
     lease_s = (until_ms - _estimate_ms(clock, now)) / 1000
-    gains_after_s = leases_end_at + LEAST_GAIN_S - (now + lease_s)
-    if gains_after_s > 0:
-        return 0, min(wait_ms, max(SHORT_WAIT_MS, int(gains_after_s * 1000)))
+    if now + lease_s < leases_end_at + LEAST_GAIN_S:
+        return 0, min(wait_ms, SHORT_WAIT_MS)
     return until_ms, 0
 
 
