--- a/poplarspindle/node/watched_sockets.py
+++ b/poplarspindle/node/watched_sockets.py
@@ -71,7 +71,10 @@
             act: Takes a descriptor and in which ways it is ready: CSELECT_IN,
                 CSELECT_OUT; a socket that has failed is ready in both.
         """
-        for descriptor, events in self._epoll.poll(0):
+        # Without a number it tells of 1,023 at most, and calls would run out
+        # of time whose answers have arrived.
+        most = max(1, len(self._registered))
+        for descriptor, events in self._epoll.poll(0, most):
             if descriptor in self._idle:
                 self._unregister(descriptor)
                 continue
--- a/poplarspindle/tests/test_watched_sockets.py
+++ b/poplarspindle/tests/test_watched_sockets.py
@@ -219,3 +219,19 @@
         listening.shutdown(socket.SHUT_RDWR)
         thread.join()
     assert len(set(opened)) < len(opened)
+
+
+def test_all_sockets_that_are_ready_are_told_at_once(sockets):
+    """Load: an owner was paused, and calls run out of time after this.
+
+    A thousand workers have a poll each in flight, and hundreds an order.
+    """
+    descriptors = [os.eventfd(1) for _ in range(1500)]
+    try:
+        for descriptor in descriptors:
+            sockets.announce(descriptor)
+            sockets.watch(descriptor, True, False)
+        assert {found for found, _ in poll(sockets)} == set(descriptors)
+    finally:
+        for descriptor in descriptors:
+            os.close(descriptor)
