Return orders that wait at an address that is no longer looked at

Starts that wait for room in the bound of the leases have no turn in line and none in flight before them, so once their poller was stopped (the worker has another address) nobody returned them: they stayed without an answer and counted as waiting until the ownership ended, which takes their number off the room for all others. Each poller has a poll out or a timer for one, which returns them.

--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -270,6 +270,7 @@
     def poll(self, wait_ms: int = 0) -> None:
         """Looks at the worker; the next look follows the answer."""
         if self.is_stopped():
+            self._send_queued()
             return
         ownership = self._ownership
         sent_at = self._ownership.now()
@@ -318,6 +319,7 @@
     ) -> None:
         ownership = self._ownership
         if self.is_stopped():
+            self._send_queued()  # Returns them; no other answer may come.
             return
         at = self._ownership.now()
         if isinstance(answer, outcomes.Failed):
--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -201,6 +201,40 @@
     assert answers[polling.MAX_ORDERS_IN_FLIGHT + 1] == polling.UNREACHABLE
 
 
+@pytest.mark.parametrize(
+    "last_polls", [(make_report(6),), (LOST, LOST), (REFUSED,)]
+)
+def test_starts_without_room_at_an_old_address_are_answered(last_polls):
+    """LOST: they count as waiting for good, and leave no room for others.
+
+    Starts before them got no answer, and use up the bound of the leases.
+    """
+    client = Slow([make_report(5)])
+    own = FakeOwnership(client)
+    poller = polling.WorkerPoller(own, WORKER)
+    polls = []
+    poller.poll()
+    client.poll = lambda order, timeout_s, done: polls.append(done)
+    own.pass_time()
+    for attempt in range(5):
+        name = work.TaskName("j", 0, 0, attempt)
+        until_ms = 5 + leases.LEASE_MS
+        poller.send_order(orders.Start(name, 1, 16, "", until_ms))
+    for done in client.sent:
+        done(orders.Answer(orders.Refusal.NO_ANSWER))
+    assert own.order_window.waiting > 0
+    poller.stopped = True
+    for answer in last_polls:
+        if polls:
+            polls.pop()(answer)
+    own.pass_time()
+    answered = [
+        event for event in own.posted if isinstance(event, events.OrderAnswered)
+    ]
+    assert len(answered) == 5
+    assert (own.order_window.waiting, own.order_window.in_flight) == (0, 0)
+
+
 def test_start_that_waits_is_not_sent_once_its_run_is_to_stop():
     """TWICE: the task was known to be done in an earlier run."""
     client = Slow([])
