--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -65,8 +65,7 @@
         self._poll_timer: typing.Any = None
         self._queued_orders: queued_orders.Queue = []
         self._orders_in_flight = 0
-        # Turns in the window's line, by urgency.
-        self._awaited_turns: collections.Counter[int] = collections.Counter()
+        self._awaited_turns = collections.Counter[int]()  # By urgency.
         self._is_silent = False
         self.wait_ms = poll_waits.BUSY_WAIT_MS
         self.stopped = False
@@ -272,14 +271,13 @@
         if self.is_stopped():
             self._send_queued()
             return
-        ownership = self._ownership
         sent_at = self._ownership.now()
         until_ms, wait_ms = self._leases.choose_poll(
             sent_at, wait_ms, self.wait_ms == poll_waits.IDLE_WAIT_MS
         )
         token = self.fence.token
         if until_ms:
-            ownership.post(
+            self._ownership.post(
                 events.LeaseGranted(sent_at, self.worker.name, until_ms, token)
             )
         # After a poll without an answer another incarnation may answer, whose
@@ -317,7 +315,6 @@
     def _handle_final_answer(
         self, order: orders.Poll, sent_at: float, answer
     ) -> None:
-        ownership = self._ownership
         if self.is_stopped():
             self._send_queued()  # Returns them; no other answer may come.
             return
@@ -336,8 +333,8 @@
             self._set_silent(True)
             self._leases.clock.allowed = False
             if answer.reason == "fenced":
-                ownership.report_lost("worker-fenced")
-            ownership.post(
+                self._ownership.report_lost("worker-fenced")
+            self._ownership.post(
                 events.PollFailed(
                     at,
                     self.worker.name,
@@ -345,7 +342,7 @@
                     None if answer.may_have_acted else sent_at,
                 )
             )
-            self._poll_timer = ownership.run_later(
+            self._poll_timer = self._ownership.run_later(
                 FAILED_POLL_DELAY_S, self.poll
             )
             return
@@ -359,10 +356,10 @@
         self._leases.record_carried_out(sent_at, order.epoch, at)
         if order.until_ms:
             clock.renewed_at = sent_at
-        ownership.post(
+        self._ownership.post(
             events.Reported(
                 at,
-                ownership.wall_ms(),
+                self._ownership.wall_ms(),
                 self.worker.name,
                 sent_at,
                 order.until_ms,
@@ -376,7 +373,7 @@
         if newest > self._acknowledged_end:
             # Ends that are not recorded yet would only be listed again.
             self._awaited_end = newest
-            self._poll_timer = ownership.run_later(
+            self._poll_timer = self._ownership.run_later(
                 ACKNOWLEDGE_TIMEOUT_S, self._poll_next
             )
         else:
