A start that grew old in its owner does not shut its worker

Callers could see urgent work wait for workers with room: since orders are sent by urgency, starts that can wait may be too old to be sent (3 s) while the owner is late. Cause: they count as not delivered, and that leaves their worker without new work for a second. Such a refusal no longer excludes the worker; it says nothing of it. Test: test_worker_is_not_shut_for_a_start_that_waited_in_its_owner, red before.

--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -44,6 +44,14 @@
     return now - order.decided_at > MAX_START_AGE_S
 
 
+def waited_too_long(run: worker_state.Run, now: float) -> bool:
+    """Returns whether the last start of a run was too old to be sent.
+
+    That says nothing of its worker, which is not to be left without work.
+    """
+    return now - run.start_sent_at > MAX_START_AGE_S
+
+
 def rule_out_earlier_owners(worker: worker_state.WorkerState) -> None:
     """Records that a worker answered under this epoch.
 
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -370,7 +370,11 @@
         late_starts.record_unanswered_start(run, fleet.now)
     if refusal is orders.Refusal.NO_CAPACITY:
         worker.no_placement_until = fleet.now + FULL_EXCLUSION_S
-    elif not run.stopping and refusal not in RETRYABLE:
+    elif not (
+        run.stopping
+        or refusal in RETRYABLE
+        or late_starts.waited_too_long(run, fleet.now)
+    ):
         worker.no_placement_until = fleet.now + BUSY_EXCLUSION_S
     if run.stopping:
         return effect_list + fleet_state.stop_run(fleet, worker, run)
