Test of the explorer's end: a pool that stands still instead of real time

It slept for 0.2 s a course and asked how many ended within 0.3 s. A pool of which one call has begun, and a clock that counts, ask the same on any machine: what has begun ends, the rest is left. Without the cancelling the test does not end.

--- a/poplarspindle/tests/test_explorer.py
+++ b/poplarspindle/tests/test_explorer.py
@@ -1,8 +1,9 @@
 """The explorer: enumeration, folding, shrinking, and that it can fail."""
 
+import concurrent.futures
 import dataclasses
 import itertools
-import time
+import types
 
 import pytest
 
@@ -234,17 +235,39 @@
 # Time.
 
 
-def extend_slowly(case):
-    """Takes the place of an extension that takes its time."""
-    time.sleep(0.2)
-    return [case]
+class OneAtATimePool:
+    """Takes the place of a pool of one process, which began the first call."""
 
+    def __init__(self, processes, initializer):
+        self.begun = 0
 
-def test_what_has_not_begun_in_time_is_left():
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        """Does nothing."""
+
+    def submit(self, extend, case):
+        """Returns a future that can be cancelled unless it is the first."""
+        future = concurrent.futures.Future()
+        if not self.begun:
+            future.set_running_or_notify_cancel()
+            future.set_result(extend(case))
+        self.begun += 1
+        return future
+
+
+def test_what_has_not_begun_in_time_is_left(monkeypatch):
     """Each process had up to seven courses to go after the end of the time."""
-    run_all = exploring.run_in_processes(1, time.monotonic() + 0.3)
-    found = list(run_all(extend_slowly, [CASE] * 20))
-    assert 0 < len(found) < exploring.WAITING
+    monkeypatch.setattr(
+        concurrent.futures, "ProcessPoolExecutor", OneAtATimePool
+    )
+    looks = itertools.count()
+    clock = types.SimpleNamespace(monotonic=lambda: next(looks))
+    monkeypatch.setattr(exploring, "time", clock)
+    run_all = exploring.run_in_processes(1, exploring.WAITING)
+    found = list(run_all(lambda case: [case], [CASE] * 20))
+    assert found == [[CASE]]
 
 
 # Shrinking.
