Leases of all earlier owners count in the bound of an owner's leases

Cause: lease_bounds took what earlier owners granted to be over. Late orders of the second owner renew what the first one granted, beyond the third one's wait.

Change: an account begins at what the wait of its owner promises (claim + find_next_wait_s) and goes to answer + longest lease at the first answer that this owner gets from a life of the worker, as that life refuses earlier owners' orders from then on. A start before the first poll's answer waits for it, as it does for answers to other orders. Whether a renewal gains anything is decided by what this owner's own answered orders granted, not by that bound.

Tests changed: test_polling ..last_leases.. asked for 6 s at the moment of the first answer, which is the fault; it asks 6.2 s later, and its bound is counted from then. ..start_that_waits_is_not_sent_once.. sent ten starts of 4 s to a worker that answered no poll; the worker answers one first, and the assertions are the same.

--- a/poplarspindle/fleet/fencing.py
+++ b/poplarspindle/fleet/fencing.py
@@ -25,7 +25,7 @@
         token: Token of the next order.
         answered: Highest token of an order that the worker answered, 0 for
             none.
-        account: What this owner's orders may have granted the worker.
+        account: What orders may have granted the worker.
     """
 
     epoch: int
@@ -36,9 +36,18 @@
     )
 
 
-def make_fence(epoch: int) -> Fence:
-    """Makes the token for a worker that was given no order yet."""
-    return Fence(epoch, epoch)
+def make_fence(
+    epoch: int, earlier_leases_end_at: float = float("-inf")
+) -> Fence:
+    """Makes the token for a worker that was given no order yet.
+
+    Args:
+        epoch: Epoch of the ownership.
+        earlier_leases_end_at: When all leases end that earlier owners granted,
+            on the owner's monotonic clock; minus infinity for none.
+    """
+    account = lease_bounds.Account(earlier_leases_end_at)
+    return Fence(epoch, epoch, account=account)
 
 
 def record_unanswered(fence: Fence, order: orders.Order | orders.Poll) -> bool:
--- a/poplarspindle/fleet/lease_bounds.py
+++ b/poplarspindle/fleet/lease_bounds.py
@@ -6,9 +6,14 @@
 end, and may renew them from then on. So for each worker, whenever an order that
 grants leases is sent:
 
-    end of the leases that were answered
+    end of the leases that were granted
     + the leases that orders without an answer ask for
     <= last confirmation + `find_next_wait_s`
+
+What earlier owners granted counts as well. It ends within the wait of this
+owner, by the same inequality. A worker that has answered refuses their orders,
+so from then on it ends within the longest lease after that answer. Thus the
+inequality holds for any number of owners.
 """
 
 import dataclasses
@@ -18,15 +23,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Account:
-    """What the orders of one owner may have granted a worker.
+    """What the orders of one owner and of those before may have granted.
+
+    Times are on the owner's monotonic clock.
 
     Attributes:
-        leases_end_at: When the leases end that were answered, at the latest,
-            on the owner's monotonic clock.
-        unanswered_grants: Orders that grant leases and have no answer.
+        leases_end_at: When a worker's leases end at the latest, unless an order
+            without an answer renews them; minus infinity for none.
+        answered_end_at: When the leases end that this owner asked for and that
+            were answered, minus infinity for none.
+        unanswered_grants: This owner's orders that grant leases and have no
+            answer.
     """
 
     leases_end_at: float = float("-inf")
+    answered_end_at: float = float("-inf")
     unanswered_grants: list[worker_state.UnansweredGrant] = dataclasses.field(
         default_factory=list
     )
@@ -38,8 +49,12 @@
     Args:
         lease_most_ms: Longest lease that a worker grants.
     """
-    most_s = lease_most_ms / 1000 * worker_state.MAX_CLOCK_DRIFT
-    return leases.TAKEOVER_GRANT_S + most_s
+    return leases.TAKEOVER_GRANT_S + _find_longest_s(lease_most_ms)
+
+
+def _find_longest_s(lease_most_ms: int) -> float:
+    """Returns how long the longest lease may last on the owner's clock."""
+    return lease_most_ms / 1000 * worker_state.MAX_CLOCK_DRIFT
 
 
 def find_longest_lease_ms(
@@ -48,7 +63,7 @@
     """Returns the longest lease that an order may ask for now, 0 for none.
 
     Args:
-        account: What this owner may have granted the worker.
+        account: What the worker may have been granted.
         now: Present time, on the owner's monotonic clock.
         confirmed_at: When the store last confirmed the ownership, on the same
             clock.
@@ -87,4 +102,19 @@
         if grant.key == key:
             end = at + grant.lease_s
             account.leases_end_at = max(account.leases_end_at, end)
+            account.answered_end_at = max(account.answered_end_at, end)
     grants.record_answered(account, key)
+
+
+def record_heard(account: Account, at: float, lease_most_ms: int) -> None:
+    """Records the first answer to this owner in a life of the worker.
+
+    From then on that life refuses the orders of earlier owners. What it carried
+    out until then grants the longest lease at most.
+
+    Args:
+        account: What the worker may have been granted.
+        at: When the answer came, on the owner's monotonic clock.
+        lease_most_ms: Longest lease that a worker grants.
+    """
+    account.leases_end_at = at + _find_longest_s(lease_most_ms)
--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -45,7 +45,7 @@
             self._find_longest_ms(now),
             wait_ms,
             is_idle,
-            self._account.leases_end_at,
+            self._account.answered_end_at,
         )
 
     def choose_last(self, now: float) -> int:
@@ -85,8 +85,12 @@
         return self._find_longest_ms(now) >= least_ms
 
     def awaits_answers(self) -> bool:
-        """Returns whether orders that grant leases have no answer yet."""
-        return bool(self._account.unanswered_grants)
+        """Returns whether answers to come may make room for a start.
+
+        The first one, to a poll, tells that the worker refuses the orders of
+        earlier owners; others tell what this owner's own orders granted.
+        """
+        return not self.clock.ms or bool(self._account.unanswered_grants)
 
     def record_sent(
         self,
@@ -109,16 +113,14 @@
         lease_bounds.record_carried_out(self._account, key, at)
         grants.void_overtaken(self._account, token, at)
 
-    def record_next_life(self, at: float) -> None:
-        """Records that another incarnation carried out a poll that renews.
+    def record_heard(self, at: float) -> None:
+        """Records the first answer of an incarnation.
 
-        Its clock began anew, so it grants the longest lease.
+        What it carried out before may have granted it the longest lease, also
+        this owner's own poll, which was meant for an earlier one's clock.
         """
-        longest_end_at = worker_state.find_longest_lease_end(
-            at, self._ownership.lease_most_ms
-        )
-        self._account.leases_end_at = max(
-            self._account.leases_end_at, longest_end_at
+        lease_bounds.record_heard(
+            self._account, at, self._ownership.lease_most_ms
         )
 
     def record_refused(
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -11,6 +11,7 @@
 from poplarspindle.fleet import (
     effects,
     events,
+    lease_bounds,
     records,
     work,
     worker_state,
@@ -77,6 +78,11 @@
         self._claimed_at = claimed_at
         self.wall_ms = wall_ms
         self.lease_most_ms = own_settings.lease_most_ms
+        # Earlier owners were refused by the store at some time before now.
+        self.earlier_leases_end_at = (
+            clocks.get_steady_s()
+            + lease_bounds.find_next_wait_s(self.lease_most_ms)
+        )
         self.stop_event = threading.Event()
         self._http_client = http_client.HttpClient()
         self._pollers = pollers.Pollers(self, self._http_client.run_soon)
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -52,7 +52,9 @@
     ) -> None:
         self._ownership = ownership
         self.worker = info
-        self.fence = fence or fencing.make_fence(ownership.epoch)
+        self.fence = fence or fencing.make_fence(
+            ownership.epoch, ownership.earlier_leases_end_at
+        )
         if fence is not None:
             # What the poller before left in flight may be late.
             fencing.record_replaced(fence)
@@ -247,6 +249,8 @@
     ) -> None:
         now = self._ownership.now()
         if answer.refusal is None:
+            if not self.fence.answered:
+                self._leases.record_heard(now)
             self._leases.record_carried_out(key, order.epoch, now)
             fencing.record_answered(self.fence, order.epoch)
             return
@@ -350,7 +354,7 @@
         report = answer.value
         fencing.record_answered(self.fence, order.epoch)
         if report.incarnation_ms != self._incarnation_ms:
-            self._begin_incarnation(order, report.incarnation_ms, at)
+            self._begin_incarnation(report.incarnation_ms, at)
         clock = self._leases.clock
         clock.ms, clock.at = report.clock_ms, at
         self._leases.record_carried_out(sent_at, order.epoch, at)
@@ -379,14 +383,11 @@
         else:
             self._poll_next()
 
-    def _begin_incarnation(
-        self, order: orders.Poll, incarnation_ms: int, at: float
-    ) -> None:
+    def _begin_incarnation(self, incarnation_ms: int, at: float) -> None:
         """Notes that another incarnation than before answered a poll."""
         if self._incarnation_ms:
             token_log.record_new_incarnation(self.fence, self.worker.name)
-            if order.until_ms:
-                self._leases.record_next_life(at)
+        self._leases.record_heard(at)
         self._incarnation_ms, self._acknowledged_end = incarnation_ms, 0
 
     def _poll_next(self) -> None:
--- a/poplarspindle/node/worker_ports.py
+++ b/poplarspindle/node/worker_ports.py
@@ -9,10 +9,20 @@
 
 
 class Ownership(typing.Protocol):
-    """What a watch asks of the ownership that it belongs to."""
+    """What a watch asks of the ownership that it belongs to.
+
+    Attributes:
+        epoch: Its epoch.
+        lease_most_ms: Longest lease that a worker grants.
+        earlier_leases_end_at: When all leases of earlier owners end at the
+            latest, on this node's monotonic clock.
+        stop_event: Set when the ownership is over.
+        order_window: Bounds the orders in flight.
+    """
 
     epoch: int
     lease_most_ms: int
+    earlier_leases_end_at: float
     stop_event: threading.Event
     order_window: order_window.OrderWindow
 
--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -48,6 +48,7 @@
 
     epoch = 16
     lease_most_ms = 6000
+    earlier_leases_end_at = float("-inf")
 
     def __init__(self, client):
         self._client = client
@@ -149,18 +150,25 @@
     assert len(client.waits) == 2
 
 
-def test_owner_is_told_of_the_last_leases_before_they_are_asked_for():
-    """Until it gives the fleet up, it must take no such lease to be over."""
+def test_owner_is_told_of_the_last_leases_before_they_are_asked_for(
+    monkeypatch,
+):
+    """Until it gives the fleet up, it must take no such lease to be over.
+
+    What earlier owners granted is over; until then it may not ask for so much.
+    """
+    monkeypatch.setattr(time, "monotonic", lambda: 1000.0)
     own = FakeOwnership(FakeClient([make_report(5)]))
     poller = polling.WorkerPoller(own, WORKER)
     poller.allow_leases(0)
     poller.poll()
+    monkeypatch.setattr(time, "monotonic", lambda: 1006.2)
     own.posted.clear()
     asked = []
     poller.client.poll = lambda order, *_: asked.append((order, *own.posted))
     poller.extend_leases(lambda: None)
     ((order, granted),) = asked
-    assert granted.until_ms == order.until_ms > 5 + leases.LEASE_MS
+    assert granted.until_ms == order.until_ms > 5 + 6200 + leases.LEASE_MS
 
 
 def test_nothing_is_asked_once_the_ownership_is_over():
@@ -237,9 +245,10 @@
 
 def test_start_that_waits_is_not_sent_once_its_run_is_to_stop():
     """TWICE: the task was known to be done in an earlier run."""
-    client = Slow([])
+    client = Slow([make_report(5)])
     own = FakeOwnership(client)
     poller = polling.WorkerPoller(own, WORKER)
+    poller.poll()
     sent = []
     send, client.send = (
         client.send,
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -15,6 +15,7 @@
     events,
     fitness,
     fleet_state,
+    lease_bounds,
     reducer,
     work,
 )
@@ -64,6 +65,9 @@
         self.epoch = epoch
         self.fleet = fleet
         self.lease_most_ms = world.lease_most_ms
+        self.earlier_leases_end_at = world.now + lease_bounds.find_next_wait_s(
+            world.lease_most_ms
+        )
         self.stop_event = threading.Event()
         self.order_window = order_window.OrderWindow(self.now)
         self.pollers = pollers.Pollers(self, self.run_soon)
