--- a/poplarspindle/tests/test_three_owners.py
+++ b/poplarspindle/tests/test_three_owners.py
@@ -1,7 +1,7 @@
-"""Three owners within seconds; what the second one asked for comes late.
+"""Owners within seconds; what the last but one asked for comes late.
 
 TWICE: each owner bounds its leases as if no owner before had granted any. What
-the second one asked for comes late, renews what the first one granted, and
+the second of three asked for comes late, renews what the first one granted, and
 outlasts the wait of the third one, which finds no record of the worker.
 """
 
@@ -62,6 +62,14 @@
     world.late_orders.is_lost = is_lost
 
 
+def follow_each_other(world, owners, gap_s):
+    """Lets owners follow each other; each gives the longest leases it may."""
+    for _ in range(owners):
+        world.run(gap_s)
+        extend_leases(world)
+        world.take_over()
+
+
 @pytest.mark.parametrize("step", late.STEPS)
 @pytest.mark.parametrize(
     ("lose", "orders"),
@@ -75,13 +83,33 @@
     lose, orders, step
 ):
     """TWICE: nodes are stopped one after the other, as in a roll."""
-    world = late.make_world(step, [])
+    grant_late(late.make_world(step, []), lose, orders, owners=3, gap_s=0.0)
+
+
+@pytest.mark.parametrize("step", late.STEPS)
+@pytest.mark.parametrize(
+    "lose",
+    [
+        pytest.param(late.lose_start, id="renewal-and-start"),
+        pytest.param(lose_last_leases, id="renewal-and-last-leases"),
+    ],
+)
+@pytest.mark.parametrize("gap_s", [0.1, 0.5, 1.5])
+@pytest.mark.parametrize("owners", [4, 5])
+def test_late_grants_of_the_last_but_one_of_many_owners_outlast_the_wait(
+    owners, gap_s, lose, step
+):
+    """TWICE: as with three, where the first ones hand the leases on."""
+    grant_late(late.make_world(step, []), lose, 2, owners, gap_s)
+
+
+def grant_late(world, lose, orders, owners, gap_s):
+    """Lets the last owner but one lose a renewal and more, all late."""
     delays = Delays(world)
-    extend_leases(world)
-    world.take_over()
+    follow_each_other(world, owners - 2, gap_s)
     losses.lose_polls(world, "w0", 1, [messages.Kind.RENEWAL])
     lose(world)
-    assert 1 <= delays.count <= orders  # The bound may hold the second back.
+    assert 1 <= delays.count <= orders  # The bound may hold some back.
     late.cut_off(world)
     world.take_over()
     world.run(late.CUT_S)
