Leases at an owner's first report count as the longest from then on

What callers see: two runs of a task at the same time. A start and a renewal of the owner before come late, after this owner's wait for leases; the worker reports once, is cut off again, and this owner renews nothing meanwhile.

Cause: at a takeover the state takes a worker's leases to be over at claim + wait. That holds for leases then held, not for the run of a late start, which is waited for longer. The first report ended that wait and left the leases lapsed.

Change: at the first report the leases of a worker with runs end after the longest lease from then, as the pollers' account has it. That is sooner than claim + wait in the first seconds of an owner, and later after them.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -61,7 +61,7 @@
         effect_list.append(allow_leases)
     is_first_report = not worker.has_reported
     if is_first_report:
-        late_starts.rule_out_earlier_owners(worker)
+        late_starts.rule_out_earlier_owners(fleet, worker)
     is_reborn = report.incarnation_ms != worker.incarnation_ms
     if is_reborn or event.worker_name in fleet.crash_history.lost_at:
         effect_list += crashes.handle_incarnation(
--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -31,7 +31,7 @@
         self, ownership: worker_ports.Ownership, fence: fencing.Fence
     ) -> None:
         self._ownership = ownership
-        self._account = fence.account
+        self._fence, self._account = fence, fence.account
         self.clock = leases.Clock()
 
     def choose_poll(
@@ -110,6 +110,8 @@
         self, key: worker_state.GrantKey, token: int, at: float
     ) -> None:
         """Records that the worker carried an order out, with its token."""
+        if not self._fence.answered:
+            self.record_heard(at)
         lease_bounds.record_carried_out(self._account, key, at)
         grants.void_overtaken(self._account, token, at)
 
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -249,8 +249,6 @@
     ) -> None:
         now = self._ownership.now()
         if answer.refusal is None:
-            if not self.fence.answered:
-                self._leases.record_heard(now)
             self._leases.record_carried_out(key, order.epoch, now)
             fencing.record_answered(self.fence, order.epoch)
             return
