Start nothing on a worker that was excluded after the placement

Cause: evacuation, draining and routes were asked for at the placement only.

Change: worker_selection.is_excluded is asked by every path that sends a start, through withdrawals.send_start, and when the list of workers or the configuration changes for starts that are in flight. Such a run is taken back as one beyond its worker's capacity was: stopped, and placed elsewhere only once it surely does not run; the wait for a late start is as before.

--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -124,7 +124,7 @@
             worker.may_accept_more = fleet.placement_needed = True
         worker.listed = True
         worker.info, info_before = info, worker.info
-        if info.capacity != info_before.capacity:
+        if worker.runs and info != info_before:
             effect_list += withdrawals.withdraw_unanswered_starts(fleet, worker)
         if info.presence is work.Presence.LEAVING:
             leaves_at = event.at + info.leaves_ms / 1000
@@ -160,7 +160,7 @@
     fleet.excluded_data_centres = event.excluded_data_centres
     fleet.unplaceable_needs.clear()
     fleet.placement_needed = True
-    return [
+    effect_list = [
         fleet_state.make_log_note(
             "configuration",
             "in-force",
@@ -168,6 +168,9 @@
             out=sorted(event.excluded_data_centres),
         )
     ]
+    for worker in fleet.workers.values():
+        effect_list += withdrawals.withdraw_unanswered_starts(fleet, worker)
+    return effect_list
 
 
 def _handle_lease_granted(
--- a/poplarspindle/fleet/withdrawals.py
+++ b/poplarspindle/fleet/withdrawals.py
@@ -1,7 +1,9 @@
-"""Takes placements back whose worker has too little room when they start.
+"""Takes placements back whose worker may not start them any more.
 
-A worker's capacity may shrink between the placement of a task and its start,
-and not every worker refuses what exceeds its capacity.
+Between the placement of a task and its start, or the repeat of one without an
+answer, a worker's capacity may shrink, and not every worker refuses what is
+beyond it. Its data centre may be evacuated, it may be about to shut down, and
+its service may no longer run the queue.
 """
 
 from poplarspindle import resources
@@ -9,6 +11,7 @@
     effects,
     fleet_state,
     job_store,
+    worker_selection,
     worker_state,
 )
 
@@ -18,38 +21,55 @@
     worker: worker_state.WorkerState,
     run: worker_state.Run,
 ) -> list[effects.Effect]:
-    """Orders a worker to start a run, unless that exceeds its capacity.
+    """Orders a worker to start a run, unless it may not begin it any more.
 
     A run whose start may have arrived is stopped instead, as repeating the
-    start could begin it. A gang is taken back whole.
+    start could begin it. A gang is taken back whole. The start of a confirmed
+    run is repeated for its answer alone.
     """
-    if run.confirmed or not is_over_capacity(worker):
+    why = _find_hindrance(fleet, worker, run)
+    if run.confirmed or not why:
         return fleet_state.send_start(fleet, worker, run)
-    return _take_back(fleet, worker, run)
+    return _take_back(fleet, worker, run, why)
 
 
 def withdraw_unanswered_starts(
     fleet: fleet_state.FleetState, worker: worker_state.WorkerState
 ) -> list[effects.Effect]:
-    """Takes back what may not have begun on a worker that has shrunk.
+    """Takes back what may not have begun and must not begin any more.
 
     Starts may wait in this node, for their turn or for room in the bound of the
     leases.
     """
-    if not is_over_capacity(worker):
-        return []
-    return [
-        effect
-        for run in list(worker.runs.values())
-        if run.start_in_flight and not run.confirmed and not run.stopping
-        for effect in _take_back(fleet, worker, run)
-    ]
+    effect_list: list[effects.Effect] = []
+    for run in list(worker.runs.values()):
+        if not run.start_in_flight or run.confirmed or run.stopping:
+            continue
+        why = _find_hindrance(fleet, worker, run)
+        if why:
+            effect_list += _take_back(fleet, worker, run, why)
+    return effect_list
+
+
+def _find_hindrance(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> str:
+    """Returns why a worker may not begin a run, empty if it may."""
+    service = fleet_state.find_queue(fleet, run.job).service
+    if worker_selection.is_excluded(
+        worker.info, service, fleet.excluded_data_centres
+    ):
+        return "excluded"
+    return "capacity" if is_over_capacity(worker) else ""
 
 
 def _take_back(
     fleet: fleet_state.FleetState,
     worker: worker_state.WorkerState,
     run: worker_state.Run,
+    why: str,
 ) -> list[effects.Effect]:
     return [
         fleet_state.make_log_note(
@@ -59,6 +79,7 @@
             task=fleet_state.format_task(run.name),
             attempt=run.attempt,
             worker=worker.info.name,
+            why=why,
             asked=run.start_sent,
         ),
         *fleet_state.stop_run(fleet, worker, run),
--- a/poplarspindle/fleet/worker_selection.py
+++ b/poplarspindle/fleet/worker_selection.py
@@ -27,6 +27,21 @@
 SUSPECT_COST = 4.0
 
 
+def is_excluded(
+    info: work.WorkerInfo, service: str, excluded_data_centres: frozenset[str]
+) -> bool:
+    """Returns whether a worker is to begin no more tasks of a service.
+
+    It runs another service, is about to shut down, or is in a data centre that
+    gets no new tasks. Not for a worker whose entry was never read.
+    """
+    return bool(info.address) and (
+        info.service != service
+        or info.presence is not work.Presence.READY
+        or info.data_centre in excluded_data_centres
+    )
+
+
 def accepts_tasks(
     worker: worker_state.WorkerState,
     service: str,
@@ -45,9 +60,7 @@
         worker.listed
         and worker.has_reported
         and not worker.logged_unreachable
-        and worker.info.service == service
-        and worker.info.presence is work.Presence.READY
-        and worker.info.data_centre not in excluded_data_centres
+        and not is_excluded(worker.info, service, excluded_data_centres)
         and at >= worker.no_placement_until
     )
 
