Count a job as waiting until a task of it has begun

Cause: a job was published as active when a task of it was placed. Three owners within seconds placed the queue's jobs on workers out of reach; the starts got no answer or were not sent, the runs were given up, and the jobs stayed active, as each next owner read them so in the log. The replica of the node was not behind: it counted what the owners published.

A new owner keeps what was published, and what the progress shows to have begun.

--- a/poplarspindle/fleet/ends.py
+++ b/poplarspindle/fleet/ends.py
@@ -6,6 +6,7 @@
 from poplarspindle.fleet import (
     effects,
     fleet_state,
+    job_states,
     job_store,
     late_starts,
     tail_model,
@@ -86,6 +87,8 @@
     if job is None:
         unknown_ends.keep(fleet.unknown_ends, end)
         return []
+    if end.end_reason is not work.EndReason.STOPPED:
+        job_states.record_begun(fleet, job)
     if (
         task is None
         or task.phase is job_store.Phase.DONE
@@ -190,6 +193,8 @@
         end_reason: How it ended.
         checkpoint: Its last checkpoint, empty for none.
     """
+    if end_reason is not work.EndReason.STOPPED:
+        job_states.record_begun(fleet, run.job)
     worker_state.remove_run(worker, run)
     late_starts.record_possible_late_start(fleet, worker, run)
     fleet.placement_needed = True
--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -184,7 +184,8 @@
     Attributes:
         submission: The job as its caller submitted it.
         state: State that the owner decided.
-        published_state: State that the log has acknowledged.
+        published_state: State that all nodes are told.
+        begun: Whether the owner knows that a task of it has begun.
         cancelled: Whether its cancellation is recorded.
         ended_ms: When it ended, Unix milliseconds, 0 before that.
         opened_occurrences: Number of occurrences opened so far.
@@ -196,6 +197,7 @@
     """
 
     __slots__ = (
+        "begun",
         "cancelled",
         "ended_ms",
         "occurrences",
@@ -211,6 +213,7 @@
         self.submission = submission
         self.state = State.QUEUED
         self.published_state = State.QUEUED
+        self.begun = False
         self.cancelled = False
         self.ended_ms = 0
         self.opened_occurrences = 0
--- a/poplarspindle/fleet/recording.py
+++ b/poplarspindle/fleet/recording.py
@@ -248,6 +248,8 @@
     effect_list = list(deferred)
     published = []
     for job, state in job_states:
+        if state is job_store.State.ACTIVE and not job.begun:
+            continue
         if job.published_state is not state and (
             state in job_store.ENDED or not job.cancelled
         ):
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -9,6 +9,7 @@
     events,
     fleet_state,
     grants,
+    job_states,
     late_starts,
     orders,
     pacing,
@@ -23,11 +24,7 @@
 BUSY_EXCLUSION_S = 1.0
 MAX_UNANSWERED_STARTS = 3
 RETRYABLE = frozenset(
-    {
-        orders.Refusal.LATE,
-        orders.Refusal.NO_ANSWER,
-        orders.Refusal.OVERTAKEN,
-    }
+    {orders.Refusal.LATE, orders.Refusal.NO_ANSWER, orders.Refusal.OVERTAKEN}
 )
 SUSPECT_WATCH_S = 5.0  # A suspect at work for so long may have company again.
 
@@ -176,6 +173,7 @@
             effect_list += _stop_unknown_run(fleet, worker, listed_run)
             continue
         run.confirmed = True
+        job_states.record_begun(fleet, run.job)
         run.usage = listed_run.usage
         run.at_full_speed = listed_run.percent >= AT_WORK_PERCENT
         if run.first_seen_at > event.at:
@@ -332,6 +330,7 @@
     effect_list = []
     if refusal is None:
         run.confirmed = True
+        job_states.record_begun(fleet, run.job)
         run.answered_at = event.at
     elif refusal is orders.Refusal.ENDED:
         run.answered_at = event.at
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -7,6 +7,7 @@
     crashes,
     events,
     fleet_state,
+    job_states,
     job_store,
     late_starts,
     lease_bounds,
@@ -37,9 +38,8 @@
     )
     fleet.intake_offsets = list(event.intake_offsets)
     for name, job in fleet.job_store.jobs.items():
-        if job.state in job_store.ENDED or not job.cancelled:
-            job.published_state = job.state
         published = event.published_jobs.get(name)
+        job_states.restore(job, published)
         if published is None or published.state is not job.published_state:
             fleet.unpublished[name] = (
                 None  # The last owner may not have published it.
