--- a/poplarspindle/tests/test_excluded_workers.py
+++ b/poplarspindle/tests/test_excluded_workers.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import random
 
 import pytest
 
@@ -218,3 +219,103 @@
     world.run(4.0)
     world.choose_fate = lambda message: messages.DELIVERED
     assert judge(world, exclude, excluded_at, step) == []
+
+
+class Watch:
+    """Watches the starts that are sent to excluded workers.
+
+    Attributes:
+        found: Those sent too late, to workers that don't have the run.
+    """
+
+    def __init__(self, world):
+        self.found = []
+        self._world = world
+        self._excluded_at = {}
+        self._choose_fate = world.choose_fate
+        world.choose_fate = self.choose_fate
+
+    def look(self):
+        """Notes which workers are excluded."""
+        for name, worker in self._world.workers.items():
+            info = worker.description
+            if info.data_centre in self._world.evacuated or (
+                info.presence is work.Presence.LEAVING
+            ):
+                self._excluded_at.setdefault(name, self._world.now)
+            else:
+                self._excluded_at.pop(name, None)
+
+    def choose_fate(self, message):
+        """Judges a message that is sent, and returns what becomes of it."""
+        at = self._excluded_at.get(message.worker, float("inf"))
+        worker = self._world.workers[message.worker]
+        order = message.order
+        if (
+            message.kind is messages.Kind.START
+            and self._world.now > at + HEARD_S
+            and message.owner == self._world.fleet.epoch
+            and worker.highest.get(order.task, 0) < order.attempt
+        ):
+            self.found.append(
+                f"{self._world.now:.3f} {message.worker}, excluded at {at:.3f}:"
+                f" {order.task} run {order.attempt}"
+            )
+        return self._choose_fate(message)
+
+
+def strike(world, rng):
+    """Cuts a worker off, excludes some, or lets another owner begin."""
+    kind = rng.random()
+    worker = world.workers[rng.choice(sorted(world.workers))]
+    if kind < 0.25:
+        configure(world, frozenset(rng.sample(["dc0", "dc1"], 1)))
+    elif kind < 0.4:
+        configure(world)
+    elif kind < 0.6:
+        presence = rng.choice([work.Presence.LEAVING, work.Presence.READY])
+        worker.description = dataclasses.replace(
+            worker.description, presence=presence, leaves_ms=LEAVES_MS
+        )
+    elif kind < 0.9:
+        worker.reachable = not worker.reachable
+    else:
+        world.take_over()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_walk_sends_no_start_to_an_excluded_worker(seed):
+    """EVAC and DRAIN by what is sent: exclusions, cuts and late orders."""
+    rng = random.Random(seed)
+    world = fleets.World(
+        seed,
+        workers=6,
+        run_s=lambda chance: chance.uniform(0.2, 2.0),
+        late=0.2,
+        late_s=(2.0, 12.0),
+        late_leases=True,
+    )
+    watch = Watch(world)
+    jobs = [f"{number:016x}" for number in range(30)]
+    for job in jobs:
+        options = rng.choice([{}, {"gang": True}])
+        world.submit(
+            job, work.Step(rng.randint(1, 8), CORE, 500, (), **options)
+        )
+        for _ in range(4):
+            if rng.random() < 0.3:
+                strike(world, rng)
+            watch.look()
+            world.run(0.1)
+    configure(world)
+    for worker in world.workers.values():
+        worker.reachable = True
+        worker.description = dataclasses.replace(
+            worker.description, presence=work.Presence.READY, leaves_ms=0
+        )
+    watch.look()
+    world.late = 0.0
+    world.run(60.0)
+    assert watch.found == []
+    assert {world.get_state(job) for job in jobs} == {"completed"}
+    assert world.list_violations() == []
