Runs of a worker that is dead by list and inventory wait for no lease

Cause: a next owner that finds no record of a worker waits for the longest lease that an earlier one may have granted, 10.1 s from its claim. The record could not be appended while the store lost answers, or died with its owner. The same owner waits up to 8.5 s, as the poll without an answer may renew leases. That the worker is dead ended the wait for late starts, and not the one for leases.

Change: a worker is dead once it is gone by the list and a reading of the inventory since its entry went missing names workers of each listed service and not this one. Runs whose starts were answered are queued again then. A start that may be late still waits for the leases: the worker's next life may carry it out. Without the inventory nothing changes. It is read for leases that outlast the list, too.

--- a/poplarspindle/fleet/absence.py
+++ b/poplarspindle/fleet/absence.py
@@ -9,12 +9,18 @@
 alive: it may carry out a start late. The platform's inventory tells it from a
 dead one. Where that could not be read since the worker went missing, the list
 decides alone. A worker that the last reading named counts as alive.
+
+A worker is dead if it is gone by the list and a reading of the inventory since
+then does not name it. What it had at work has ended with it, so its leases are
+not waited for. The list alone does not prove that: while the worker lives, an
+owner that the store does not hear may renew its leases.
 """
 
 from poplarspindle.fleet import (
     effects,
     events,
     fleet_state,
+    grants,
     late_starts,
     worker_state,
 )
@@ -58,6 +64,7 @@
     ):
         return [fleet_state.make_log_note("workers", "inventory-unknown")]
     fleet.inventory = event
+    fleet.inventory_covers_all = _covers_all_services(fleet, event)
     return [
         fleet_state.make_log_note(
             "workers",
@@ -78,6 +85,17 @@
     return worker.gone and not _find_if_alive(fleet, worker)
 
 
+def is_dead(
+    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
+) -> bool:
+    """Returns whether a worker has ended, so that nothing is at work there."""
+    return (
+        worker.gone
+        and fleet.inventory_covers_all
+        and _find_if_alive(fleet, worker) is False
+    )
+
+
 def record_report(worker: worker_state.WorkerState, at: float) -> None:
     """Notes that a worker reported, so it is not gone."""
     worker.gone = False
@@ -100,16 +118,36 @@
     worker: worker_state.WorkerState,
     now: float,
 ) -> bool:
-    """Tells whether tasks wait for a missing worker that may be dead."""
-    if worker.missing_since == float("inf"):
+    """Tells whether tasks wait for a missing worker that may be dead.
+
+    Leases that are over before it counts as gone are waited for in any case.
+    """
+    if worker.missing_since == float("inf") or not worker.runs:
         return False
     if _find_if_alive(fleet, worker) is False:
         return False
-    return any(
+    gone_at = max(now, worker.missing_since + GONE_AFTER_S)
+    return grants.find_leases_end(worker) > gone_at or any(
         late_starts.may_run_late(run, now) for run in worker.runs.values()
     )
 
 
+def _covers_all_services(
+    fleet: fleet_state.FleetState, reading: events.InventoryRead
+) -> bool:
+    """Returns whether the inventory knows workers of each listed service.
+
+    Workers of a service that it does not know say nothing by being missing.
+    """
+    listed = [worker for worker in fleet.workers.values() if worker.listed]
+    services = {worker.info.service for worker in listed}
+    return services == {
+        worker.info.service
+        for worker in listed
+        if worker.info.name in reading.alive
+    }
+
+
 def _make_note(
     worker: worker_state.WorkerState, event: events.ListRead
 ) -> effects.Note:
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -83,6 +83,7 @@
         listed_at: When the list of workers was last read.
         inventory_asked_at: When the inventory was last asked for.
         inventory: Its last reading, None for none.
+        inventory_covers_all: Whether it knew workers of each listed service.
         placement_needed: Whether the next placement round may place a task.
         mean_sizes_core_s: Mean work of a job, by queue.
         remaining_work: Estimated work by job and occurrence, if ready.
@@ -155,6 +156,7 @@
         self.load_published_at = float("-inf")
         self.inventory_asked_at = float("-inf")
         self.inventory: events.InventoryRead | None = None
+        self.inventory_covers_all = False
         self.listed_at = float("-inf")
         self.model_saved_at = float("-inf")
         self.model_save_due = False
--- a/poplarspindle/fleet/run_checks.py
+++ b/poplarspindle/fleet/run_checks.py
@@ -41,7 +41,8 @@
     """Requeues a worker's runs after its leases, or stops those due to end.
 
     Its leases include what an order without an answer may add to them. A run
-    that a late start may begin waits beyond them, unless the worker is gone. On
+    that a late start may begin waits beyond them, unless the worker is gone.
+    Runs whose starts were answered do not wait for leases of a dead worker. On
     a worker that leaves, runs that last until cancelled stop at once, others
     shortly before it leaves. A run whose start was not sent is stopped if the
     worker fails polls.
@@ -50,6 +51,8 @@
     if not _was_heard(worker, now) and now >= grants.find_leases_end(worker):
         return _requeue_runs(fleet, worker)
     effect_list: list[effects.Effect] = []
+    if absence.is_dead(fleet, worker):
+        effect_list += _requeue_dead_runs(fleet, worker)
     leaves = worker.leaves_at < float("inf")
     leaves_soon = (worker.leaves_at - now) * 1000 < DRAIN_MARGIN_MS + 900
     poll_failed = worker.poll_failed
@@ -92,6 +95,25 @@
     return effect_list
 
 
+def _requeue_dead_runs(
+    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
+) -> list[effects.Effect]:
+    """Requeues the runs that have ended with their worker.
+
+    Load pattern: a zone loses power while the store loses answers, and the next
+    owner has no record of it. A start that may be late is left to the leases,
+    as the worker's next life may carry it out.
+    """
+    effect_list: list[effects.Effect] = []
+    for run in list(worker.runs.values()):
+        if not late_starts.may_run_late(run, fleet.now):
+            crashes.remember_lost_run(fleet, worker, run)
+            effect_list += fleet_state.requeue_lost_run(
+                fleet, worker, run, "worker-dead", True
+            )
+    return effect_list
+
+
 def _hold_back(
     fleet: fleet_state.FleetState,
     worker: worker_state.WorkerState,
--- a/poplarspindle/tests/test_gone_workers.py
+++ b/poplarspindle/tests/test_gone_workers.py
@@ -17,10 +17,12 @@
     fleet_state,
     job_store,
     late_starts,
+    run_checks,
     work,
 )
 from poplarspindle.fleet import worker_state as worker_states
 from poplarspindle.node import listing, storage
+from poplarspindle.tests import test_unanswered_grants as grants
 from poplarspindle.tools.fakes import fleets
 
 CORE = resources.Resources(1000, 1000, 0)
@@ -31,6 +33,7 @@
 NEXT_LEASES_S = 10.4  # Longest leases that a next owner has to reckon with.
 SLACK_S = 0.5  # Until an unanswered start counts, and of a round.
 RUN_S = 1.0
+LONG_RUN_S = 60.0
 
 STEPS = [
     pytest.param({}, id="task"),
@@ -39,8 +42,8 @@
 ]
 
 
-def make_world(**options):
-    world = fleets.World(1, 4, run_s=lambda rng: RUN_S, **options)
+def make_world(run_s=RUN_S, **options):
+    world = fleets.World(1, 4, run_s=lambda rng: run_s, **options)
     world.run(1.0)
     return world
 
@@ -313,6 +316,68 @@
     run_until_at_work(world, last_end_at + SLACK_S - world.now)
 
 
+def start_at_silent(world, step):
+    """Runs a job until its starts were answered and recorded as such."""
+    tasks = 3 if step.get("gang") else 1
+    world.submit(JOB, work.Step(tasks, CORE, 500, (), **step))
+    while not is_at_work(world):
+        world.run(fleets.TICK_S)
+    world.run(4 * late_starts.RECORD_ANSWERED_AFTER_S)
+    names = [n for n, worker in world.fleet.workers.items() if worker.runs]
+    return world.workers[names[0]]
+
+
+def die(world, worker):
+    """Lets a worker die; its entry is dropped after its heartbeats."""
+    worker.crash()
+    worker.up = False
+    worker.listed_until = world.now + HEARTBEATS_S
+    name = worker.description.name
+    world.call_later(HEARTBEATS_S, lambda: world.unlisted.add(name))
+
+
+@pytest.mark.parametrize("owners_s", [[], [0.02], [0.02, 2.0], [3.0]])
+@pytest.mark.parametrize("step", STEPS)
+def test_task_at_work_on_a_worker_that_is_dead_waits_for_no_lease(
+    step, owners_s
+):
+    """LOST: leases were waited for, 8.5 s or 10 s under a next owner."""
+    world = make_world(LONG_RUN_S)
+    worker = start_at_silent(world, step)
+    die(world, worker)
+    died_at = world.now
+    for after_s in owners_s:
+        world.run(after_s)
+        world.take_over()
+    gone_at = max(died_at + HEARTBEATS_S, world.now) + absence.GONE_AFTER_S
+    run_until_at_work(world, gone_at + SLACK_S - world.now)
+    assert world.list_violations() == []
+
+
+@pytest.mark.parametrize("inventory_up", [True, False])
+@pytest.mark.parametrize("owners", [0, 1, 2])
+@pytest.mark.parametrize("step", STEPS)
+def test_task_at_work_on_a_worker_that_reaches_nobody_waits_for_its_leases(
+    step, owners, inventory_up
+):
+    """TWICE: a poll that renews them comes late, just before they end."""
+    world = grants.make_world(step, [grants.IN_LEASE_S - 1.0])
+    world.inventory_up = inventory_up
+    world.run(2 * grants.RENEWED_S)
+    grants.lose_renewal(world)
+    worker = world.workers["w0"]
+    worker.reachable = False
+    world.unlisted.add("w0")
+    world.unlisted.discard("w1")
+    for _ in range(owners):
+        world.take_over()
+        world.run(fleets.TICK_S)
+    world.run(NEXT_LEASES_S + GONE_S)
+    assert not worker.runs
+    assert grants.count_at_work(world.workers["w1"], grants.RUNNING)
+    assert world.list_violations() == []
+
+
 # What the list tells.
 
 WORKER = work.WorkerInfo("w", "10.0.0.1:80", "pool", "dc", CORE)
@@ -441,6 +506,74 @@
     assert asked == (not answered)
 
 
+@pytest.mark.parametrize(
+    ("asked_at", "alive", "at", "dead"),
+    [
+        pytest.param(None, set(), 4.6, False, id="not-read"),
+        pytest.param(3.0, {"v"}, 4.6, True, id="not-named"),
+        pytest.param(3.0, {"v"}, 4.4, False, id="missing-too-short"),
+        pytest.param(3.0, {"v", "w"}, 4.6, False, id="alive"),
+        pytest.param(1.0, {"v"}, 4.6, False, id="read-before-it-was-missing"),
+        pytest.param(3.0, set(), 4.6, False, id="knows-no-worker"),
+    ],
+)
+def test_only_the_inventory_proves_a_missing_worker_dead(
+    asked_at, alive, at, dead
+):
+    """TWICE: an owner that the store does not hear may renew its leases."""
+    fleet, worker = make_fleet_with_late_start()
+    read_missing(fleet, 2.0)
+    worker.listed = False
+    if asked_at is not None:
+        read_inventory(fleet, asked_at, alive)
+    read_missing(fleet, at)
+    assert absence.is_dead(fleet, worker) == dead
+    absence.record_report(worker, at)
+    assert not absence.is_dead(fleet, worker)
+
+
+def test_inventory_that_lacks_a_service_proves_no_worker_dead():
+    """TWICE: it is the list of what other workers run on."""
+    fleet, worker = make_fleet_with_late_start()
+    info = work.WorkerInfo("u", "10.0.0.3:80", "other", "dc", CORE)
+    fleet.workers["u"] = worker_states.WorkerState(info)
+    read_missing(fleet, 2.0)
+    worker.listed = False
+    read_inventory(fleet, 3.0, {"v"})
+    read_missing(fleet, 4.6)
+    assert not absence.is_dead(fleet, worker)
+    read_inventory(fleet, 4.7, {"v", "u"})
+    assert absence.is_dead(fleet, worker)
+
+
+def test_start_that_may_be_late_waits_for_the_leases_of_a_dead_worker():
+    """TWICE: the worker's next life may carry it out."""
+    fleet, worker = make_fleet_with_late_start()
+    worker.leases_end_at = 12.0
+    (run,) = worker.runs.values()
+    read_missing(fleet, 2.0)
+    worker.listed = False
+    read_inventory(fleet, 3.0, {"v"})
+    read_missing(fleet, 4.6)
+    run_checks.check_runs(fleet, worker)
+    assert list(worker.runs.values()) == [run]
+    run.may_run_late_until = float("-inf")
+    run_checks.check_runs(fleet, worker)
+    assert not worker.runs
+
+
+@pytest.mark.parametrize(("leases_end_at", "asked"), [(4.5, 0), (12.0, 1)])
+def test_inventory_is_read_for_leases_that_outlast_the_list(
+    leases_end_at, asked
+):
+    """Each reading is priced."""
+    fleet, worker = make_fleet_with_late_start()
+    worker.leases_end_at = leases_end_at
+    (run,) = worker.runs.values()
+    run.may_run_late_until = float("-inf")
+    assert read_missing(fleet, 2.0).count(effects.ReadInventory) == asked
+
+
 def make_listing(confirmed, clock=None):
     return listing.Listing(
         storage.Store,
