A claim that is carried out late ends no later owner

A claim that got no answer was carried out 3 to 6 s later and made a node owner that had stood back, while another owned the fleet (46.9 s) or nobody did (48.4 s). Nothing was placed until it had read the logs, and each owner waits anew.

Cause: a claim was appended wherever the log ended; only a higher epoch made it void, and epochs of one step differ by chance.

Change: it names the offset up to which its node took the log in (`at`), so the store refuses it once anything was appended since. One that is refused for that is repeated at the next join, 0.3 s later.

The fake stores take the new argument; the deployment's checks it as PROTOCOL.md says.

--- a/poplarspindle/node/election.py
+++ b/poplarspindle/node/election.py
@@ -93,6 +93,7 @@
         resigned: Newest epoch that its owner gave up, 0 for none.
         owner_seen_at: When the owner was last heard of, steady seconds.
         owner_active: Whether it was heard as owner since it claimed.
+        log_end: Offset up to which the log was taken in.
     """
 
     def __init__(
@@ -126,6 +127,7 @@
         self.resigned_epoch = 0
         self.owner_seen_at = float("-inf")
         self.owner_active = False
+        self.log_end = storage.ANY_END
 
     def start(self) -> None:
         """Starts the joining thread."""
@@ -269,9 +271,17 @@
         claim = records.Owner(
             epoch, self._member, self._wall_ms(), self.fitness
         )
+        # A claim that is carried out late would end a later owner.
         answer = self._store.append(
-            [records.encode_owner(claim)], 1.0, epoch, 0
+            [records.encode_owner(claim)],
+            1.0,
+            epoch,
+            0,
+            expected_end=self.log_end,
         )
+        is_failed = isinstance(answer, outcomes.Failed)
+        if is_failed and answer.reason == storage.OTHER_END:
+            self._claimed_at = float("-inf")  # Once more was taken in.
         _log.info(
             "claimed",
             epoch=epoch,
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -34,6 +34,7 @@
     ports,
     settings,
     shared_state,
+    storage,
     threads,
 )
 
@@ -55,14 +56,16 @@
     """All newest records of the shared log, and where more follows."""
 
     items: tuple[records.Record, ...]
+    end: int = storage.ANY_END
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _SharedLogRead:
-    """Records of a page of the shared log."""
+    """Records of a page of the shared log, and the offset behind them."""
 
     items: tuple[records.Record, ...]
     at_tail: bool
+    end: int = storage.ANY_END
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,9 +120,9 @@
         self._shared = followers.Follower(
             platform.store,
             platform.fleet_topic,
-            lambda items, _: self._events.put(_SharedLogReloaded(items)),
-            lambda items, _, tail: self._events.put(
-                _SharedLogRead(items, tail)
+            lambda items, end: self._events.put(_SharedLogReloaded(items, end)),
+            lambda items, end, tail: self._events.put(
+                _SharedLogRead(items, tail, end)
             ),
             lambda: (
                 0.0
@@ -357,6 +360,7 @@
             self._apply(record)
         # It may be old; the owner repeats it while work waits.
         self._shared_state.start_delays = None
+        self._election.log_end = event.end
         self._election.owner_seen_at, self._election.owner_active = (
             shared_state.find_owner_seen_at(
                 self._shared_state,
@@ -377,6 +381,7 @@
             if record.key in OWNER_KEYS:
                 self._election.owner_seen_at = clocks.get_steady_s()
                 self._election.owner_active = record.key == admission.LOAD_KEY
+        self._election.log_end = event.end
         if event.at_tail and not self._reset_due:
             self._shared_state.loaded = True
             self._election.eligible = (
--- a/poplarspindle/node/storage.py
+++ b/poplarspindle/node/storage.py
@@ -7,6 +7,9 @@
 from poplarspindle import outcomes
 from poplarspindle.fleet import records
 
+ANY_END = -1  # An append that may follow any record.
+OTHER_END = "other-end"  # The failure of one that expected another end.
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
@@ -65,10 +68,12 @@
         sequence: int = 0,
         topic: str = "",
         partition: int = 0,
+        expected_end: int = ANY_END,
     ) -> outcomes.Ok[int] | outcomes.Failed:
         """Appends records, all or none; returns the first one's offset.
 
-        Without a topic the one that all nodes follow is meant.
+        Without a topic the one that all nodes follow is meant. Nothing is
+        appended if the partition ends elsewhere than expected.
         """
 
     def read(
--- a/poplarspindle/platform/store.py
+++ b/poplarspindle/platform/store.py
@@ -91,6 +91,7 @@
         sequence: int = 0,
         topic: str = "",
         partition: int = 0,
+        expected_end: int = storage.ANY_END,
     ) -> outcomes.Ok[int] | outcomes.Failed:
         """Appends records, all or none.
 
@@ -101,6 +102,8 @@
             sequence: Number of this append in the epoch.
             topic: Topic to append to, the one that all nodes follow if empty.
             partition: Partition of it.
+            expected_end: Offset at which the partition has to end when the
+                records are appended, ANY_END for any.
 
         Returns:
             Offset of the first record, or the failure. Its reason is
@@ -109,6 +112,8 @@
         query = self._place(topic or FLEET_TOPIC, partition)
         if epoch:
             query |= {"producer": PRODUCER, "epoch": epoch, "seq": sequence}
+        if expected_end != storage.ANY_END:
+            query["at"] = expected_end
         answer = self._calls.call(
             outcomes.Step.APPEND,
             "POST",
@@ -143,6 +148,8 @@
         reason = fields.get("reason")
         if answer.status == 409 and reason in ("fenced", "seq"):
             return outcomes.Failed(step, self._calls.address, reason)
+        if answer.status == 412:
+            return outcomes.Failed(step, self._calls.address, storage.OTHER_END)
         reason = f"status-{answer.status}"
         acted = answer.status not in (400, 410, 412, 429, 503, 507)
         return outcomes.Failed(step, self._calls.address, reason, "", acted)
--- a/poplarspindle/tests/test_fitness.py
+++ b/poplarspindle/tests/test_fitness.py
@@ -74,7 +74,15 @@
         self.calls.append("join")
         return outcomes.Ok(storage.Membership(1, True))
 
-    def append(self, new_records, timeout_s, epoch=0, sequence=0, topic=""):
+    def append(
+        self,
+        new_records,
+        timeout_s,
+        epoch=0,
+        sequence=0,
+        topic="",
+        expected_end=storage.ANY_END,
+    ):
         """Accepts records."""
         self.calls += [record.key for record in new_records]
         return outcomes.Ok(0)
--- a/poplarspindle/tools/fakes/deployment.py
+++ b/poplarspindle/tools/fakes/deployment.py
@@ -94,8 +94,11 @@
                     return answer(200, {"offset": self._answers[key]})
                 if epoch < self._epochs.get(topic, 0):
                     return answer(409, {"reason": "fenced"})
-                self._epochs[topic] = epoch
             rows = self._topics.setdefault(topic, [])
+            if int(query.get("at", len(rows))) != len(rows):
+                return answer(412, {"end_offset": len(rows)})
+            if "producer" in query:
+                self._epochs[topic] = epoch
             offset = len(rows)
             rows += _split(body)
             if "producer" in query:
