--- a/poplarspindle/tests/test_review_leases.py
+++ b/poplarspindle/tests/test_review_leases.py
@@ -133,3 +133,27 @@
     lease_bounds.record_sent(account, 1.0, 1, 8.0, 6000)
     grants.void_overtaken(account, 2, 19.0)
     assert account.leases_end_at >= 19.0 + 6.0
+
+
+@pytest.mark.parametrize("step", late.STEPS)
+def test_late_leases_of_a_worker_that_is_listed_again_are_not_counted(step):
+    """TWICE, one owner: it forgot the worker, as nothing ran there."""
+    world = late.make_idle_world([6.0])
+    world.run(1.0)
+    world.owner.record_append(world.now)
+    three.lose_last_leases(world)
+    worker = world.workers["w0"]
+    worker.reachable = False
+    world.run(3.3)
+    world.unlisted.add("w0")
+    world.run(2.75)
+    assert "w0" not in world.fleet.workers
+    assert worker.until_ms - worker.clock_ms() > 5000
+    worker.reachable = True
+    world.unlisted.discard("w0")
+    world.owner.record_append(world.now)
+    start(world, step)
+    world.run(late.CUT_S)
+    late.mend(world)
+    world.run(2 * late.RUN_S)
+    assert world.list_violations() == []
