--- a/poplarspindle/tests/test_review_leases.py
+++ b/poplarspindle/tests/test_review_leases.py
@@ -157,3 +157,24 @@
     late.mend(world)
     world.run(2 * late.RUN_S)
     assert world.list_violations() == []
+
+
+@pytest.mark.parametrize("step", late.STEPS)
+def test_leases_of_an_owner_before_come_late_to_an_idle_worker(step):
+    """TWICE: they come after the wait of the next owner, which ends then."""
+    world = late.make_idle_world([11.0])
+    world.run(1.0)
+    world.owner.record_append(world.now)
+    three.lose_last_leases(world)
+    worker = world.workers["w0"]
+    worker.reachable = False
+    world.take_over()
+    world.run(11.0)
+    assert worker.until_ms - worker.clock_ms() > 5000
+    worker.reachable = True
+    world.owner.record_append(world.now)
+    start(world, step)
+    world.run(late.CUT_S)
+    late.mend(world)
+    world.run(2 * late.RUN_S)
+    assert world.list_violations() == []
--- a/poplarspindle/tests/test_review_next_lives.py
+++ b/poplarspindle/tests/test_review_next_lives.py
@@ -30,7 +30,9 @@
     )
     world.unlisted.add("w1")
     world.run(1.0)
-    late.lose_start(world, JOB, work.Step(late.TASKS, late.CORE, 500, (), **step))
+    late.lose_start(
+        world, JOB, work.Step(late.TASKS, late.CORE, 500, (), **step)
+    )
     world.run(1.0)
     worker = world.workers["w0"]
     assert late.count_at_work(worker, JOB) == late.TASKS
