Leases of an idle worker hold for what starts there next

One roll is enough: the owner that resigns asks all workers for the longest lease, idle ones too. The next owner starts a task on such a worker, which is cut off; it counts the leases that it asked for itself, 4 s, and places the task elsewhere while the worker's deadline lasts for 6 s.

Cause: a first report took the worker to hold no lease but its runs'. The same where late orders of an owner before, or meant for an earlier life, come to an idle worker, and where this owner has forgotten a worker that is listed again.

Change: at its first report in an ownership, and in each later life, a worker counts as holding the longest lease from then on, with or without runs. Not under the first owner that a fleet ever had, as long as it forgot no worker.

--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -21,6 +21,7 @@
         published_jobs: Published states of jobs by id, as logged.
         intake_offsets: Offsets up to which the job store contains the intake,
             by partition.
+        follows_owner: Whether there may have been an owner before.
     """
 
     at: float
@@ -33,6 +34,7 @@
         default_factory=dict
     )
     intake_offsets: tuple[int, ...] = ()
+    follows_owner: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/node/election.py
+++ b/poplarspindle/node/election.py
@@ -94,6 +94,8 @@
         owner_seen_at: When the owner was last heard of, steady seconds.
         owner_active: Whether it was heard as owner since it claimed.
         log_end: Offset up to which the log was taken in.
+        epoch_before_claim: Epoch of the owner before the last claim, 0 for
+            none.
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         self.owner_seen_at = float("-inf")
         self.owner_active = False
         self.log_end = storage.ANY_END
+        self.epoch_before_claim = 0
 
     def start(self) -> None:
         """Starts the joining thread."""
@@ -267,6 +270,7 @@
             return
         self._claimed_at = now
         last = self.owner.epoch if self.owner else 0
+        self.epoch_before_claim = last
         epoch = choose_epoch(last, self._member)
         claim = records.Owner(
             epoch, self._member, self._wall_ms(), self.fitness
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -510,6 +510,7 @@
                 self._shared_state.unreachable,
                 self._shared_state.published_jobs,
                 prepared.end_offsets,
+                self._election.epoch_before_claim > 0,
             )
         )
         if self._shared_state.configuration is not None:
