Shut idle connections down on which something waits

Cause: libcurl looks for input on a kept connection only if it was idle for a second. WatchedSockets heard of it and only took the socket out; and it did not listen where the answer had come before the socket was waited for.

Change: an idle connection that becomes readable is shut down, so the next call there takes no byte and is begun anew on another one.

The watched sockets' tests are unchanged; two are new.

--- a/poplarspindle/node/http_client.py
+++ b/poplarspindle/node/http_client.py
@@ -109,7 +109,8 @@
         self._deadlines = call_deadlines.CallDeadlines()
         # Wakes the loop at the earliest of these, or earlier.
         self._timer: asyncio.TimerHandle | None = None
-        self._sockets = watched_sockets.WatchedSockets()
+        end_connection = watched_sockets.shut_down
+        self._sockets = watched_sockets.WatchedSockets(end_connection)
         self._loop.add_reader(self._sockets.descriptor, self._read_answers)
         self._idle: list[pycurl.Curl] = []
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
@@ -166,11 +167,13 @@
     def _start_pending(self) -> None:
         """Begins some calls and sends them, then looks at answers again.
 
-        Load pattern: hundreds of orders come at once; answers to those
-        begun first are not to wait until all are.
+        Load pattern: hundreds of orders come at once; the first ones' answers
+        are not to wait until all are begun.
         """
         if self._stopping:
             return
+        # No call is sent where something waits that nobody asked for.
+        self._sockets.poll(self._multi.socket_action)
         for _ in range(min(MAX_STARTS_PER_TURN, len(self._pending))):
             self._try_to_start(*self._pending.popleft())
         self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
--- a/poplarspindle/tests/test_watched_sockets.py
+++ b/poplarspindle/tests/test_watched_sockets.py
@@ -102,6 +102,33 @@
     assert [found for found, *_ in poll(sockets)] == [own.fileno()]
 
 
+@pytest.mark.parametrize(
+    ("reads", "writes"), [(True, False), (False, True), (True, True)]
+)
+def test_idle_connection_on_which_something_waits_is_ended(pair, reads, writes):
+    """TWICE: the next call would read it as its answer."""
+    own, peer = pair
+    ended = []
+    sockets = watched_sockets.WatchedSockets(ended.append)
+    sockets.announce(own.fileno())
+    sockets.watch(own.fileno(), reads, writes)
+    sockets.stop_watching(own.fileno())
+    assert poll(sockets) == ended == []
+    peer.send(b"x")
+    assert poll(sockets) == []
+    assert ended == [own.fileno()]
+    assert not is_ready(sockets)
+    sockets.close()
+
+
+def test_connection_that_is_shut_down_takes_no_byte(pair):
+    """TWICE: a call that is sent may have been carried out."""
+    own, _ = pair
+    watched_sockets.shut_down(own.fileno())
+    with pytest.raises(BrokenPipeError):
+        own.send(b"x")
+
+
 @pytest.mark.parametrize("peer_closed_first", [True, False])
 def test_new_connection_with_the_number_of_a_closed_one_is_told(
     sockets, pair, peer_closed_first
