Record addresses of unreachable workers for the next owner

Cause: a worker crashes, its entry lapses, and another owner begins. It knows the worker by name only, so neither a poll nor the list tells it that another worker answers at that address, and the crash counts for nothing.

Change: the record of unreachable workers says where they were. A node of the version before takes such a record as malformed while versions are mixed, and waits as without one.

--- a/poplarspindle/fleet/unreachable.py
+++ b/poplarspindle/fleet/unreachable.py
@@ -36,11 +36,13 @@
             monotonic clock.
         late_runs: Until when a start without an answer may have a run at work,
             by task and attempt, on the same clock; None if that is not known.
+        address: Its `host:port`, empty if that is not known.
     """
 
     incarnation_ms: int
     leases_end_at: float
     late_runs: Mapping[tuple[work.TaskName, int], float] | None = None
+    address: str = ""
 
 
 def list_unreachable(
@@ -68,6 +70,7 @@
             worker.incarnation_ms,
             _count_remaining_ms(grants.find_leases_end(worker), now),
             _encode_late_runs(worker, now),
+            worker.info.address,
         ]
         for worker in workers
     }
@@ -120,8 +123,9 @@
     incarnation_ms: int,
     remaining_ms: int,
     late_runs: list | None = None,
+    address: str = "",
 ) -> UnreachableWorker:
-    """Decodes a worker's entry; earlier versions recorded no late runs."""
+    """Decodes a worker's entry; earlier versions recorded less."""
     return UnreachableWorker(
         incarnation_ms,
         read_at + remaining_ms / 1000,
@@ -131,4 +135,5 @@
             (work.TaskName(*name), attempt): read_at + late_ms / 1000
             for *name, attempt, late_ms in late_runs
         },
+        address,
     )
