--- a/poplarspindle/tests/test_review_leases.py
+++ b/poplarspindle/tests/test_review_leases.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from poplarspindle.fleet import grants, lease_bounds, work
+from poplarspindle.fleet import fencing, lease_bounds, work
+from poplarspindle.node import lease_keeping
 from poplarspindle.tests import test_three_owners as three
 from poplarspindle.tests import test_unanswered_grants as late
 from poplarspindle.tools.fakes import fleets
@@ -129,10 +130,11 @@
 
 def test_late_leases_that_came_after_the_last_ones_ended_are_not_counted():
     """TWICE: an idle worker takes them, and they hold for the next run."""
-    account = lease_bounds.Account(leases_end_at=10.0)
-    lease_bounds.record_sent(account, 1.0, 1, 8.0, 6000)
-    grants.void_overtaken(account, 2, 19.0)
-    assert account.leases_end_at >= 19.0 + 6.0
+    fence = fencing.Fence(1, 1, 1, lease_bounds.Account(leases_end_at=10.0))
+    lease_bounds.record_sent(fence.account, 1.0, 1, 8.0, 6000)
+    keeper = lease_keeping.LeaseKeeper(None, fence)
+    keeper.record_carried_out(2.0, 2, 19.0)
+    assert fence.account.leases_end_at >= 19.0 + 6.0
 
 
 @pytest.mark.parametrize("step", late.STEPS)
