--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -1,6 +1,5 @@
 """Rebuilds a new owner's state from the log alone."""
 
-import dataclasses
 from collections.abc import Iterable
 
 from poplarspindle import resources
@@ -73,9 +72,6 @@
             unreachable_worker = event.unreachable_workers.get(task.worker_name)
             if unreachable_worker is not None:
                 worker.logged_unreachable = worker.poll_failed = True
-                worker.info = dataclasses.replace(
-                    worker.info, address=unreachable_worker.address
-                )
                 if unreachable_worker.incarnation_ms == task.incarnation_ms:
                     _apply_record(worker, run, unreachable_worker)
     effect_list = [
--- a/poplarspindle/fleet/unreachable.py
+++ b/poplarspindle/fleet/unreachable.py
@@ -36,13 +36,11 @@
             monotonic clock.
         late_runs: Until when a start without an answer may have a run at work,
             by task and attempt, on the same clock; None if that is not known.
-        address: Its `host:port`, empty if that is not known.
     """
 
     incarnation_ms: int
     leases_end_at: float
     late_runs: Mapping[tuple[work.TaskName, int], float] | None = None
-    address: str = ""
 
 
 def list_unreachable(
@@ -70,7 +68,6 @@
             worker.incarnation_ms,
             _count_remaining_ms(grants.find_leases_end(worker), now),
             _encode_late_runs(worker, now),
-            worker.info.address,
         ]
         for worker in workers
     }
@@ -123,9 +120,8 @@
     incarnation_ms: int,
     remaining_ms: int,
     late_runs: list | None = None,
-    address: str = "",
 ) -> UnreachableWorker:
-    """Decodes a worker's entry; earlier versions recorded less."""
+    """Decodes a worker's entry; earlier versions recorded no late runs."""
     return UnreachableWorker(
         incarnation_ms,
         read_at + remaining_ms / 1000,
@@ -135,5 +131,4 @@
             (work.TaskName(*name), attempt): read_at + late_ms / 1000
             for *name, attempt, late_ms in late_runs
         },
-        address,
     )
