The decisions take a worker's leases at its first report from the pollers' account

One account of what orders of any owner may have granted, in place of a second one in the fleet's state: a report carries it. The account takes a late grant to count from the answer that voids it.

Evidence: test_idle_leases, test_first_reports, test_earlier_leases, test_three_owners, test_gone_workers, test_lease_bounds and test_node pass.

--- a/poplarspindle/fleet/events.py
+++ b/poplarspindle/fleet/events.py
@@ -21,7 +21,6 @@
         published_jobs: Published states of jobs by id, as logged.
         intake_offsets: Offsets up to which the job store contains the intake,
             by partition.
-        follows_owner: Whether there may have been an owner before.
     """
 
     at: float
@@ -34,7 +33,6 @@
         default_factory=dict
     )
     intake_offsets: tuple[int, ...] = ()
-    follows_owner: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +111,9 @@
         report: The answer.
         failed_polls: Number of polls that the worker did not answer so far.
         token: Fencing token of the poll.
+        leases_end_at: When the leases end that any owner's orders may have
+            granted by then, on the owner's monotonic clock; minus infinity for
+            none.
     """
 
     at: float
@@ -123,6 +124,7 @@
     report: work.Report
     failed_polls: int = 0
     token: int = 0
+    leases_end_at: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -84,8 +84,6 @@
         inventory_asked_at: When the inventory was last asked for.
         inventory: Its last reading, None for none.
         inventory_covers_all: Whether it knew workers of each listed service.
-        may_hold_unknown_leases: Whether a worker that first reports may hold
-            leases of an earlier owner, or of this one that it has forgotten.
         placement_needed: Whether the next placement round may place a task.
         mean_sizes_core_s: Mean work of a job, by queue.
         remaining_work: Estimated work by job and occurrence, if ready.
@@ -159,7 +157,6 @@
         self.inventory_asked_at = float("-inf")
         self.inventory: events.InventoryRead | None = None
         self.inventory_covers_all = False
-        self.may_hold_unknown_leases = True
         self.listed_at = float("-inf")
         self.model_saved_at = float("-inf")
         self.model_save_due = False
--- a/poplarspindle/fleet/grants.py
+++ b/poplarspindle/fleet/grants.py
@@ -70,15 +70,15 @@
 def void_overtaken(worker: Account, token: int, at: float) -> None:
     """Drops orders of lower tokens than one that the worker answered.
 
-    One of them may have been carried out late just before that, also after the
-    leases had ended: with nothing at work then, it holds for what starts next.
+    One of them may have been carried out late just before that.
     """
     kept = []
     for grant in worker.unanswered_grants:
         if grant.token >= token:
             kept.append(grant)
             continue
-        worker.leases_end_at = max(worker.leases_end_at, at + grant.lease_s)
+        end = _extend(worker.leases_end_at, grant, at)
+        worker.leases_end_at = max(worker.leases_end_at, end)
     worker.unanswered_grants = kept
 
 
--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -52,11 +52,18 @@
     return now - run.start_sent_at > MAX_START_AGE_S
 
 
-def rule_out_earlier_owners(worker: worker_state.WorkerState) -> None:
+def rule_out_earlier_owners(
+    fleet: "fleet_state.FleetState", worker: worker_state.WorkerState
+) -> None:
     """Records that a worker answered under this epoch.
 
-    From then on it refuses the starts that earlier owners sent.
+    From then on it refuses the starts and polls that earlier owners sent. Late
+    ones may have been carried out just before that.
     """
+    if worker.runs:
+        worker.leases_end_at = worker_state.find_longest_lease_end(
+            fleet.now, fleet.lease_most_ms
+        )
     for run in worker.runs.values():
         if not run.unanswered_starts:
             run.may_run_late_until = float("-inf")
--- a/poplarspindle/fleet/lease_bounds.py
+++ b/poplarspindle/fleet/lease_bounds.py
@@ -106,7 +106,9 @@
     grants.record_answered(account, key)
 
 
-def record_heard(account: Account, at: float, lease_most_ms: int) -> None:
+def record_heard(
+    account: Account, at: float, lease_most_ms: int, is_first_life: bool
+) -> None:
     """Records the first answer to this owner in a life of the worker.
 
     From then on that life refuses the orders of earlier owners. What it carried
@@ -116,5 +118,21 @@
         account: What the worker may have been granted.
         at: When the answer came, on the owner's monotonic clock.
         lease_most_ms: Longest lease that a worker grants.
+        is_first_life: Whether the worker has not answered this owner before.
     """
+    if is_first_life and account.leases_end_at == float("-inf"):
+        return  # There was no earlier owner.
     account.leases_end_at = at + _find_longest_s(lease_most_ms)
+
+
+def void_overtaken(account: Account, token: int, at: float) -> None:
+    """Drops orders of lower tokens than one that the worker answered.
+
+    One of them may have been carried out just before that, also by a worker on
+    which nothing ran any more; its leases hold for the next run.
+    """
+    for grant in account.unanswered_grants:
+        if grant.token < token:
+            end = at + grant.lease_s
+            account.leases_end_at = max(account.leases_end_at, end)
+    grants.void_overtaken(account, token, at)
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -138,7 +138,6 @@
             worker.listed = False
             effect_list.append(_make_worker_note("unlisted", worker.info))
         if not worker.runs:
-            fleet.may_hold_unknown_leases = True
             del fleet.workers[name]
     return effect_list
 
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -58,13 +58,8 @@
         effect_list.append(allow_leases)
     is_first_report = not worker.has_reported
     if is_first_report:
-        late_starts.rule_out_earlier_owners(worker)
+        late_starts.rule_out_earlier_owners(fleet, worker)
     is_reborn = report.incarnation_ms != worker.incarnation_ms
-    may_hold_longest = (
-        (is_first_report and fleet.may_hold_unknown_leases)
-        or (is_reborn and worker.incarnation_ms > 0)
-        or (is_reborn and event.until_ms > 0)
-    )
     if is_reborn or event.worker_name in fleet.crash_history.lost_at:
         effect_list += crashes.handle_incarnation(
             fleet,
@@ -76,6 +71,12 @@
         effect_list += _begin_incarnation(fleet, worker, report)
     elif is_first_report:
         effect_list += _stop_late_starts(fleet, worker)
+    if is_first_report or is_reborn:
+        # Leases that were granted while it was idle hold for its next run.
+        worker.leases_end_at = max(
+            worker.leases_end_at,
+            event.leases_end_at + worker_state.LEASE_END_SLACK_S,
+        )
     worker.last_report_at = event.at
     worker.may_accept_more = True
     if worker.poll_failed:
@@ -86,13 +87,12 @@
                 "workers", "heard-again", worker=event.worker_name
             )
         )
-    if may_hold_longest:
-        # Orders of an earlier owner, or meant for an earlier incarnation's
-        # clock, may have asked for it. It holds for what starts here next, too.
+    if event.until_ms and is_reborn:
+        # The deadline was meant for the earlier incarnation's clock.
         worker.leases_end_at = worker_state.find_longest_lease_end(
             event.at, fleet.lease_most_ms
         )
-    if event.until_ms and not is_reborn:
+    elif event.until_ms:
         worker_state.record_lease(worker, event.until_ms)
         worker.answered_until_ms = max(worker.answered_until_ms, event.until_ms)
     effect_list += ends.handle_ends(fleet, worker, report)
@@ -134,6 +134,12 @@
     worker.incarnation_ms = incarnation_ms
     worker.last_end_handled = worker.last_end_recorded = 0
     worker.leases_until_ms = worker.answered_until_ms = 0
+    worker.leases_end_at = float("-inf")
+    if worker.runs:
+        # A start with a deadline of the former, higher clock may have come.
+        worker.leases_end_at = worker_state.find_longest_lease_end(
+            fleet.now, fleet.lease_most_ms
+        )
     return effect_list
 
 
--- a/poplarspindle/fleet/takeover.py
+++ b/poplarspindle/fleet/takeover.py
@@ -28,7 +28,6 @@
     without an answer, or as the log says of a worker recorded as unreachable.
     """
     fleet.epoch = event.epoch
-    fleet.may_hold_unknown_leases = event.follows_owner
     fleet.logged_unreachable_workers = set(event.unreachable_workers)
     fleet.unreachable_changed = bool(event.unreachable_workers)
     latest_lease_end_at = event.at + lease_bounds.find_next_wait_s(
--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -113,7 +113,7 @@
         if not self._fence.answered:
             self.record_heard(at)
         lease_bounds.record_carried_out(self._account, key, at)
-        grants.void_overtaken(self._account, token, at)
+        lease_bounds.void_overtaken(self._account, token, at)
 
     def record_heard(self, at: float) -> None:
         """Records the first answer of an incarnation.
@@ -122,9 +122,16 @@
         this owner's own poll, which was meant for an earlier one's clock.
         """
         lease_bounds.record_heard(
-            self._account, at, self._ownership.lease_most_ms
+            self._account,
+            at,
+            self._ownership.lease_most_ms,
+            not self._fence.answered,
         )
 
+    def find_end(self) -> float:
+        """Returns when all granted leases end; minus infinity for none."""
+        return self._account.leases_end_at
+
     def record_refused(
         self,
         key: worker_state.GrantKey,
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -494,6 +494,7 @@
             lambda: self._election.store_heard_at,
             clocks.get_wall_ms,
             prepared.confirmed_at,
+            self._election.epoch_before_claim > 0,
         )
         self._ownership.start()
         # Numbers of appends begin anew: the store would take another
@@ -510,7 +511,6 @@
                 self._shared_state.unreachable,
                 self._shared_state.published_jobs,
                 prepared.end_offsets,
-                self._election.epoch_before_claim > 0,
             )
         )
         if self._shared_state.configuration is not None:
--- a/poplarspindle/node/ownership.py
+++ b/poplarspindle/node/ownership.py
@@ -58,6 +58,7 @@
             one to own the fleet.
         wall_ms: Returns Unix time in milliseconds.
         claimed_at: When the claim that the store took was sent.
+        follows_owner: Whether there may have been an owner before.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         election_heard_at: Callable[[], float],
         wall_ms: Callable[[], int],
         claimed_at: float,
+        follows_owner: bool = True,
     ) -> None:
         self._connect = platform.connect
         self.epoch = epoch
@@ -82,6 +84,8 @@
         self.earlier_leases_end_at = (
             clocks.get_steady_s()
             + lease_bounds.find_next_wait_s(self.lease_most_ms)
+            if follows_owner
+            else float("-inf")
         )
         self.stop_event = threading.Event()
         self._http_client = http_client.HttpClient()
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -350,9 +350,9 @@
             return
         self._set_silent(False)
         report = answer.value
-        fencing.record_answered(self.fence, order.epoch)
         if report.incarnation_ms != self._incarnation_ms:
             self._begin_incarnation(report.incarnation_ms, at)
+        fencing.record_answered(self.fence, order.epoch)
         clock = self._leases.clock
         clock.ms, clock.at = report.clock_ms, at
         self._leases.record_carried_out(sent_at, order.epoch, at)
@@ -368,6 +368,7 @@
                 report,
                 self._failed_polls,
                 order.epoch,
+                self._leases.find_end(),
             )
         )
         self._send_queued()
--- a/poplarspindle/tools/fakes/elections.py
+++ b/poplarspindle/tools/fakes/elections.py
@@ -226,14 +226,7 @@
             if key.partition("/")[0] == records.STATE
         }
         owner.reduce(
-            events.Claimed(
-                world.now,
-                world.wall_ms(),
-                epoch,
-                silent,
-                shown,
-                follows_owner=len(world.owners) > 1,
-            )
+            events.Claimed(world.now, world.wall_ms(), epoch, silent, shown)
         )
         owner.reduce(
             events.Configured(world.now, world.configuration, world.evacuated)
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -65,9 +65,11 @@
         self.epoch = epoch
         self.fleet = fleet
         self.lease_most_ms = world.lease_most_ms
-        self.earlier_leases_end_at = world.now + lease_bounds.find_next_wait_s(
-            world.lease_most_ms
-        )
+        self.earlier_leases_end_at = float("-inf")
+        if world.owners:
+            self.earlier_leases_end_at = (
+                world.now + lease_bounds.find_next_wait_s(world.lease_most_ms)
+            )
         self.stop_event = threading.Event()
         self.order_window = order_window.OrderWindow(self.now)
         self.pollers = pollers.Pollers(self, self.run_soon)
