Starts where the bound has little room leave some to the next ones

Load: in the first seconds of an owner, or after orders without an answer, one start took all the room of a worker.

Change: where less than the longest lease may be asked for, a start asks for half of it, START_LEASE_MS at least. Polls renew the leases just after.

--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -59,9 +59,17 @@
         )
 
     def extend_start(self, order: orders.Start, now: float) -> orders.Start:
-        """Returns a start with the lease that it asks for when sent now."""
+        """Returns a start with the lease that it asks for when sent now.
+
+        Where there is room for little, it leaves some to the next starts: a
+        start that has to wait for answers has no turn in the window.
+        """
+        longest_ms = self._find_longest_ms(now)
+        if longest_ms < self._ownership.lease_most_ms:
+            share_ms = max(leases.START_LEASE_MS, longest_ms // 2)
+            longest_ms = min(longest_ms, share_ms)
         until_ms = leases.extend_start_lease(
-            self.clock, now, order.until_ms, self._find_longest_ms(now)
+            self.clock, now, order.until_ms, longest_ms
         )
         return dataclasses.replace(order, until_ms=until_ms)
 
