--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -124,7 +124,7 @@
             worker.may_accept_more = fleet.placement_needed = True
         worker.listed = True
         worker.info, info_before = info, worker.info
-        if worker.runs and info != info_before:
+        if worker.runs and info is not info_before:
             effect_list += withdrawals.withdraw_unanswered_starts(fleet, worker)
         if info.presence is work.Presence.LEAVING:
             leaves_at = event.at + info.leaves_ms / 1000
