--- a/poplarspindle/fleet/unreachable.py
+++ b/poplarspindle/fleet/unreachable.py
@@ -7,8 +7,7 @@
 longer a start without an answer may have a run at work. A reader counts these
 times from its own reading, which comes later than the writing, so no clocks are
 compared. A worker on the record is given no lease and no start: when it
-answers, it is removed from the record first. With its address the next owner
-hears that another worker answers there, also once its entry has lapsed.
+answers, it is removed from the record first.
 """
 
 import dataclasses
