Orders that another life of a worker may get count as the longest leases

A worker that began anew at its address may keep runs at work for longer than its owner, or the next one, waits: two runs at the same time.

Cause: an order names a deadline on the clock that its owner last read. A life whose clock began anew grants the longest lease by it. Owner and poller counted 0.4 or 4 s for orders without an answer, and the poller also for a start that such a life answered: only a poll's report told it of the life, although the answer to the start had a clock that went back.

--- a/poplarspindle/fleet/grants.py
+++ b/poplarspindle/fleet/grants.py
@@ -6,11 +6,13 @@
 are void once the worker has answered a higher fencing token; see `fencing`.
 """
 
+import dataclasses
 import sys
 import typing
 
 from poplarspindle.fleet import worker_state
 
+MAX_ANSWER_AGE_MS = 500  # Calls end after that; see `minions` and `polling`.
 MAX_ORDER_DELAY_S = 15.0  # An unanswered order may take effect that late.
 UNKNOWN_TOKEN = sys.maxsize  # Of a start that may not have been sent yet.
 
@@ -82,6 +84,36 @@
     worker.unanswered_grants = kept
 
 
+def is_clock_of_next_life(clock_ms: int, last_ms: int) -> bool:
+    """Returns whether a worker's clock went back, so that another life answers.
+
+    Answers on several connections are read in any order, and one that arrived
+    late has an older time.
+
+    Args:
+        clock_ms: Time on the clock in an answer, 0 for none.
+        last_ms: Time on the clock as last read.
+    """
+    return 0 < clock_ms < last_ms - MAX_ANSWER_AGE_MS
+
+
+def record_next_life(worker: Account, lease_most_ms: int) -> None:
+    """Records that another life of the worker may carry orders out.
+
+    Its clock began anew, so the deadlines of orders that were meant for the one
+    before are far ahead, and it grants the longest lease.
+
+    Args:
+        worker: The account.
+        lease_most_ms: Longest lease that a worker grants.
+    """
+    lease_s = lease_most_ms / 1000 * worker_state.MAX_CLOCK_DRIFT
+    worker.unanswered_grants = [
+        dataclasses.replace(grant, lease_s=lease_s)
+        for grant in worker.unanswered_grants
+    ]
+
+
 def find_leases_end(worker: Account) -> float:
     """Returns when all leases of a worker are over at the latest."""
     end = worker.leases_end_at
