--- a/poplarspindle/tests/test_polling.py
+++ b/poplarspindle/tests/test_polling.py
@@ -239,7 +239,7 @@
     answered = [
         event for event in own.posted if isinstance(event, events.OrderAnswered)
     ]
-    assert len(answered) == 5
+    assert len(answered) == polling.MAX_ORDERS_IN_FLIGHT
     assert (own.order_window.waiting, own.order_window.in_flight) == (0, 0)
 
 
