--- a/poplarspindle/tests/test_decisions.py
+++ b/poplarspindle/tests/test_decisions.py
@@ -377,12 +377,14 @@
 # Leases: as long as is safe, none for a worker that does not answer.
 
 CLOCK = leases.Clock(1000, 10.0, True)
+# A second after its reading the clock is at least there, as it may be slow.
+LATER_MS = CLOCK.ms + int(1000 / worker_state.MAX_CLOCK_DRIFT)
 LEASES = [
     pytest.param(
-        CLOCK, 11.0, 11.0, 2000 + leases.LEASE_MS, id="store reachable"
+        CLOCK, 11.0, 11.0, LATER_MS + leases.LEASE_MS, id="store reachable"
     ),
     pytest.param(
-        CLOCK, 11.0, 9.0, 2000 + 6000, id="store unreachable: longest lease"
+        CLOCK, 11.0, 9.0, LATER_MS + 6000, id="store unreachable: longest lease"
     ),
     pytest.param(
         CLOCK, 20.0, 9.0, 0, id="store unreachable too long: no lease"
@@ -401,7 +403,7 @@
 
 def test_last_lease_of_an_owner_has_the_maximum_length():
     until_ms = leases.choose_lease(CLOCK, 11.0, 11.0, 6000, last=True)
-    assert until_ms == 2000 + 6000
+    assert until_ms == LATER_MS + 6000
     assert leases.choose_lease(CLOCK, 20.0, 9.0, 6000, last=True) == 0
 
 
