Leases are asked for by a lower bound of the worker's clock

Before a next owner's wait is over, leases may last longer than the bound of an owner's leases says, so a task may run twice.

Cause: a poller took the worker's clock to go on at its own rate since the last reading. On a clock that is 2 % slow each order then asked for up to 2 % of the reading's age more than the bound had room for, and counted it as that much less: 8 starts with a reading of 2.2 s add 0.35 s.

Change: leases._estimate_ms is a lower bound, as estimate_clock_ms of the owner's state is. A lease is shorter by that much on a clock that is right.

--- a/poplarspindle/fleet/leases.py
+++ b/poplarspindle/fleet/leases.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from poplarspindle.fleet import worker_state
+
 # Lasts longer than a takeover, so that runs survive it. Tasks of an unreachable
 # worker are requeued only after it.
 LEASE_MS = 4000
@@ -132,7 +134,13 @@
 
 
 def _estimate_ms(clock: Clock, now: float) -> int:
-    return clock.ms + int((now - clock.at) * 1000)
+    """Returns a lower bound of a worker's clock.
+
+    A lease that ends at a time of a clock that is slow lasts longer than one of
+    a clock that is right.
+    """
+    passed_ms = (now - clock.at) * 1000 / worker_state.MAX_CLOCK_DRIFT
+    return clock.ms + int(passed_ms)
 
 
 def choose_start_lease(renewed_ms: int, lease_most_ms: int) -> int:
