Orders that another life of a worker may get count as the longest leases

A worker that began anew at its address may keep runs at work for longer than its owner, or the next one, waits: two runs at the same time.

Cause: an order names a deadline on the clock that its owner last read. A life whose clock began anew grants the longest lease by it. Owner and poller counted 0.4 or 4 s for orders without an answer, and the poller also for a start that such a life answered: only a poll's report told it of the life, although the answer to the start had a clock that went back.

Change: as soon as a report or a clock that went back tells of another life, orders without an answer count as the longest lease each, and the poller's clock is that life's.

--- a/poplarspindle/fleet/grants.py
+++ b/poplarspindle/fleet/grants.py
@@ -6,6 +6,7 @@
 are void once the worker has answered a higher fencing token; see `fencing`.
 """
 
+import dataclasses
 import sys
 import typing
 
@@ -82,6 +83,23 @@
     worker.unanswered_grants = kept
 
 
+def record_next_life(worker: Account, lease_most_ms: int) -> None:
+    """Records that another life of the worker may carry orders out.
+
+    Its clock began anew, so the deadlines of orders that were meant for the one
+    before are far ahead, and it grants the longest lease.
+
+    Args:
+        worker: The account.
+        lease_most_ms: Longest lease that a worker grants.
+    """
+    lease_s = lease_most_ms / 1000 * worker_state.MAX_CLOCK_DRIFT
+    worker.unanswered_grants = [
+        dataclasses.replace(grant, lease_s=lease_s)
+        for grant in worker.unanswered_grants
+    ]
+
+
 def find_leases_end(worker: Account) -> float:
     """Returns when all leases of a worker are over at the latest."""
     end = worker.leases_end_at
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -128,6 +128,7 @@
                 fleet, worker, run, "worker-born-again"
             )
     effect_list += _stop_late_starts(fleet, worker)
+    grants.record_next_life(worker, fleet.lease_most_ms)
     worker.incarnation_ms = incarnation_ms
     worker.last_end_handled = worker.last_end_recorded = 0
     worker.leases_until_ms = worker.answered_until_ms = 0
@@ -257,6 +258,9 @@
     if worker is None:
         return []
     if event.answer.clock_ms:
+        if event.answer.clock_ms < worker.clock_ms:
+            # Another life answered; only its next report tells which.
+            grants.record_next_life(worker, fleet.lease_most_ms)
         worker_state.record_clock(worker, event.answer.clock_ms, event.at)
     if isinstance(event.order, orders.Start):
         _record_start_answer(worker, event)
--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -125,6 +125,21 @@
             self._account, at, self._ownership.lease_most_ms
         )
 
+    def record_clock(self, clock_ms: int, at: float) -> None:
+        """Notes the clock in an answer to an order, 0 for none.
+
+        One that went back is that of another life, which only the next report
+        tells. What that one was granted so far may last the longest.
+        """
+        if 0 < clock_ms < self.clock.ms:
+            self.clock.ms, self.clock.at = clock_ms, at
+            self.record_next_life(at)
+
+    def record_next_life(self, at: float) -> None:
+        """Records that another life of the worker answered."""
+        grants.record_next_life(self._account, self._ownership.lease_most_ms)
+        self.record_heard(at)
+
     def record_refused(
         self,
         key: worker_state.GrantKey,
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -248,6 +248,7 @@
         answer: orders.Answer,
     ) -> None:
         now = self._ownership.now()
+        self._leases.record_clock(answer.clock_ms, now)
         if answer.refusal is None:
             self._leases.record_carried_out(key, order.epoch, now)
             fencing.record_answered(self.fence, order.epoch)
@@ -385,7 +386,7 @@
         """Notes that another incarnation than before answered a poll."""
         if self._incarnation_ms:
             token_log.record_new_incarnation(self.fence, self.worker.name)
-        self._leases.record_heard(at)
+        self._leases.record_next_life(at)
         self._incarnation_ms, self._acknowledged_end = incarnation_ms, 0
 
     def _poll_next(self) -> None:
