Inventory tells of missing workers also where no worker is listed

What callers saw: nothing yet; found by an invariant of the virtual fleet. A start that comes late begins a task that was placed elsewhere by then.

Cause: a reading of the platform's inventory counted only if it named a listed worker. Where the list drops all workers at once, as for a store that was away, there is none, so each reading was dropped, the list decided alone that workers are gone, and starts without an answer were not waited for.

Change: while no worker is listed, the reading counts if it names any worker that the owner knows. With listed workers all is as before.

Evidence: walk cuts-11 of test_next_lives breaks invariant 2 at 6.75 s (a start to w2, cut off and alive, may begin a run to 14.38 s; the owner gave it up at 6.70 s), and not with this change; one row of test_gone_workers was red.

--- a/poplarspindle/fleet/absence.py
+++ b/poplarspindle/fleet/absence.py
@@ -51,11 +51,12 @@
 def handle_inventory_read(
     fleet: fleet_state.FleetState, event: events.InventoryRead
 ) -> list[effects.Effect]:
-    """Takes a reading of the inventory, if it knows the workers at all."""
-    if not any(
-        worker.listed and name in event.alive
-        for name, worker in fleet.workers.items()
-    ):
+    """Takes a reading of the inventory, if it knows the workers at all.
+
+    It has to name a listed worker, or any one while all are missing.
+    """
+    listed = [name for name, worker in fleet.workers.items() if worker.listed]
+    if not any(name in event.alive for name in listed or fleet.workers):
         return [fleet_state.make_log_note("workers", "inventory-unknown")]
     fleet.inventory = event
     return [
--- a/poplarspindle/tests/test_gone_workers.py
+++ b/poplarspindle/tests/test_gone_workers.py
@@ -417,6 +417,25 @@
     assert absence.is_gone(fleet, worker) == gone
 
 
+@pytest.mark.parametrize(
+    ("alive", "gone"),
+    [
+        pytest.param({"w"}, False, id="alive"),
+        pytest.param({"v"}, True, id="dead"),
+        pytest.param(set(), True, id="knows-no-worker"),
+    ],
+)
+def test_inventory_tells_of_missing_workers_where_none_is_listed(alive, gone):
+    """TWICE: the late start of one that is alive was not waited for."""
+    fleet, worker = make_fleet_with_late_start()
+    read_missing(fleet, 2.0)
+    for state in fleet.workers.values():
+        state.listed = False
+    read_inventory(fleet, 3.0, alive)
+    read_missing(fleet, 4.6)
+    assert absence.is_gone(fleet, worker) == gone
+
+
 def test_inventory_is_read_once_a_second_while_a_late_start_is_waited_for():
     """Each reading is priced."""
     fleet, worker = make_fleet_with_late_start()
