Invariants of leases, starts, ends and numbers, judged at every step

Tests, walks and the explorer judged the outcome, two runs in the ledgers, which takes several coincidences. A virtual world knows all that its messages in flight may still do, so the inequalities are judged themselves: whenever a message to a worker, an event from it, a record or an owner changes what they say, at the next tick, and when leases are asked for.

tools/fakes/in_flight keeps what workers have not carried out, lost messages too, for 12 s; next_owner reads the log as an owner that claims now; invariants judges, by what the present owner and that one would hold back. World.list_violations lists what was found, so walks (but those of owners that are wrongly sure of a lapse), explorer and fleet tests assert it. The explorer goes on with courses that broke an invariant only.

--- a/poplarspindle/fleet/records.py
+++ b/poplarspindle/fleet/records.py
@@ -272,7 +272,7 @@
         raise ValueError("task group belongs to an occurrence that is over")
     tasks = job.occurrences[occurrence][step]
     tasks[first_index : first_index + len(encoded_tasks)] = map(
-        _decode_task, encoded_tasks
+        decode_task, encoded_tasks
     )
     job.recorded_groups.add(group)
 
@@ -307,7 +307,8 @@
     return [*encoded, attempts] if attempts else encoded
 
 
-def _decode_task(encoded: object) -> job_store.Task:
+def decode_task(encoded: object) -> job_store.Task:
+    """Decodes a task of a group's record; raises one of DECODE_ERRORS."""
     if isinstance(encoded, int):
         return job_store.Task(_PHASES[encoded])
     phase, *rest = encoded
--- a/poplarspindle/tools/explorer/exploring.py
+++ b/poplarspindle/tools/explorer/exploring.py
@@ -12,7 +12,7 @@
 import structlog
 
 from poplarspindle.tools.explorer import cases, disruptions, playing
-from poplarspindle.tools.fakes import messages
+from poplarspindle.tools.fakes import invariants, messages
 
 PROGRESS_S = 5.0
 PlayBranches = Callable[
@@ -120,7 +120,8 @@
         Returns:
             Those to play with one disruption more: of cases with the same
             sequence, and with disruptions that differ in nothing but time, the
-            first one; none that broke a promise.
+            first one; none that broke a promise. Where an invariant is broken,
+            one disruption more may break a promise.
         """
         longer = []
         for one in played:
@@ -137,7 +138,8 @@
             if one.violations:
                 if is_new:
                     self.tally.failures.append((case, one.violations))
-                continue
+                if not all(map(invariants.is_line, one.violations)):
+                    continue
             extended = tuple(map(_name_fold, names)), sequence
             if extended not in self._extended:
                 self._extended.add(extended)
--- a/poplarspindle/tools/fakes/late_orders.py
+++ b/poplarspindle/tools/fakes/late_orders.py
@@ -46,6 +46,7 @@
         after_deferred: Takes the name of the worker of each late order.
 
     Attributes:
+        lateness: How orders are late.
         is_lost: Tells whether a message is late, given the share of those of
             its kind that are.
     """
@@ -56,7 +57,7 @@
         rng: random.Random,
         after_deferred: Callable[[str], None],
     ) -> None:
-        self._lateness = lateness
+        self.lateness = lateness
         self._rng = rng
         self._after_deferred = after_deferred
         self.is_lost: Callable[[float, messages.Message], bool] = self._draw
@@ -75,7 +76,7 @@
         share = polls_share if is_poll else orders_share
         if not self.is_lost(share, message):
             return messages.DELIVERED
-        lateness = self._lateness
+        lateness = self.lateness
         fate = messages.Fate(
             self._rng.uniform(*lateness.delay_s),
             answered=False,
--- a/poplarspindle/tools/fakes/network.py
+++ b/poplarspindle/tools/fakes/network.py
@@ -13,7 +13,7 @@
 from poplarspindle import outcomes
 from poplarspindle.fleet import orders, work
 from poplarspindle.platform import minions
-from poplarspindle.tools.fakes import fleet_workers, messages
+from poplarspindle.tools.fakes import fleet_workers, in_flight, messages
 
 if typing.TYPE_CHECKING:
     from poplarspindle.tools.fakes import fleets, owners
@@ -65,11 +65,15 @@
 
     Args:
         world: The virtual fleet.
+
+    Attributes:
+        in_flight: What workers have not carried out.
     """
 
     def __init__(self, world: "fleets.World") -> None:
         self._world = world
         self._sent: collections.Counter = collections.Counter()
+        self.in_flight = in_flight.Register()
 
     def reaches(
         self, client: "Client", worker: fleet_workers.FakeWorker
@@ -121,20 +125,36 @@
 
         call = _Call(owner, done, note_answer)
         call.wait(timeout_s, silence)
-        if fate.carried_out_after_s is None:
-            return
-        worker = world.workers.get(name)
-        delivery = _Delivery(
-            world,
-            client,
+        entry = self._register(name, order, fate)
+        if fate.carried_out_after_s is not None:
+            delivery = _Delivery(world, client, order, fate, entry, call)
+            world.call_later(
+                NETWORK_S + fate.carried_out_after_s, delivery.carry_out
+            )
+        world.judge.note_sent(entry)
+
+    def _register(
+        self,
+        name: str,
+        order: orders.Order | orders.Poll,
+        fate: messages.Fate,
+    ) -> in_flight.Entry:
+        world, worker = self._world, self._world.workers.get(name)
+        until_ms = getattr(order, "until_ms", 0)
+        if worker is None or not until_ms:
+            lease_ms = 0
+        else:
+            lease_ms = until_ms - worker.clock_ms()
+        entry = in_flight.Entry(
+            name,
             order,
-            fate,
+            world.now,
+            max(0, min(lease_ms, world.lease_most_ms)),
             worker.incarnation_ms if worker else 0,
-            call,
-        )
-        world.call_later(
-            NETWORK_S + fate.carried_out_after_s, delivery.carry_out
+            fate.next_lives or world.late_orders.lateness.incarnations,
         )
+        self.in_flight.add(entry)
+        return entry
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,7 +166,7 @@
         client: The sender's client.
         order: The order or the poll.
         fate: What becomes of it.
-        incarnation_ms: The worker's life when it was sent.
+        entry: Its entry in the register of what is in flight.
         call: The call that waits for the answer.
     """
 
@@ -154,7 +174,7 @@
     client: "Client"
     order: orders.Order | orders.Poll
     fate: messages.Fate
-    incarnation_ms: int
+    entry: in_flight.Entry
     call: _Call
 
     def carry_out(self) -> None:
@@ -167,9 +187,11 @@
             world.call_later(worker.paused_until - world.now, self.carry_out)
             return
         if worker.replaced and not worker.up:
+            self._end()
             self.call.answer(self._refuse_other_life())
             return
         if worker.refuses and not worker.up:
+            self._end()
             self._respond(worker, self._refuse_connection())
             return
         is_late = self.fate.carried_out_after_s > 0
@@ -177,19 +199,25 @@
             return
         if not worker.up or (is_late and not self._outlives(worker)):
             return
+        self._end()
+        world.judge.note_changed(worker.description.name)
         order = self._shift_lease()
         if isinstance(order, orders.Poll):
+            world.judge.note_poll(worker, order)
             self._poll(worker, order)
         else:
             self._respond(worker, world.carry_out_order(worker, order))
         self._note_moment()
 
+    def _end(self) -> None:
+        self.world.network.in_flight.remove(self.entry)
+
     def _outlives(self, worker: fleet_workers.FakeWorker) -> bool:
         """Tells whether the message still counts if it comes late.
 
         What comes before any owner spoke to a life none can refuse.
         """
-        return worker.incarnation_ms == self.incarnation_ms or bool(
+        return worker.incarnation_ms == self.entry.incarnation_ms or bool(
             self.fate.next_lives and worker.fencing_epoch
         )
 
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -202,6 +202,13 @@
         self._events.extend(self._held_back.pop(worker, ()))
         self._handle_events()
 
+    def is_behind(self, worker: str) -> bool:
+        """Tells whether events that come from a worker wait to be handled."""
+        return worker in self._held_back or any(
+            getattr(event, "worker_name", None) == worker
+            for event in self._events
+        )
+
     def _handle_events(self) -> None:
         self._is_due = False
         if self.is_stalled(DECISIONS):
@@ -247,6 +254,9 @@
         effect_list = reducer.reduce(self.fleet, event)
         if isinstance(event, events.Reported):
             self._world.checker.record_report(self.fleet, event)
+        worker = getattr(event, "worker_name", None)
+        if worker is not None:
+            self._world.judge.note_changed(worker)
         self._execute(effect_list)
 
     def settle(self) -> None:
--- a/poplarspindle/tools/fakes/virtual_store.py
+++ b/poplarspindle/tools/fakes/virtual_store.py
@@ -86,7 +86,8 @@
 
     def write(self, found: typing.Iterable[records.Record]) -> None:
         """Stores records; those without a value are deletions."""
-        world = self._world
+        world, found = self._world, tuple(found)
+        world.judge.note_written(found)
         for record in found:
             if record.value:
                 self.log[record.key] = record
--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -157,7 +157,7 @@
     world, lost_tasks = _walk(seed, plan)
     found = judging.list_out_of_order(world)
     if plan.sure:
-        found = judging.list_violations(world)
+        found = world.list_violations()
     found += lost_tasks
     found += world.checker.violations + judging.list_wrong_states(world)
     jobs = world.fleet.job_store.jobs
