Answer to a stop is not taken for that of a start sent at the same time

What callers saw: nothing yet; found by an invariant of the virtual fleet.

Cause: the account of leases told orders apart by task, attempt and time of sending. A stop of the same run that was sent at the same time had the key of the start; its answer dropped the start, which got none and may be late. On a node two orders have different times; it takes a clock of low resolution, or the virtual one.

Change: orders that grant no leases have no key.

--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -107,12 +107,16 @@
         lease_bounds.record_sent(self._account, key, order.epoch, now, lease_ms)
 
     def record_carried_out(
-        self, key: worker_state.GrantKey, token: int, at: float
+        self, key: worker_state.GrantKey | None, token: int, at: float
     ) -> None:
-        """Records that the worker carried an order out, with its token."""
+        """Records that the worker carried an order out, with its token.
+
+        The key is None for an order that grants no leases.
+        """
         if not self._fence.answered:
             self.record_heard(at)
-        lease_bounds.record_carried_out(self._account, key, at)
+        if key is not None:
+            lease_bounds.record_carried_out(self._account, key, at)
         grants.void_overtaken(self._account, token, at)
 
     def record_heard(self, at: float) -> None:
@@ -142,11 +146,13 @@
 
     def record_refused(
         self,
-        key: worker_state.GrantKey,
+        key: worker_state.GrantKey | None,
         at: float,
         refusal: orders.Refusal,
     ) -> None:
         """Records that a start was refused; some refusals renew leases."""
+        if key is None:
+            return
         if refusal in (orders.Refusal.ENDED, orders.Refusal.NO_CAPACITY):
             lease_bounds.record_carried_out(self._account, key, at)
         elif refusal is not orders.Refusal.NO_ANSWER:
--- a/poplarspindle/node/polling.py
+++ b/poplarspindle/node/polling.py
@@ -226,8 +226,10 @@
         self._count_call(type(order).__name__.lower())
         sent_at = self._ownership.now()
         order = dataclasses.replace(order, epoch=self.fence.token)
-        key = (order.task, order.attempt, sent_at)
+        # A stop of the same run may be sent at the same time.
+        key = None
         if isinstance(order, orders.Start):
+            key = (order.task, order.attempt, sent_at)
             order = self._leases.extend_start(order, sent_at)
             self._leases.record_sent(key, order, sent_at)
 
@@ -243,7 +245,7 @@
 
     def _record_answer(
         self,
-        key: worker_state.GrantKey,
+        key: worker_state.GrantKey | None,
         order: orders.Order,
         answer: orders.Answer,
     ) -> None:
