--- a/poplarspindle/tools/fakes/invariants.py
+++ b/poplarspindle/tools/fakes/invariants.py
@@ -18,7 +18,7 @@
 import dataclasses
 import enum
 import typing
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Iterable
 
 from poplarspindle.fleet import (
     fleet_state,
@@ -192,9 +192,11 @@
                 self._judge_end(name, run)
 
     def _concerns(
-        self, worker: fleet_workers.FakeWorker, jobs: Container[str]
+        self, worker: fleet_workers.FakeWorker, jobs: Collection[str]
     ) -> bool:
         """Tells whether a worker runs tasks of some jobs, or may."""
+        if not jobs:
+            return False
         entries = self._world.network.in_flight.list_to(
             worker.description.name, self._world.now
         )
@@ -207,14 +209,12 @@
     def judge_worker(self, worker: fleet_workers.FakeWorker) -> None:
         """Judges what a worker has at work, or may begin."""
         world = self._world
-        if not worker.up:
+        name, now = worker.description.name, world.now
+        found = world.network.in_flight.list_to(name, now)
+        if not worker.up or not (found or worker.runs or worker.ends):
             return
         entries = [
-            entry
-            for entry in world.network.in_flight.list_to(
-                worker.description.name, world.now
-            )
-            if in_flight.may_carry_out(worker, entry)
+            entry for entry in found if in_flight.may_carry_out(worker, entry)
         ]
         self._judge_at_work(worker, entries)
         self._judge_starts(worker, entries)
