--- a/poplarspindle/tests/test_invariants.py
+++ b/poplarspindle/tests/test_invariants.py
@@ -82,11 +82,11 @@
     list_faults_of, guard, invariant, worlds
 ):
     list_faults_of()
-    assert worlds.pop().judge.violations == []
+    assert worlds.pop().invariants.violations == []
     with guards.without(**{guard: True}):
         list_faults_of()
     (world,) = worlds
-    first = world.judge.violations[0]
+    first = world.invariants.violations[0]
     assert first.invariant is invariant
     assert first.at + 2.0 < find_outcome_at(world) < float("inf")
 
@@ -134,7 +134,7 @@
     )
     with guards.without(account=True):
         world.run(1.0)
-    assert world.judge.violations
+    assert world.invariants.violations
     assert find_outcome_at(world) == float("inf")
 
 
@@ -148,7 +148,7 @@
     world.run(0.5)
     monkeypatch.setattr(virtual_store.Store, "write", lambda *row: None)
     world.run(0.8)
-    assert {one.invariant for one in world.judge.violations} >= {ENDS}
+    assert {one.invariant for one in world.invariants.violations} >= {ENDS}
     assert find_outcome_at(world) == float("inf")
 
 
@@ -166,9 +166,9 @@
     world.network.in_flight.add(
         in_flight.Entry(other, order, world.now, 400, incarnation_ms, False)
     )
-    world.judge.note_changed(other)
-    world.judge.judge()
-    found = {one.invariant for one in world.judge.violations}
+    world.invariants.note_changed(other)
+    world.invariants.judge()
+    found = {one.invariant for one in world.invariants.violations}
     assert found == {STARTS, NUMBERS}
 
 
--- a/poplarspindle/tools/fakes/elections.py
+++ b/poplarspindle/tools/fakes/elections.py
@@ -213,7 +213,7 @@
         for worker in world.workers.values():
             worker.mark_reported(False)
         world.checker.begin(epoch)
-        world.judge.note_owner()
+        world.invariants.note_owner()
         silent = {}
         if unreachable.UNREACHABLE_KEY in world.log:
             # The log is followed, so the record was read when it came.
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -77,7 +77,7 @@
         cuts: Workers that are cut off from nodes, None for all nodes.
         list_lag_s: How old the list is that owners read.
         late_orders: Draws which messages are late.
-        judge: Judges the invariants at each step.
+        invariants: Judges the invariants at each step.
         choose_fate: Chooses what becomes of a message to a worker.
         on_moment: Called at each moment that tells what happens.
     """
@@ -165,7 +165,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.notes: collections.Counter = collections.Counter()
         self.checker = judging.ExecutionChecker(self)
-        self.judge = invariants.Judge(self)
+        self.invariants = invariants.Judge(self)
         self.after_tick: Callable[[], None] = lambda: None
         self.after_deferred: Callable[[str], None] = lambda name: None
         self.take_over()
@@ -393,7 +393,7 @@
         self.list_workers()
         for owner in self.owners:
             owner.tick()
-        self.judge.judge()
+        self.invariants.judge()
         self.after_tick()
 
     def get_state(self, job: str) -> str:
@@ -407,4 +407,4 @@
 
         The invariants that were broken on the way are listed as well.
         """
-        return judging.list_violations(self) + self.judge.list_violations()
+        return judging.list_violations(self) + self.invariants.list_violations()
--- a/poplarspindle/tools/fakes/network.py
+++ b/poplarspindle/tools/fakes/network.py
@@ -131,7 +131,7 @@
             world.call_later(
                 NETWORK_S + fate.carried_out_after_s, delivery.carry_out
             )
-        world.judge.note_sent(entry)
+        world.invariants.note_sent(entry)
 
     def _register(
         self,
@@ -200,10 +200,10 @@
         if not worker.up or (is_late and not self._outlives(worker)):
             return
         self._end()
-        world.judge.note_changed(worker.description.name)
+        world.invariants.note_changed(worker.description.name)
         order = self._shift_lease()
         if isinstance(order, orders.Poll):
-            world.judge.note_poll(worker, order)
+            world.invariants.note_poll(worker, order)
             self._poll(worker, order)
         else:
             self._respond(worker, world.carry_out_order(worker, order))
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -258,7 +258,7 @@
             self._world.checker.record_report(self.fleet, event)
         worker = getattr(event, "worker_name", None)
         if worker is not None:
-            self._world.judge.note_changed(worker)
+            self._world.invariants.note_changed(worker)
         self._execute(effect_list)
 
     def settle(self) -> None:
--- a/poplarspindle/tools/fakes/virtual_store.py
+++ b/poplarspindle/tools/fakes/virtual_store.py
@@ -87,7 +87,7 @@
     def write(self, found: typing.Iterable[records.Record]) -> None:
         """Stores records; those without a value are deletions."""
         world, found = self._world, tuple(found)
-        world.judge.note_written(found)
+        world.invariants.note_written(found)
         for record in found:
             if record.value:
                 self.log[record.key] = record
