--- a/poplarspindle/tools/fakes/invariants.py
+++ b/poplarspindle/tools/fakes/invariants.py
@@ -21,10 +21,7 @@
 from collections.abc import Collection, Iterable
 
 from poplarspindle.fleet import (
-    fleet_state,
-    grants,
     job_store,
-    late_starts,
     orders,
     records,
     unreachable,
@@ -79,36 +76,6 @@
     return violation.startswith(LINE)
 
 
-# What owners know.
-
-
-def find_hold(
-    fleet: fleet_state.FleetState, worker: str, key: Key
-) -> next_owner.Hold | None:
-    """Returns how long an owner holds back for a run on a worker.
-
-    Returns:
-        None if the run's task is to run no more.
-    """
-    state = fleet.workers.get(worker)
-    run = state.runs.get(key) if state else None
-    if run is not None:
-        return next_owner.Hold(
-            grants.find_leases_end(state), late_starts.find_late_run_end(run)
-        )
-    name = key[0]
-    job = fleet.job_store.jobs.get(name.job)
-    if job is None or job.cancelled or job.state in job_store.ENDED:
-        return None
-    steps = job.occurrences.get(name.occurrence)
-    if steps is None:
-        return None
-    task = steps[name.step][name.index]
-    if task.phase is job_store.Phase.DONE:
-        return None
-    return next_owner.PLACED_NOWHERE
-
-
 class Judge:
     """Judges the invariants of a virtual fleet, and keeps what is broken.
 
@@ -319,7 +286,7 @@
             and not owner.is_behind(name)
         )
         if may_decide:
-            hold = find_hold(owner.fleet, name, key)
+            hold = next_owner.find_present_hold(owner.fleet, name, key)
             if hold and latest_end > hold.ends_at + TOLERANCE_S:
                 who = f"owner {owner.epoch}"
                 self._report(
--- a/poplarspindle/tools/fakes/next_owner.py
+++ b/poplarspindle/tools/fakes/next_owner.py
@@ -1,7 +1,7 @@
-"""What an owner that claims the virtual fleet now would read in the log.
+"""What owners of the virtual fleet hold back for: present and next one.
 
-It reads as `takeover` does, but only what is asked for: records are decoded
-once for each of their values.
+The next one claims now and reads the log as `takeover` does, but only what is
+asked for: records are decoded once for each of their values.
 """
 
 import dataclasses
@@ -9,6 +9,8 @@
 import typing
 
 from poplarspindle.fleet import (
+    fleet_state,
+    grants,
     job_store,
     late_starts,
     lease_bounds,
@@ -182,3 +184,30 @@
     value: bytes, read_at: float
 ) -> dict[str, unreachable.UnreachableWorker]:
     return unreachable.decode_unreachable(value, read_at)
+
+
+def find_present_hold(
+    fleet: fleet_state.FleetState, worker: str, key: tuple[work.TaskName, int]
+) -> Hold | None:
+    """Returns how long the present owner holds back for a run on a worker.
+
+    Returns:
+        None if the run's task is to run no more.
+    """
+    state = fleet.workers.get(worker)
+    run = state.runs.get(key) if state else None
+    if run is not None:
+        return Hold(
+            grants.find_leases_end(state), late_starts.find_late_run_end(run)
+        )
+    name = key[0]
+    job = fleet.job_store.jobs.get(name.job)
+    if job is None or job.cancelled or job.state in job_store.ENDED:
+        return None
+    steps = job.occurrences.get(name.occurrence)
+    if steps is None:
+        return None
+    task = steps[name.step][name.index]
+    if task.phase is job_store.Phase.DONE:
+        return None
+    return PLACED_NOWHERE
