--- a/poplarspindle/fleet/leases.py
+++ b/poplarspindle/fleet/leases.py
@@ -56,7 +56,7 @@
     """
     if not clock.ms:
         return until_ms
-    clock_ms = _estimate_ms(clock, now)
+    clock_ms = estimate_ms(clock, now)
     until_ms = max(until_ms, clock_ms + START_LEASE_MS)
     return min(until_ms, clock_ms + lease_most_ms)
 
@@ -77,7 +77,7 @@
     """
     if not clock.ms:
         return min(lease_most_ms, LEASE_MS)
-    return max(0, min(lease_most_ms, until_ms - _estimate_ms(clock, now)))
+    return max(0, min(lease_most_ms, until_ms - estimate_ms(clock, now)))
 
 
 def choose_poll(
@@ -120,7 +120,7 @@
     if left_ms >= MIN_WAIT_MS:
         waits_on = is_idle and not is_store_silent
         return 0, wait_ms if waits_on else min(wait_ms, int(left_ms))
-    lease_s = (until_ms - _estimate_ms(clock, now)) / 1000
+    lease_s = (until_ms - estimate_ms(clock, now)) / 1000
     if now + lease_s < leases_end_at + LEAST_GAIN_S:
         return 0, min(wait_ms, SHORT_WAIT_MS)
     return until_ms, 0
@@ -133,12 +133,18 @@
     )
 
 
-def _estimate_ms(clock: Clock, now: float) -> int:
-    """Returns a lower bound of a worker's clock.
+def estimate_ms(clock: Clock, now: float) -> int:
+    """Returns a lower bound of a worker's clock, 0 if it was never read.
 
     A lease that ends at a time of a clock that is slow lasts longer than one of
     a clock that is right.
+
+    Args:
+        clock: The last reading of the worker's clock.
+        now: Present time, on the owner's monotonic clock.
     """
+    if not clock.ms:
+        return 0
     passed_ms = (now - clock.at) * 1000 / worker_state.MAX_CLOCK_DRIFT
     return clock.ms + int(passed_ms)
 
@@ -183,4 +189,4 @@
         return 0
     use_longest = last or unconfirmed_s > LONG_LEASE_AFTER_S
     lease_ms = lease_most_ms if use_longest else min(LEASE_MS, lease_most_ms)
-    return _estimate_ms(clock, now) + lease_ms if lease_ms else 0
+    return estimate_ms(clock, now) + lease_ms if lease_ms else 0
