--- a/poplarspindle/fleet/grants.py
+++ b/poplarspindle/fleet/grants.py
@@ -84,7 +84,7 @@
     worker.unanswered_grants = kept
 
 
-def is_clock_of_next_life(clock_ms: int, estimated_ms: int) -> bool:
+def is_clock_of_next_life(clock_ms: int, expected_ms: int) -> bool:
     """Returns whether a worker's clock went back, so that another life answers.
 
     Answers on several connections are read in any order, and one that arrived
@@ -92,9 +92,9 @@
 
     Args:
         clock_ms: Time on the clock in an answer, 0 for none.
-        estimated_ms: Lower bound of the clock by its last reading.
+        expected_ms: Lower bound of the clock by its last reading.
     """
-    return 0 < clock_ms < estimated_ms - MAX_ANSWER_AGE_MS
+    return 0 < clock_ms < expected_ms - MAX_ANSWER_AGE_MS
 
 
 def record_next_life(worker: Account, lease_most_ms: int) -> None:
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -262,8 +262,8 @@
     if worker is None:
         return []
     if event.answer.clock_ms:
-        estimated_ms = worker_state.estimate_clock_ms(worker, event.at)
-        if grants.is_clock_of_next_life(event.answer.clock_ms, estimated_ms):
+        expected_ms = worker_state.estimate_clock_ms(worker, event.at)
+        if grants.is_clock_of_next_life(event.answer.clock_ms, expected_ms):
             # Another life answered; only its next report tells which.
             grants.record_next_life(worker, fleet.lease_most_ms)
         worker_state.record_clock(worker, event.answer.clock_ms, event.at)
--- a/poplarspindle/node/lease_keeping.py
+++ b/poplarspindle/node/lease_keeping.py
@@ -150,8 +150,8 @@
         One that went back is that of another life, which only the next report
         tells. What that one was granted so far may last the longest.
         """
-        estimated_ms = leases.estimate_ms(self.clock, at)
-        if grants.is_clock_of_next_life(clock_ms, estimated_ms):
+        expected_ms = leases.estimate_ms(self.clock, at)
+        if grants.is_clock_of_next_life(clock_ms, expected_ms):
             self.clock.ms, self.clock.at = clock_ms, at
             self.record_next_life(at)
 
