--- a/poplarspindle/fleet/absence.py
+++ b/poplarspindle/fleet/absence.py
@@ -139,10 +139,11 @@
     """Returns whether the inventory knows workers of each listed service.
 
     Workers of a service that it does not know say nothing by being missing.
+    While none is listed, that can't be told.
     """
     listed = [worker for worker in fleet.workers.values() if worker.listed]
     services = {worker.info.service for worker in listed}
-    return services == {
+    return bool(services) and services == {
         worker.info.service
         for worker in listed
         if worker.info.name in reading.alive
--- a/poplarspindle/tests/test_gone_workers.py
+++ b/poplarspindle/tests/test_gone_workers.py
@@ -565,6 +565,16 @@
     assert absence.is_dead(fleet, worker)
 
 
+def test_inventory_proves_no_worker_dead_while_none_is_listed():
+    """TWICE: it may lack the machines of a whole service, as no list shows."""
+    fleet, worker = make_fleet_with_late_start()
+    read_missing(fleet, 2.0)
+    worker.listed = fleet.workers["v"].listed = False
+    read_inventory(fleet, 3.0, {"v"})
+    read_missing(fleet, 4.6)
+    assert not absence.is_dead(fleet, worker)
+
+
 def test_start_that_may_be_late_waits_for_the_leases_of_a_dead_worker():
     """TWICE: the worker's next life may carry it out."""
     fleet, worker = make_fleet_with_late_start()
