Log what holds each lasting task that does not run

The line `away` names each lasting task that has not run for 3 s, what holds it, until when at the latest and what ends it sooner; the `load` line says what workers have confirmed beside what the owner holds.

Logic is unchanged.

--- /dev/null
+++ b/poplarspindle/fleet/away_tasks.py
@@ -0,0 +1,299 @@
+"""Says for each lasting task that does not run what holds it.
+
+Load pattern: workers die, owners change and orders get no answer, all within
+seconds. A task that lasts then waits for one thing after another: for leases
+that may still hold, a start in doubt, an end, room. Each wait has a latest end
+and a proof that ends it sooner; both are logged with the task.
+"""
+
+import collections
+import dataclasses
+import math
+import typing
+from collections.abc import Iterator
+
+from poplarspindle import resources
+from poplarspindle.fleet import (
+    absence,
+    crashes,
+    effects,
+    fleet_state,
+    grants,
+    job_store,
+    late_starts,
+    waiting,
+    work,
+    worker_state,
+)
+
+REVIEW_INTERVAL_S = 0.5
+LOG_INTERVAL_S = 1.0
+LOGGED_AFTER_S = 3.0
+MAX_LINES = 8  # A second.
+NEVER = float("inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hold:
+    """What holds a task that does not run.
+
+    Attributes:
+        cause: What it waits for.
+        worker: Name of the worker that this is about, empty for none.
+        until: When that ends by itself at the latest, on the owner's monotonic
+            clock; infinity if it does not.
+        proof: What ends it sooner.
+        fields: Further fields of the log line.
+    """
+
+    cause: str
+    worker: str
+    until: float
+    proof: str
+    fields: tuple[tuple[str, typing.Any], ...] = ()
+
+
+def review(fleet: fleet_state.FleetState) -> list[effects.Effect]:
+    """Notes which lasting tasks do not run, and logs those away for long."""
+    history = fleet.away
+    if fleet.now - history.reviewed_at < REVIEW_INTERVAL_S:
+        return []
+    history.reviewed_at = fleet.now
+    away = dict(_list_away(fleet))
+    for name in history.since.keys() - away.keys():
+        del history.since[name]
+        history.logged_at.pop(name, None)
+    for name, since in away.items():
+        history.since.setdefault(name, since)
+    if fleet.now - history.lines_at < LOG_INTERVAL_S:
+        return []
+    history.lines_at = fleet.now
+    return _make_notes(fleet)
+
+
+def _list_away(
+    fleet: fleet_state.FleetState,
+) -> Iterator[tuple[work.TaskName, float]]:
+    """Yields lasting tasks that are not known to run, and since when."""
+    for name in fleet.open_jobs:
+        job = fleet.job_store.jobs[name]
+        steps = job.submission.steps
+        lasting = [n for n, step in enumerate(steps) if step.until_cancelled]
+        if not lasting:
+            continue
+        for occurrence, step_tasks in job.occurrences.items():
+            for step in lasting:
+                if not job_store.is_ready(job, step_tasks, step):
+                    continue
+                for index, task in enumerate(step_tasks[step]):
+                    worker, run = _find_run(
+                        fleet, name, occurrence, step, index, task
+                    )
+                    if run is not None and is_at_work(worker, run):
+                        continue
+                    since = fleet.now
+                    if run is not None and worker.poll_failed:
+                        since = max(worker.last_report_at, run.placed_at)
+                    yield work.TaskName(name, occurrence, step, index), since
+
+
+def _find_run(
+    fleet: fleet_state.FleetState,
+    job: str,
+    occurrence: int,
+    step: int,
+    index: int,
+    task: job_store.Task,
+) -> tuple[worker_state.WorkerState | None, worker_state.Run | None]:
+    """Returns the worker and the run of a placed task, None for neither."""
+    if task.phase is not job_store.Phase.PLACED:
+        return None, None
+    worker = fleet.workers.get(task.worker_name)
+    if worker is None:
+        return None, None
+    name = work.TaskName(job, occurrence, step, index)
+    return worker, worker.runs.get((name, task.attempt))
+
+
+def is_at_work(worker: worker_state.WorkerState, run: worker_state.Run) -> bool:
+    """Returns whether a run is known to be at work."""
+    return run.confirmed and not run.stopping and not worker.poll_failed
+
+
+def _make_notes(fleet: fleet_state.FleetState) -> list[effects.Effect]:
+    """Makes a line for each of those away that were logged longest ago."""
+    logged_at = fleet.away.logged_at
+    overdue = [
+        (logged_at.get(name, float("-inf")), since, name)
+        for name, since in fleet.away.since.items()
+        if fleet.now - since >= LOGGED_AFTER_S
+    ]
+    if not overdue:
+        return []
+    overdue.sort(key=lambda row: row[:2])
+    notes: list[effects.Effect] = []
+    for _, since, name in overdue[:MAX_LINES]:
+        logged_at[name] = fleet.now
+        notes.append(_make_note(fleet, name, since, len(overdue)))
+    return notes
+
+
+def _make_note(
+    fleet: fleet_state.FleetState,
+    name: work.TaskName,
+    since: float,
+    away: int,
+) -> effects.Note:
+    hold = find_hold(fleet, name)
+    return fleet_state.make_log_note(
+        "lasting",
+        "away",
+        name.job,
+        task=fleet_state.format_task(name),
+        cause=hold.cause,
+        worker=hold.worker,
+        away_ms=int((fleet.now - since) * 1000),
+        for_ms=int((hold.until - fleet.now) * 1000)
+        if math.isfinite(hold.until)
+        else None,
+        ended_by=hold.proof,
+        tasks_away=away,
+        **dict(hold.fields),
+    )
+
+
+def find_hold(fleet: fleet_state.FleetState, name: work.TaskName) -> Hold:
+    """Finds what holds a lasting task that does not run."""
+    job = fleet.job_store.jobs[name.job]
+    task = job.occurrences[name.occurrence][name.step][name.index]
+    worker, run = _find_run(
+        fleet, name.job, name.occurrence, name.step, name.index, task
+    )
+    if run is None:
+        return _find_queue_hold(fleet, job, name, task)
+    return _find_run_hold(fleet, worker, run)
+
+
+def _find_queue_hold(
+    fleet: fleet_state.FleetState,
+    job: job_store.Job,
+    name: work.TaskName,
+    task: job_store.Task,
+) -> Hold:
+    """Finds what holds a task that is not placed."""
+    if task.awaits_verdict:
+        return _find_verdict_hold(fleet, task)
+    step = job.submission.steps[name.step]
+    key = (name.job, name.occurrence, name.step)
+    service = fleet_state.find_queue(fleet, job).service
+    refusals: collections.Counter = collections.Counter(
+        waiting.find_refusal(fleet, worker, step, key) or "nothing"
+        for worker in fleet.workers.values()
+        if worker.info.service == service
+    )
+    fields = (
+        ("refused_by", dict(sorted(refusals.items()))),
+        ("room_by_reports", count_reported_room(fleet, step, key)),
+        ("suspect", task.is_suspect),
+    )
+    cause = "order" if refusals["nothing"] else "room"
+    return Hold(cause, "", NEVER, "room on a worker", fields)
+
+
+def _find_verdict_hold(
+    fleet: fleet_state.FleetState, task: job_store.Task
+) -> Hold:
+    """Finds what holds a task that may have crashed its workers."""
+    names = [lost.worker_name for lost in task.lost_runs]
+    times = [
+        max(lost_at.values())
+        for name in names
+        if (lost_at := fleet.crash_history.lost_at.get(name))
+    ]
+    return Hold(
+        "verdict",
+        names[-1] if names else "",
+        max(times, default=NEVER) + crashes.GONE_AFTER_S,
+        "report of the worker or of one in its place",
+    )
+
+
+def count_reported_room(
+    fleet: fleet_state.FleetState,
+    step: work.Step,
+    key: tuple[str, int, int],
+) -> int:
+    """Counts the tasks of a step that fit beside what workers say they run.
+
+    Runs that are placed and were not confirmed do not count as held, so this
+    exceeds the room by which tasks are placed.
+    """
+    job = fleet.job_store.jobs[key[0]]
+    service = fleet_state.find_queue(fleet, job).service
+    need = worker_state.get_reserved(step)
+    places = 0
+    for worker in fleet.workers.values():
+        if waiting.find_refusal(fleet, worker, step, key) not in ("", "room"):
+            continue
+        if worker.info.service != service:
+            continue
+        room = worker_state.get_available(worker)
+        for run in worker.runs.values():
+            if not run.confirmed:
+                room += worker_state.get_reserved(run.step)
+        places += _count_places(room, need)
+    return places
+
+
+def _count_places(room: resources.Resources, need: resources.Resources) -> int:
+    places = 0
+    while need.fits_in(room) and need != resources.ZERO:
+        room -= need
+        places += 1
+    return places
+
+
+def _find_run_hold(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> Hold:
+    """Finds what holds a task whose run is placed and not known to work."""
+    leases_end_at = grants.find_leases_end(worker)
+    end_at = max(leases_end_at, late_starts.find_late_run_end(run))
+    fields = (
+        ("leases_ms", _convert_to_ms(leases_end_at - fleet.now)),
+        ("late_grants", len(worker.unanswered_grants)),
+        ("silences", run.unanswered_starts),
+        ("gone", worker.gone),
+        ("dead", absence.is_dead(fleet, worker)),
+    )
+    cause, until, proof = _describe_run_hold(worker, run, end_at, leases_end_at)
+    return Hold(cause, worker.info.name, until, proof, fields)
+
+
+def _describe_run_hold(
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+    end_at: float,
+    leases_end_at: float,
+) -> tuple[str, float, str]:
+    """Returns cause, latest end and what ends it sooner."""
+    answer = "answer of the worker, or its death by list and inventory"
+    if not run.recorded:
+        return "append", NEVER, "acknowledgement of the store"
+    if worker.logged_unreachable:
+        return "recorded-unreachable", end_at, answer
+    if run.stopping:
+        return "stop", end_at, "end of the run in a report"
+    if not worker.has_reported:
+        return "no-report", end_at, answer
+    if not run.start_sent:
+        return "start-not-sent", NEVER, "report of the worker"
+    if run.unanswered_starts or run.start_in_flight:
+        return "start-in-doubt", end_at, answer
+    return "leases", leases_end_at, answer
+
+
+def _convert_to_ms(seconds: float) -> int | None:
+    return int(seconds * 1000) if math.isfinite(seconds) else None
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -5,6 +5,7 @@
 
 from poplarspindle import interference, resources
 from poplarspindle.fleet import (
+    away_history,
     crash_history,
     effects,
     events,
@@ -88,6 +89,7 @@
         mean_sizes_core_s: Mean work of a job, by queue.
         remaining_work: Estimated work by job and occurrence, if ready.
         load_logged_at: When a summary of the fleet was last logged.
+        away: Lasting tasks that do not run; see `away_tasks`.
         crash_history: What is remembered of workers that went silent.
         expiring_jobs: Ids of ended jobs in the order in which they ended.
         retention: For how long ended jobs have been kept.
@@ -163,6 +165,7 @@
         self.mean_sizes_core_s: dict[str, float] = {}
         self.remaining_work: dict[tuple[str, int], ranking.RemainingWork] = {}
         self.load_logged_at = float("-inf")
+        self.away = away_history.AwayHistory()
         self.crash_history = crash_history.CrashHistory()
         self.possible_late_starts: dict[
             str, dict[tuple[work.TaskName, int], float]
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -8,6 +8,7 @@
 
 from poplarspindle.fleet import (
     absence,
+    away_tasks,
     consolidation,
     crash_history,
     crashes,
@@ -260,6 +261,7 @@
         fleet.load_logged_at = fleet.now
         effect_list.append(_make_load_note(fleet))
         effect_list += waiting.make_notes(fleet)
+    effect_list += away_tasks.review(fleet)
     effect_list += crashes.forget_gone(fleet)
     effect_list += consolidation.review_consolidation(fleet)
     return effect_list + retention.drop_expired_jobs(fleet)
@@ -283,6 +285,12 @@
         without_serving=len(without_critical),
         capacity=sum(state.info.capacity.millicores for state in workers),
         held=sum(state.reserved.millicores for state in workers),
+        confirmed=sum(
+            worker_state.get_reserved(run.step).millicores
+            for worker in workers
+            for run in worker.runs.values()
+            if run.confirmed
+        ),
         serving=sum(state.latency_critical_millicores for state in workers),
         filling=sum(state.best_effort_millicores for state in workers),
         left_quiet=int(
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -11,6 +11,7 @@
 
 from poplarspindle import resources
 from poplarspindle.fleet import (
+    effects,
     events,
     fleet_state,
     job_store,
@@ -80,6 +81,7 @@
         invariants: Judges the invariants at each step.
         choose_fate: Chooses what becomes of a message to a worker.
         on_moment: Called at each moment that tells what happens.
+        on_note: Called with each line that an owner logs.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
             self._draw_fate
         )
         self.on_moment: Callable[[messages.Moment], None] = lambda moment: None
+        self.on_note: Callable[[effects.Note], None] = lambda note: None
         self.network = network.Network(self)
         self.gangs = gangs.Gangs(self)
         self.starts = 0
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -281,6 +281,7 @@
         for effect in effect_list:
             if isinstance(effect, effects.Note):
                 world.notes[effect.event] += 1
+                world.on_note(effect)
             elif isinstance(effect, effects.Append):
                 self._append(effect)
             elif isinstance(effect, effects.Publish):
