Lasting tasks that are away for long go first, with room kept for them

Cause: within a priority steps that end by themselves always went first, and what they left was in pieces too small; with 300 starts a second of them what lasts got no turn.

A task that has been away for 4 s goes first within its priority, and the room of up to a quarter of its pool's workers is kept free for such tasks until runs that end by themselves have left enough. Queues that are more urgent are not held back. Workers are not emptied for fills while tasks that last wait for room: that stopped further ones. Under a new owner queued tasks count from the acceptance of their job, as nothing says since when they wait.

--- a/poplarspindle/fleet/away_history.py
+++ b/poplarspindle/fleet/away_history.py
@@ -2,9 +2,24 @@
 
 import dataclasses
 
+from poplarspindle import resources
 from poplarspindle.fleet import work
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldRoom:
+    """Room of a worker that is kept free for a task; see `lasting_turns`.
+
+    Attributes:
+        priority: Priority of the task's queue; work that is more urgent may
+            use the room.
+        need: What the task reserves.
+    """
+
+    priority: int
+    need: resources.Resources
+
+
 @dataclasses.dataclass(slots=True)
 class AwayHistory:
     """Lasting tasks that are not known to run.
--- a/poplarspindle/fleet/away_tasks.py
+++ b/poplarspindle/fleet/away_tasks.py
@@ -20,6 +20,7 @@
     fleet_state,
     grants,
     job_store,
+    lasting_turns,
     late_starts,
     waiting,
     work,
@@ -58,13 +59,15 @@
     history = fleet.away
     if fleet.now - history.reviewed_at < REVIEW_INTERVAL_S:
         return []
+    is_first_review = history.reviewed_at == float("-inf")
     history.reviewed_at = fleet.now
-    away = dict(_list_away(fleet))
+    away = dict(_list_away(fleet, is_first_review))
     for name in history.since.keys() - away.keys():
         del history.since[name]
         history.logged_at.pop(name, None)
     for name, since in away.items():
         history.since.setdefault(name, since)
+    lasting_turns.hold_room(fleet)
     if fleet.now - history.lines_at < LOG_INTERVAL_S:
         return []
     history.lines_at = fleet.now
@@ -72,9 +75,13 @@
 
 
 def _list_away(
-    fleet: fleet_state.FleetState,
+    fleet: fleet_state.FleetState, is_first_review: bool
 ) -> Iterator[tuple[work.TaskName, float]]:
-    """Yields lasting tasks that are not known to run, and since when."""
+    """Yields lasting tasks that are not known to run, and since when.
+
+    A new owner does not know since when a task is queued; it counts from the
+    acceptance of its job.
+    """
     for name in fleet.open_jobs:
         job = fleet.job_store.jobs[name]
         steps = job.submission.steps
@@ -92,6 +99,9 @@
                     if run is not None and is_at_work(worker, run):
                         continue
                     since = fleet.now
+                    if is_first_review and run is None:
+                        age_ms = fleet.wall_ms - job.submission.accepted_ms
+                        since -= max(0, age_ms) / 1000
                     if run is not None and worker.poll_failed:
                         since = max(worker.last_report_at, run.placed_at)
                     yield work.TaskName(name, occurrence, step, index), since
--- a/poplarspindle/fleet/consolidation.py
+++ b/poplarspindle/fleet/consolidation.py
@@ -6,7 +6,7 @@
 worker, although every worker has free processors. One worker at a time is
 vacated: its latency-critical tasks are stopped one by one and placed again
 beside other latency-critical tasks, each only while all other tasks of its step
-are running.
+are running. A pool in which lasting tasks wait for room is left as it is.
 """
 
 import collections
@@ -16,6 +16,7 @@
     effects,
     fleet_state,
     job_store,
+    lasting_turns,
     work,
     worker_selection,
     worker_state,
@@ -45,6 +46,7 @@
     if (
         fleet.now >= fleet.vacating_until
         or not worker.latency_critical_millicores
+        or lasting_turns.has_waiting(fleet, worker.info.service)
     ):
         fleet.vacating_worker = ""
         worker.may_accept_more = True
@@ -72,6 +74,8 @@
     fleet.vacate_chosen_at = fleet.now
     waiting_by_service = count_waiting_millicores(fleet)
     for service, waiting_millicores in waiting_by_service.items():
+        if lasting_turns.has_waiting(fleet, service):
+            continue
         workers = [
             worker
             for worker in fleet.workers.values()
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -12,6 +12,7 @@
     effects,
     fleet_state,
     job_store,
+    lasting_turns,
     pacing,
     ready_steps,
     start_delay,
@@ -119,7 +120,8 @@
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
         step = job.submission.steps[key[2]]
-        service = fleet_state.find_queue(fleet, job).service
+        queue = fleet_state.find_queue(fleet, job)
+        service = queue.service
         independent = not step.max_per_worker and not step.gang
         step_kind = (service, step.best_effort, step.label, step.image)
         unplaceable_need = fleet.unplaceable_needs.get(step_kind)
@@ -141,6 +143,10 @@
                 for worker in workers
                 if worker.info.name != fleet.vacating_worker
             ]
+        if fleet.held_room and not _is_overdue(fleet, step, key):
+            workers = lasting_turns.leave_out_held(
+                fleet, workers, step, queue.priority
+            )
         if not workers:
             effect_list: list[effects.Effect] = []
             fleet.unplaceable_since.setdefault(key, fleet.now)
@@ -300,6 +306,17 @@
     )
 
 
+def _is_overdue(
+    fleet: fleet_state.FleetState,
+    step: work.Step,
+    key: worker_chooser.StepKey,
+) -> bool:
+    return (
+        step.until_cancelled
+        and lasting_turns.find_overdue_since(fleet, key) is not None
+    )
+
+
 def _has_suspects(
     fleet: fleet_state.FleetState, key: worker_chooser.StepKey
 ) -> bool:
@@ -332,8 +349,10 @@
                 fleet.wall_ms - job.submission.accepted_ms
             )
             first_start_fields["queue"] = job.submission.queue.name
-    for _, run in placements:
+    for worker, run in placements:
         fleet_state.mark_task_changed(fleet, run.name)
+        if step.until_cancelled and worker.info.name in fleet.held_room:
+            lasting_turns.release(fleet, worker.info.name)
     fleet.runs_to_record += [run for _, run in placements]
     return [
         fleet_state.make_log_note(
