Lasting tasks get their turn where workers say they have room

Callers are promised that what lasts runs as soon as there is room for it, no more. So a step away for 4 s goes first only while workers say that they have room for it beside what they run; where they have none, two workers of a service are kept free for the step away longest, as freed room is in small pieces.

--- a/poplarspindle/fleet/away_history.py
+++ b/poplarspindle/fleet/away_history.py
@@ -11,11 +11,13 @@
     """Room of a worker that is kept free for a task; see `lasting_turns`.
 
     Attributes:
+        key: Job id, occurrence and step number of the task.
         priority: Priority of the task's queue; work that is more urgent may
             use the room.
         need: What the task reserves.
     """
 
+    key: tuple[str, int, int]
     priority: int
     need: resources.Resources
 
@@ -31,6 +33,8 @@
         logged_at: When each of them was last logged.
         reviewed_at: When it was last looked which these are.
         lines_at: When some of them were last logged.
+        turns: Since when steps are away that go before other work, by job id,
+            occurrence and step number; see `lasting_turns`.
     """
 
     since: dict[work.TaskName, float] = dataclasses.field(default_factory=dict)
@@ -39,3 +43,6 @@
     )
     reviewed_at: float = float("-inf")
     lines_at: float = float("-inf")
+    turns: dict[tuple[str, int, int], float] = dataclasses.field(
+        default_factory=dict
+    )
--- a/poplarspindle/fleet/away_tasks.py
+++ b/poplarspindle/fleet/away_tasks.py
@@ -12,7 +12,6 @@
 import typing
 from collections.abc import Iterator
 
-from poplarspindle import resources
 from poplarspindle.fleet import (
     absence,
     crashes,
@@ -31,6 +30,7 @@
 LOG_INTERVAL_S = 1.0
 LOGGED_AFTER_S = 3.0
 MAX_LINES = 8  # A second.
+MAX_PLACES = 10  # Counted on one worker.
 NEVER = float("inf")
 
 
@@ -67,7 +67,7 @@
         history.logged_at.pop(name, None)
     for name, since in away.items():
         history.since.setdefault(name, since)
-    lasting_turns.hold_room(fleet)
+    lasting_turns.review(fleet)
     if fleet.now - history.lines_at < LOG_INTERVAL_S:
         return []
     history.lines_at = fleet.now
@@ -247,19 +247,8 @@
             continue
         if worker.info.service != service:
             continue
-        room = worker_state.get_available(worker)
-        for run in worker.runs.values():
-            if not run.confirmed:
-                room += worker_state.get_reserved(run.step)
-        places += _count_places(room, need)
-    return places
-
-
-def _count_places(room: resources.Resources, need: resources.Resources) -> int:
-    places = 0
-    while need.fits_in(room) and need != resources.ZERO:
-        room -= need
-        places += 1
+        room = lasting_turns.find_reported_room(worker)
+        places += lasting_turns.count_places(room, need, MAX_PLACES)
     return places
 
 
--- a/poplarspindle/fleet/lasting_turns.py
+++ b/poplarspindle/fleet/lasting_turns.py
@@ -1,11 +1,14 @@
 """Gives tasks that last their turn once they have been away for long.
 
 Load pattern: work that ends by itself goes before work that lasts, and arrives
-faster than it can run. Then what lasts never gets room, and freed room is in
-pieces that are too small for it. So a lasting task that has been away for a
-while goes first within its priority, and room on a worker is kept free for it
-until runs that end by themselves have left enough. Only a share of a pool is
-kept so, as other work waits meanwhile.
+faster than it can run. Whatever room a run leaves is taken at once, so that
+what lasts never gets any, although at each moment some worker has room for it.
+
+Whoever handed it in expects it to run as soon as there is room for it. So a
+step that has been away for a while goes first within its priority while workers
+say that they have room for it. Where they have none, freed room is in pieces
+that are too small. Then a few workers are kept free of other work, for the step
+that has been away longest, until what runs there has left enough room.
 """
 
 from collections.abc import Iterator
@@ -20,81 +23,86 @@
 )
 
 TURN_AFTER_S = 4.0
-MAX_HELD_SHARE = 0.25  # Of a pool's workers.
+MAX_HELD_WORKERS = 2  # Of each service.
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
 
 
-def find_overdue_since(
-    fleet: fleet_state.FleetState, key: StepKey
-) -> float | None:
-    """Returns since when a ready lasting step waits, None if not for long."""
+def review(fleet: fleet_state.FleetState) -> None:
+    """Chooses anew whose turn it is and which workers are kept free."""
+    overdue = sorted(_list_overdue(fleet))
+    pools: dict[str, _Pool] = {}
+    fleet.away.turns = {}
+    held_before, fleet.held_room = fleet.held_room, {}
+    for since, priority, key, service in overdue:
+        pool = pools.get(service)
+        if pool is None:
+            pool = pools[service] = _Pool(fleet, service, held_before)
+        if pool.has_room(key):
+            fleet.away.turns[key] = since
+        pool.hold(key, priority)
+    for name in held_before.keys() | fleet.held_room.keys():
+        if held_before.get(name) != fleet.held_room.get(name):
+            _try_again(fleet, name)
+
+
+def _list_overdue(
+    fleet: fleet_state.FleetState,
+) -> Iterator[tuple[float, int, StepKey, str]]:
+    """Yields lasting steps that wait for long.
+
+    Each with since when, its priority, its key and its service.
+    """
+    for key in fleet.ready:
+        job = fleet.job_store.jobs[key[0]]
+        if not job.submission.steps[key[2]].until_cancelled:
+            continue
+        since = _find_since(fleet, key)
+        if fleet.now - since >= TURN_AFTER_S:
+            queue = fleet_state.find_queue(fleet, job)
+            yield since, queue.priority, key, queue.service
+
+
+def _find_since(fleet: fleet_state.FleetState, key: StepKey) -> float:
+    """Returns since when the first of a step's ready tasks is away."""
     since = fleet.away.since
-    if not since:
-        return None
-    waiting_since = min(
-        (
-            since.get(work.TaskName(*key, index), fleet.now)
-            for index in fleet.ready[key]
-        ),
-        default=fleet.now,
+    return min(
+        since.get(work.TaskName(*key, index), fleet.now)
+        for index in fleet.ready[key]
     )
-    if fleet.now - waiting_since < TURN_AFTER_S:
-        return None
-    return waiting_since
 
 
 def has_waiting(fleet: fleet_state.FleetState, service: str) -> bool:
     """Returns whether lasting tasks of a service wait for room."""
+    jobs = fleet.job_store.jobs
     return any(
-        step_service == service for _, step_service, _ in _list_ready(fleet)
+        jobs[key[0]].submission.steps[key[2]].until_cancelled
+        and fleet_state.find_queue(fleet, jobs[key[0]]).service == service
+        for key in fleet.ready
     )
 
 
-def _list_ready(
-    fleet: fleet_state.FleetState,
-) -> Iterator[tuple[StepKey, str, int]]:
-    """Yields key, service and priority of each ready step that lasts."""
-    for key in fleet.ready:
-        job = fleet.job_store.jobs[key[0]]
-        if job.submission.steps[key[2]].until_cancelled:
-            queue = fleet_state.find_queue(fleet, job)
-            yield key, queue.service, queue.priority
+def release(fleet: fleet_state.FleetState, name: str, key: StepKey) -> None:
+    """Lets other work have the room that was kept for a step's task."""
+    held = fleet.held_room.get(name)
+    if held is not None and held.key == key:
+        del fleet.held_room[name]
+        _try_again(fleet, name)
 
 
-def hold_room(fleet: fleet_state.FleetState) -> None:
-    """Chooses anew the workers whose room is kept for overdue tasks."""
-    overdue = sorted(
-        (priority, since, key, service)
-        for key, service, priority in _list_ready(fleet)
-        if (since := find_overdue_since(fleet, key)) is not None
-    )
-    held_before, fleet.held_room = fleet.held_room, {}
-    room_by_service: dict[str, _Pool] = {}
-    for priority, _, key, service in overdue:
-        pool = room_by_service.get(service)
-        if pool is None:
-            pool = room_by_service[service] = _Pool(fleet, service, held_before)
-        pool.hold(key, priority)
-    for name in held_before.keys() - fleet.held_room.keys():
-        release(fleet, name)
-
-
-def release(fleet: fleet_state.FleetState, name: str) -> None:
-    """Lets other work have a worker's room again."""
-    fleet.held_room.pop(name, None)
+def _try_again(fleet: fleet_state.FleetState, name: str) -> None:
     worker = fleet.workers.get(name)
     if worker is not None:
         worker.may_accept_more = fleet.placement_needed = True
 
 
 class _Pool:
-    """The workers of a service, those with most room first.
+    """The workers of a service that accept tasks.
 
     Args:
         fleet: State of the fleet's owner.
         service: Name of the service.
-        held_before: Workers that were held until now; they are kept, as their
-            room has grown since.
+        held_before: Room that was kept until now; the same workers are taken
+            again, as their room has grown since.
     """
 
     def __init__(
@@ -104,40 +112,78 @@
         held_before: dict[str, away_history.HeldRoom],
     ) -> None:
         self._fleet = fleet
-        workers = worker_selection.list_accepting(
+        self._held_before = held_before
+        self._workers = worker_selection.list_accepting(
             fleet.workers.values(),
             service,
             fleet.excluded_data_centres,
             fleet.now,
         )
-        workers.sort(
-            key=lambda worker: (
-                worker.info.name not in held_before,
+        self._rooms = [
+            (worker, find_reported_room(worker)) for worker in self._workers
+        ]
+        self._left = MAX_HELD_WORKERS
+
+    def has_room(self, key: StepKey) -> bool:
+        """Returns whether a worker says that it has room for a step's task."""
+        step = self._find_step(key)
+        need = worker_state.get_reserved(step)
+        return any(
+            need.fits_in(room)
+            and worker_selection.meets_constraints(worker, step, key)
+            for worker, room in self._rooms
+        )
+
+    def hold(self, key: StepKey, priority: int) -> None:
+        """Keeps the room of as many workers as a step has ready tasks."""
+        wanted = min(len(self._fleet.ready[key]), self._left)
+        if not wanted:
+            return
+        step = self._find_step(key)
+        need = worker_state.get_reserved(step)
+        candidates = sorted(
+            (
+                worker.info.name not in self._held_before,
                 -worker_state.get_available(worker).millicores,
                 worker.info.name,
             )
+            for worker in self._workers
+            if worker.info.name not in self._fleet.held_room
+            and worker_selection.meets_constraints(worker, step, key)
+            and need.fits_in(_find_later_room(worker))
         )
-        self._left = max(1, int(len(workers) * MAX_HELD_SHARE))
-        self._rooms = [(worker, _find_later_room(worker)) for worker in workers]
+        for _, _, name in candidates[:wanted]:
+            held = away_history.HeldRoom(key, priority, need)
+            self._fleet.held_room[name] = held
+            self._left -= 1
 
-    def hold(self, key: StepKey, priority: int) -> None:
-        """Holds the room of as many workers as a step has ready tasks."""
-        fleet = self._fleet
-        step = fleet.job_store.jobs[key[0]].submission.steps[key[2]]
-        wanted = min(len(fleet.ready[key]), self._left)
-        need = worker_state.get_reserved(step)
-        for worker, room in self._rooms:
-            if not wanted:
-                return
-            name = worker.info.name
-            if (
-                name not in fleet.held_room
-                and need.fits_in(room)
-                and worker_selection.meets_constraints(worker, step, key)
-            ):
-                fleet.held_room[name] = away_history.HeldRoom(priority, need)
-                wanted -= 1
-                self._left -= 1
+    def _find_step(self, key: StepKey) -> work.Step:
+        return self._fleet.job_store.jobs[key[0]].submission.steps[key[2]]
+
+
+def find_reported_room(
+    worker: worker_state.WorkerState,
+) -> resources.Resources:
+    """Returns a worker's room beside what it says that it runs.
+
+    Tasks that are placed there and not yet begun do not count.
+    """
+    room = worker_state.get_available(worker)
+    for run in worker.runs.values():
+        if not run.confirmed:
+            room += worker_state.get_reserved(run.step)
+    return room
+
+
+def count_places(
+    room: resources.Resources, need: resources.Resources, most: int
+) -> int:
+    """Counts how often a need fits in some room, up to a number."""
+    places = 0
+    while places < most and need.fits_in(room):
+        room -= need
+        places += 1
+    return places
 
 
 def _find_later_room(worker: worker_state.WorkerState) -> resources.Resources:
@@ -152,6 +198,7 @@
 def leave_out_held(
     fleet: fleet_state.FleetState,
     workers: list[worker_state.WorkerState],
+    key: StepKey,
     step: work.Step,
     priority: int,
 ) -> list[worker_state.WorkerState]:
@@ -160,19 +207,26 @@
     Args:
         fleet: State of the fleet's owner.
         workers: Workers that accept tasks of the step.
-        step: A step that is not overdue itself.
-        priority: Priority of its queue.
+        key: Its job id, occurrence and step number.
+        step: The step.
+        priority: Priority of its queue; more urgent work may use the room.
     """
     reserved = worker_state.get_reserved(step)
     return [
         worker
         for worker in workers
         if (held := fleet.held_room.get(worker.info.name)) is None
+        or held.key == key
         or priority < held.priority
         or not _takes_from(worker, reserved, held.need)
     ]
 
 
+def is_held_for(fleet: fleet_state.FleetState, key: StepKey) -> bool:
+    """Returns whether a worker is kept free for a step."""
+    return any(held.key == key for held in fleet.held_room.values())
+
+
 def _takes_from(
     worker: worker_state.WorkerState,
     reserved: resources.Resources,
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -133,7 +133,11 @@
         if independent:
             self._tried_kinds.add(step_kind)
             unplaced_need = self._unplaced_needs.get(step_kind)
-            if unplaced_need is not None and unplaced_need.fits_in(step.need):
+            if (
+                unplaced_need is not None
+                and unplaced_need.fits_in(step.need)
+                and not lasting_turns.is_held_for(fleet, key)
+            ):
                 fleet.unplaceable_since.setdefault(key, fleet.now)
                 return []
         workers = self._list_accepting_workers(service, known_unplaceable)
@@ -143,9 +147,9 @@
                 for worker in workers
                 if worker.info.name != fleet.vacating_worker
             ]
-        if fleet.held_room and not _is_overdue(fleet, step, key):
+        if fleet.held_room:
             workers = lasting_turns.leave_out_held(
-                fleet, workers, step, queue.priority
+                fleet, workers, key, step, queue.priority
             )
         if not workers:
             effect_list: list[effects.Effect] = []
@@ -306,17 +310,6 @@
     )
 
 
-def _is_overdue(
-    fleet: fleet_state.FleetState,
-    step: work.Step,
-    key: worker_chooser.StepKey,
-) -> bool:
-    return (
-        step.until_cancelled
-        and lasting_turns.find_overdue_since(fleet, key) is not None
-    )
-
-
 def _has_suspects(
     fleet: fleet_state.FleetState, key: worker_chooser.StepKey
 ) -> bool:
@@ -351,8 +344,7 @@
             first_start_fields["queue"] = job.submission.queue.name
     for worker, run in placements:
         fleet_state.mark_task_changed(fleet, run.name)
-        if step.until_cancelled and worker.info.name in fleet.held_room:
-            lasting_turns.release(fleet, worker.info.name)
+        lasting_turns.release(fleet, worker.info.name, key)
     fleet.runs_to_record += [run for _, run in placements]
     return [
         fleet_state.make_log_note(
--- a/poplarspindle/fleet/ranking.py
+++ b/poplarspindle/fleet/ranking.py
@@ -173,14 +173,14 @@
     wall_ms: int,
     mean_sizes_core_s: Mapping[str, float],
     used: mechanisms.Mechanisms = mechanisms.ALL,
-    overdue_since: float | None = None,
+    away_since: float | None = None,
 ) -> tuple:
     """Ranks a ready step; the lowest goes first.
 
     Orders by queue priority, then steps that end by themselves before steps
     that run until cancelled. The former are ordered by the rank of the
     occurrence, the latter by the time of submission. A step that runs until
-    cancelled and has been away for long goes before both.
+    cancelled and whose turn it is goes before both.
 
     Args:
         job: Its job.
@@ -191,13 +191,13 @@
         wall_ms: Unix time in milliseconds.
         mean_sizes_core_s: Mean work of a job, by queue.
         used: Mechanisms in use.
-        overdue_since: Since when a task of the step is away for too long, the
-            owner's monotonic clock; None if none is. See `lasting_turns`.
+        away_since: Since when a task of the step is away, on the owner's
+            monotonic clock, if it is its turn; see `lasting_turns`. Else None.
     """
     submitted_queue = job.submission.queue
     queue = queues.get(submitted_queue.name, submitted_queue)
-    if overdue_since is not None:
-        return queue.priority, -1, overdue_since
+    if away_since is not None:
+        return queue.priority, -1, away_since
     if step.until_cancelled:
         return queue.priority, 1, 0, job.submission.accepted_ms
     timing = compute_timing(job, occurrence, get_effort(), queue, wall_ms)
--- a/poplarspindle/fleet/ready_steps.py
+++ b/poplarspindle/fleet/ready_steps.py
@@ -2,12 +2,7 @@
 
 from collections.abc import Iterator
 
-from poplarspindle.fleet import (
-    fleet_state,
-    job_store,
-    lasting_turns,
-    ranking,
-)
+from poplarspindle.fleet import fleet_state, job_store, ranking
 
 # Ranks change with time, but computing all of them each round is too slow.
 MAX_RANK_AGE_S = 0.25
@@ -50,9 +45,7 @@
         fleet.wall_ms,
         fleet.mean_sizes_core_s,
         fleet.mechanisms,
-        lasting_turns.find_overdue_since(fleet, key)
-        if step.until_cancelled
-        else None,
+        fleet.away.turns.get(key),
     )
 
 
