Story of a job tells what holds a lasting task that does not run

`poplarspindle-ctl story` printed the line `away` as a bare list of fields, and the operators' page named causes without saying what to do. The line is a sentence now: task, how long away, what holds it, when that ends at the latest and what ends it sooner; for `room` and `order` also which checks refuse it.

--- a/poplarspindle/stories.py
+++ b/poplarspindle/stories.py
@@ -4,6 +4,24 @@
 import json
 from collections.abc import Iterable, Iterator, Mapping
 
+# What holds a task that is to last, by the `cause` of an `away` line.
+HOLDS = {
+    "append": "its placement is not recorded in the store",
+    "leases": "{worker} is not known to run it, and its leases may still hold",
+    "no-report": "{worker} has not answered this owner and may be running it",
+    "order": "a worker has room for it, and other work goes first",
+    "recorded-unreachable": (
+        "the log lists {worker} as unreachable, and it may still run there"
+    ),
+    "room": "no worker takes it",
+    "start-in-doubt": (
+        "a start that {worker} did not answer may still be carried out"
+    ),
+    "start-not-sent": "its start was not sent to {worker}",
+    "stop": "it is being stopped on {worker}",
+    "verdict": "it may have crashed {worker}, and news of that is awaited",
+}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Line:
@@ -96,6 +114,32 @@
     )
 
 
+def _tell_away(fields: Mapping) -> str:
+    cause = str(fields.get("cause"))
+    hold = HOLDS.get(cause, cause).format(worker=fields.get("worker"))
+    refusals = ", ".join(
+        f"{count} by {why}"
+        for why, count in (fields.get("refused_by") or {}).items()
+    )
+    if refusals:
+        hold += f" (workers refuse it, {refusals})"
+    return (
+        f"task {fields.get('task')} is to last and has not run for"
+        f" {fields.get('away_ms')} ms: {hold}; {_tell_end(fields)}."
+    )
+
+
+def _tell_end(fields: Mapping) -> str:
+    """Tells when a wait ends by itself, and what ends it sooner."""
+    proof = fields.get("ended_by")
+    left_ms = fields.get("for_ms")
+    if left_ms is None:
+        return f"it waits without a limit of time for: {proof}"
+    if left_ms < 0:
+        return f"that was to end {-left_ms} ms ago, or sooner by: {proof}"
+    return f"that ends within {left_ms} ms, or sooner by: {proof}"
+
+
 def _tell_refused(fields: Mapping) -> str:
     return (
         f"{fields.get('worker')} did not start task {fields.get('task')} run"
@@ -132,6 +176,7 @@
     "ended": _tell_ended,
     "given-up": _tell_given_up,
     "held-back": _tell_held_back,
+    "away": _tell_away,
     "start-refused": _tell_refused,
     "suspected": _tell_crash,
     "task-given-up": _tell_crash,
--- a/poplarspindle/tests/test_pages.py
+++ b/poplarspindle/tests/test_pages.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from poplarspindle import ctl, metrics, settings
+from poplarspindle import ctl, metrics, settings, stories
 from poplarspindle.tools import pages
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -37,6 +37,17 @@
     assert all((ROOT / name).parent.joinpath(x).exists() for x in links)
 
 
+def test_operations_page_says_what_each_hold_of_lasting_work_calls_for():
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+    _, _, rest = text.partition("### 4. It is to last and does not run")
+    table, _, lines = rest.partition("\n## Lines worth an alert")
+    rows = re.findall(r"^\| (`.*?`) \|", table, re.MULTILINE)
+    causes = [cause for row in rows for cause in re.findall(r"`(.+?)`", row)]
+    assert sorted(causes) == sorted(stories.HOLDS)
+    (alert,) = re.findall(r"^\| `away` .*$", lines, re.MULTILINE)
+    assert all(f"`{cause}`" in alert for cause in stories.HOLDS)
+
+
 def test_embedding_page_runs():
     text = (ROOT / "docs" / "embedding.md").read_text(encoding="utf-8")
     (program,) = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
