Invariant 5: in calm what lasts is at work beside room

Now each tick of the virtual fleet is judged: a lasting task away for 9 s, in calm for 7 s, beside room twice over for 3 s, by the workers' ledgers. 14 s after the last job the same holds for each job of which nothing runs. Calm is kept in one place (fakes/calm.py).

Shown to fail with the exclusion at 24 s, a dropped repeat of a start, a wait that a takeover begins anew and the order of before.

--- /dev/null
+++ b/poplarspindle/tests/test_at_work.py
@@ -0,0 +1,181 @@
+"""The invariant that in calm what may run is at work: that it can fail."""
+
+import itertools
+
+import pytest
+
+from poplarspindle import resources
+from poplarspindle.fleet import (
+    absence,
+    ends,
+    lasting_turns,
+    unreachable,
+    withdrawals,
+    work,
+)
+from poplarspindle.tools.fakes import (
+    at_work,
+    fleets,
+    invariants,
+    messages,
+)
+
+CORE = resources.Resources(1000, 1000, 0)
+SETTLED_S = 2.0
+LONG_S = 30.0
+EXCLUSION_S = 24.0
+LASTING = "a" * 16
+BUSY_WORKERS = 10
+RUN_S = 0.2  # Of work that ends by itself.
+
+
+def make_lasting(tasks=1, **options):
+    return work.Step(tasks, CORE, 500, until_cancelled=True, **options)
+
+
+def make_world(tasks=2, workers=2, **options):
+    """Makes a world in which tasks that last are at work on all workers."""
+    world = fleets.World(1, workers=workers, **options)
+    world.run(SETTLED_S)
+    world.submit(LASTING, make_lasting(tasks, max_per_worker=1))
+    world.run(SETTLED_S)
+    assert len(list_running(world)) == tasks
+    return world
+
+
+def list_running(world):
+    return [key for worker in world.workers.values() for key in worker.runs]
+
+
+def find_first(world):
+    """Returns the first violation, which is of this invariant."""
+    (first, *_) = world.at_work.violations
+    assert first.invariant is invariants.Invariant.AT_WORK
+    assert str(first) in world.list_violations()
+    return first
+
+
+# That it can fail.
+
+
+def fail_runs_on_all_workers(world, times=2):
+    """Fails runs of two jobs that last on each worker, time after time."""
+    for number in range(times):
+        world.submit(f"{number:016x}", make_lasting(2, max_per_worker=1))
+        world.run(SETTLED_S)
+    for worker in world.workers.values():
+        for run in list(worker.runs.values()):
+            worker.end(run, work.EndReason.FAILED)
+
+
+def exclude_for_long(update):
+    """Returns what excludes workers for as long as they ever were."""
+
+    def exclude(fleet, worker, run, end_reason):
+        found = update(fleet, worker, run, end_reason)
+        if end_reason is work.EndReason.FAILED:
+            worker.no_placement_until = fleet.now + EXCLUSION_S
+        return found
+
+    return exclude
+
+
+def test_worker_with_nothing_but_lasting_work_is_excluded_for_too_long(
+    monkeypatch,
+):
+    monkeypatch.setattr(
+        ends, "_update_exclusion", exclude_for_long(ends._update_exclusion)
+    )
+    world = make_world()
+    fail_runs_on_all_workers(world)
+    failed_at = world.now
+    world.run(LONG_S)
+    found = find_first(world)
+    assert found.at == pytest.approx(failed_at + at_work.AWAY_S, abs=0.1)
+    assert str(work.TaskName(LASTING, 0, 0, 0)) in found.text
+
+
+def drop_repeats(send_start):
+    """Returns what sends each start once."""
+
+    def send_once(fleet, worker, run):
+        return [] if run.unanswered_starts else send_start(fleet, worker, run)
+
+    return send_once
+
+
+def lose_next_start(world):
+    choose_fate = world.choose_fate
+
+    def lose(message):
+        if message.kind is not messages.Kind.START:
+            return choose_fate(message)
+        world.choose_fate = choose_fate
+        return messages.Fate(None)
+
+    world.choose_fate = lose
+
+
+@pytest.mark.parametrize("is_dropped", [False, True])
+def test_repeat_of_a_start_is_dropped(is_dropped, monkeypatch):
+    if is_dropped:
+        monkeypatch.setattr(
+            withdrawals, "send_start", drop_repeats(withdrawals.send_start)
+        )
+    world = fleets.World(1, workers=2)
+    world.run(SETTLED_S)
+    lose_next_start(world)
+    world.submit(LASTING, make_lasting())
+    world.run(LONG_S)
+    assert bool(world.at_work.violations) == is_dropped
+    if is_dropped:
+        hold = f"owner {world.owner.epoch}: start-in-doubt on w"
+        assert hold in find_first(world).text
+
+
+@pytest.mark.parametrize("is_begun_anew", [False, True])
+def test_wait_begins_anew_with_a_takeover(is_begun_anew, monkeypatch):
+    """The record of unreachable workers keeps a wait from that.
+
+    The inventory would end it sooner, and is away.
+    """
+    if is_begun_anew:
+        monkeypatch.setattr(unreachable, "decode_unreachable", lambda *row: {})
+    monkeypatch.setattr(absence, "is_dead", lambda *row: False)
+    world = make_world(workers=4)
+    worker = next(w for w in world.workers.values() if w.runs)
+    worker.crash()
+    worker.up = False
+    for _ in range(2):
+        world.run(SETTLED_S)
+        world.take_over()
+    world.run(LONG_S)
+    assert bool(world.at_work.violations) == is_begun_anew
+
+
+@pytest.mark.parametrize("has_turns", [True, False])
+def test_lasting_task_waits_behind_work_that_ends(has_turns, monkeypatch):
+    """Work of the same priority arrives faster than it can run.
+
+    Between two runs a processor is free; on so many there is always room.
+    """
+    if not has_turns:
+        monkeypatch.setattr(
+            lasting_turns, "find_overdue_since", lambda *row: None
+        )
+        monkeypatch.setattr(lasting_turns, "hold_room", lambda fleet: None)
+    world = fleets.World(
+        1, BUSY_WORKERS, run_s=lambda rng: RUN_S * rng.uniform(0.6, 1.4)
+    )
+    numbers = itertools.count()
+
+    def arrive():
+        step = work.Step(6 * BUSY_WORKERS, CORE, int(1000 * RUN_S))
+        world.submit(f"{next(numbers):016x}", step)
+        world.call_later(RUN_S / 2, arrive)
+
+    arrive()
+    world.run(SETTLED_S)
+    world.submit(LASTING, make_lasting(4))
+    world.run(at_work.AWAY_S + 1.0)
+    assert bool(world.at_work.violations) != has_turns
--- a/poplarspindle/tools/fakes/elections.py
+++ b/poplarspindle/tools/fakes/elections.py
@@ -118,6 +118,8 @@
         world, sent_at = self._world, self._world.now
         fate = self.choose_claim_fate(topic)
         outcomes = virtual_store.AppendOutcome
+        if fate.outcome is not outcomes.ANSWERED:
+            world.calm.note_disturbed(fate.late_s)
 
         def take() -> None:
             if not world.store_up:
--- a/poplarspindle/tools/fakes/fleets.py
+++ b/poplarspindle/tools/fakes/fleets.py
@@ -21,6 +21,8 @@
     work,
 )
 from poplarspindle.tools.fakes import (
+    at_work,
+    calm,
     disruptions,
     elections,
     fleet_workers,
@@ -79,6 +81,8 @@
         list_lag_s: How old the list is that owners read.
         late_orders: Draws which messages are late.
         invariants: Judges the invariants at each step.
+        calm: Keeps when the world was last disturbed.
+        at_work: Judges that in calm what may run is at work.
         choose_fate: Chooses what becomes of a message to a worker.
         on_moment: Called at each moment that tells what happens.
         on_note: Called with each line that an owner logs.
@@ -169,6 +173,8 @@
         self.notes: collections.Counter = collections.Counter()
         self.checker = judging.ExecutionChecker(self)
         self.invariants = invariants.Judge(self)
+        self.calm = calm.Calm(self)
+        self.at_work = at_work.Judge(self)
         self.after_tick: Callable[[], None] = lambda: None
         self.after_deferred: Callable[[str], None] = lambda name: None
         self.take_over()
@@ -300,6 +306,7 @@
             **options,
         )
         self.submissions[job] = submission
+        self.at_work.note_submitted(submission)
         record = records.encode_submission(submission)
         self.log[record.key] = record
         for owner in self._list_live_owners():
@@ -397,6 +404,7 @@
         for owner in self.owners:
             owner.tick()
         self.invariants.judge()
+        self.at_work.judge()
         self.after_tick()
 
     def get_state(self, job: str) -> str:
@@ -410,4 +418,8 @@
 
         The invariants that were broken on the way are listed as well.
         """
-        return judging.list_violations(self) + self.invariants.list_violations()
+        return (
+            judging.list_violations(self)
+            + self.invariants.list_violations()
+            + self.at_work.list_violations()
+        )
--- a/poplarspindle/tools/fakes/invariants.py
+++ b/poplarspindle/tools/fakes/invariants.py
@@ -10,6 +10,8 @@
 3. Ends: an end whose acknowledgement was given is in the log.
 4. Numbers: what a message in flight names can be taken for nothing else.
 
+The fifth, that work does not wait in calm, is judged by `at_work`.
+
 All are judged by what the present owner knows, and by what one would read that
 claims the fleet now.
 """
@@ -50,6 +52,7 @@
     STARTS = "starts"
     ENDS = "ends"
     NUMBERS = "numbers"
+    AT_WORK = "at work"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/poplarspindle/tools/fakes/network.py
+++ b/poplarspindle/tools/fakes/network.py
@@ -125,6 +125,7 @@
 
         call = _Call(owner, done, note_answer)
         call.wait(timeout_s, silence)
+        world.calm.note_fate(fate)
         entry = self._register(name, order, fate)
         if fate.carried_out_after_s is not None:
             delivery = _Delivery(world, client, order, fate, entry, call)
@@ -291,6 +292,7 @@
             orders.Refusal.NO_ANSWER
         )
         if is_silent or not self.fate.answered:
+            self.world.calm.note_disturbed()
             return
         if not self.world.network.reaches(self.client, worker):
             return
--- a/poplarspindle/tools/fakes/owners.py
+++ b/poplarspindle/tools/fakes/owners.py
@@ -122,6 +122,14 @@
         self.stall(DECISIONS, seconds)
         self.stall(CALLS, seconds)
 
+    def is_disturbed(self) -> bool:
+        """Tells whether it stands still, is behind, or has lost the store."""
+        return (
+            not self.hears_store
+            or bool(self._held_back)
+            or any(map(self.is_stalled, self._stalled_until))
+        )
+
     def when_awake(self, job: Callable[[], None]) -> None:
         """Runs a function now, or when its process goes on."""
         if self.is_frozen():
--- a/poplarspindle/tools/fakes/virtual_store.py
+++ b/poplarspindle/tools/fakes/virtual_store.py
@@ -158,6 +158,8 @@
             AppendTry(owner.epoch, self._topic, batch.number)
         )
         outcome = fate.outcome
+        if outcome is not AppendOutcome.ANSWERED:
+            world.calm.note_disturbed(fate.late_s)
         if outcome is AppendOutcome.BUSY:
             world.call_later(appending.RETRY_S, lambda: self._try(batch))
         elif outcome is AppendOutcome.ANSWERED:
--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -158,6 +158,8 @@
     found = judging.list_out_of_order(world)
     if plan.sure:
         found = world.list_violations()
+    else:
+        found += world.at_work.list_violations()
     found += lost_tasks
     found += world.checker.violations + judging.list_wrong_states(world)
     jobs = world.fleet.job_store.jobs
