--- a/poplarspindle/tests/test_at_work.py
+++ b/poplarspindle/tests/test_at_work.py
@@ -160,10 +160,7 @@
     Between two runs a processor is free; on so many there is always room.
     """
     if not has_turns:
-        monkeypatch.setattr(
-            lasting_turns, "find_overdue_since", lambda *row: None
-        )
-        monkeypatch.setattr(lasting_turns, "hold_room", lambda fleet: None)
+        monkeypatch.setattr(lasting_turns, "review", lambda fleet: None)
     world = fleets.World(
         1, BUSY_WORKERS, run_s=lambda rng: RUN_S * rng.uniform(0.6, 1.4)
     )
