--- a/poplarspindle/tests/test_fleet.py
+++ b/poplarspindle/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Runs the fleet's owner against fake workers that record their own runs."""
 
+import dataclasses
+
 import pytest
 
 from poplarspindle import resources
@@ -514,6 +516,26 @@
     assert world.notes["moved"] == 0
 
 
+@pytest.mark.parametrize(
+    ("millicores", "is_vacated"), [(8000, False), (9000, True)]
+)
+def test_lasting_task_is_stopped_while_others_wait_for_room(
+    millicores, is_vacated
+):
+    """LOST: what is stopped for fills takes the room that others wait for.
+
+    A task that no worker could take keeps none from being vacated.
+    """
+    world = fleets.World(1, run_s=lambda rng: 2.0)
+    spread_latency_critical(world)
+    step = make_step(1, until_cancelled=True, image="s", target_ms=9)
+    need = resources.Resources(millicores, 1000, 0)
+    world.submit("d" * 16, dataclasses.replace(step, need=need))
+    world.submit("c" * 16, make_step(6, best_effort=True, image="f"))
+    world.run(16)
+    assert bool(world.notes["moved"]) == is_vacated
+
+
 def test_task_without_capacity_elsewhere_is_not_moved():
     """Load: capacity elsewhere is taken after the worker to vacate was chosen.
 
