A start without an answer is repeated one at a time to its worker

Cause: each of the eight starts was repeated after 0.25 s without an answer, until the poll had failed. Each start without an answer may be carried out late and renew the leases by 0.41 s, so the repeats added 3.3 s to the wait.

Why it works: one repeat tells whether the worker answers as well as eight do. The others wait for its answer, or for a report, and are sent at once then. No constant changes, and each start that was sent is counted as before.

--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -108,6 +108,34 @@
     return is_recorded_as_answered(run) and run.answered_at == float("inf")
 
 
+def needs_repeat(run: worker_state.Run) -> bool:
+    """Returns whether a start was sent to no effect and has to be sent again.
+
+    It got no answer or came too late, and was not repeated at once, as starts
+    are not sent while the worker fails polls, and one repeat at a time.
+    """
+    return (
+        run.start_sent
+        and run.answered_at == float("inf")
+        and not run.start_in_flight
+        and not run.stopping
+    )
+
+
+def has_repeat_in_flight(worker: worker_state.WorkerState) -> bool:
+    """Returns whether a start is repeated that got no answer before.
+
+    Load pattern: a worker dies in a burst of starts, which are repeated until
+    the poll has failed. Each may renew the leases late, so that tasks wait for
+    longer. One repeat tells as much as all, so the others wait for its answer,
+    or for a report.
+    """
+    return any(
+        run.start_in_flight and run.unanswered_starts
+        for run in worker.runs.values()
+    )
+
+
 def list_possible_late_starts(
     fleet: "fleet_state.FleetState", worker_name: str
 ) -> list[tuple[work.TaskName, int]]:
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -203,7 +203,7 @@
         answered_earlier = late_starts.was_answered_earlier(run)
         if not answered_earlier and (
             (is_first_report and run.recorded and not run.stopping)
-            or _needs_resend(run)
+            or late_starts.needs_repeat(run)
         ):
             effect_list += withdrawals.send_start(fleet, worker, run)
         elif event.report.ends_complete and (
@@ -215,20 +215,6 @@
     return effect_list
 
 
-def _needs_resend(run: worker_state.Run) -> bool:
-    """Tells whether a start was sent to no effect and has to be sent again.
-
-    It got no answer or came too late, and was not repeated at once, as starts
-    are not sent while the worker fails polls.
-    """
-    return (
-        run.start_sent
-        and run.answered_at == float("inf")
-        and not run.start_in_flight
-        and not run.stopping
-    )
-
-
 def _stop_unknown_run(
     fleet: fleet_state.FleetState, worker: worker_state.WorkerState, listed_run
 ) -> list:
@@ -347,6 +333,8 @@
         run.answered_at = event.at
     else:
         effect_list += _handle_start_refusal(fleet, worker, run, refusal)
+    if refusal not in (orders.Refusal.NO_ANSWER, orders.Refusal.UNREACHABLE):
+        effect_list += withdrawals.repeat_held_starts(fleet, worker)
     return effect_list
 
 
@@ -390,6 +378,10 @@
         return effect_list + fleet_state.stop_run(fleet, worker, run)
     surely_not_started = run.unanswered_starts == 0 and not run.confirmed
     is_retryable = refusal in RETRYABLE
+    if refusal is orders.Refusal.NO_ANSWER and late_starts.has_repeat_in_flight(
+        worker
+    ):
+        return effect_list
     if is_retryable and run.unanswered_starts < MAX_UNANSWERED_STARTS:
         return effect_list + withdrawals.send_start(fleet, worker, run)
     if surely_not_started and not is_retryable:
--- a/poplarspindle/fleet/withdrawals.py
+++ b/poplarspindle/fleet/withdrawals.py
@@ -11,6 +11,7 @@
     effects,
     fleet_state,
     job_store,
+    late_starts,
     worker_selection,
     worker_state,
 )
@@ -33,6 +34,18 @@
     return _take_back(fleet, worker, run, why)
 
 
+def repeat_held_starts(
+    fleet: fleet_state.FleetState, worker: worker_state.WorkerState
+) -> list[effects.Effect]:
+    """Repeats the starts that waited for an answer of their worker."""
+    return [
+        effect
+        for run in list(worker.runs.values())
+        if run.unanswered_starts and late_starts.needs_repeat(run)
+        for effect in send_start(fleet, worker, run)
+    ]
+
+
 def withdraw_unanswered_starts(
     fleet: fleet_state.FleetState, worker: worker_state.WorkerState
 ) -> list[effects.Effect]:
