Lasting runs tell when a worker no longer fails what it starts

Callers saw LOST in the virtual fleet: workers fail all runs for half a second or 6 s, and lasting tasks are away for 23.75 s and 18.25 s after that beside room (test_bounded_waits, the rows fail_for_a_moment and fail_for_seconds).

Cause: each failure of several jobs doubles the exclusion of the worker, up to 24 s, and only a run that is done resets it. Lasting runs are never done, so a worker with nothing else was given work by the timer alone.

Why it works: the failure of a lasting run costs no attempt, so one may be tried on an excluded worker once the first exclusion has passed since its last failure. A lasting run that was placed after that and stays at work for as long as the first exclusion is the proof that resets it. A try that fails leaves the exclusion as it is. Work that ends by itself waits for the timer as before, and no constant changes.

--- a/poplarspindle/fleet/ends.py
+++ b/poplarspindle/fleet/ends.py
@@ -5,6 +5,7 @@
 from poplarspindle import resources
 from poplarspindle.fleet import (
     effects,
+    exclusions,
     fleet_state,
     job_states,
     job_store,
@@ -15,10 +16,6 @@
     worker_state,
 )
 
-MAX_FAILING_JOBS = 2
-FIRST_EXCLUSION_S = 3.0
-MAX_EXCLUSION_S = 24.0
-
 
 def handle_ends(
     fleet: fleet_state.FleetState,
@@ -101,7 +98,7 @@
     if end.end_reason is work.EndReason.DONE:
         fleet.placement_needed = True
         fleet_state.mark_run_changed(fleet, run)
-        effect_list = _update_exclusion(
+        effect_list = exclusions.record_end(
             fleet, worker, run, end.end_reason
         ) + _stop_later_attempts(fleet, run)
         return effect_list + _finish_task(fleet, run)
@@ -114,7 +111,7 @@
     fleet_state.mark_task_changed(fleet, end.task)
     if end.end_reason is not work.EndReason.FAILED:
         return []
-    return _update_exclusion(
+    return exclusions.record_end(
         fleet, worker, run, end.end_reason
     ) + _record_failure(fleet, run)
 
@@ -211,7 +208,7 @@
             took_ms=int((fleet.now - run.placed_at) * 1000),
         )
     ]
-    effect_list += _update_exclusion(fleet, worker, run, end_reason)
+    effect_list += exclusions.record_end(fleet, worker, run, end_reason)
     task = run.task
     if task.attempt != run.attempt or run.job.state in job_store.ENDED:
         return effect_list
@@ -228,56 +225,6 @@
     return effect_list
 
 
-def _update_exclusion(fleet, worker, run, end_reason) -> list:
-    """Excludes a worker from placement while it fails runs of several jobs.
-
-    Load pattern: a worker on which every run fails is soon empty and attracts
-    all new tasks. Failures of a single job count against that job only. The
-    exclusion doubles each time; a run that is done resets it, and ends one
-    that is under way: work would wait beside room on a worker that runs it.
-
-    Args:
-        fleet: State of the fleet.
-        worker: State of the worker.
-        run: The run that ended.
-        end_reason: The `work.EndReason` of the run.
-    """
-    if end_reason is work.EndReason.DONE:
-        worker.failing_jobs.clear()
-        if worker.exclusion_s:
-            # What refusals and polls excluded it for ends here too: the worker
-            # has answered since and is free of a run.
-            worker.exclusion_s = 0.0
-            worker.no_placement_until = min(
-                worker.no_placement_until, fleet.now
-            )
-        return []
-    if end_reason is not work.EndReason.FAILED:
-        return []
-    fleet.failed_on.setdefault(run.name, set()).add(worker.info.name)
-    worker.failing_jobs.add(run.name.job)
-    if (
-        not fleet.mechanisms.exclude_failing
-        or len(worker.failing_jobs) < MAX_FAILING_JOBS
-    ):
-        return []
-    worker.exclusion_s = min(
-        MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * worker.exclusion_s)
-    )
-    worker.no_placement_until = max(
-        worker.no_placement_until, fleet.now + worker.exclusion_s
-    )
-    return [
-        fleet_state.make_log_note(
-            "workers",
-            "closed",
-            worker=worker.info.name,
-            jobs=len(worker.failing_jobs),
-            for_s=worker.exclusion_s,
-        )
-    ]
-
-
 def _store_checkpoint(run: worker_state.Run, checkpoint: str) -> None:
     """Stores a checkpoint; one member's is valid for its whole gang."""
     members = [run.task]
--- /dev/null
+++ b/poplarspindle/fleet/exclusions.py
@@ -0,0 +1,167 @@
+"""Excludes workers on which runs of several jobs fail.
+
+Load pattern: a worker on which every run fails is soon empty and attracts all
+new tasks. Failures of a single job count against that job only. The exclusion
+doubles each time; a run that is done resets it, and ends one that is under way:
+work would wait beside room on a worker that runs it.
+
+Tasks that last are never done, and their failures cost no attempt. So while a
+worker is excluded, one of them at a time may be tried there, and one that stays
+at work for a while resets the exclusion as a run that is done does. One that
+fails leaves the exclusion as it is, as its job may be at fault.
+"""
+
+import itertools
+from collections.abc import Iterator
+
+from poplarspindle.fleet import (
+    effects,
+    fleet_state,
+    work,
+    worker_selection,
+    worker_state,
+)
+
+MAX_FAILING_JOBS = 2
+FIRST_EXCLUSION_S = 3.0
+MAX_EXCLUSION_S = 24.0
+StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
+
+
+def record_end(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+    end_reason: work.EndReason,
+) -> list[effects.Effect]:
+    """Excludes a worker from placement, or ends that, by how a run ended.
+
+    Args:
+        fleet: State of the fleet.
+        worker: State of the worker.
+        run: The run that ended.
+        end_reason: The `work.EndReason` of the run.
+    """
+    if end_reason is work.EndReason.DONE:
+        if worker.exclusion_s:
+            # What refusals and polls excluded it for ends here too: the worker
+            # has answered since and is free of a run.
+            worker.no_placement_until = min(
+                worker.no_placement_until, fleet.now
+            )
+        _reset(worker)
+        return []
+    if end_reason is not work.EndReason.FAILED:
+        return []
+    fleet.failed_on.setdefault(run.name, set()).add(worker.info.name)
+    worker.failing_jobs.add(run.name.job)
+    is_probe = worker.failed_at <= run.placed_at < worker.excluded_until
+    worker.failed_at = fleet.now
+    if (
+        is_probe
+        or not fleet.mechanisms.exclude_failing
+        or len(worker.failing_jobs) < MAX_FAILING_JOBS
+    ):
+        return []
+    worker.exclusion_s = min(
+        MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * worker.exclusion_s)
+    )
+    worker.excluded_until = max(
+        worker.excluded_until, fleet.now + worker.exclusion_s
+    )
+    return [
+        fleet_state.make_log_note(
+            "workers",
+            "closed",
+            worker=worker.info.name,
+            jobs=len(worker.failing_jobs),
+            for_s=worker.exclusion_s,
+        )
+    ]
+
+
+def record_at_work(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> list[effects.Effect]:
+    """Ends the exclusion of a worker on which a lasting run stays at work.
+
+    The run was placed after the last failure there, as a worker may go on with
+    what it runs and fail all that it starts. It has been at work for as long as
+    the first exclusion lasts.
+    """
+    if (
+        not worker.exclusion_s
+        or not run.step.until_cancelled
+        or run.placed_at < worker.failed_at
+        or fleet.now - run.first_seen_at < FIRST_EXCLUSION_S
+    ):
+        return []
+    _reset(worker)
+    worker.may_accept_more = fleet.placement_needed = True
+    return [
+        fleet_state.make_log_note(
+            "workers",
+            "reopened",
+            run.name.job,
+            worker=worker.info.name,
+            task=fleet_state.format_task(run.name),
+        )
+    ]
+
+
+def _reset(worker: worker_state.WorkerState) -> None:
+    worker.failing_jobs.clear()
+    worker.exclusion_s = 0.0
+    worker.excluded_until = float("-inf")
+
+
+def list_probes(
+    fleet: fleet_state.FleetState,
+) -> Iterator[tuple[StepKey, worker_state.WorkerState]]:
+    """Yields ready lasting steps and workers on which to try a task of each.
+
+    A step that is still ready found no room elsewhere. On a worker nothing was
+    placed since the last failure there. A job that failed there itself may be
+    at fault, so it comes last.
+    """
+    now = fleet.now
+    workers = [
+        worker
+        for worker in fleet.workers.values()
+        if now < worker.excluded_until
+        and now >= worker.no_placement_until
+        and now - worker.failed_at >= FIRST_EXCLUSION_S
+    ]
+    if not workers:
+        return
+    keys = [key for key in fleet.ready if _may_probe(fleet, key)]
+    for has_failed, key, worker in itertools.product(
+        (False, True), keys, workers
+    ):
+        if (
+            key in fleet.ready
+            and (key[0] in worker.failing_jobs) is has_failed
+            and not _is_tried(worker)
+            and worker_selection.may_be_given_work(
+                worker, _find_service(fleet, key), fleet.excluded_data_centres
+            )
+        ):
+            yield key, worker
+
+
+def _may_probe(fleet: fleet_state.FleetState, key: StepKey) -> bool:
+    step = fleet.job_store.jobs[key[0]].submission.steps[key[2]]
+    return step.until_cancelled and not step.gang
+
+
+def _find_service(fleet: fleet_state.FleetState, key: StepKey) -> str:
+    return fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]]).service
+
+
+def _is_tried(worker: worker_state.WorkerState) -> bool:
+    """Returns whether a run was placed on a worker since the last failure."""
+    return any(
+        run.placed_at >= worker.failed_at for run in worker.runs.values()
+    )
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -10,6 +10,7 @@
 from poplarspindle import resources
 from poplarspindle.fleet import (
     effects,
+    exclusions,
     fleet_state,
     job_store,
     lasting_turns,
@@ -66,6 +67,7 @@
     start_delay.record_round(fleet.start_statistics, False)
     if all_due:
         effect_list += placement_round.place_starved()
+        effect_list += placement_round.place_probes()
     placement_round.close()
     return effect_list
 
@@ -194,19 +196,40 @@
             effect_list += self._place_one_anywhere(key)
         return effect_list
 
+    def place_probes(self) -> list[effects.Effect]:
+        """Tries lasting tasks on workers that are excluded for failures."""
+        return [
+            effect
+            for key, worker in exclusions.list_probes(self._fleet)
+            if count_start_room(self._fleet) > 0
+            for effect in self._place_one_on([worker], key)
+        ]
+
     def _place_one_anywhere(
         self, key: worker_chooser.StepKey
     ) -> list[effects.Effect]:
         """Places one task of a best-effort step where it does least harm."""
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
-        step = job.submission.steps[key[2]]
         service = fleet_state.find_queue(fleet, job).service
+        return self._place_one_on(
+            self._list_accepting_workers(service, False), key
+        )
+
+    def _place_one_on(
+        self,
+        workers: list[worker_state.WorkerState],
+        key: worker_chooser.StepKey,
+    ) -> list[effects.Effect]:
+        """Places one task of a step on one of some workers, if it fits."""
+        fleet = self._fleet
+        job = fleet.job_store.jobs[key[0]]
+        step = job.submission.steps[key[2]]
         predict = pacing.make_predictor(
             fleet, step, self._weights_by_image.setdefault(step.image, {})
         )
         chooser = worker_chooser.WorkerChooser(
-            self._list_accepting_workers(service, False),
+            workers,
             step,
             key,
             starvation.admit_any_harm(predict),
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -249,11 +249,8 @@
             fleet_state.open_due_occurrences(fleet, job)
     now = fleet.now
     for worker in list(fleet.workers.values()):
-        if (
-            worker.no_placement_until
-            <= now
-            < worker.no_placement_until + EXCLUSION_END_WINDOW_S
-        ):
+        until = max(worker.no_placement_until, worker.excluded_until)
+        if until <= now < until + EXCLUSION_END_WINDOW_S:
             worker.may_accept_more = True
         if worker.runs and not run_checks.is_settled(worker, now):
             effect_list += run_checks.check_runs(fleet, worker)
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -7,6 +7,7 @@
     effects,
     ends,
     events,
+    exclusions,
     fleet_state,
     grants,
     job_states,
@@ -82,6 +83,7 @@
     if worker.poll_failed:
         worker.poll_failed = False
         worker.no_placement_until = event.at
+        worker.excluded_until = min(worker.excluded_until, event.at)
         effect_list.append(
             fleet_state.make_log_note(
                 "workers", "heard-again", worker=event.worker_name
@@ -187,6 +189,8 @@
             run.first_seen_at = event.at
         if worker.suspects and event.at - run.first_seen_at >= SUSPECT_WATCH_S:
             worker_state.clear_suspect(worker, key)
+        if worker.exclusion_s:
+            effect_list += exclusions.record_at_work(fleet, worker, run)
         if fleet.mechanisms.measured_use:
             usage.record_usage(fleet.usage_model, worker, run, event.at)
         if (
--- a/poplarspindle/fleet/waiting.py
+++ b/poplarspindle/fleet/waiting.py
@@ -101,7 +101,10 @@
             "evacuated",
             worker.info.data_centre in fleet.excluded_data_centres,
         ),
-        ("excluded", fleet.now < worker.no_placement_until),
+        (
+            "excluded",
+            fleet.now < max(worker.no_placement_until, worker.excluded_until),
+        ),
         (
             "vacated",
             bool(step.target_ms) and worker.info.name == fleet.vacating_worker,
--- a/poplarspindle/fleet/worker_selection.py
+++ b/poplarspindle/fleet/worker_selection.py
@@ -56,12 +56,24 @@
         excluded_data_centres: Data centres that get no new tasks.
         at: Current time, local clock.
     """
+    return (
+        may_be_given_work(worker, service, excluded_data_centres)
+        and at >= worker.no_placement_until
+        and at >= worker.excluded_until
+    )
+
+
+def may_be_given_work(
+    worker: worker_state.WorkerState,
+    service: str,
+    excluded_data_centres: frozenset[str],
+) -> bool:
+    """Returns whether a worker may get tasks of a service now or soon."""
     return (
         worker.listed
         and worker.has_reported
         and not worker.logged_unreachable
         and not is_excluded(worker.info, service, excluded_data_centres)
-        and at >= worker.no_placement_until
     )
 
 
@@ -89,6 +101,7 @@
         for worker in workers
         if worker.listed
         and at >= worker.no_placement_until
+        and at >= worker.excluded_until
         and worker.last_report_at > never
         and not worker.logged_unreachable
         and (info := worker.info).service == service
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -149,7 +149,10 @@
             expected to use at full speed.
         latency_critical_millicores: Millicores that its latency-critical runs
             reserve.
-        no_placement_until: Time before which nothing is placed on it.
+        no_placement_until: Time before which nothing is placed on it, as it
+            refused or did not answer.
+        excluded_until: The same, as runs failed on it; see `exclusions`.
+        failed_at: When a run last failed on it.
         may_accept_more: Whether it may accept more than in the last placement
             round.
         failing_jobs: Jobs that had a run fail on it since it last completed a
@@ -211,6 +214,8 @@
         default_factory=collections.Counter
     )
     no_placement_until: float = float("-inf")
+    excluded_until: float = float("-inf")
+    failed_at: float = float("-inf")
     may_accept_more: bool = True
     failing_jobs: set[str] = dataclasses.field(default_factory=set)
     exclusion_s: float = 0.0
--- /dev/null
+++ b/poplarspindle/tests/test_bounded_waits.py
@@ -0,0 +1,342 @@
+"""LOST: each wait of a lasting task ends in calm, whatever came before it.
+
+A lasting task may be away until the later of 9 s after its last run and 7 s
+after the last disturbance, while workers have room for it twice over. Each row
+sets one wait up; then all is calm, and the ledgers of the workers tell when the
+task is at work. `docs/incidents/bounded-waits.md` lists the waits.
+"""
+
+import pytest
+
+from poplarspindle import resources
+from poplarspindle.fleet import events, work
+from poplarspindle.tools.fakes import fleets, losses, messages
+
+AFTER_RUN_S = 9.0
+AFTER_DISTURBANCE_S = 7.0
+WATCH_S = 30.0
+CORE = resources.Resources(1000, 1000, 0)
+JOB, OTHER = "a" * 16, "b" * 16
+TASKS = 8
+STEP = work.Step(TASKS, CORE, 500, (), until_cancelled=True)
+HEARTBEATS_S = 3.3  # After its last heartbeat an entry is dropped.
+FAILS_AFTER_S = 0.2
+
+
+class Watch:
+    """Notes when each lasting task was last at work.
+
+    Args:
+        world: The virtual fleet.
+    """
+
+    def __init__(self, world):
+        self._world = world
+        self._last_at = {}
+        self.disturbed_at = float("inf")
+        self.found = []
+        self.back_at = float("-inf")
+        world.after_tick = self.look
+
+    def look(self):
+        """Judges each lasting task that is not at work."""
+        world = self._world
+        running = {
+            name for worker in world.workers.values() for name, _ in worker.runs
+        }
+        for job, submission in world.submissions.items():
+            step = submission.steps[0]
+            if not step.until_cancelled:
+                continue
+            for index in range(step.tasks):
+                name = work.TaskName(job, 0, 0, index)
+                if name in running:
+                    self._last_at[name] = world.now
+                else:
+                    self._judge(name)
+
+    def _judge(self, name):
+        now, last_at = self._world.now, self._last_at.get(name, 0.0)
+        bound = max(
+            last_at + AFTER_RUN_S, self.disturbed_at + AFTER_DISTURBANCE_S
+        )
+        if now > self.disturbed_at:
+            self.back_at = now
+        if now > bound:
+            self.found.append(
+                f"{name} is away at {now:.2f} s, {now - last_at:.2f} s after"
+                f" its last run, {now - self.disturbed_at:.2f} s after the last"
+                " disturbance"
+            )
+
+
+def make_world(**options):
+    """Makes a fleet of four workers with a lasting job at work."""
+    options.setdefault("run_s", lambda rng: 1.0)
+    world = fleets.World(1, **options)
+    world.run(0.5)
+    world.submit(JOB, STEP)
+    world.run(1.5)
+    return world
+
+
+def find_busiest(world):
+    """Returns the name of the worker that has most of the lasting tasks."""
+    return max(sorted(world.workers), key=lambda n: len(world.workers[n].runs))
+
+
+def kill(world, name):
+    """Ends a worker for good; its entry is dropped after its heartbeats."""
+    worker = world.workers[name]
+    worker.crash()
+    worker.up = False
+    worker.listed_until = world.now + HEARTBEATS_S
+
+
+def lose_starts(world, name):
+    """Lets no start reach a worker until the returned function is called."""
+    before = world.choose_fate
+
+    def choose(message):
+        if message.worker == name and message.kind is messages.Kind.START:
+            return messages.Fate(None, answered=False)
+        return before(message)
+
+    world.choose_fate = choose
+
+    def mend():
+        world.choose_fate = before
+
+    return mend
+
+
+def lose_all(world, name):
+    """Lets no order or poll reach a worker until the function is called."""
+    before = world.choose_fate
+
+    def choose(message):
+        if message.worker == name:
+            return messages.Fate(None, answered=False)
+        return before(message)
+
+    world.choose_fate = choose
+
+    def mend():
+        world.choose_fate = before
+
+    return mend
+
+
+# The waits. Each function sets one up and returns when the last disturbance
+# was over.
+
+
+def fail_runs_everywhere(world, for_s, jobs=(JOB, OTHER)):
+    """Lets all workers fail all runs, as with a full disk, for a while."""
+    until = world.now + for_s
+    world.fail_on = set(world.workers)
+    choose_time = world.choose_time
+    world.choose_time = lambda name: (
+        FAILS_AFTER_S if world.now < until else choose_time(name)
+    )
+    for worker in world.workers.values():
+        for run in list(worker.runs.values()):
+            worker.end_later(run, FAILS_AFTER_S)
+    if OTHER in jobs:
+        world.submit(OTHER, STEP)
+    world.run(for_s + FAILS_AFTER_S)
+    world.fail_on.clear()
+    world.choose_time = choose_time
+
+
+def fail_for_a_moment(world):
+    fail_runs_everywhere(world, 0.5)
+
+
+def fail_for_seconds(world):
+    fail_runs_everywhere(world, 6.0)
+
+
+def lose_starts_of_one_worker(world):
+    """A start got no answer, its worker answers polls."""
+    kill(world, find_busiest(world))
+    mends = [lose_starts(world, name) for name in sorted(world.workers)]
+    world.run(4.0)
+    for mend in reversed(mends):
+        mend()
+
+
+def lose_starts_then_take_over(world):
+    """The same, and the next owner begins without the record of it."""
+    kill(world, find_busiest(world))
+    mends = [lose_starts(world, name) for name in sorted(world.workers)]
+    world.run(6.5)
+    for mend in reversed(mends):
+        mend()
+    world.take_over()
+
+
+def _submit_in_silence(world):
+    """Submits a job whose starts get no answer from a silent worker."""
+    names = sorted(world.workers)
+    mends = [lose_all(world, name) for name in names[:2]]
+    world.submit(OTHER, STEP)
+    world.run(1.0)
+    return names[:2], mends
+
+
+def cut_with_starts_in_doubt(world):
+    """Two workers get no message for a while; then they answer again."""
+    _, mends = _submit_in_silence(world)
+    world.run(4.0)
+    for mend in reversed(mends):
+        mend()
+
+
+def cut_with_starts_in_doubt_and_take_over(world):
+    _, mends = _submit_in_silence(world)
+    world.run(4.0)
+    for mend in reversed(mends):
+        mend()
+    world.take_over()
+
+
+def kill_with_starts_in_doubt(world):
+    names, mends = _submit_in_silence(world)
+    for name in names:
+        kill(world, name)
+    world.run(0.5)
+    for mend in reversed(mends):
+        mend()
+
+
+def kill_with_starts_in_doubt_and_take_over(world):
+    kill_with_starts_in_doubt(world)
+    world.take_over()
+
+
+def restart_with_starts_in_doubt(world):
+    """Their next lives answer and list nothing."""
+    names, mends = _submit_in_silence(world)
+    for name in names:
+        world.workers[name].crash()
+    for mend in reversed(mends):
+        mend()
+
+
+def restart_with_starts_in_doubt_and_take_over(world):
+    restart_with_starts_in_doubt(world)
+    world.take_over()
+
+
+def _evacuate(world, data_centres):
+    world.evacuated = data_centres
+    world._reduce(
+        events.Configured(world.now, world.configuration, data_centres)
+    )
+
+
+def take_back(world):
+    """Starts in doubt are taken back from an evacuated data centre."""
+    names, mends = _submit_in_silence(world)
+    _evacuate(
+        world, frozenset({world.workers[names[0]].description.data_centre})
+    )
+    world.run(1.0)
+    for mend in reversed(mends):
+        mend()
+
+
+def take_back_and_take_over(world):
+    take_back(world)
+    world.take_over()
+
+
+def take_back_and_kill(world):
+    names, mends = _submit_in_silence(world)
+    _evacuate(
+        world, frozenset({world.workers[names[0]].description.data_centre})
+    )
+    world.run(1.0)
+    kill(world, names[0])
+    for mend in reversed(mends):
+        mend()
+
+
+def change_hands(world, times=1, every_s=3.0, after=lambda world: None):
+    after(world)
+    for number in range(times):
+        if number:
+            world.run(every_s)
+        world.take_over()
+
+
+def change_hands_once(world):
+    change_hands(world)
+
+
+def kill_and_change_hands(world):
+    """A worker is dead; owners begin anew each 3 s."""
+    kill(world, find_busiest(world))
+    change_hands(world, 4)
+
+
+def kill_and_change_hands_quickly(world):
+    kill(world, find_busiest(world))
+    change_hands(world, 12, 0.8)
+
+
+def lose_grants_and_change_hands(world):
+    name = find_busiest(world)
+    losses.lose_polls(world, name, 2, [messages.Kind.RENEWAL])
+    kill(world, name)
+    change_hands(world, 3)
+
+
+def submit_and_change_hands(world):
+    """A job's placements wait for first reports under each owner."""
+    world.submit(OTHER, STEP)
+    change_hands(world, 4)
+
+
+def relist_and_change_hands(world):
+    """Workers restart while owners change."""
+    for name in sorted(world.workers)[:2]:
+        world.workers[name].crash()
+    change_hands(world, 3)
+
+
+WAITS = [
+    fail_for_a_moment,
+    fail_for_seconds,
+    lose_starts_of_one_worker,
+    lose_starts_then_take_over,
+    cut_with_starts_in_doubt,
+    cut_with_starts_in_doubt_and_take_over,
+    kill_with_starts_in_doubt,
+    kill_with_starts_in_doubt_and_take_over,
+    restart_with_starts_in_doubt,
+    restart_with_starts_in_doubt_and_take_over,
+    take_back,
+    take_back_and_take_over,
+    take_back_and_kill,
+    change_hands_once,
+    kill_and_change_hands,
+    kill_and_change_hands_quickly,
+    lose_grants_and_change_hands,
+    submit_and_change_hands,
+    relist_and_change_hands,
+]
+
+
+@pytest.mark.parametrize("set_up", WAITS, ids=lambda wait: wait.__name__)
+def test_wait_of_a_lasting_task_ends_in_calm(set_up):
+    """LOST: it is away for longer than the rule allows, beside room."""
+    world = make_world()
+    watch = Watch(world)
+    set_up(world)
+    watch.disturbed_at = world.now
+    world.run(WATCH_S)
+    print(f"back {watch.back_at - watch.disturbed_at:.2f} s after calm began")
+    assert watch.found[:3] == []
+    assert world.list_violations() == []
