A claim behind the log is repeated as soon as more was read

Each record that another node appends between a claimant's last reading and its claim, as each told-fitness of dozens of nodes, has the claim refused.

Cause: a refused claim was tried again at the next join, up to 0.3 s later, however soon what had moved the log's end was read.

Evidence: test_claim_behind_what_was_read_is_repeated_at_once, two rows, failed before.

Why it works: what was read up to the new end holds no other claim, and that is the proof the store asks for. So the claimant joins and claims again once the end that it knows has passed the one that was refused. A refusal costs a reading and a call; each needs another record, and a node notes its fitness once in 2 s at most.

--- a/poplarspindle/node/election.py
+++ b/poplarspindle/node/election.py
@@ -93,7 +93,6 @@
         resigned: Newest epoch that its owner gave up, 0 for none.
         owner_seen_at: When the owner was last heard of, steady seconds.
         owner_active: Whether it was heard as owner since it claimed.
-        log_end: Offset up to which the log was taken in.
         epoch_before_claim: Epoch of the owner before the last claim, 0 for
             none.
     """
@@ -129,7 +128,8 @@
         self.resigned_epoch = 0
         self.owner_seen_at = float("-inf")
         self.owner_active = False
-        self.log_end = storage.ANY_END
+        self._log_end = storage.ANY_END
+        self._refused_end: int | None = None  # Of a claim behind the log.
         self.epoch_before_claim = 0
 
     def start(self) -> None:
@@ -148,6 +148,23 @@
         if became:
             self._woken.set()
 
+    @property
+    def log_end(self) -> int:
+        """Offset up to which the log was taken in."""
+        return self._log_end
+
+    @log_end.setter
+    def log_end(self, end: int) -> None:
+        """Notes what was taken in; a claim that lacked it is repeated now.
+
+        Load pattern: dozens of nodes note their fitness while nobody owns the
+        fleet, and each note has claims refused that were sent just before.
+        """
+        self._log_end = end
+        if self._refused_end is not None and end > self._refused_end:
+            self._refused_end = None
+            self._woken.set()
+
     def record_resignation(self, epoch: int) -> None:
         """Notes that an owner gave the fleet up: it may be claimed."""
         self.resigned_epoch = max(self.resigned_epoch, epoch)
@@ -276,16 +293,16 @@
             epoch, self._member, self._wall_ms(), self.fitness
         )
         # A claim that is carried out late would end a later owner.
+        end = self.log_end
         answer = self._store.append(
-            [records.encode_owner(claim)],
-            1.0,
-            epoch,
-            0,
-            expected_end=self.log_end,
+            [records.encode_owner(claim)], 1.0, epoch, 0, expected_end=end
         )
         is_failed = isinstance(answer, outcomes.Failed)
         if is_failed and answer.reason == storage.OTHER_END:
             self._claimed_at = float("-inf")  # Once more was taken in.
+            self._refused_end = end
+            if self.log_end > end:
+                self._woken.set()
         _log.info(
             "claimed",
             epoch=epoch,
--- a/poplarspindle/tests/test_election.py
+++ b/poplarspindle/tests/test_election.py
@@ -98,3 +98,32 @@
     found.log_end = 1
     found._join()
     assert read_owner(service) == "a"
+
+
+@pytest.mark.parametrize("is_read_before_the_answer", [False, True])
+def test_claim_behind_what_was_read_is_repeated_at_once(
+    service, is_read_before_the_answer
+):
+    """LOST: 36 nodes note their fitness, and each note costs the claim 0.3 s.
+
+    Reading what moved the log's end is the proof that nobody else claimed.
+    """
+    store = ChoosingStore(service.address)
+    store.append([records.encode_resignation(1)], 1.0)
+    found = make_election(store, "a")
+    found._woken.clear()
+    append = store.append
+
+    def read_meanwhile(*given, **options):
+        answer = append(*given, **options)
+        found.log_end = 1
+        return answer
+
+    if is_read_before_the_answer:
+        store.append = read_meanwhile
+    found._join()
+    assert read_owner(service) is None
+    if not is_read_before_the_answer:
+        assert not found._woken.is_set()
+        found.log_end = 1
+    assert found._woken.is_set()
