Start starved fills by what is reserved, not by what fills use

Cause: predicted harm keeps the image off every worker. starvation.py starts one task of such a job after 2.5 s, but only in a pool it takes for idle, and it counted there what fills are expected to use. PROTOCOL.md does not count the processors of a step that fills against capacity. has_free_processors counted them once more on each worker. Paused fills use nothing and do not end, so the wait had no bound.

Now only what reserves counts, for the pool and for the worker that takes a starved task. A worker gets one starved task at a time and the next after half a second; before, four went to the same worker at once.

--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -205,13 +205,13 @@
         predict = pacing.make_predictor(
             fleet, step, self._weights_by_image.setdefault(step.image, {})
         )
-        chooser = worker_chooser.WorkerChooser(
+        chooser = starvation.Chooser(
             self._list_accepting_workers(service, False),
             step,
             key,
-            starvation.admit_any_harm(predict),
+            predict,
             fleet.mechanisms,
-            fleet.cost_kinds,
+            fleet.now,
         )
         return place_step(fleet, chooser, job, step, key, 1)
 
@@ -243,7 +243,7 @@
 
 def place_step(
     fleet: fleet_state.FleetState,
-    chooser: worker_chooser.WorkerChooser,
+    chooser: worker_chooser.WorkerChooser | starvation.Chooser,
     job: job_store.Job,
     step: work.Step,
     key: worker_chooser.StepKey,
--- a/poplarspindle/fleet/starvation.py
+++ b/poplarspindle/fleet/starvation.py
@@ -2,19 +2,33 @@
 
 Load pattern: tail latencies stay near their targets for long, and the harm
 predicted for a best-effort image keeps it from every worker. Its jobs would
-wait to the end, whatever capacity is free. So while most of a pool is free, one
-task of each such job starts where it does least harm; its pace is then planned
-like that of any other run, and it uses what the swings of the load leave. In a
-busy pool jobs wait for capacity, and such starts would only add harm.
+wait to the end, whatever capacity is free. So while most of a pool is not
+reserved, one task of each such job starts where it does least harm; its pace is
+then planned like that of any other run, and it uses what the swings of the load
+leave. In a busy pool jobs wait for capacity, and such starts would only add
+harm.
+
+Best-effort runs reserve no processors. What they use keeps no job waiting: it
+may go on for as long as their paces are low, and paused runs use nothing. They
+share what is left with the task that starts. A worker gets one such task at a
+time, and the next one once the last shows in the tail latencies.
 """
 
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 
-from poplarspindle.fleet import fleet_state, job_store, worker_state
+from poplarspindle.fleet import (
+    fleet_state,
+    job_store,
+    mechanisms,
+    work,
+    worker_selection,
+    worker_state,
+)
 
 MAX_BUSY_SHARE = 0.5  # Of a pool's processors.
 STARVED_AFTER_S = 2.5  # A waiting job that could run counts as lost after 3 s.
+SETTLED_AFTER_S = 0.5  # Tail latencies are measured over that.
 _Predictor = Callable[[worker_state.WorkerState], float]
 
 
@@ -48,7 +62,7 @@
 
 
 def list_idle_pools(fleet: fleet_state.FleetState) -> set[str]:
-    """Lists the services of whose processors most are not in use."""
+    """Lists the services of whose processors most are not reserved."""
     capacity: collections.Counter = collections.Counter()
     in_use: collections.Counter = collections.Counter()
     for worker in fleet.workers.values():
@@ -57,7 +71,7 @@
         service = worker.info.service
         capacity[service] += worker.info.capacity.millicores
         in_use[service] += worker.reserved.millicores
-        in_use[service] += worker.best_effort_millicores
+        in_use[service] += worker.unknown_run_resources.millicores
     return {
         service
         for service in capacity
@@ -87,6 +101,96 @@
     )
 
 
+class Chooser:
+    """Chooses the worker where one task of a starved step does least harm.
+
+    Args:
+        workers: Workers that accept tasks.
+        step: The best-effort step.
+        key: Its job id, occurrence and step number.
+        predict_headroom_use: Predicts which share of a worker's tail-latency
+            headroom a task of the step would use; no less than 0.
+        used: Mechanisms in use.
+        now: Current time, local clock.
+    """
+
+    def __init__(
+        self,
+        workers: list[worker_state.WorkerState],
+        step: work.Step,
+        key: tuple[str, int, int],
+        predict_headroom_use: _Predictor,
+        used: mechanisms.Mechanisms,
+        now: float,
+    ) -> None:
+        self._workers = workers
+        self._step = step
+        self._key = key
+        self._predict_harm = admit_any_harm(predict_headroom_use)
+        self._used = used
+        self._now = now
+
+    def choose(
+        self,
+        failed_on: Collection[str] | None = None,
+        is_suspect: bool = False,
+        may_share: bool = True,
+    ) -> worker_state.WorkerState | None:
+        """Chooses the worker for a task, None if no worker can take it.
+
+        Args:
+            failed_on: Names of workers on which the task failed before.
+            is_suspect: Whether the task may have crashed a worker.
+            may_share: Whether a suspect may get a worker that has others.
+        """
+        able = [worker for worker in self._workers if self._can_take(worker)]
+        if is_suspect:
+            groups = worker_selection.isolate_suspect(
+                able, self._step, self._key, may_share
+            )
+        else:
+            fresh = worker_selection.exclude_failing(able, failed_on or ())
+            groups = [fresh, able]
+        return next(
+            (self._choose_best(group) for group in groups if group), None
+        )
+
+    def update_rank(self, worker: worker_state.WorkerState) -> None:
+        """Records that a starved task was placed on a worker."""
+        worker.starved_started_at = self._now
+
+    def _can_take(self, worker: worker_state.WorkerState) -> bool:
+        """Returns whether a worker has room beside what reserves it."""
+        unreserved_millicores = (
+            worker_selection.compute_free_millicores(worker)
+            + worker.best_effort_millicores
+        )
+        return (
+            worker_selection.fits(worker, self._step, self._key)
+            and unreserved_millicores
+            >= worker_selection.MIN_BEST_EFFORT_SHARE
+            * self._step.need.millicores
+            and self._now - worker.starved_started_at >= SETTLED_AFTER_S
+        )
+
+    def _choose_best(
+        self, workers: Iterable[worker_state.WorkerState]
+    ) -> worker_state.WorkerState:
+        return min(
+            workers,
+            key=lambda worker: (
+                worker_selection.rank_worker(
+                    worker,
+                    self._step,
+                    "",
+                    self._predict_harm(worker),
+                    self._used,
+                ),
+                worker.info.name,
+            ),
+        )
+
+
 def admit_any_harm(predict_headroom_use: _Predictor) -> _Predictor:
     """Makes a predictor that rules out no worker and keeps their order."""
 
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -171,6 +171,7 @@
             best-effort runs are slowed down for their sake.
         target_missed_since: Since when a tail latency exceeds its target,
             infinity if none does.
+        starved_started_at: When a starved task was last placed on it.
         leaves_at: Earliest time at which it shuts down, infinity if it stays.
         missing_since: Since when its entry is missing from the list and it has
             not reported, infinity if the list has it; see `absence`.
@@ -224,6 +225,7 @@
     paced_at: float = float("-inf")
     tails_need_watch: bool = True
     target_missed_since: float = float("inf")
+    starved_started_at: float = float("-inf")
     leaves_at: float = float("inf")
     missing_since: float = float("inf")
     gone: bool = False
--- a/poplarspindle/tests/test_starvation.py
+++ b/poplarspindle/tests/test_starvation.py
@@ -1,6 +1,7 @@
 """Best-effort jobs that predicted harm keeps from every worker."""
 
 import dataclasses
+import itertools
 
 import pytest
 
@@ -132,6 +133,55 @@
     assert world.count_runs("b") == 0
 
 
+def find_longest_miss(world, jobs, run_s):
+    """Submits jobs, and returns for how long a target was missed on end."""
+    for number in range(jobs):
+        world.submit(f"b{number}", make_batch(tasks=1))
+    longest = since = 0.0
+    for _ in range(int(run_s / fleets.TICK_S)):
+        world.run(fleets.TICK_S)
+        ratios = world.workers["w0"].tail_ratio.values()
+        since = since + fleets.TICK_S if max(ratios) > 1 else 0.0
+        longest = max(longest, since)
+    return longest
+
+
+@pytest.mark.parametrize(
+    "jobs",
+    [
+        pytest.param(6, id="with what reserves, over half"),
+        pytest.param(12, id="all that is left, and more"),
+    ],
+)
+def test_job_waits_without_end_for_what_best_effort_runs_use(jobs):
+    """LOST (review/1): paused runs kept others from most of a pool for ever.
+
+    40 % of the processors are reserved; each job has a task of 7.5 %.
+    """
+    world = HotWorld()
+    longest = find_longest_miss(world, jobs, starvation.STARVED_AFTER_S + 13)
+    running = [world.count_runs(f"b{number}") for number in range(jobs)]
+    assert running == [1] * jobs
+    assert longest < world.fleet.harm_ms / 1000
+    assert not world.list_violations()
+
+
+def test_starved_jobs_start_on_a_worker_one_after_the_other():
+    """Load: many jobs starve at once; each start disturbs what serves."""
+    world = HotWorld()
+    for number in range(6):
+        world.submit(f"b{number}", make_batch(tasks=1))
+    world.run(12)
+    began = sorted(
+        run.began
+        for run in world.workers["w0"].ledger
+        if run.name.job.startswith("b")
+    )
+    assert len(began) == 6
+    gaps = [later - sooner for sooner, later in itertools.pairwise(began)]
+    assert min(gaps) >= starvation.SETTLED_AFTER_S - fleets.TICK_S
+
+
 @pytest.mark.parametrize(
     "changes",
     [
