--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -7,6 +7,8 @@
 at most once per round, so many waiting steps cost little.
 """
 
+from collections.abc import Callable
+
 from poplarspindle import resources
 from poplarspindle.fleet import (
     effects,
@@ -157,12 +159,11 @@
             effect_list: list[effects.Effect] = []
             fleet.unplaceable_since.setdefault(key, fleet.now)
         else:
-            weights = self._weights_by_image.setdefault(step.image, {})
             chooser = worker_chooser.WorkerChooser(
                 workers,
                 step,
                 key,
-                pacing.make_predictor(fleet, step, weights),
+                self._make_predictor(step),
                 fleet.mechanisms,
                 fleet.cost_kinds,
             )
@@ -206,7 +207,7 @@
             effect
             for key, worker in exclusions.list_probes(self._fleet)
             if count_start_room(self._fleet) > 0
-            for effect in self._place_one_on([worker], key)
+            for effect in self._place_one_on(worker, key)
         ]
 
     def _place_one_anywhere(
@@ -215,33 +216,41 @@
         """Places one task of a best-effort step where it does least harm."""
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
+        step = job.submission.steps[key[2]]
         service = fleet_state.find_queue(fleet, job).service
-        return self._place_one_on(
-            self._list_accepting_workers(service, False), key
+        chooser = starvation.Chooser(
+            self._list_accepting_workers(service, False),
+            step,
+            key,
+            self._make_predictor(step),
+            fleet.mechanisms,
+            fleet.now,
         )
+        return place_step(fleet, chooser, job, step, key, 1)
 
     def _place_one_on(
-        self,
-        workers: list[worker_state.WorkerState],
-        key: worker_chooser.StepKey,
+        self, worker: worker_state.WorkerState, key: worker_chooser.StepKey
     ) -> list[effects.Effect]:
-        """Places one task of a step on one of some workers, if it fits."""
+        """Places one task of a step on a worker, if it fits."""
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
         step = job.submission.steps[key[2]]
-        predict = pacing.make_predictor(
-            fleet, step, self._weights_by_image.setdefault(step.image, {})
-        )
         chooser = worker_chooser.WorkerChooser(
-            workers,
+            [worker],
             step,
             key,
-            starvation.admit_any_harm(predict),
+            self._make_predictor(step),
             fleet.mechanisms,
             fleet.cost_kinds,
         )
         return place_step(fleet, chooser, job, step, key, 1)
 
+    def _make_predictor(
+        self, step: work.Step
+    ) -> Callable[[worker_state.WorkerState], float]:
+        weights = self._weights_by_image.setdefault(step.image, {})
+        return pacing.make_predictor(self._fleet, step, weights)
+
     def _list_accepting_workers(
         self, service: str, changed_only: bool
     ) -> list[worker_state.WorkerState]:
@@ -270,7 +279,7 @@
 
 def place_step(
     fleet: fleet_state.FleetState,
-    chooser: worker_chooser.WorkerChooser,
+    chooser: worker_chooser.WorkerChooser | starvation.Chooser,
     job: job_store.Job,
     step: work.Step,
     key: worker_chooser.StepKey,
