Lasting tasks are tried on an excluded worker after a second, others once one stays

Invariant 5 broke in walk dies-in-append-12: a sound worker on which runs of two jobs failed by their own fault was excluded for 3 s, and 17 tasks that last waited for 3.00 s beside its room. A lasting run that fails costs no attempt: so one is tried a second after the last failure, and once it has stayed at work for a second others follow; work that ends by itself waits for the timer or the reset as before.

--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -6,9 +6,10 @@
 work would wait beside room on a worker that runs it.
 
 Tasks that last are never done, and their failures cost no attempt. So while a
-worker is excluded, one of them at a time may be tried there, and one that stays
-at work for a while resets the exclusion as a run that is done does. One that
-fails leaves the exclusion as it is, as its job may be at fault.
+worker is excluded, one of them may be tried there, and others once it stays at
+work. One that stays for as long as the first exclusion lasts resets the
+exclusion as a run that is done does. One that fails leaves the exclusion as it
+is, as its job may be at fault.
 """
 
 import itertools
@@ -25,6 +26,9 @@
 MAX_FAILING_JOBS = 2
 FIRST_EXCLUSION_S = 3.0
 MAX_EXCLUSION_S = 24.0
+# A lasting task may wait for three seconds beside room, that of a worker that
+# is excluded included.
+PROBE_INTERVAL_S = 1.0
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
 
 
@@ -119,12 +123,12 @@
 
 def list_probes(
     fleet: fleet_state.FleetState,
-) -> Iterator[tuple[StepKey, worker_state.WorkerState]]:
-    """Yields ready lasting steps and workers on which to try a task of each.
+) -> Iterator[tuple[StepKey, worker_state.WorkerState, int]]:
+    """Yields ready lasting steps, workers to try them on, and how many tasks.
 
-    A step that is still ready found no room elsewhere. On a worker nothing was
-    placed since the last failure there. A job that failed there itself may be
-    at fault, so it comes last.
+    A step that is still ready found no room elsewhere. One task is tried first,
+    and others follow once it stays at work. A job that failed on a worker may
+    be at fault itself, so it comes last there.
     """
     now = fleet.now
     workers = [
@@ -132,7 +136,7 @@
         for worker in fleet.workers.values()
         if now < worker.excluded_until
         and now >= worker.no_placement_until
-        and now - worker.failed_at >= FIRST_EXCLUSION_S
+        and now - worker.failed_at >= PROBE_INTERVAL_S
     ]
     if not workers:
         return
@@ -143,12 +147,13 @@
         if (
             key in fleet.ready
             and (key[0] in worker.failing_jobs) is has_failed
-            and not _is_tried(worker)
             and worker_selection.may_be_given_work(
                 worker, _find_service(fleet, key), fleet.excluded_data_centres
             )
         ):
-            yield key, worker
+            tasks = _count_allowed(worker, now, len(fleet.ready[key]))
+            if tasks:
+                yield key, worker, tasks
 
 
 def _may_probe(fleet: fleet_state.FleetState, key: StepKey) -> bool:
@@ -160,8 +165,22 @@
     return fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]]).service
 
 
-def _is_tried(worker: worker_state.WorkerState) -> bool:
-    """Returns whether a run was placed on a worker since the last failure."""
-    return any(
-        run.placed_at >= worker.failed_at for run in worker.runs.values()
+def _count_allowed(
+    worker: worker_state.WorkerState, now: float, ready: int
+) -> int:
+    """Counts the lasting tasks that an excluded worker may get now.
+
+    Args:
+        worker: The worker.
+        now: Present time.
+        ready: How many tasks of the step are ready.
+    """
+    tries = [
+        run for run in worker.runs.values() if run.placed_at >= worker.failed_at
+    ]
+    if not tries:
+        return 1
+    has_proof = any(
+        now - run.first_seen_at >= PROBE_INTERVAL_S for run in tries
     )
+    return ready if has_proof else 0
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -205,9 +205,9 @@
         """Tries lasting tasks on workers that are excluded for failures."""
         return [
             effect
-            for key, worker in exclusions.list_probes(self._fleet)
+            for key, worker, tasks in exclusions.list_probes(self._fleet)
             if count_start_room(self._fleet) > 0
-            for effect in self._place_one_on(worker, key)
+            for effect in self._place_on(worker, key, tasks)
         ]
 
     def _place_one_anywhere(
@@ -228,10 +228,13 @@
         )
         return place_step(fleet, chooser, job, step, key, 1)
 
-    def _place_one_on(
-        self, worker: worker_state.WorkerState, key: worker_chooser.StepKey
+    def _place_on(
+        self,
+        worker: worker_state.WorkerState,
+        key: worker_chooser.StepKey,
+        most: int,
     ) -> list[effects.Effect]:
-        """Places one task of a step on a worker, if it fits."""
+        """Places tasks of a step on a worker, as many as fit at most."""
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
         step = job.submission.steps[key[2]]
@@ -243,7 +246,7 @@
             fleet.mechanisms,
             fleet.cost_kinds,
         )
-        return place_step(fleet, chooser, job, step, key, 1)
+        return place_step(fleet, chooser, job, step, key, most)
 
     def _make_predictor(
         self, step: work.Step
