Gangs that last are tried on excluded workers as well

Callers saw LOST in the virtual fleet: the rows fail_for_a_moment and fail_for_seconds of test_bounded_waits with a gang, 23.75 s and 18.25 s after the last disturbance; jobs that fail everywhere beside a gang, 18.90 s.

Cause: while a worker is excluded, tasks that last were tried there one at a time, and a gang is placed whole or not at all.

Of a gang several members may fail on one worker: all of them count as one try (test_failed_try_leaves_the_exclusion_as_it_is, with a gang).

Why it works: the whole gang is tried at once on workers that nothing was tried on since their last failure, and on those that are not excluded. Its failures cost no attempt either.

--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -55,7 +55,8 @@
         return []
     fleet.failed_on.setdefault(run.name, set()).add(worker.info.name)
     worker.failing_jobs.add(run.name.job)
-    is_probe = worker.failed_at <= run.placed_at < worker.excluded_until
+    # Nothing but probes is placed there while it is excluded.
+    is_probe = worker.excluded_at < run.placed_at < worker.excluded_until
     worker.failed_at = fleet.now
     if (
         is_probe
@@ -66,6 +67,7 @@
     worker.exclusion_s = min(
         MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * worker.exclusion_s)
     )
+    worker.excluded_at = fleet.now
     worker.excluded_until = max(
         worker.excluded_until, fleet.now + worker.exclusion_s
     )
@@ -119,12 +121,12 @@
 
 def list_probes(
     fleet: fleet_state.FleetState,
-) -> Iterator[tuple[StepKey, worker_state.WorkerState]]:
+) -> Iterator[tuple[StepKey, list[worker_state.WorkerState]]]:
     """Yields ready lasting steps and workers on which to try a task of each.
 
     A step that is still ready found no room elsewhere. On a worker nothing was
     placed since the last failure there. A job that failed there itself may be
-    at fault, so it comes last.
+    at fault, so it comes last. A gang is tried on several workers at once.
     """
     now = fleet.now
     workers = [
@@ -136,27 +138,35 @@
     ]
     if not workers:
         return
-    keys = [key for key in fleet.ready if _may_probe(fleet, key)]
-    for has_failed, key, worker in itertools.product(
-        (False, True), keys, workers
-    ):
-        if (
-            key in fleet.ready
-            and (key[0] in worker.failing_jobs) is has_failed
+    keys = [key for key in fleet.ready if _is_lasting(fleet, key)]
+    for has_failed, key in itertools.product((False, True), keys):
+        service = find_service(fleet, key)
+        untried = [
+            worker
+            for worker in workers
+            if (key[0] in worker.failing_jobs) <= has_failed
             and not _is_tried(worker)
             and worker_selection.may_be_given_work(
-                worker, _find_service(fleet, key), fleet.excluded_data_centres
+                worker, service, fleet.excluded_data_centres
             )
-        ):
-            yield key, worker
+        ]
+        is_gang = find_step(fleet, key).gang
+        for tried in [untried] if is_gang else [[each] for each in untried]:
+            if key in fleet.ready:
+                yield key, tried
+
+
+def find_step(fleet: fleet_state.FleetState, key: StepKey) -> work.Step:
+    """Returns the step of a key."""
+    return fleet.job_store.jobs[key[0]].submission.steps[key[2]]
 
 
-def _may_probe(fleet: fleet_state.FleetState, key: StepKey) -> bool:
-    step = fleet.job_store.jobs[key[0]].submission.steps[key[2]]
-    return step.until_cancelled and not step.gang
+def _is_lasting(fleet: fleet_state.FleetState, key: StepKey) -> bool:
+    return find_step(fleet, key).until_cancelled
 
 
-def _find_service(fleet: fleet_state.FleetState, key: StepKey) -> str:
+def find_service(fleet: fleet_state.FleetState, key: StepKey) -> str:
+    """Returns the service of a step's queue."""
     return fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]]).service
 
 
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -197,31 +197,37 @@
         return effect_list
 
     def place_probes(self) -> list[effects.Effect]:
-        """Tries lasting tasks on workers that are excluded for failures."""
-        return [
-            effect
-            for key, worker in exclusions.list_probes(self._fleet)
-            if count_start_room(self._fleet) > 0
-            for effect in self._place_one_on([worker], key)
-        ]
+        """Tries lasting tasks on workers that are excluded for failures.
+
+        A gang that lasts may have its other members on workers that are not.
+        """
+        fleet = self._fleet
+        effect_list: list[effects.Effect] = []
+        for key, workers in exclusions.list_probes(fleet):
+            if count_start_room(fleet) <= 0:
+                break
+            max_tasks = 1
+            if exclusions.find_step(fleet, key).gang:
+                service, max_tasks = exclusions.find_service(fleet, key), None
+                workers += self._list_accepting_workers(service, False)
+            effect_list += self._place_on(workers, key, max_tasks)
+        return effect_list
 
     def _place_one_anywhere(
         self, key: worker_chooser.StepKey
     ) -> list[effects.Effect]:
         """Places one task of a best-effort step where it does least harm."""
-        fleet = self._fleet
-        job = fleet.job_store.jobs[key[0]]
-        service = fleet_state.find_queue(fleet, job).service
-        return self._place_one_on(
-            self._list_accepting_workers(service, False), key
-        )
+        service = exclusions.find_service(self._fleet, key)
+        workers = self._list_accepting_workers(service, False)
+        return self._place_on(workers, key, 1)
 
-    def _place_one_on(
+    def _place_on(
         self,
         workers: list[worker_state.WorkerState],
         key: worker_chooser.StepKey,
+        max_tasks: int | None,
     ) -> list[effects.Effect]:
-        """Places one task of a step on one of some workers, if it fits."""
+        """Places tasks of a step on some workers where they fit."""
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
         step = job.submission.steps[key[2]]
@@ -236,7 +242,7 @@
             fleet.mechanisms,
             fleet.cost_kinds,
         )
-        return place_step(fleet, chooser, job, step, key, 1)
+        return place_step(fleet, chooser, job, step, key, max_tasks)
 
     def _list_accepting_workers(
         self, service: str, changed_only: bool
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -152,6 +152,7 @@
         no_placement_until: Time before which nothing is placed on it, as it
             refused or did not answer.
         excluded_until: The same, as runs failed on it; see `exclusions`.
+        excluded_at: When it was last excluded for that.
         failed_at: When a run last failed on it.
         may_accept_more: Whether it may accept more than in the last placement
             round.
@@ -215,6 +216,7 @@
     )
     no_placement_until: float = float("-inf")
     excluded_until: float = float("-inf")
+    excluded_at: float = float("-inf")
     failed_at: float = float("-inf")
     may_accept_more: bool = True
     failing_jobs: set[str] = dataclasses.field(default_factory=set)
--- a/poplarspindle/tests/test_bounded_waits.py
+++ b/poplarspindle/tests/test_bounded_waits.py
@@ -23,16 +23,20 @@
 FAILS_AFTER_S = 0.2
 
 
-def make_world(**options):
+def make_world(step):
     """Makes a fleet of four workers with a lasting job at work."""
-    options.setdefault("run_s", lambda rng: 1.0)
-    world = fleets.World(1, **options)
+    world = fleets.World(1, run_s=lambda rng: 1.0)
     world.run(0.5)
-    world.submit(JOB, STEP)
+    world.submit(JOB, step)
     world.run(1.5)
     return world
 
 
+def find_step(world):
+    """Returns the step of the lasting job."""
+    return world.find_step(work.TaskName(JOB, 0, 0, 0))
+
+
 def find_busiest(world):
     """Returns the name of the worker that has most of the lasting tasks."""
     return max(sorted(world.workers), key=lambda n: len(world.workers[n].runs))
@@ -46,28 +50,11 @@
     worker.listed_until = world.now + HEARTBEATS_S
 
 
-def lose(world, names, kinds=tuple(messages.Kind)):
-    """Lets no messages reach some workers until the result is called."""
-    before = world.choose_fate
-
-    def choose(message):
-        if message.worker in names and message.kind in kinds:
-            return messages.Fate(None, answered=False)
-        return before(message)
-
-    world.choose_fate = choose
-
-    def mend():
-        world.choose_fate = before
-
-    return mend
-
-
 # The waits. Each function sets one up and returns when the last disturbance
 # was over.
 
 
-def fail_runs_everywhere(world, for_s, jobs=(JOB, OTHER)):
+def fail_runs_everywhere(world, for_s):
     """Lets all workers fail all runs, as with a full disk, for a while."""
     until = world.now + for_s
     world.fail_on = set(world.workers)
@@ -77,9 +64,9 @@
     )
     for worker in world.workers.values():
         for run in list(worker.runs.values()):
+            run.planned = work.EndReason.FAILED
             worker.end_later(run, FAILS_AFTER_S)
-    if OTHER in jobs:
-        world.submit(OTHER, STEP)
+    world.submit(OTHER, find_step(world))
     world.run(for_s + FAILS_AFTER_S)
     world.fail_on.clear()
     world.choose_time = choose_time
@@ -114,7 +101,7 @@
 def lose_starts_of_one_worker(world):
     """A start got no answer, its worker answers polls."""
     kill(world, find_busiest(world))
-    mend = lose(world, world.workers, [messages.Kind.START])
+    mend = losses.lose_messages(world, world.workers, [messages.Kind.START])
     world.run(4.0)
     mend()
 
@@ -122,7 +109,7 @@
 def lose_starts_then_take_over(world):
     """The same, and the next owner begins without the record of it."""
     kill(world, find_busiest(world))
-    mend = lose(world, world.workers, [messages.Kind.START])
+    mend = losses.lose_messages(world, world.workers, [messages.Kind.START])
     world.run(6.5)
     mend()
     world.take_over()
@@ -131,8 +118,8 @@
 def _submit_in_silence(world):
     """Submits a job whose starts get no answer from a silent worker."""
     names = sorted(world.workers)
-    mend = lose(world, names[:2])
-    world.submit(OTHER, STEP)
+    mend = losses.lose_messages(world, names[:2])
+    world.submit(OTHER, find_step(world))
     world.run(1.0)
     return names[:2], mend
 
@@ -259,7 +246,7 @@
 
 def kill_a_new_start_and_change_hands(world):
     """Starts were answered just before, and the log does not tell it yet."""
-    world.submit(OTHER, STEP)
+    world.submit(OTHER, find_step(world))
     name = find_busiest(world)
     while not any(run.job == OTHER for run, _ in world.workers[name].runs):
         world.run(fleets.TICK_S)
@@ -285,7 +272,7 @@
 def roll_owners(world):
     """Owners resign one after the other while workers are cut off."""
     names = sorted(world.workers)[:2]
-    mend = lose(world, names)
+    mend = losses.lose_messages(world, names)
     for _ in range(4):
         world.disruptions.terminate_owner()
         world.run(1.5)
@@ -333,7 +320,7 @@
 
 def submit_and_change_hands(world):
     """A job's placements wait for first reports under each owner."""
-    world.submit(OTHER, STEP)
+    world.submit(OTHER, find_step(world))
     change_hands(world, 4)
 
 
@@ -382,9 +369,16 @@
 
 
 @pytest.mark.parametrize("set_up", WAITS, ids=lambda wait: wait.__name__)
-def test_wait_of_a_lasting_task_ends_in_calm(set_up):
+@pytest.mark.parametrize(
+    "step",
+    [
+        pytest.param(STEP, id="tasks"),
+        pytest.param(dataclasses.replace(STEP, gang=True), id="gang"),
+    ],
+)
+def test_wait_of_a_lasting_task_ends_in_calm(step, set_up):
     """LOST: it is away for longer than the rule allows, beside room."""
-    world = make_world()
+    world = make_world(step)
     watch = away_watch.Watch(world, JOB, OTHER)
     set_up(world)
     watch.disturbed_at = world.now
--- a/poplarspindle/tests/test_exclusions.py
+++ b/poplarspindle/tests/test_exclusions.py
@@ -4,6 +4,7 @@
 its exclusion of up to 24 s was never reset.
 """
 
+import dataclasses
 import itertools
 
 import pytest
@@ -54,9 +55,10 @@
     assert min(gaps) >= exclusions.FIRST_EXCLUSION_S
 
 
-def test_failed_try_leaves_the_exclusion_as_it_is():
+@pytest.mark.parametrize("gang", [False, True])
+def test_failed_try_leaves_the_exclusion_as_it_is(gang):
     """Others would wait for ever beside lasting jobs that always fail."""
-    world = make_failing_world(LASTING)
+    world = make_failing_world(dataclasses.replace(LASTING, gang=gang))
     worker = world.fleet.workers["w0"]
     until, exclusion_s = worker.excluded_until, worker.exclusion_s
     closed = world.notes["closed"]
--- a/poplarspindle/tools/fakes/losses.py
+++ b/poplarspindle/tools/fakes/losses.py
@@ -1,7 +1,7 @@
-"""Loses chosen polls of the virtual fleet, which then come late."""
+"""Loses chosen messages of the virtual fleet; lost polls may come late."""
 
 import typing
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from poplarspindle.tools.fakes import late_orders, messages
 
@@ -44,3 +44,33 @@
         world.run(STEP_S)
         assert world.now < until
     world.late_orders.is_lost = is_lost
+
+
+def lose_messages(
+    world: "fleets.World",
+    workers: Collection[str],
+    kinds: Collection[messages.Kind] = tuple(messages.Kind),
+) -> Callable[[], None]:
+    """Lets no messages reach some workers, now or late.
+
+    Args:
+        world: The world.
+        workers: Names of the workers.
+        kinds: Kinds of the messages.
+
+    Returns:
+        A function that ends it.
+    """
+    choose_before = world.choose_fate
+
+    def choose(message: messages.Message) -> messages.Fate:
+        if message.worker in workers and message.kind in kinds:
+            return messages.Fate(None, answered=False)
+        return choose_before(message)
+
+    world.choose_fate = choose
+
+    def mend() -> None:
+        world.choose_fate = choose_before
+
+    return mend
