--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -6,10 +6,10 @@
 work would wait beside room on a worker that runs it.
 
 Tasks that last are never done, and their failures cost no attempt. So while a
-worker is excluded, one of them may be tried there, and others once it stays at
-work. One that stays for as long as the first exclusion lasts resets the
-exclusion as a run that is done does. One that fails leaves the exclusion as it
-is, as its job may be at fault.
+worker is excluded, one of them may be tried there, or a gang, and others once
+it stays at work. One that stays for as long as the first exclusion lasts resets
+the exclusion as a run that is done does. One that fails leaves the exclusion as
+it is, as its job may be at fault.
 """
 
 import itertools
@@ -59,7 +59,8 @@
         return []
     fleet.failed_on.setdefault(run.name, set()).add(worker.info.name)
     worker.failing_jobs.add(run.name.job)
-    is_probe = worker.failed_at <= run.placed_at < worker.excluded_until
+    # Nothing but probes is placed there while it is excluded.
+    is_probe = worker.excluded_at < run.placed_at < worker.excluded_until
     worker.failed_at = fleet.now
     if (
         is_probe
@@ -70,6 +71,7 @@
     worker.exclusion_s = min(
         MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * worker.exclusion_s)
     )
+    worker.excluded_at = fleet.now
     worker.excluded_until = max(
         worker.excluded_until, fleet.now + worker.exclusion_s
     )
@@ -123,12 +125,13 @@
 
 def list_probes(
     fleet: fleet_state.FleetState,
-) -> Iterator[tuple[StepKey, worker_state.WorkerState, int]]:
+) -> Iterator[tuple[StepKey, list[worker_state.WorkerState], int]]:
     """Yields ready lasting steps, workers to try them on, and how many tasks.
 
     A step that is still ready found no room elsewhere. One task is tried first,
     and others follow once it stays at work. A job that failed on a worker may
-    be at fault itself, so it comes last there.
+    be at fault itself, so it comes last there. A gang is tried whole, on
+    several workers at once.
     """
     now = fleet.now
     workers = [
@@ -140,28 +143,39 @@
     ]
     if not workers:
         return
-    keys = [key for key in fleet.ready if _may_probe(fleet, key)]
-    for has_failed, key, worker in itertools.product(
-        (False, True), keys, workers
-    ):
-        if (
-            key in fleet.ready
-            and (key[0] in worker.failing_jobs) is has_failed
+    keys = [key for key in fleet.ready if _is_lasting(fleet, key)]
+    for has_failed, key in itertools.product((False, True), keys):
+        if key not in fleet.ready:
+            continue
+        service = find_service(fleet, key)
+        allowed = [
+            (worker, _count_allowed(worker, now, len(fleet.ready[key])))
+            for worker in workers
+            if (key[0] in worker.failing_jobs) <= has_failed
             and worker_selection.may_be_given_work(
-                worker, _find_service(fleet, key), fleet.excluded_data_centres
+                worker, service, fleet.excluded_data_centres
             )
-        ):
-            tasks = _count_allowed(worker, now, len(fleet.ready[key]))
-            if tasks:
-                yield key, worker, tasks
+        ]
+        tried = [worker for worker, tasks in allowed if tasks]
+        if find_step(fleet, key).gang:
+            yield key, tried, len(fleet.ready[key])
+            continue
+        for worker, tasks in allowed:
+            if tasks and key in fleet.ready:
+                yield key, [worker], tasks
+
+
+def find_step(fleet: fleet_state.FleetState, key: StepKey) -> work.Step:
+    """Returns the step of a key."""
+    return fleet.job_store.jobs[key[0]].submission.steps[key[2]]
 
 
-def _may_probe(fleet: fleet_state.FleetState, key: StepKey) -> bool:
-    step = fleet.job_store.jobs[key[0]].submission.steps[key[2]]
-    return step.until_cancelled and not step.gang
+def _is_lasting(fleet: fleet_state.FleetState, key: StepKey) -> bool:
+    return find_step(fleet, key).until_cancelled
 
 
-def _find_service(fleet: fleet_state.FleetState, key: StepKey) -> str:
+def find_service(fleet: fleet_state.FleetState, key: StepKey) -> str:
+    """Returns the service of a step's queue."""
     return fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]]).service
 
 
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -202,13 +202,20 @@
         return effect_list
 
     def place_probes(self) -> list[effects.Effect]:
-        """Tries lasting tasks on workers that are excluded for failures."""
-        return [
-            effect
-            for key, worker, tasks in exclusions.list_probes(self._fleet)
-            if count_start_room(self._fleet) > 0
-            for effect in self._place_on(worker, key, tasks)
-        ]
+        """Tries lasting tasks on workers that are excluded for failures.
+
+        A gang that lasts may have its other members on workers that are not.
+        """
+        fleet = self._fleet
+        effect_list: list[effects.Effect] = []
+        for key, workers, tasks in exclusions.list_probes(fleet):
+            if count_start_room(fleet) <= 0:
+                break
+            if exclusions.find_step(fleet, key).gang:
+                service = exclusions.find_service(fleet, key)
+                workers += self._list_accepting_workers(service, False)
+            effect_list += self._place_on(workers, key, tasks)
+        return effect_list
 
     def _place_one_anywhere(
         self, key: worker_chooser.StepKey
@@ -217,7 +224,7 @@
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
         step = job.submission.steps[key[2]]
-        service = fleet_state.find_queue(fleet, job).service
+        service = exclusions.find_service(fleet, key)
         chooser = starvation.Chooser(
             self._list_accepting_workers(service, False),
             step,
@@ -230,23 +237,23 @@
 
     def _place_on(
         self,
-        worker: worker_state.WorkerState,
+        workers: list[worker_state.WorkerState],
         key: worker_chooser.StepKey,
-        most: int,
+        max_tasks: int,
     ) -> list[effects.Effect]:
-        """Places tasks of a step on a worker, as many as fit at most."""
+        """Places tasks of a step on some workers where they fit."""
         fleet = self._fleet
         job = fleet.job_store.jobs[key[0]]
         step = job.submission.steps[key[2]]
         chooser = worker_chooser.WorkerChooser(
-            [worker],
+            workers,
             step,
             key,
             self._make_predictor(step),
             fleet.mechanisms,
             fleet.cost_kinds,
         )
-        return place_step(fleet, chooser, job, step, key, most)
+        return place_step(fleet, chooser, job, step, key, max_tasks)
 
     def _make_predictor(
         self, step: work.Step
--- a/poplarspindle/tests/test_bounded_waits.py
+++ b/poplarspindle/tests/test_bounded_waits.py
@@ -6,6 +6,8 @@
 task is at work. `docs/incidents/bounded-waits.md` lists the waits.
 """
 
+import dataclasses
+
 import pytest
 
 from poplarspindle import resources
@@ -21,16 +23,20 @@
 FAILS_AFTER_S = 0.2
 
 
-def make_world(**options):
+def make_world(step):
     """Makes a fleet of four workers with a lasting job at work."""
-    options.setdefault("run_s", lambda rng: 1.0)
-    world = fleets.World(1, **options)
+    world = fleets.World(1, run_s=lambda rng: 1.0)
     world.run(0.5)
-    world.submit(JOB, STEP)
+    world.submit(JOB, step)
     world.run(1.5)
     return world
 
 
+def find_step(world):
+    """Returns the step of the lasting job."""
+    return world.find_step(work.TaskName(JOB, 0, 0, 0))
+
+
 def find_busiest(world):
     """Returns the name of the worker that has most of the lasting tasks."""
     return max(sorted(world.workers), key=lambda n: len(world.workers[n].runs))
@@ -44,45 +50,11 @@
     worker.listed_until = world.now + HEARTBEATS_S
 
 
-def lose_starts(world, name):
-    """Lets no start reach a worker until the returned function is called."""
-    before = world.choose_fate
-
-    def choose(message):
-        if message.worker == name and message.kind is messages.Kind.START:
-            return messages.Fate(None, answered=False)
-        return before(message)
-
-    world.choose_fate = choose
-
-    def mend():
-        world.choose_fate = before
-
-    return mend
-
-
-def lose_all(world, name):
-    """Lets no order or poll reach a worker until the function is called."""
-    before = world.choose_fate
-
-    def choose(message):
-        if message.worker == name:
-            return messages.Fate(None, answered=False)
-        return before(message)
-
-    world.choose_fate = choose
-
-    def mend():
-        world.choose_fate = before
-
-    return mend
-
-
 # The waits. Each function sets one up and returns when the last disturbance
 # was over.
 
 
-def fail_runs_everywhere(world, for_s, jobs=(JOB, OTHER)):
+def fail_runs_everywhere(world, for_s):
     """Lets all workers fail all runs, as with a full disk, for a while."""
     until = world.now + for_s
     world.fail_on = set(world.workers)
@@ -92,9 +64,9 @@
     )
     for worker in world.workers.values():
         for run in list(worker.runs.values()):
+            run.planned = work.EndReason.FAILED
             worker.end_later(run, FAILS_AFTER_S)
-    if OTHER in jobs:
-        world.submit(OTHER, STEP)
+    world.submit(OTHER, find_step(world))
     world.run(for_s + FAILS_AFTER_S)
     world.fail_on.clear()
     world.choose_time = choose_time
@@ -108,57 +80,70 @@
     fail_runs_everywhere(world, 6.0)
 
 
+def run_poison(world, for_s=3.0):
+    """Jobs fail wherever they run, so that all workers are excluded."""
+    poison = ["c" * 16, "d" * 16, "e" * 16]
+    choose_time = world.choose_time
+    world.choose_time = lambda name: (
+        FAILS_AFTER_S if name.job in poison else choose_time(name)
+    )
+    world.judge_run = lambda run, worker: work.EndReason.FAILED
+    for job in poison:
+        world.submit(job, dataclasses.replace(STEP, tasks=2))
+    world.run(for_s)
+    kill(world, find_busiest(world))
+
+
+def run_poison_for_long(world):
+    run_poison(world, 9.0)
+
+
 def lose_starts_of_one_worker(world):
     """A start got no answer, its worker answers polls."""
     kill(world, find_busiest(world))
-    mends = [lose_starts(world, name) for name in sorted(world.workers)]
+    mend = losses.lose_messages(world, world.workers, [messages.Kind.START])
     world.run(4.0)
-    for mend in reversed(mends):
-        mend()
+    mend()
 
 
 def lose_starts_then_take_over(world):
     """The same, and the next owner begins without the record of it."""
     kill(world, find_busiest(world))
-    mends = [lose_starts(world, name) for name in sorted(world.workers)]
+    mend = losses.lose_messages(world, world.workers, [messages.Kind.START])
     world.run(6.5)
-    for mend in reversed(mends):
-        mend()
+    mend()
     world.take_over()
 
 
 def _submit_in_silence(world):
     """Submits a job whose starts get no answer from a silent worker."""
     names = sorted(world.workers)
-    mends = [lose_all(world, name) for name in names[:2]]
-    world.submit(OTHER, STEP)
+    mend = losses.lose_messages(world, names[:2])
+    world.submit(OTHER, find_step(world))
     world.run(1.0)
-    return names[:2], mends
+    return names[:2], mend
 
 
 def cut_with_starts_in_doubt(world):
     """Two workers get no message for a while; then they answer again."""
-    _, mends = _submit_in_silence(world)
+    _, mend = _submit_in_silence(world)
     world.run(4.0)
-    for mend in reversed(mends):
-        mend()
+    mend()
 
 
 def cut_with_starts_in_doubt_and_take_over(world):
-    _, mends = _submit_in_silence(world)
+    _, mend = _submit_in_silence(world)
     world.run(4.0)
-    for mend in reversed(mends):
-        mend()
+    mend()
     world.take_over()
 
 
 def kill_with_starts_in_doubt(world):
-    names, mends = _submit_in_silence(world)
+    names, mend = _submit_in_silence(world)
     for name in names:
         kill(world, name)
     world.run(0.5)
-    for mend in reversed(mends):
-        mend()
+    mend()
 
 
 def kill_with_starts_in_doubt_and_take_over(world):
@@ -168,11 +153,10 @@
 
 def restart_with_starts_in_doubt(world):
     """Their next lives answer and list nothing."""
-    names, mends = _submit_in_silence(world)
+    names, mend = _submit_in_silence(world)
     for name in names:
         world.workers[name].crash()
-    for mend in reversed(mends):
-        mend()
+    mend()
 
 
 def restart_with_starts_in_doubt_and_take_over(world):
@@ -189,13 +173,12 @@
 
 def take_back(world):
     """Starts in doubt are taken back from an evacuated data centre."""
-    names, mends = _submit_in_silence(world)
+    names, mend = _submit_in_silence(world)
     _evacuate(
         world, frozenset({world.workers[names[0]].description.data_centre})
     )
     world.run(1.0)
-    for mend in reversed(mends):
-        mend()
+    mend()
 
 
 def take_back_and_take_over(world):
@@ -204,14 +187,13 @@
 
 
 def take_back_and_kill(world):
-    names, mends = _submit_in_silence(world)
+    names, mend = _submit_in_silence(world)
     _evacuate(
         world, frozenset({world.workers[names[0]].description.data_centre})
     )
     world.run(1.0)
     kill(world, names[0])
-    for mend in reversed(mends):
-        mend()
+    mend()
 
 
 def change_hands(world, times=1, every_s=3.0, after=lambda world: None):
@@ -264,7 +246,7 @@
 
 def kill_a_new_start_and_change_hands(world):
     """Starts were answered just before, and the log does not tell it yet."""
-    world.submit(OTHER, STEP)
+    world.submit(OTHER, find_step(world))
     name = find_busiest(world)
     while not any(run.job == OTHER for run, _ in world.workers[name].runs):
         world.run(fleets.TICK_S)
@@ -290,12 +272,11 @@
 def roll_owners(world):
     """Owners resign one after the other while workers are cut off."""
     names = sorted(world.workers)[:2]
-    mends = [lose_all(world, name) for name in names]
+    mend = losses.lose_messages(world, names)
     for _ in range(4):
         world.disruptions.terminate_owner()
         world.run(1.5)
-    for mend in reversed(mends):
-        mend()
+    mend()
 
 
 def kill_a_zone_in_a_burst(world):
@@ -339,7 +320,7 @@
 
 def submit_and_change_hands(world):
     """A job's placements wait for first reports under each owner."""
-    world.submit(OTHER, STEP)
+    world.submit(OTHER, find_step(world))
     change_hands(world, 4)
 
 
@@ -353,6 +334,8 @@
 WAITS = [
     fail_for_a_moment,
     fail_for_seconds,
+    run_poison,
+    run_poison_for_long,
     lose_starts_of_one_worker,
     lose_starts_then_take_over,
     cut_with_starts_in_doubt,
@@ -386,10 +369,17 @@
 
 
 @pytest.mark.parametrize("set_up", WAITS, ids=lambda wait: wait.__name__)
-def test_wait_of_a_lasting_task_ends_in_calm(set_up):
+@pytest.mark.parametrize(
+    "step",
+    [
+        pytest.param(STEP, id="tasks"),
+        pytest.param(dataclasses.replace(STEP, gang=True), id="gang"),
+    ],
+)
+def test_wait_of_a_lasting_task_ends_in_calm(step, set_up):
     """LOST: it is away for longer than the rule allows, beside room."""
-    world = make_world()
-    watch = away_watch.Watch(world)
+    world = make_world(step)
+    watch = away_watch.Watch(world, JOB, OTHER)
     set_up(world)
     watch.disturbed_at = world.now
     world.run(WATCH_S)
