Workers are kept free for one step after the other, and for its task alone

Each is now kept for 2 s, then for the next step; gangs and steps without processors get none. - Whether a task would use kept room was looked at once for all tasks of a step; now for each task, when its worker is chosen. - Each review looked at all runs for each step that waits. What is found for one need now holds for all steps that need the same. - Under a new owner a step with prerequisites counted as away since its job was accepted, and went first at once.

--- a/poplarspindle/fleet/away_history.py
+++ b/poplarspindle/fleet/away_history.py
@@ -7,7 +7,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HeldRoom:
+class KeptRoom:
     """Room of a worker that is kept free for a task; see `lasting_turns`.
 
     Attributes:
@@ -15,11 +15,13 @@
         priority: Priority of the task's queue; work that is more urgent may
             use the room.
         need: What the task reserves.
+        since: Since when it is kept, on the owner's monotonic clock.
     """
 
     key: tuple[str, int, int]
     priority: int
     need: resources.Resources
+    since: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +35,8 @@
         logged_at: When each of them was last logged.
         reviewed_at: When it was last looked which these are.
         lines_at: When some of them were last logged.
+        turns_reviewed_at: When turns were last chosen.
+        kept_at: When a worker was last kept for a step in vain, by the same.
         turns: Since when steps are away that go before other work, by job id,
             occurrence and step number; see `lasting_turns`.
     """
@@ -43,6 +47,10 @@
     )
     reviewed_at: float = float("-inf")
     lines_at: float = float("-inf")
+    turns_reviewed_at: float = float("-inf")
+    kept_at: dict[tuple[str, int, int], float] = dataclasses.field(
+        default_factory=dict
+    )
     turns: dict[tuple[str, int, int], float] = dataclasses.field(
         default_factory=dict
     )
--- a/poplarspindle/fleet/away_tasks.py
+++ b/poplarspindle/fleet/away_tasks.py
@@ -67,7 +67,6 @@
         history.logged_at.pop(name, None)
     for name, since in away.items():
         history.since.setdefault(name, since)
-    lasting_turns.review(fleet)
     if fleet.now - history.lines_at < LOG_INTERVAL_S:
         return []
     history.lines_at = fleet.now
@@ -80,7 +79,7 @@
     """Yields lasting tasks that are not known to run, and since when.
 
     A new owner does not know since when a task is queued; it counts from the
-    acceptance of its job.
+    acceptance of its job, for a step that waited for no other.
     """
     for name in fleet.open_jobs:
         job = fleet.job_store.jobs[name]
@@ -99,7 +98,8 @@
                     if run is not None and is_at_work(worker, run):
                         continue
                     since = fleet.now
-                    if is_first_review and run is None:
+                    is_first = not job.submission.steps[step].prerequisites
+                    if is_first_review and run is None and is_first:
                         age_ms = fleet.wall_ms - job.submission.accepted_ms
                         since -= max(0, age_ms) / 1000
                     if run is not None and worker.poll_failed:
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -90,7 +90,7 @@
         remaining_work: Estimated work by job and occurrence, if ready.
         load_logged_at: When a summary of the fleet was last logged.
         away: Lasting tasks that do not run; see `away_tasks`.
-        held_room: Room that is kept for these, by worker.
+        kept_room: Room that is kept for these, by worker.
         crash_history: What is remembered of workers that went silent.
         expiring_jobs: Ids of ended jobs in the order in which they ended.
         retention: For how long ended jobs have been kept.
@@ -167,7 +167,7 @@
         self.remaining_work: dict[tuple[str, int], ranking.RemainingWork] = {}
         self.load_logged_at = float("-inf")
         self.away = away_history.AwayHistory()
-        self.held_room: dict[str, away_history.HeldRoom] = {}
+        self.kept_room: dict[str, away_history.KeptRoom] = {}
         self.crash_history = crash_history.CrashHistory()
         self.possible_late_starts: dict[
             str, dict[tuple[work.TaskName, int], float]
--- a/poplarspindle/fleet/lasting_turns.py
+++ b/poplarspindle/fleet/lasting_turns.py
@@ -7,8 +7,9 @@
 Whoever handed it in expects it to run as soon as there is room for it. So a
 step that has been away for a while goes first within its priority while workers
 say that they have room for it. Where they have none, freed room is in pieces
-that are too small. Then a few workers are kept free of other work, for the step
-that has been away longest, until what runs there has left enough room.
+that are too small. Then a few workers are kept free of other work until what
+runs there has left enough room: for one step after the other, as some would
+need a worker for longer than others should wait.
 """
 
 from collections.abc import Iterator
@@ -22,26 +23,44 @@
     worker_state,
 )
 
+REVIEW_INTERVAL_S = 0.5
+# Others may wait beside room for three seconds, from six after their last run.
 TURN_AFTER_S = 4.0
-MAX_HELD_WORKERS = 2  # Of each service.
+KEEP_S = 2.0  # Longer than most runs that end by themselves have left.
+MAX_KEPT_WORKERS = 2  # Of each service.
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
 
 
 def review(fleet: fleet_state.FleetState) -> None:
     """Chooses anew whose turn it is and which workers are kept free."""
+    history = fleet.away
+    if fleet.now - history.turns_reviewed_at < REVIEW_INTERVAL_S:
+        return
+    history.turns_reviewed_at = fleet.now
     overdue = sorted(_list_overdue(fleet))
-    pools: dict[str, _Pool] = {}
-    fleet.away.turns = {}
-    held_before, fleet.held_room = fleet.held_room, {}
-    for since, priority, key, service in overdue:
-        pool = pools.get(service)
-        if pool is None:
-            pool = pools[service] = _Pool(fleet, service, held_before)
-        if pool.has_room(key):
-            fleet.away.turns[key] = since
-        pool.hold(key, priority)
-    for name in held_before.keys() | fleet.held_room.keys():
-        if held_before.get(name) != fleet.held_room.get(name):
+    kept_before = fleet.kept_room
+    fleet.kept_room = _list_still_kept(fleet, {row[2] for row in overdue})
+    pools = {
+        service: _Pool(fleet, service)
+        for service in {service for _, _, _, service in overdue}
+    }
+    history.turns = {
+        key: since
+        for since, _, key, service in overdue
+        if pools[service].has_room(key)
+    }
+    kept_at = history.kept_at = {
+        key: history.kept_at[key]
+        for _, _, key, _ in overdue
+        if key in history.kept_at
+    }
+    never = float("-inf")
+    for _, priority, key, service in sorted(
+        overdue, key=lambda row: kept_at.get(row[2], never)
+    ):
+        pools[service].keep(key, priority)
+    for name in kept_before.keys() | fleet.kept_room.keys():
+        if kept_before.get(name) != fleet.kept_room.get(name):
             _try_again(fleet, name)
 
 
@@ -71,6 +90,25 @@
     )
 
 
+def _list_still_kept(
+    fleet: fleet_state.FleetState, waiting: set[StepKey]
+) -> dict[str, away_history.KeptRoom]:
+    """Lists the workers that are kept free as before.
+
+    Those that were kept for long enough are given up, and their steps come
+    after others from then on.
+    """
+    still_kept = {}
+    for name, kept in fleet.kept_room.items():
+        if kept.key not in waiting or name not in fleet.workers:
+            continue
+        if fleet.now - kept.since < KEEP_S:
+            still_kept[name] = kept
+        else:
+            fleet.away.kept_at[kept.key] = fleet.now
+    return still_kept
+
+
 def has_waiting(fleet: fleet_state.FleetState, service: str) -> bool:
     """Returns whether lasting tasks wait for room on workers of a service.
 
@@ -105,9 +143,9 @@
 
 def release(fleet: fleet_state.FleetState, name: str, key: StepKey) -> None:
     """Lets other work have the room that was kept for a step's task."""
-    held = fleet.held_room.get(name)
-    if held is not None and held.key == key:
-        del fleet.held_room[name]
+    kept = fleet.kept_room.get(name)
+    if kept is not None and kept.key == key:
+        del fleet.kept_room[name]
         _try_again(fleet, name)
 
 
@@ -118,71 +156,104 @@
 
 
 class _Pool:
-    """The workers of a service that accept tasks.
+    """The workers of a service that accept tasks, at one moment.
+
+    Load pattern: thousands of steps wait, and many need the same. What is found
+    for one holds for the others.
 
     Args:
         fleet: State of the fleet's owner.
         service: Name of the service.
-        held_before: Room that was kept until now; the same workers are taken
-            again, as their room has grown since.
     """
 
-    def __init__(
-        self,
-        fleet: fleet_state.FleetState,
-        service: str,
-        held_before: dict[str, away_history.HeldRoom],
-    ) -> None:
+    def __init__(self, fleet: fleet_state.FleetState, service: str) -> None:
         self._fleet = fleet
-        self._held_before = held_before
         self._workers = worker_selection.list_accepting(
             fleet.workers.values(),
             service,
             fleet.excluded_data_centres,
             fleet.now,
         )
-        self._rooms = [
-            (worker, find_reported_room(worker)) for worker in self._workers
-        ]
-        self._left = MAX_HELD_WORKERS
+        self._rooms = list(map(find_reported_room, self._workers))
+        self._later_rooms: list[resources.Resources] | None = None
+        self._found_room: dict[tuple, bool] = {}
+        self._without_candidates: set[tuple] = set()
+        kept = sum(
+            worker.info.name in fleet.kept_room for worker in self._workers
+        )
+        self._left = MAX_KEPT_WORKERS - kept
 
     def has_room(self, key: StepKey) -> bool:
         """Returns whether a worker says that it has room for a step's task."""
         step = self._find_step(key)
-        need = worker_state.get_reserved(step)
-        return any(
-            need.fits_in(room)
-            and worker_selection.meets_constraints(worker, step, key)
-            for worker, room in self._rooms
-        )
+        kind = _find_kind(step, key)
+        found = self._found_room.get(kind)
+        if found is None:
+            need = worker_state.get_reserved(step)
+            found = self._found_room[kind] = any(
+                need.fits_in(room)
+                and worker_selection.meets_constraints(worker, step, key)
+                for worker, room in zip(self._workers, self._rooms, strict=True)
+            )
+        return found
 
-    def hold(self, key: StepKey, priority: int) -> None:
-        """Keeps the room of as many workers as a step has ready tasks."""
-        wanted = min(len(self._fleet.ready[key]), self._left)
-        if not wanted:
-            return
+    def keep(self, key: StepKey, priority: int) -> None:
+        """Keeps the room of as many workers as a step has ready tasks.
+
+        Not for a gang, which needs all of them at once, nor for what reserves
+        no processors.
+        """
         step = self._find_step(key)
-        need = worker_state.get_reserved(step)
-        candidates = sorted(
-            (
-                worker.info.name not in self._held_before,
-                -worker_state.get_available(worker).millicores,
-                worker.info.name,
+        kind = _find_kind(step, key)
+        if (
+            self._left <= 0
+            or step.gang
+            or step.best_effort
+            or kind in self._without_candidates
+        ):
+            return
+        fleet = self._fleet
+        kept = sum(room.key == key for room in fleet.kept_room.values())
+        wanted = min(len(fleet.ready[key]) - kept, self._left)
+        candidates = sorted(self._list_candidates(step, key))
+        if not candidates:
+            self._without_candidates.add(kind)
+        for _, name in candidates[:wanted]:
+            fleet.kept_room[name] = away_history.KeptRoom(
+                key, priority, worker_state.get_reserved(step), fleet.now
             )
-            for worker in self._workers
-            if worker.info.name not in self._fleet.held_room
-            and worker_selection.meets_constraints(worker, step, key)
-            and need.fits_in(_find_later_room(worker))
-        )
-        for _, _, name in candidates[:wanted]:
-            held = away_history.HeldRoom(key, priority, need)
-            self._fleet.held_room[name] = held
             self._left -= 1
 
+    def _list_candidates(
+        self, step: work.Step, key: StepKey
+    ) -> Iterator[tuple[int, str]]:
+        """Yields workers to keep, with most room last; negative millicores."""
+        if self._later_rooms is None:
+            self._later_rooms = list(map(_find_later_room, self._workers))
+        need = worker_state.get_reserved(step)
+        for worker, room in zip(self._workers, self._later_rooms, strict=True):
+            name = worker.info.name
+            if (
+                name not in self._fleet.kept_room
+                and need.fits_in(room)
+                and worker_selection.meets_constraints(worker, step, key)
+            ):
+                available = worker_state.get_available(worker)
+                yield -available.millicores, name
+
     def _find_step(self, key: StepKey) -> work.Step:
         return self._fleet.job_store.jobs[key[0]].submission.steps[key[2]]
 
 
+def _find_kind(step: work.Step, key: StepKey) -> tuple:
+    """Returns what tells steps apart that other workers could take."""
+    return (
+        worker_state.get_reserved(step),
+        step.label,
+        key if step.max_per_worker else None,
+    )
+
+
 def find_reported_room(
     worker: worker_state.WorkerState,
 ) -> resources.Resources:
@@ -217,50 +288,39 @@
     return room
 
 
-def leave_out_held(
+def is_kept_from(
     fleet: fleet_state.FleetState,
-    workers: list[worker_state.WorkerState],
+    worker: worker_state.WorkerState,
     key: StepKey,
     step: work.Step,
-    priority: int,
-) -> list[worker_state.WorkerState]:
-    """Returns the workers whose room is not kept for others than a step.
+) -> bool:
+    """Returns whether a task would use room that is kept for another step.
 
     Args:
         fleet: State of the fleet's owner.
-        workers: Workers that accept tasks of the step.
-        key: Its job id, occurrence and step number.
-        step: The step.
-        priority: Priority of its queue; more urgent work may use the room.
+        worker: The worker.
+        key: Job id, occurrence and step number of the task.
+        step: Its step. More urgent work, of a lower priority number, may use
+            the room.
     """
+    kept = fleet.kept_room.get(worker.info.name)
+    if kept is None or kept.key == key:
+        return False
+    queue = fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]])
+    if queue.priority < kept.priority:
+        return False
     reserved = worker_state.get_reserved(step)
-    return [
-        worker
-        for worker in workers
-        if (held := fleet.held_room.get(worker.info.name)) is None
-        or held.key == key
-        or priority < held.priority
-        or not _takes_from(worker, reserved, held.need)
-    ]
-
-
-def is_held_for(fleet: fleet_state.FleetState, key: StepKey) -> bool:
-    """Returns whether a worker is kept free for a step."""
-    return any(held.key == key for held in fleet.held_room.values())
-
-
-def _takes_from(
-    worker: worker_state.WorkerState,
-    reserved: resources.Resources,
-    held: resources.Resources,
-) -> bool:
-    """Returns whether a task would use what is kept free on a worker."""
     room = worker_state.get_available(worker)
     return any(
-        taken > 0 and free - taken < kept
-        for taken, free, kept in (
-            (reserved.millicores, room.millicores, held.millicores),
-            (reserved.memory_mb, room.memory_mb, held.memory_mb),
-            (reserved.accelerators, room.accelerators, held.accelerators),
+        taken > 0 and free - taken < needed
+        for taken, free, needed in (
+            (reserved.millicores, room.millicores, kept.need.millicores),
+            (reserved.memory_mb, room.memory_mb, kept.need.memory_mb),
+            (reserved.accelerators, room.accelerators, kept.need.accelerators),
         )
     )
+
+
+def is_kept_for(fleet: fleet_state.FleetState, key: StepKey) -> bool:
+    """Returns whether a worker is kept free for a step."""
+    return any(kept.key == key for kept in fleet.kept_room.values())
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -14,13 +14,12 @@
     effects,
     exclusions,
     fleet_state,
-    job_store,
     lasting_turns,
     pacing,
     ready_steps,
     start_delay,
     starvation,
-    usage,
+    step_placement,
     work,
     worker_chooser,
     worker_selection,
@@ -31,7 +30,6 @@
 # from other workers.
 UNPLACEABLE_RESET_INTERVAL_S = 0.5
 MAX_STARVED_TRIES = 4
-SUSPECT_WAIT_S = 1.0  # For a worker without other suspects.
 # Service, whether best-effort, label and image.
 StepKind = tuple[str, bool, str, str]
 
@@ -47,7 +45,7 @@
         or not fleet.placement_needed
     ):
         return []
-    if count_start_room(fleet) <= 0:
+    if step_placement.count_start_room(fleet) <= 0:
         start_delay.record_round(fleet.start_statistics, True)
         return []
     fleet.placement_needed = False
@@ -60,7 +58,7 @@
     placement_round = PlacementRound(fleet)
     effect_list: list[effects.Effect] = []
     for key in ready_steps.sort(fleet):
-        if count_start_room(fleet) <= 0:
+        if step_placement.count_start_room(fleet) <= 0:
             # The steps that are left have been tried on no worker.
             fleet.placement_needed = True
             start_delay.record_round(fleet.start_statistics, True)
@@ -74,18 +72,6 @@
     return effect_list
 
 
-def count_start_room(fleet: fleet_state.FleetState) -> float:
-    """Counts the tasks that may be placed now, so that starts do not pile up.
-
-    Load pattern: tasks are placed faster than the owner sends orders. Starts
-    that wait in line outlive their leases and keep the resources of others.
-    """
-    unrecorded = len(fleet.runs_to_record) + sum(
-        len(runs) for _, runs, _ in fleet.appends_in_flight.values()
-    )
-    return fleet.order_room - unrecorded
-
-
 class PlacementRound:
     """One pass over all ready steps.
 
@@ -140,7 +126,7 @@
             if (
                 unplaced_need is not None
                 and unplaced_need.fits_in(step.need)
-                and not lasting_turns.is_held_for(fleet, key)
+                and not lasting_turns.is_kept_for(fleet, key)
             ):
                 fleet.unplaceable_since.setdefault(key, fleet.now)
                 return []
@@ -151,10 +137,6 @@
                 for worker in workers
                 if worker.info.name != fleet.vacating_worker
             ]
-        if fleet.held_room:
-            workers = lasting_turns.leave_out_held(
-                fleet, workers, key, step, queue.priority
-            )
         if not workers:
             effect_list: list[effects.Effect] = []
             fleet.unplaceable_since.setdefault(key, fleet.now)
@@ -167,8 +149,10 @@
                 fleet.mechanisms,
                 fleet.cost_kinds,
             )
-            effect_list = place_step(fleet, chooser, job, step, key)
-            if count_start_room(fleet) <= 0:
+            effect_list = step_placement.place_step(
+                fleet, chooser, job, step, key
+            )
+            if step_placement.count_start_room(fleet) <= 0:
                 return effect_list  # Workers may have room for the others.
         if key in fleet.ready and step.target_ms:
             self._abandon_vacating(step, key)
@@ -209,7 +193,7 @@
         fleet = self._fleet
         effect_list: list[effects.Effect] = []
         for key, workers, tasks in exclusions.list_probes(fleet):
-            if count_start_room(fleet) <= 0:
+            if step_placement.count_start_room(fleet) <= 0:
                 break
             if exclusions.find_step(fleet, key).gang:
                 service = exclusions.find_service(fleet, key)
@@ -233,7 +217,7 @@
             fleet.mechanisms,
             fleet.now,
         )
-        return place_step(fleet, chooser, job, step, key, 1)
+        return step_placement.place_step(fleet, chooser, job, step, key, 1)
 
     def _place_on(
         self,
@@ -253,7 +237,9 @@
             fleet.mechanisms,
             fleet.cost_kinds,
         )
-        return place_step(fleet, chooser, job, step, key, max_tasks)
+        return step_placement.place_step(
+            fleet, chooser, job, step, key, max_tasks
+        )
 
     def _make_predictor(
         self, step: work.Step
@@ -287,119 +273,8 @@
         return accepting_workers
 
 
-def place_step(
-    fleet: fleet_state.FleetState,
-    chooser: worker_chooser.WorkerChooser | starvation.Chooser,
-    job: job_store.Job,
-    step: work.Step,
-    key: worker_chooser.StepKey,
-    max_tasks: int | None = None,
-) -> list[effects.Effect]:
-    """Places tasks of one step on workers; a gang is placed whole or not.
-
-    Args:
-        fleet: State of the fleet's owner.
-        chooser: Chooses the worker of each task.
-        job: The job.
-        step: The step.
-        key: Its job id, occurrence and step number.
-        max_tasks: How many tasks to place at most, None for all.
-    """
-    tasks = job.occurrences[key[1]][key[2]]
-    indexes = sorted(fleet.ready[key])[:max_tasks]
-    if step.gang and len(indexes) < len(tasks):
-        return []
-    if not step.gang:
-        start_room = max(0, count_start_room(fleet))
-        indexes = indexes[: int(min(len(indexes), start_room))]
-    attempt = max(task.attempt for task in tasks) + 1 if step.gang else 0
-    placements: list[tuple[worker_state.WorkerState, worker_state.Run]] = []
-    expected_millicores = usage.expect_millicores(fleet.usage_model, step)
-    waited_s = fleet.now - fleet.unplaceable_since.get(key, fleet.now)
-    for index in indexes:
-        task = tasks[index]
-        name = work.TaskName(key[0], key[1], key[2], index)
-        worker = chooser.choose(
-            fleet.failed_on.get(name),
-            task.is_suspect,
-            waited_s >= SUSPECT_WAIT_S,
-        )
-        if worker is None:
-            fleet.unplaceable_since.setdefault(key, fleet.now)
-            if task.is_suspect and not step.gang:
-                continue  # Others need no worker without suspects.
-            break
-        task.phase = job_store.Phase.PLACED
-        task.attempt = attempt or task.attempt + 1
-        task.worker_name = worker.info.name
-        task.incarnation_ms = worker.incarnation_ms
-        run = worker_state.Run(name, job, task, fleet.now, False)
-        if fleet.mechanisms.measured_use:
-            run.expected_millicores = expected_millicores
-        worker_state.add_run(worker, run)
-        chooser.update_rank(worker)
-        placements.append((worker, run))
-    if step.gang and len(placements) < len(tasks):
-        for worker, run in placements:
-            worker_state.remove_run(worker, run)
-            run.task.phase = job_store.Phase.QUEUED
-            run.task.worker_name = ""
-        return []
-    return (
-        _record_placements(fleet, job, step, key, placements)
-        if placements
-        else []
-    )
-
-
 def _has_suspects(
     fleet: fleet_state.FleetState, key: worker_chooser.StepKey
 ) -> bool:
     tasks = fleet.job_store.jobs[key[0]].occurrences[key[1]][key[2]]
     return any(tasks[index].is_suspect for index in fleet.ready[key])
-
-
-def _record_placements(
-    fleet, job, step, key, placements
-) -> list[effects.Effect]:
-    """Updates the job after placements and queues them for the log.
-
-    Args:
-        fleet: State of the fleet's owner.
-        job: The job.
-        step: The step.
-        key: Its job id, occurrence and step number.
-        placements: Pairs of worker and run.
-    """
-    fleet.ready[key] -= {run.name.index for _, run in placements}
-    if not fleet.ready[key]:
-        del fleet.ready[key]
-        fleet.unplaceable_since.pop(key, None)
-    first_start_fields = {}
-    if job.state is job_store.State.QUEUED:
-        job.state = job_store.State.ACTIVE
-        fleet.changed_jobs[key[0]] = None
-        if not job.submission.occurrence_count:
-            first_start_fields["first_ms"] = (
-                fleet.wall_ms - job.submission.accepted_ms
-            )
-            first_start_fields["queue"] = job.submission.queue.name
-    for worker, run in placements:
-        fleet_state.mark_task_changed(fleet, run.name)
-        lasting_turns.release(fleet, worker.info.name, key)
-    fleet.runs_to_record += [run for _, run in placements]
-    return [
-        fleet_state.make_log_note(
-            "placing",
-            "placed",
-            key[0],
-            time=key[1],
-            step=key[2],
-            tasks=[
-                (run.name.index, run.attempt, worker.info.name)
-                for worker, run in placements
-            ],
-            left=len(fleet.ready.get(key, ())),
-            **first_start_fields,
-        )
-    ]
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -18,6 +18,7 @@
     fleet_state,
     grants,
     job_store,
+    lasting_turns,
     orders,
     placement_rounds,
     ranking,
@@ -259,6 +260,7 @@
         effect_list.append(_make_load_note(fleet))
         effect_list += waiting.make_notes(fleet)
     effect_list += away_tasks.review(fleet)
+    lasting_turns.review(fleet)
     effect_list += crashes.forget_gone(fleet)
     effect_list += consolidation.review_consolidation(fleet)
     return effect_list + retention.drop_expired_jobs(fleet)
--- a/poplarspindle/fleet/starvation.py
+++ b/poplarspindle/fleet/starvation.py
@@ -155,6 +155,12 @@
             (self._choose_best(group) for group in groups if group), None
         )
 
+    def leave_out(self, worker: worker_state.WorkerState) -> None:
+        """Chooses a worker no more."""
+        self._workers = [
+            other for other in self._workers if other is not worker
+        ]
+
     def update_rank(self, worker: worker_state.WorkerState) -> None:
         """Records that a starved task was placed on a worker."""
         worker.starved_started_at = self._now
--- a/poplarspindle/fleet/worker_chooser.py
+++ b/poplarspindle/fleet/worker_chooser.py
@@ -168,6 +168,17 @@
         )
         return next((worker for worker in found if worker is not None), None)
 
+    def leave_out(self, worker: worker_state.WorkerState) -> None:
+        """Chooses a worker no more."""
+        self._workers = [
+            other for other in self._workers if other is not worker
+        ]
+        if self._heap is not None:
+            self._heap = [
+                entry for entry in self._heap if entry[2] is not worker
+            ]
+            heapq.heapify(self._heap)
+
     def update_rank(self, worker: worker_state.WorkerState) -> None:
         """Ranks a worker again after a task was placed on it."""
         if self._step.one_rack and not self._rack:
--- a/poplarspindle/tests/test_lasting_starvation.py
+++ b/poplarspindle/tests/test_lasting_starvation.py
@@ -1,5 +1,7 @@
 """LOST: tasks that last wait while work that ends by itself keeps arriving."""
 
+import dataclasses
+
 import pytest
 
 from poplarspindle import resources
@@ -135,7 +137,7 @@
     world.run(lasting_turns.TURN_AFTER_S)
     done = count_done(world)
     world.run(PER_KEPT_WORKER_S)
-    cores = 8 * (len(world.workers) - lasting_turns.MAX_HELD_WORKERS)
+    cores = 8 * (len(world.workers) - lasting_turns.MAX_KEPT_WORKERS)
     assert count_done(world) - done > 0.6 * cores * PER_KEPT_WORKER_S / RUN_S
 
 
@@ -155,18 +157,13 @@
     world.submit(LASTING, make_step(40, 3000, until_cancelled=True))
     world.run(lasting_turns.TURN_AFTER_S + CALM_S)
     fleet = world.fleet
-    held = next(iter(fleet.held_room.values()))
-    workers = list(fleet.workers.values())
-    step = make_step(1, 1000)
-    left = {
-        priority: len(
-            lasting_turns.leave_out_held(
-                fleet, workers, ("x", 0, 0), step, priority
-            )
+    name, kept = next(iter(fleet.kept_room.items()))
+    worker, step = fleet.workers[name], make_step(8, 1000)
+    found = {}
+    for priority in (kept.priority - 1, kept.priority):
+        queue = dataclasses.replace(world.queue, priority=priority)
+        fleet.configuration = work.Configuration(2, {"q": queue})
+        found[priority] = lasting_turns.is_kept_from(
+            fleet, worker, ("0" * 16, 0, 0), step
         )
-        for priority in (held.priority - 1, held.priority)
-    }
-    assert left == {
-        held.priority - 1: 4,
-        held.priority: 4 - len(fleet.held_room),
-    }
+    assert found == {kept.priority - 1: False, kept.priority: True}
--- a/poplarspindle/tests/test_review_of_turns.py
+++ b/poplarspindle/tests/test_review_of_turns.py
@@ -107,11 +107,13 @@
     fleet = world.fleet
     need = resources.Resources(3000, 3000, 0)
     (name,) = fleet.workers
-    fleet.held_room[name] = away_history.HeldRoom((OLDEST, 0, 0), 0, need)
-    fleet.away.reviewed_at = fleet.now + RUN_S  # Keeps it for this test.
+    fleet.kept_room[name] = away_history.KeptRoom(
+        (OLDEST, 0, 0), 0, need, fleet.now
+    )
+    fleet.away.turns_reviewed_at = fleet.now + RUN_S  # Keeps it for this test.
     world.submit(LASTING, make_step(CORES, 1000))
     world.run(4 * fleets.TICK_S)
-    assert list(fleet.held_room) == [name]
+    assert list(fleet.kept_room) == [name]
     assert len(list_running(world, LASTING)) == CORES - 3
 
 
@@ -178,6 +180,7 @@
         world.submit(f"{number:016x}", make_lasting(1, millicores))
     world.run(lasting_turns.TURN_AFTER_S + SETTLED_S)
     looked.clear()
+    world.fleet.away.turns_reviewed_at = float("-inf")
     lasting_turns.review(world.fleet)
     assert len(looked) <= len(world.workers)
 
--- a/poplarspindle/tools/fakes/at_work.py
+++ b/poplarspindle/tools/fakes/at_work.py
@@ -69,6 +69,7 @@
         self._lasting: dict[str, None] = {}
         self._submitted_at = world.now
         self._ran_at: dict[work.TaskName, float] = {}
+        self._turn_at: dict[StepKey, float] = {}
         self._room_since: dict[tuple, float] = {}
         self._known: set[tuple] = set()
 
@@ -139,6 +140,9 @@
             if step.until_cancelled:
                 due_ms = find_due_ms(job.submission, name.occurrence)
                 due_at = world.now - (world.wall_ms() - due_ms) / 1000
+                if step.prerequisites:
+                    # Its turn came when the steps before it were done.
+                    due_at = self._turn_at.setdefault(_get_key(name), world.now)
                 away_s = world.now - max(due_at, self._ran_at.get(name, due_at))
                 if away_s > 0:
                     yield name, step, away_s
