--- a/poplarspindle/tests/test_at_work.py
+++ b/poplarspindle/tests/test_at_work.py
@@ -25,8 +25,9 @@
 LONG_S = 30.0
 EXCLUSION_S = 24.0
 LASTING = "a" * 16
-BUSY_WORKERS = 10
-RUN_S = 0.2  # Of work that ends by itself.
+BUSY_WORKERS = 4
+RUN_S = 0.3  # Of work that ends by itself.
+APPEND_S = 0.1  # Of a store that is slow.
 
 
 def make_lasting(tasks=1, **options):
@@ -157,7 +158,8 @@
 def test_lasting_task_waits_behind_work_that_ends(has_turns, monkeypatch):
     """Work of the same priority arrives faster than it can run.
 
-    Between two runs a processor is free; on so many there is always room.
+    Between two runs a processor is free for as long as the store takes; on
+    all workers together there is always room.
     """
     if not has_turns:
         monkeypatch.setattr(
@@ -167,6 +169,7 @@
     world = fleets.World(
         1, BUSY_WORKERS, run_s=lambda rng: RUN_S * rng.uniform(0.6, 1.4)
     )
+    world.append_s = APPEND_S
     numbers = itertools.count()
 
     def arrive():
--- a/poplarspindle/tools/fakes/calm.py
+++ b/poplarspindle/tools/fakes/calm.py
@@ -52,6 +52,8 @@
         Returns:
             For how long it has been calm, seconds; 0 at most while it is not.
         """
+        if not self._seen:
+            self._append_s = self._world.append_s
         seen = self._describe()
         if seen != self._seen or self._is_disturbed():
             self._seen = seen
