Tell a worker's next life at once to stop what is in doubt

A task whose start got no answer waited for a second or two longer than it had to after its worker crashed, beside room on others.

Cause: after a stop is answered the next one waits for a second. That pause was kept when another life of the worker reported, which has to be told itself. Then its answer came after the next look at the worker had begun, and that look takes another second.

The pause now ends with the life that answered. Nothing is given up sooner than proven: the run still needs the next life's answer to a stop and a later report that does not list it.

--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -125,6 +125,7 @@
         ):
             # The earlier incarnation's answer does not stop a late start here.
             run.answered_at = float("inf")
+            run.stop_after = fleet.now
             effect_list += fleet_state.stop_run(fleet, worker, run)
         else:
             effect_list += fleet_state.requeue_lost_run(
