Judge waiting work of walks in calm; deadly walks end clean

Cause: the judge of the walks. It looked for 3 s at one time, 20 s after the last fault, whether or not deadly tasks went on to crash workers. While it is down nothing proves its death. The rule judges 3 s of calm after 4 s of calm.

The check was wrong, so it is replaced by one that is as strict: it looks in the first stretch without a crash for 4 s before and during the looks, and a walk in which workers crash for a minute on end is a fault. Walks without late crashes are judged at the same moment as before.

--- a/poplarspindle/tools/fakes/walks.py
+++ b/poplarspindle/tools/fakes/walks.py
@@ -19,6 +19,8 @@
 JOBS = 14
 CHECK_TICKS = 10
 IDLE_LOOKS = 60  # Over 3 s.
+CALM_S = 4.0  # Without a crash, before the looks.
+MAX_CRASHES_S = 60.0  # Deadly tasks are given up long before.
 FAILING_SHARE = 0.25  # Of the runs of jobs that may fail.
 
 
@@ -214,7 +216,7 @@
     if plan.cut_late:
         late_strikes.end_cuts(world)
     _recover(world)
-    lost_tasks.update(dict.fromkeys(bookkeeping.list_idle(world, IDLE_LOOKS)))
+    lost_tasks.update(dict.fromkeys(_list_idle_in_calm(world)))
     _end_lasting_jobs(world)
     return world, list(lost_tasks)
 
@@ -304,6 +306,29 @@
     world.run(20)
 
 
+def _list_idle_in_calm(world: fleets.World) -> list[str]:
+    """Looks for work that waits, in the first stretch without a crash.
+
+    Deadly tasks go on to crash workers until they are given up. What a worker
+    ran waits for its next life or its leases meanwhile, beside room on others.
+    """
+    until = world.now + MAX_CRASHES_S
+    while world.now < until:
+        crashed_at = _find_last_crash(world)
+        if world.now < crashed_at + CALM_S:
+            world.run(bookkeeping.LOOK_INTERVAL_S)
+            continue
+        found = bookkeeping.list_idle(world, IDLE_LOOKS)
+        if _find_last_crash(world) == crashed_at:
+            return found
+    return ["workers crash without end"]
+
+
+def _find_last_crash(world: fleets.World) -> float:
+    """Returns when a worker last crashed or came back after that."""
+    return max(worker.born_at for worker in world.workers.values())
+
+
 def _end_lasting_jobs(world: fleets.World) -> None:
     # Tasks that last may hold all room; the rest has to end without them.
     for job in list(world.fleet.job_store.jobs.values()):
