Tries on excluded workers are not put off by jobs that always fail

Callers saw LOST in the virtual fleet: jobs that fail everywhere, then workers that fail all runs for half a second: a lasting task is away for 7.40 s after the last disturbance with eight workers, 7 s allowed, 23.55 s on with four (the row run_poison_and_fail of test_bounded_waits).

Cause: a failed try of a job that always fails put the next try, of another job too, off by 3 s, and ended the proof of a run at work.

Why it works: a job that failed on a worker before tells nothing by failing there again, so it puts off the tries of such jobs alone. Tries follow a failure by 1.5 s, an interval of their own: they cost no attempt, are one at a time, and leave exclusion and proof as they are.

--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -25,6 +25,8 @@
 MAX_FAILING_JOBS = 2
 FIRST_EXCLUSION_S = 3.0
 MAX_EXCLUSION_S = 24.0
+PROBE_INTERVAL_S = 1.5  # From a failure on a worker to the next try there.
+PROOF_S = FIRST_EXCLUSION_S  # At work for so long, a run proves its worker.
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
 
 
@@ -54,10 +56,12 @@
     if end_reason is not work.EndReason.FAILED:
         return []
     fleet.failed_on.setdefault(run.name, set()).add(worker.info.name)
-    worker.failing_jobs.add(run.name.job)
     # Nothing but probes is placed there while it is excluded.
     is_probe = worker.excluded_at < run.placed_at < worker.excluded_until
-    worker.failed_at = fleet.now
+    worker.probe_failed_at = fleet.now
+    if not (is_probe and run.name.job in worker.failing_jobs):
+        worker.failed_at = fleet.now
+    worker.failing_jobs.add(run.name.job)
     if (
         is_probe
         or not fleet.mechanisms.exclude_failing
@@ -91,13 +95,14 @@
 
     The run was placed after the last failure there, as a worker may go on with
     what it runs and fail all that it starts. It has been at work for as long as
-    the first exclusion lasts.
+    the first exclusion lasts. A failed try of a job that had failed there tells
+    nothing against it.
     """
     if (
         not worker.exclusion_s
         or not run.step.until_cancelled
         or run.placed_at < worker.failed_at
-        or fleet.now - run.first_seen_at < FIRST_EXCLUSION_S
+        or fleet.now - run.first_seen_at < PROOF_S
     ):
         return []
     _reset(worker)
@@ -134,7 +139,7 @@
         for worker in fleet.workers.values()
         if now < worker.excluded_until
         and now >= worker.no_placement_until
-        and now - worker.failed_at >= FIRST_EXCLUSION_S
+        and now - worker.failed_at >= PROBE_INTERVAL_S
     ]
     if not workers:
         return
@@ -144,8 +149,7 @@
         untried = [
             worker
             for worker in workers
-            if (key[0] in worker.failing_jobs) <= has_failed
-            and not _is_tried(worker)
+            if _may_try(fleet, worker, key[0], has_failed)
             and worker_selection.may_be_given_work(
                 worker, service, fleet.excluded_data_centres
             )
@@ -170,8 +174,24 @@
     return fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]]).service
 
 
-def _is_tried(worker: worker_state.WorkerState) -> bool:
-    """Returns whether a run was placed on a worker since the last failure."""
-    return any(
+def _may_try(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    job: str,
+    has_failed: bool,
+) -> bool:
+    """Returns whether a task of a job may be tried on a worker now.
+
+    Args:
+        fleet: State of the fleet.
+        worker: State of the worker.
+        job: The job's id.
+        has_failed: Whether jobs are tried that failed there.
+    """
+    if job in worker.failing_jobs and not (
+        has_failed and fleet.now - worker.probe_failed_at >= PROBE_INTERVAL_S
+    ):
+        return False
+    return not any(
         run.placed_at >= worker.failed_at for run in worker.runs.values()
     )
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -153,7 +153,9 @@
             refused or did not answer.
         excluded_until: The same, as runs failed on it; see `exclusions`.
         excluded_at: When it was last excluded for that.
-        failed_at: When a run last failed on it.
+        failed_at: When a run last failed on it, without tries of jobs that had
+            failed there.
+        probe_failed_at: The same with these.
         may_accept_more: Whether it may accept more than in the last placement
             round.
         failing_jobs: Jobs that had a run fail on it since it last completed a
@@ -218,6 +220,7 @@
     excluded_until: float = float("-inf")
     excluded_at: float = float("-inf")
     failed_at: float = float("-inf")
+    probe_failed_at: float = float("-inf")
     may_accept_more: bool = True
     failing_jobs: set[str] = dataclasses.field(default_factory=set)
     exclusion_s: float = 0.0
