--- a/poplarspindle/fleet/away_history.py
+++ b/poplarspindle/fleet/away_history.py
@@ -37,6 +37,7 @@
         lines_at: When some of them were last logged.
         turns_reviewed_at: When turns were last chosen.
         kept_at: When a worker was last kept for a step in vain, by the same.
+        tried_at: When a step was last tried on excluded workers, by the same.
         turns: Since when steps are away that go before other work, by job id,
             occurrence and step number; see `lasting_turns`.
     """
@@ -51,6 +52,9 @@
     kept_at: dict[tuple[str, int, int], float] = dataclasses.field(
         default_factory=dict
     )
+    tried_at: dict[tuple[str, int, int], float] = dataclasses.field(
+        default_factory=dict
+    )
     turns: dict[tuple[str, int, int], float] = dataclasses.field(
         default_factory=dict
     )
--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -26,9 +26,11 @@
 MAX_FAILING_JOBS = 2
 FIRST_EXCLUSION_S = 3.0
 MAX_EXCLUSION_S = 24.0
-# A lasting task may wait for three seconds beside room, that of a worker that
-# is excluded included.
+# From a failure on a worker to the next try there, and from a try to others. A
+# lasting task may wait for three seconds beside room, also that of an excluded
+# worker.
 PROBE_INTERVAL_S = 1.0
+PROOF_S = FIRST_EXCLUSION_S  # At work for so long, a run proves its worker.
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
 
 
@@ -58,10 +60,12 @@
     if end_reason is not work.EndReason.FAILED:
         return []
     fleet.failed_on.setdefault(run.name, set()).add(worker.info.name)
-    worker.failing_jobs.add(run.name.job)
     # Nothing but probes is placed there while it is excluded.
     is_probe = worker.excluded_at < run.placed_at < worker.excluded_until
-    worker.failed_at = fleet.now
+    worker.probe_failed_at = fleet.now
+    if not (is_probe and run.name.job in worker.failing_jobs):
+        worker.failed_at = fleet.now
+    worker.failing_jobs.add(run.name.job)
     if (
         is_probe
         or not fleet.mechanisms.exclude_failing
@@ -95,13 +99,14 @@
 
     The run was placed after the last failure there, as a worker may go on with
     what it runs and fail all that it starts. It has been at work for as long as
-    the first exclusion lasts.
+    the first exclusion lasts. A failed try of a job that had failed there tells
+    nothing against it.
     """
     if (
         not worker.exclusion_s
         or not run.step.until_cancelled
         or run.placed_at < worker.failed_at
-        or fleet.now - run.first_seen_at < FIRST_EXCLUSION_S
+        or fleet.now - run.first_seen_at < PROOF_S
     ):
         return []
     _reset(worker)
@@ -130,8 +135,8 @@
 
     A step that is still ready found no room elsewhere. One task is tried first,
     and others follow once it stays at work. A job that failed on a worker may
-    be at fault itself, so it comes last there. A gang is tried whole, on
-    several workers at once.
+    be at fault itself, so it comes last there. Steps take turns. A gang is
+    tried whole, on several workers at once.
     """
     now = fleet.now
     workers = [
@@ -143,7 +148,11 @@
     ]
     if not workers:
         return
+    tried_at = fleet.away.tried_at = {
+        key: at for key, at in fleet.away.tried_at.items() if key in fleet.ready
+    }
     keys = [key for key in fleet.ready if _is_lasting(fleet, key)]
+    keys.sort(key=lambda key: tried_at.get(key, float("-inf")))
     for has_failed, key in itertools.product((False, True), keys):
         if key not in fleet.ready:
             continue
@@ -151,12 +160,14 @@
         allowed = [
             (worker, _count_allowed(worker, now, len(fleet.ready[key])))
             for worker in workers
-            if (key[0] in worker.failing_jobs) <= has_failed
+            if _may_try(fleet, worker, key[0], has_failed)
             and worker_selection.may_be_given_work(
                 worker, service, fleet.excluded_data_centres
             )
         ]
         tried = [worker for worker, tasks in allowed if tasks]
+        if tried:
+            tried_at[key] = now
         if find_step(fleet, key).gang:
             yield key, tried, len(fleet.ready[key])
             continue
@@ -179,6 +190,25 @@
     return fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]]).service
 
 
+def _may_try(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    job: str,
+    has_failed: bool,
+) -> bool:
+    """Returns whether a task of a job may be tried on a worker now.
+
+    Args:
+        fleet: State of the fleet.
+        worker: State of the worker.
+        job: The job's id.
+        has_failed: Whether jobs are tried that failed there.
+    """
+    return job not in worker.failing_jobs or (
+        has_failed and fleet.now - worker.probe_failed_at >= PROBE_INTERVAL_S
+    )
+
+
 def _count_allowed(
     worker: worker_state.WorkerState, now: float, ready: int
 ) -> int:
