Expect an owner before's late start in a worker's next life too

A start of the owner before is late and its repeat was answered; the worker answers the next owner and begins another life behind a cut, and that life, which has seen no fence, carries the start out while the task runs on another worker.

Cause: rule_out_earlier_owners ended the wait for such a start once the worker had answered the present owner. The fence that makes it refuse the start is that of the life that answered, not of the worker.

The answer now ends nothing. As after a start of its own without an answer, the owner waits for the run's end, for the next life's report or for the worker's death by list and inventory. A worker that is heard holds nothing back, and runs whose starts the log tells to be answered are not waited for.

--- a/poplarspindle/fleet/late_starts.py
+++ b/poplarspindle/fleet/late_starts.py
@@ -4,13 +4,13 @@
 of a late start may count from its arrival. So while that is possible, the run
 stays placed on its worker, and its task is placed nowhere else. The wait ends
 early if the worker lists the end of the run or refuses its start, if another
-incarnation of the worker answers, if the worker answers a later owner, whose
-epoch makes it refuse the starts of earlier ones, or if the worker is gone. A
-worker that comes back after all is ordered to stop such a run before anything
-else, so that it refuses the start.
+incarnation of the worker answers, or if the worker is gone. A worker that comes
+back after all is ordered to stop such a run before anything else, so that it
+refuses the start.
 
-A higher fencing token of the same owner does not end the wait: the worker may
-begin another incarnation, and one that nobody has spoken to refuses nothing.
+A higher fencing token does not end the wait, neither of the same owner nor of
+a later one that the worker answered: it may begin another incarnation, and one
+that nobody has spoken to refuses nothing.
 """
 
 import typing
@@ -57,16 +57,13 @@
 ) -> None:
     """Records that a worker answered under this epoch.
 
-    From then on it refuses the starts and polls that earlier owners sent. Late
-    ones may have been carried out just before that.
+    From then on this incarnation refuses the starts and polls that earlier
+    owners sent. Late ones may have been carried out just before that.
     """
     if worker.runs:
         worker.leases_end_at = worker_state.find_longest_lease_end(
             fleet.now, fleet.lease_most_ms
         )
-    for run in worker.runs.values():
-        if not run.unanswered_starts:
-            run.may_run_late_until = float("-inf")
 
 
 def may_run_late(run: worker_state.Run, now: float) -> bool:
--- a/poplarspindle/tests/test_crash_waits.py
+++ b/poplarspindle/tests/test_crash_waits.py
@@ -111,6 +111,27 @@
     assert world.list_violations() == []
 
 
+@pytest.mark.parametrize("heard_s", [0.3, 1.0, 3.0])
+@pytest.mark.parametrize("placed_s", [0.02, 0.1, 0.2, 0.3, 1.0])
+def test_task_of_a_worker_that_dies_after_a_change_of_owner_runs(
+    placed_s, heard_s
+):
+    """LOST: a start of the owner before may be late, so its task waits.
+
+    That ends once list and inventory show that the worker is dead.
+    """
+    world = make_world(crashing.Crashes(down_s=1e6, renamed=False))
+    world.run(1)
+    world.submit(JOB, work.Step(1, CORE, 500, until_cancelled=True))
+    run_until(world, lambda: count_running(world))
+    world.run(placed_s)
+    world.take_over()
+    world.run(heard_s)
+    find_worker(world).go_down()
+    run_until(world, lambda: count_running(world))
+    assert world.list_violations() == []
+
+
 def list_stops(world):
     """Lists the runs that are being stopped."""
     return [
--- a/poplarspindle/tests/test_next_life_starts.py
+++ b/poplarspindle/tests/test_next_life_starts.py
@@ -13,10 +13,10 @@
 JOB = "f" * 16
 
 
-@pytest.mark.parametrize("new_owner", [False, True])
+@pytest.mark.parametrize("owners", [0, 1, 2])
 @pytest.mark.parametrize("step", late.STEPS)
 def test_late_start_of_an_owner_before_begins_a_run_in_the_next_life(
-    step, new_owner
+    step, owners
 ):
     """TWICE: the next owner heard the life before, and waits for leases."""
     world = fleets.World(
@@ -36,8 +36,9 @@
     world.run(1.0)
     worker = world.workers["w0"]
     assert late.count_at_work(worker, JOB) == late.TASKS
-    if new_owner:
+    for _ in range(owners):
         world.take_over()
+        world.run(1.0)
     world.run(1.0)
     worker.crash()
     worker.fencing_epoch = 1  # An owner long gone spoke to this life.
