--- a/poplarspindle/tools/explorer/fixed.py
+++ b/poplarspindle/tools/explorer/fixed.py
@@ -41,6 +41,13 @@
             ("reborn", "owner-replaced"),
         ),
     ),
+    "lasting-in-calm": Part(
+        "lasting-in-calm",
+        (
+            ("start-lost",),
+            ("cut-5", "owner-replaced", "owner-killed"),
+        ),
+    ),
     "forgotten-ends": Part(
         "chain", (("acknowledgement-late-3",), ("reborn",), ("cut-5",))
     ),
--- a/poplarspindle/tools/explorer/works.py
+++ b/poplarspindle/tools/explorer/works.py
@@ -8,6 +8,7 @@
 CORE = resources.Resources(1000, 1000, 0)
 SHORT_S = 0.6
 LONG_S = 30.0  # Longer than any lease that an owner may reckon with.
+CALM_S = 20.0  # Two disturbances and the calm in which work has to run.
 FIRST_JOB, SECOND_JOB = "a" * 16, "b" * 16
 
 
@@ -43,6 +44,9 @@
     "lasting": Work(
         (_make_step(until_cancelled=True),), LONG_S, cancelled_at_s=LONG_S / 2
     ),
+    "lasting-in-calm": Work(
+        (_make_step(until_cancelled=True),), LONG_S, cancelled_at_s=CALM_S
+    ),
     "failing": Work((_make_step(),), SHORT_S, fails_first=True),
     "two-jobs": Work((_make_step(),), LONG_S, second_at_s=0.8),
 }
