--- a/poplarspindle/fleet/consolidation.py
+++ b/poplarspindle/fleet/consolidation.py
@@ -6,7 +6,8 @@
 worker, although every worker has free processors. One worker at a time is
 vacated: its latency-critical tasks are stopped one by one and placed again
 beside other latency-critical tasks, each only while all other tasks of its step
-are running. A pool in which lasting tasks wait for room is left as it is.
+are running. None is vacated while it
+is the turn of lasting tasks that wait, as what is stopped takes their room.
 """
 
 import collections
@@ -46,7 +47,7 @@
     if (
         fleet.now >= fleet.vacating_until
         or not worker.latency_critical_millicores
-        or lasting_turns.has_waiting(fleet, worker.info.service)
+        or lasting_turns.has_turn(fleet, worker.info.service)
     ):
         fleet.vacating_worker = ""
         worker.may_accept_more = True
@@ -74,7 +75,7 @@
     fleet.vacate_chosen_at = fleet.now
     waiting_by_service = count_waiting_millicores(fleet)
     for service, waiting_millicores in waiting_by_service.items():
-        if lasting_turns.has_waiting(fleet, service):
+        if lasting_turns.has_turn(fleet, service):
             continue
         workers = [
             worker
--- a/poplarspindle/fleet/lasting_turns.py
+++ b/poplarspindle/fleet/lasting_turns.py
@@ -109,38 +109,16 @@
     return still_kept
 
 
-def has_waiting(fleet: fleet_state.FleetState, service: str) -> bool:
-    """Returns whether lasting tasks wait for room on workers of a service.
-
-    Tasks that no worker could ever take do not count.
-    """
-    workers = [
-        worker
-        for worker in fleet.workers.values()
-        if worker.listed and worker.info.service == service
-    ]
+def has_turn(fleet: fleet_state.FleetState, service: str) -> bool:
+    """Returns whether it is the turn of lasting tasks of a service."""
+    jobs = fleet.job_store.jobs
     return any(
-        worker_state.get_reserved(step).fits_in(worker.info.capacity)
-        and worker_selection.meets_constraints(worker, step, key)
-        for key, step in _list_lasting(fleet, service)
-        for worker in workers
+        key in fleet.ready
+        and fleet_state.find_queue(fleet, jobs[key[0]]).service == service
+        for key in fleet.away.turns
     )
 
 
-def _list_lasting(
-    fleet: fleet_state.FleetState, service: str
-) -> Iterator[tuple[StepKey, work.Step]]:
-    """Yields the ready steps of a service that last."""
-    for key in fleet.ready:
-        job = fleet.job_store.jobs[key[0]]
-        step = job.submission.steps[key[2]]
-        if (
-            step.until_cancelled
-            and fleet_state.find_queue(fleet, job).service == service
-        ):
-            yield key, step
-
-
 def release(fleet: fleet_state.FleetState, name: str, key: StepKey) -> None:
     """Lets other work have the room that was kept for a step's task."""
     kept = fleet.kept_room.get(name)
