--- a/poplarspindle/fleet/consolidation.py
+++ b/poplarspindle/fleet/consolidation.py
@@ -6,8 +6,8 @@
 worker, although every worker has free processors. One worker at a time is
 vacated: its latency-critical tasks are stopped one by one and placed again
 beside other latency-critical tasks, each only while all other tasks of its step
-are running. None is vacated while it
-is the turn of lasting tasks that wait, as what is stopped takes their room.
+are running. None is vacated while it is the turn of lasting tasks that wait, as
+what is stopped would take their room.
 """
 
 import collections
