--- a/poplarspindle/tests/test_series.py
+++ b/poplarspindle/tests/test_series.py
@@ -64,8 +64,7 @@
 
 
 def test_walk_without_turns_for_what_lasts_is_found(monkeypatch):
-    monkeypatch.setattr(lasting_turns, "find_overdue_since", lambda *row: None)
-    monkeypatch.setattr(lasting_turns, "hold_room", lambda fleet: None)
+    monkeypatch.setattr(lasting_turns, "review", lambda fleet: None)
     faults = series.list_faults(BUSY_SEED, PLANS["busy"])
     assert faults
     line = f"{invariants.LINE}{invariants.Invariant.AT_WORK} "
