--- a/poplarspindle/fleet/away_history.py
+++ b/poplarspindle/fleet/away_history.py
@@ -5,20 +5,22 @@
 from poplarspindle import resources
 from poplarspindle.fleet import work
 
+StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeptRoom:
     """Room of a worker that is kept free for a task; see `lasting_turns`.
 
     Attributes:
-        key: Job id, occurrence and step number of the task.
+        key: The task's step.
         priority: Priority of the task's queue; work that is more urgent may
             use the room.
         need: What the task reserves.
         since: Since when it is kept, on the owner's monotonic clock.
     """
 
-    key: tuple[str, int, int]
+    key: StepKey
     priority: int
     need: resources.Resources
     since: float
@@ -35,11 +37,12 @@
         logged_at: When each of them was last logged.
         reviewed_at: When it was last looked which these are.
         lines_at: When some of them were last logged.
-        turns_reviewed_at: When turns were last chosen.
-        kept_at: When a worker was last kept for a step in vain, by the same.
-        tried_at: When a step was last tried on excluded workers, by the same.
-        turns: Since when steps are away that go before other work, by job id,
-            occurrence and step number; see `lasting_turns`.
+        turns: Since when steps are away that go before other work, by step;
+            see `lasting_turns`.
+        turns_reviewed_at: When these were last chosen.
+        kept_at: When room was last kept in vain, by step.
+        tried_at: When a task was last tried on an excluded worker, by step;
+            see `exclusions`.
     """
 
     since: dict[work.TaskName, float] = dataclasses.field(default_factory=dict)
@@ -48,13 +51,7 @@
     )
     reviewed_at: float = float("-inf")
     lines_at: float = float("-inf")
+    turns: dict[StepKey, float] = dataclasses.field(default_factory=dict)
     turns_reviewed_at: float = float("-inf")
-    kept_at: dict[tuple[str, int, int], float] = dataclasses.field(
-        default_factory=dict
-    )
-    tried_at: dict[tuple[str, int, int], float] = dataclasses.field(
-        default_factory=dict
-    )
-    turns: dict[tuple[str, int, int], float] = dataclasses.field(
-        default_factory=dict
-    )
+    kept_at: dict[StepKey, float] = dataclasses.field(default_factory=dict)
+    tried_at: dict[StepKey, float] = dataclasses.field(default_factory=dict)
--- a/poplarspindle/fleet/away_tasks.py
+++ b/poplarspindle/fleet/away_tasks.py
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Hold:
+class Obstacle:
     """What holds a task that does not run.
 
     Attributes:
@@ -76,44 +76,55 @@
 def _list_away(
     fleet: fleet_state.FleetState, is_first_review: bool
 ) -> Iterator[tuple[work.TaskName, float]]:
-    """Yields lasting tasks that are not known to run, and since when.
-
-    A new owner does not know since when a task is queued; it counts from the
-    acceptance of its job, for a step that waited for no other.
-    """
-    for name in fleet.open_jobs:
-        job = fleet.job_store.jobs[name]
+    """Yields lasting tasks that are not known to run, and since when."""
+    for name, job, task in _list_lasting(fleet):
+        worker, run = _find_run(fleet, name, task)
+        if run is None:
+            yield name, _estimate_queued_at(fleet, name, job, is_first_review)
+        elif worker.poll_failed:
+            yield name, max(worker.last_report_at, run.placed_at)
+        elif not is_at_work(worker, run):
+            yield name, fleet.now
+
+
+def _list_lasting(
+    fleet: fleet_state.FleetState,
+) -> Iterator[tuple[work.TaskName, job_store.Job, job_store.Task]]:
+    """Yields the tasks that last and whose prerequisites are done."""
+    for job_name in fleet.open_jobs:
+        job = fleet.job_store.jobs[job_name]
         steps = job.submission.steps
         lasting = [n for n, step in enumerate(steps) if step.until_cancelled]
-        if not lasting:
-            continue
-        for occurrence, step_tasks in job.occurrences.items():
+        for occurrence, step_tasks in (
+            job.occurrences.items() if lasting else ()
+        ):
             for step in lasting:
                 if not job_store.is_ready(job, step_tasks, step):
                     continue
                 for index, task in enumerate(step_tasks[step]):
-                    worker, run = _find_run(
-                        fleet, name, occurrence, step, index, task
-                    )
-                    if run is not None and is_at_work(worker, run):
-                        continue
-                    since = fleet.now
-                    is_first = not job.submission.steps[step].prerequisites
-                    if is_first_review and run is None and is_first:
-                        age_ms = fleet.wall_ms - job.submission.accepted_ms
-                        since -= max(0, age_ms) / 1000
-                    if run is not None and worker.poll_failed:
-                        since = max(worker.last_report_at, run.placed_at)
-                    yield work.TaskName(name, occurrence, step, index), since
+                    name = work.TaskName(job_name, occurrence, step, index)
+                    yield name, job, task
 
 
-def _find_run(
+def _estimate_queued_at(
     fleet: fleet_state.FleetState,
-    job: str,
-    occurrence: int,
-    step: int,
-    index: int,
-    task: job_store.Task,
+    name: work.TaskName,
+    job: job_store.Job,
+    is_first_review: bool,
+) -> float:
+    """Returns since when a task is queued that was not away before.
+
+    A new owner does not know that; it counts from the acceptance of the job,
+    for a step that waited for no other.
+    """
+    if not is_first_review or job.submission.steps[name.step].prerequisites:
+        return fleet.now
+    age_ms = fleet.wall_ms - job.submission.accepted_ms
+    return fleet.now - max(0, age_ms) / 1000
+
+
+def _find_run(
+    fleet: fleet_state.FleetState, name: work.TaskName, task: job_store.Task
 ) -> tuple[worker_state.WorkerState | None, worker_state.Run | None]:
     """Returns the worker and the run of a placed task, None for neither."""
     if task.phase is not job_store.Phase.PLACED:
@@ -121,7 +132,6 @@
     worker = fleet.workers.get(task.worker_name)
     if worker is None:
         return None, None
-    name = work.TaskName(job, occurrence, step, index)
     return worker, worker.runs.get((name, task.attempt))
 
 
@@ -154,45 +164,45 @@
     since: float,
     away: int,
 ) -> effects.Note:
-    hold = find_hold(fleet, name)
+    obstacle = find_obstacle(fleet, name)
     return fleet_state.make_log_note(
         "lasting",
         "away",
         name.job,
         task=fleet_state.format_task(name),
-        cause=hold.cause,
-        worker=hold.worker,
+        cause=obstacle.cause,
+        worker=obstacle.worker,
         away_ms=int((fleet.now - since) * 1000),
-        for_ms=int((hold.until - fleet.now) * 1000)
-        if math.isfinite(hold.until)
+        for_ms=int((obstacle.until - fleet.now) * 1000)
+        if math.isfinite(obstacle.until)
         else None,
-        ended_by=hold.proof,
+        ended_by=obstacle.proof,
         tasks_away=away,
-        **dict(hold.fields),
+        **dict(obstacle.fields),
     )
 
 
-def find_hold(fleet: fleet_state.FleetState, name: work.TaskName) -> Hold:
+def find_obstacle(
+    fleet: fleet_state.FleetState, name: work.TaskName
+) -> Obstacle:
     """Finds what holds a lasting task that does not run."""
     job = fleet.job_store.jobs[name.job]
     task = job.occurrences[name.occurrence][name.step][name.index]
-    worker, run = _find_run(
-        fleet, name.job, name.occurrence, name.step, name.index, task
-    )
+    worker, run = _find_run(fleet, name, task)
     if run is None:
-        return _find_queue_hold(fleet, job, name, task)
-    return _find_run_hold(fleet, worker, run)
+        return _find_queue_obstacle(fleet, job, name, task)
+    return _find_run_obstacle(fleet, worker, run)
 
 
-def _find_queue_hold(
+def _find_queue_obstacle(
     fleet: fleet_state.FleetState,
     job: job_store.Job,
     name: work.TaskName,
     task: job_store.Task,
-) -> Hold:
+) -> Obstacle:
     """Finds what holds a task that is not placed."""
     if task.awaits_verdict:
-        return _find_verdict_hold(fleet, task)
+        return _find_verdict_obstacle(fleet, task)
     step = job.submission.steps[name.step]
     key = (name.job, name.occurrence, name.step)
     service = fleet_state.find_queue(fleet, job).service
@@ -207,12 +217,12 @@
         ("suspect", task.is_suspect),
     )
     cause = "order" if refusals["nothing"] else "room"
-    return Hold(cause, "", NEVER, "room on a worker", fields)
+    return Obstacle(cause, "", NEVER, "room on a worker", fields)
 
 
-def _find_verdict_hold(
+def _find_verdict_obstacle(
     fleet: fleet_state.FleetState, task: job_store.Task
-) -> Hold:
+) -> Obstacle:
     """Finds what holds a task that may have crashed its workers."""
     names = [lost.worker_name for lost in task.lost_runs]
     times = [
@@ -220,7 +230,7 @@
         for name in names
         if (lost_at := fleet.crash_history.lost_at.get(name))
     ]
-    return Hold(
+    return Obstacle(
         "verdict",
         names[-1] if names else "",
         max(times, default=NEVER) + crashes.GONE_AFTER_S,
@@ -252,11 +262,11 @@
     return places
 
 
-def _find_run_hold(
+def _find_run_obstacle(
     fleet: fleet_state.FleetState,
     worker: worker_state.WorkerState,
     run: worker_state.Run,
-) -> Hold:
+) -> Obstacle:
     """Finds what holds a task whose run is placed and not known to work."""
     leases_end_at = grants.find_leases_end(worker)
     end_at = max(leases_end_at, late_starts.find_late_run_end(run))
@@ -267,11 +277,13 @@
         ("gone", worker.gone),
         ("dead", absence.is_dead(fleet, worker)),
     )
-    cause, until, proof = _describe_run_hold(worker, run, end_at, leases_end_at)
-    return Hold(cause, worker.info.name, until, proof, fields)
+    cause, until, proof = _describe_run_obstacle(
+        worker, run, end_at, leases_end_at
+    )
+    return Obstacle(cause, worker.info.name, until, proof, fields)
 
 
-def _describe_run_hold(
+def _describe_run_obstacle(
     worker: worker_state.WorkerState,
     run: worker_state.Run,
     end_at: float,
--- a/poplarspindle/stories.py
+++ b/poplarspindle/stories.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 # What holds a task that is to last, by the `cause` of an `away` line.
-HOLDS = {
+OBSTACLES = {
     "append": "its placement is not recorded in the store",
     "leases": "{worker} is not known to run it, and its leases may still hold",
     "no-report": "{worker} has not answered this owner and may be running it",
@@ -116,7 +116,7 @@
 
 def _tell_away(fields: Mapping) -> str:
     cause = str(fields.get("cause"))
-    hold = HOLDS.get(cause, cause).format(worker=fields.get("worker"))
+    hold = OBSTACLES.get(cause, cause).format(worker=fields.get("worker"))
     refusals = ", ".join(
         f"{count} by {why}"
         for why, count in (fields.get("refused_by") or {}).items()
--- a/poplarspindle/tests/test_pages.py
+++ b/poplarspindle/tests/test_pages.py
@@ -43,9 +43,9 @@
     table, _, lines = rest.partition("\n## Lines worth an alert")
     rows = re.findall(r"^\| (`.*?`) \|", table, re.MULTILINE)
     causes = [cause for row in rows for cause in re.findall(r"`(.+?)`", row)]
-    assert sorted(causes) == sorted(stories.HOLDS)
+    assert sorted(causes) == sorted(stories.OBSTACLES)
     (alert,) = re.findall(r"^\| `away` .*$", lines, re.MULTILINE)
-    assert all(f"`{cause}`" in alert for cause in stories.HOLDS)
+    assert all(f"`{cause}`" in alert for cause in stories.OBSTACLES)
 
 
 def test_embedding_page_runs():
--- a/poplarspindle/tools/fakes/at_work.py
+++ b/poplarspindle/tools/fakes/at_work.py
@@ -220,18 +220,18 @@
         if not is_due or key in self._known:
             return
         self._known.add(key)
-        hold = away_tasks.find_hold(world.fleet, name)
-        about = f" on {hold.worker}" if hold.worker else ""
+        obstacle = away_tasks.find_obstacle(world.fleet, name)
+        about = f" on {obstacle.worker}" if obstacle.worker else ""
         until = (
-            f" until {hold.until:.2f} at most"
-            if hold.until < float("inf")
+            f" until {obstacle.until:.2f} at most"
+            if obstacle.until < float("inf")
             else ""
         )
-        fields = "".join(f", {key} {value}" for key, value in hold.fields)
+        fields = "".join(f", {key} {value}" for key, value in obstacle.fields)
         text = (
             f"{what}, beside room twice over for {room_s:.2f} s, in calm for"
-            f" {calm_s:.2f} s; owner {world.owner.epoch}: {hold.cause}{about}"
-            f"{until}{fields}"
+            f" {calm_s:.2f} s; owner {world.owner.epoch}:"
+            f" {obstacle.cause}{about}{until}{fields}"
         )
         self.violations.append(
             invariants.Violation(invariants.Invariant.AT_WORK, world.now, text)
