--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -1,41 +1,35 @@
 """Excludes workers on which runs of several jobs fail.
 
 Load pattern: a worker on which every run fails is soon empty and attracts all
-new tasks. Failures of a single job count against that job only. The exclusion
-doubles each time; a run that is done resets it, and ends one that is under way:
-work would wait beside room on a worker that runs it.
+new tasks. Failures of a single job count against that job only, and those of a
+job that fails wherever it runs against no worker; see `job_failures`. Whether
+a job runs well elsewhere decides between the two; see `worker_failures`.
 
-Failures of a job that fails wherever it runs tell nothing of workers and don't
-count; see `job_failures`.
+An exclusion ends by proof: a run that is done, or a lasting one that stays at
+work, or a job that turns out to be at fault. Without proof a worker gets one
+task when its exclusion is over, and is excluded for twice as long.
 
-Tasks that last are never done, and their failures cost no attempt. So while a
-worker is excluded, one of them may be tried there, or a gang, and others once
-it stays at work. One that stays for as long as the first exclusion lasts resets
-the exclusion as a run that is done does. One that fails leaves the exclusion as
-it is, as its job may be at fault.
+Work that finds no room elsewhere does not wait for that; see `probes`. A try
+that fails leaves the exclusion as it is.
 """
 
-import itertools
-from collections.abc import Iterator
-
 from poplarspindle.fleet import (
     effects,
+    failing_jobs,
     fleet_state,
     job_failures,
     job_store,
     work,
-    worker_selection,
+    worker_failures,
     worker_state,
 )
 
-MAX_FAILING_JOBS = 2
-FIRST_EXCLUSION_S = 3.0
+FIRST_EXCLUSION_S = 6.0  # While no work waits for the worker.
 MAX_EXCLUSION_S = 24.0
-# From a failure on a worker to the next try there, and from a try to others. A
-# lasting task may wait for three seconds beside room, also that of an excluded
-# worker.
+# From a failure on a worker to the next try there, and from a try to others.
+# Work may wait for three seconds beside room, also that of an excluded worker.
 PROBE_INTERVAL_S = 1.0
-PROOF_S = FIRST_EXCLUSION_S  # At work for so long, a run proves its worker.
+PROOF_S = 3.0  # At work for so long, a lasting run proves its worker.
 StepKey = tuple[str, int, int]  # Job id, occurrence and step number.
 
 
@@ -54,96 +48,93 @@
         end_reason: The `work.EndReason` of the run.
     """
     if end_reason is work.EndReason.DONE:
-        if worker.exclusion_s:
-            # What refusals and polls excluded it for ends here too: the worker
-            # has answered since and is free of a run.
-            worker.no_placement_until = min(
-                worker.no_placement_until, fleet.now
-            )
-        _reset(worker)
-        return []
-    if end_reason is not work.EndReason.FAILED:
+        return _record_done(fleet, worker, run)
+    if (
+        end_reason is not work.EndReason.FAILED
+        or run.job.state in job_store.ENDED
+    ):
         return []
-    notes: list[effects.Effect] = []
-    if run.job.state not in job_store.ENDED:
-        failed_on = fleet.failing.failed_on.setdefault(run.name, set())
-        failed_on.add(worker.info.name)
-        notes += job_failures.record_failure(fleet, worker, run)
-    if job_failures.is_at_fault(fleet, run.name.job):
+    failing_jobs.record(fleet.failing, run.name, worker.info.name)
+    notes = job_failures.record_failure(fleet, worker, run)
+    if notes:  # The job is blamed from now on.
         return notes + _discount(fleet, run.name.job)
+    if job_failures.is_at_fault(fleet, run.name.job):
+        return []
     # Nothing but probes is placed there while it is excluded.
     is_probe = worker.excluded_at < run.placed_at < worker.excluded_until
+    had_failed = run.name.job in worker.failing_jobs
+    if not worker_failures.add(fleet.failing, worker, run):
+        return []
     worker.probe_failed_at = fleet.now
-    if not (is_probe and run.name.job in worker.failing_jobs):
+    if not (is_probe and had_failed):
         worker.failed_at = fleet.now
-    worker.failing_jobs.add(run.name.job)
+    worker.failed_after_s = max(
+        worker.failed_after_s, fleet.now - run.placed_at
+    )
     if (
-        is_probe
+        worker.exclusion_s
         or not fleet.mechanisms.exclude_failing
-        or len(worker.failing_jobs) < MAX_FAILING_JOBS
+        or len(worker.failing_jobs) < worker_failures.MAX_FAILING_JOBS
     ):
         return []
-    worker.exclusion_s = min(
-        MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * worker.exclusion_s)
-    )
+    worker.exclusion_s = FIRST_EXCLUSION_S
     worker.excluded_at = fleet.now
-    worker.excluded_until = max(
-        worker.excluded_until, fleet.now + worker.exclusion_s
-    )
+    worker.excluded_until = fleet.now + worker.exclusion_s
     return [
         fleet_state.make_log_note(
             "workers",
             "closed",
             worker=worker.info.name,
             jobs=len(worker.failing_jobs),
+            proven=len(worker.proven_jobs),
             for_s=worker.exclusion_s,
-        )
+        ),
     ]
 
 
 def _discount(fleet: fleet_state.FleetState, job: str) -> list[effects.Effect]:
     """Ends exclusions that rest on the failures of a job at fault."""
-    notes: list[effects.Effect] = []
-    for worker in fleet.workers.values():
-        if job not in worker.failing_jobs:
-            continue
-        worker.failing_jobs.discard(job)
-        is_excluded = fleet.now < worker.excluded_until
-        if is_excluded and len(worker.failing_jobs) < MAX_FAILING_JOBS:
-            _end_exclusion(worker)
-            worker.may_accept_more = fleet.placement_needed = True
-            notes.append(
-                fleet_state.make_log_note(
-                    "workers", "reopened", job, worker=worker.info.name
-                )
-            )
-    return notes
+    reopened = worker_failures.discount(fleet.failing, fleet.workers, job)
+    fleet.placement_needed |= bool(reopened)
+    return [
+        fleet_state.make_log_note(
+            "workers", "reopened", job, worker=worker.info.name
+        )
+        for worker in reopened
+    ]
 
 
-def record_at_work(
+def _record_done(
     fleet: fleet_state.FleetState,
     worker: worker_state.WorkerState,
     run: worker_state.Run,
 ) -> list[effects.Effect]:
-    """Ends the exclusion of a worker on which a lasting run stays at work.
-
-    Clears its job, too, if other runs of it had failed.
+    """Clears the job and the worker of a run that is done.
 
-    The run was placed after the last failure there, as a worker may go on with
-    what it runs and fail all that it starts. It has been at work for as long as
-    the first exclusion lasts. A failed try of a job that had failed there tells
-    nothing against it.
+    A worker that fails jobs which run well elsewhere may go on with what it
+    ran before, so there only a later run tells that it is sound.
     """
-    job_failures.record_at_work(fleet, run)
-    if (
-        not worker.exclusion_s
-        or not run.step.until_cancelled
-        or run.placed_at < worker.failed_at
-        or fleet.now - run.first_seen_at < PROOF_S
-    ):
+    job_failures.record_done(fleet, run)
+    worker_failures.prove(fleet.failing, fleet.workers, run, worker.info.name)
+    if worker_failures.is_proven(worker) and run.placed_at < worker.failed_at:
+        return []
+    if not worker.exclusion_s:
+        worker_failures.reset(worker)
         return []
-    _reset(worker)
-    worker.may_accept_more = fleet.placement_needed = True
+    # What refusals and polls excluded it for ends here too: the worker has
+    # answered since and is free of a run.
+    worker.no_placement_until = min(worker.no_placement_until, fleet.now)
+    return _reopen(fleet, worker, run)
+
+
+def _reopen(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> list[effects.Effect]:
+    """Ends the exclusion of a worker because of a sound run there."""
+    worker_failures.reset(worker)
+    fleet.placement_needed = True
     return [
         fleet_state.make_log_note(
             "workers",
@@ -155,66 +146,59 @@
     ]
 
 
-def _reset(worker: worker_state.WorkerState) -> None:
-    worker.failing_jobs.clear()
-    _end_exclusion(worker)
+def is_trial_due(worker: worker_state.WorkerState, now: float) -> bool:
+    """Returns whether an excluded worker may be given one task unasked."""
+    return bool(worker.exclusion_s) and now >= worker.excluded_until
 
 
-def _end_exclusion(worker: worker_state.WorkerState) -> None:
-    worker.exclusion_s = 0.0
-    worker.excluded_until = float("-inf")
+def record_placed(
+    fleet: fleet_state.FleetState,
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> list[effects.Effect]:
+    """Excludes a worker again once a task tries whether it is sound.
 
+    Of a gang all members may be there; the first one counts.
+    """
+    if not is_trial_due(worker, fleet.now):
+        return []
+    worker.exclusion_s = min(MAX_EXCLUSION_S, 2 * worker.exclusion_s)
+    worker.excluded_until = fleet.now + worker.exclusion_s
+    fleet.failing.trials += 1
+    return [
+        fleet_state.make_log_note(
+            "workers",
+            "on-trial",
+            run.name.job,
+            worker=worker.info.name,
+            task=fleet_state.format_task(run.name),
+            for_s=worker.exclusion_s,
+        )
+    ]
 
-def list_probes(
+
+def record_at_work(
     fleet: fleet_state.FleetState,
-) -> Iterator[tuple[StepKey, list[worker_state.WorkerState], int]]:
-    """Yields ready lasting steps, workers to try them on, and how many tasks.
+    worker: worker_state.WorkerState,
+    run: worker_state.Run,
+) -> list[effects.Effect]:
+    """Ends the exclusion of a worker on which a lasting run stays at work.
+
+    Clears its job, too, if other runs of it had failed, and tells against the
+    workers on which these did.
 
-    A step that is still ready found no room elsewhere. One task is tried first,
-    and others follow once it stays at work. A job that failed on a worker may
-    be at fault itself, so it comes last there. Steps take turns. A gang is
-    tried whole, on several workers at once.
+    The run was placed after the last failure there, as a worker may go on with
+    what it runs and fail all that it starts. It has been at work for as long as
+    the first exclusion lasts. A failed try of a job that had failed there tells
+    nothing against it.
     """
-    now = fleet.now
-    workers = [
-        worker
-        for worker in fleet.workers.values()
-        if now < worker.excluded_until
-        and now >= worker.no_placement_until
-        and now - worker.failed_at >= PROBE_INTERVAL_S
-    ]
-    if not workers:
-        return
-    tried_at = fleet.away.tried_at = {
-        key: at for key, at in fleet.away.tried_at.items() if key in fleet.ready
-    }
-    keys = [
-        key
-        for key in fleet.ready
-        if _is_lasting(fleet, key) and job_failures.is_due(fleet, key)
-    ]
-    keys.sort(key=lambda key: tried_at.get(key, float("-inf")))
-    for has_failed, key in itertools.product((False, True), keys):
-        if key not in fleet.ready:
-            continue
-        service = find_service(fleet, key)
-        allowed = [
-            (worker, _count_allowed(worker, now, len(fleet.ready[key])))
-            for worker in workers
-            if _may_try(fleet, worker, key[0], has_failed)
-            and worker_selection.may_be_given_work(
-                worker, service, fleet.excluded_data_centres
-            )
-        ]
-        tried = [worker for worker, tasks in allowed if tasks]
-        if tried:
-            tried_at[key] = now
-        if find_step(fleet, key).gang:
-            yield key, tried, len(fleet.ready[key])
-            continue
-        for worker, tasks in allowed:
-            if tasks and key in fleet.ready:
-                yield key, [worker], tasks
+    if not run.step.until_cancelled or fleet.now - run.first_seen_at < PROOF_S:
+        return []
+    job_failures.record_at_work(fleet, run)
+    worker_failures.prove(fleet.failing, fleet.workers, run, worker.info.name)
+    if not worker.exclusion_s or run.placed_at < worker.failed_at:
+        return []
+    return _reopen(fleet, worker, run)
 
 
 def find_step(fleet: fleet_state.FleetState, key: StepKey) -> work.Step:
@@ -222,52 +206,6 @@
     return fleet.job_store.jobs[key[0]].submission.steps[key[2]]
 
 
-def _is_lasting(fleet: fleet_state.FleetState, key: StepKey) -> bool:
-    return find_step(fleet, key).until_cancelled
-
-
 def find_service(fleet: fleet_state.FleetState, key: StepKey) -> str:
     """Returns the service of a step's queue."""
     return fleet_state.find_queue(fleet, fleet.job_store.jobs[key[0]]).service
-
-
-def _may_try(
-    fleet: fleet_state.FleetState,
-    worker: worker_state.WorkerState,
-    job: str,
-    has_failed: bool,
-) -> bool:
-    """Returns whether a task of a job may be tried on a worker now.
-
-    Args:
-        fleet: State of the fleet.
-        worker: State of the worker.
-        job: The job's id.
-        has_failed: Whether jobs are tried that failed there.
-    """
-    if job_failures.is_at_fault(fleet, job):
-        return has_failed
-    return job not in worker.failing_jobs or (
-        has_failed and fleet.now - worker.probe_failed_at >= PROBE_INTERVAL_S
-    )
-
-
-def _count_allowed(
-    worker: worker_state.WorkerState, now: float, ready: int
-) -> int:
-    """Counts the lasting tasks that an excluded worker may get now.
-
-    Args:
-        worker: The worker.
-        now: Present time.
-        ready: How many tasks of the step are ready.
-    """
-    tries = [
-        run for run in worker.runs.values() if run.placed_at >= worker.failed_at
-    ]
-    if not tries:
-        return 1
-    has_proof = any(
-        now - run.first_seen_at >= PROBE_INTERVAL_S for run in tries
-    )
-    return ready if has_proof else 0
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -25,6 +25,7 @@
     usage,
     work,
     worker_chooser,
+    worker_failures,
     worker_state,
 )
 
@@ -78,7 +79,7 @@
         unreachable_in_flight: Workers that a record in flight lists, or None.
         logged_unreachable_workers: Those that the log may list so.
         unreachable_changed: Whether a new list of them has to be published.
-        failing: Where tasks failed, and lasting jobs whose runs fail.
+        failing: Where tasks failed, and jobs whose runs fail.
         model_saved_at: When `model_save_due` was last set.
         model_save_due: Whether the next append records the tail model.
         load_published_at: When the load was last published.
@@ -362,12 +363,19 @@
     fleet.open_jobs.pop(name, None)
     fleet.expiring_jobs[name] = None
     tail_model.forget_job(fleet.tail_model, name)
-    failing_jobs.end_job(fleet.failing, name)
+    reopened = worker_failures.end_job(
+        fleet.failing, fleet.workers, fleet.open_jobs, name
+    )
     for key in [key for key in fleet.ready if key[0] == name]:
         del fleet.ready[key]
     for occurrence in job.occurrences:
         fleet.remaining_work.pop((name, occurrence), None)
     effect_list = [make_log_note("jobs", "ended", name, state=state.value)]
+    fleet.placement_needed |= bool(reopened)
+    effect_list += [
+        make_log_note("workers", "reopened", name, worker=worker.info.name)
+        for worker in reopened
+    ]
     for worker in fleet.workers.values() if job.runs_by_worker else ():
         if worker.info.name in job.runs_by_worker:
             for run in [r for r in worker.runs.values() if r.name.job == name]:
--- a/poplarspindle/fleet/job_store.py
+++ b/poplarspindle/fleet/job_store.py
@@ -6,7 +6,8 @@
 import collections
 import dataclasses
 import enum
-from collections.abc import Iterable
+import heapq
+from collections.abc import Iterable, Sequence
 
 from poplarspindle.fleet import blame, work
 
@@ -325,6 +326,21 @@
     }
 
 
+def list_least_tried(
+    tasks: Sequence[Task], indexes: Iterable[int], most: int
+) -> list[int]:
+    """Lists indexes of a step's tasks, those with fewest attempts first.
+
+    Args:
+        tasks: All tasks of the step.
+        indexes: The indexes to choose from.
+        most: How many to list.
+    """
+    return heapq.nsmallest(
+        most, indexes, key=lambda index: (tasks[index].attempt, index)
+    )
+
+
 def may_still_count(task: Task, attempt: int, step: work.Step) -> bool:
     """Returns whether a crash may count for an attempt of a task.
 
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -18,6 +18,7 @@
     lasting_turns,
     late_turns,
     pacing,
+    probes,
     ready_steps,
     start_delay,
     starvation,
@@ -99,6 +100,7 @@
         self._tries_beside_room_left = MAX_TRIES_BESIDE_ROOM
         self._unplaced_needs: dict[StepKind, resources.Resources] = {}
         self._weights_by_image: dict[str, dict[str, float]] = {}
+        self._trials = fleet.failing.trials
 
     def close(self) -> None:
         """Ends the round; deletes cached needs of kinds without ready steps."""
@@ -227,13 +229,13 @@
         return effect_list
 
     def place_probes(self) -> list[effects.Effect]:
-        """Tries lasting tasks on workers that are excluded for failures.
+        """Tries waiting tasks on workers that are excluded for failures.
 
-        A gang that lasts may have its other members on workers that are not.
+        A gang may have its other members on workers that are not.
         """
         fleet = self._fleet
         effect_list: list[effects.Effect] = []
-        for key, workers, tasks in exclusions.list_probes(fleet):
+        for key, workers, tasks in probes.list_probes(fleet):
             if step_placement.count_start_room(fleet) <= 0:
                 break
             if exclusions.find_step(fleet, key).gang:
@@ -299,6 +301,10 @@
                 last round.
         """
         fleet = self._fleet
+        if self._trials != fleet.failing.trials:
+            # An excluded worker got its trial and takes no other task.
+            self._trials = fleet.failing.trials
+            self._accepting_workers.clear()
         accepting_workers = self._accepting_workers.get((service, changed_only))
         if accepting_workers is None:
             workers = (
--- a/poplarspindle/fleet/reports.py
+++ b/poplarspindle/fleet/reports.py
@@ -177,6 +177,7 @@
         (listed_run.task, listed_run.attempt): listed_run
         for listed_run in event.report.running
     }
+    failing = fleet.failing
     worker_state.set_unknown_run_resources(worker, resources.ZERO)
     for key, listed_run in listed_runs.items():
         run = worker.runs.get(key)
@@ -191,7 +192,7 @@
             run.first_seen_at = event.at
         if worker.suspects and event.at - run.first_seen_at >= SUSPECT_WATCH_S:
             worker_state.clear_suspect(worker, key)
-        if worker.exclusion_s or fleet.failing.by_job:
+        if worker.exclusion_s or failing.by_job or failing.failed_on:
             effect_list += exclusions.record_at_work(fleet, worker, run)
         if fleet.mechanisms.measured_use:
             usage.record_usage(fleet.usage_model, worker, run, event.at)
--- a/poplarspindle/fleet/step_placement.py
+++ b/poplarspindle/fleet/step_placement.py
@@ -2,6 +2,7 @@
 
 from poplarspindle.fleet import (
     effects,
+    exclusions,
     fleet_state,
     job_failures,
     job_store,
@@ -47,7 +48,10 @@
         max_tasks: How many tasks to place at most, None for all.
     """
     tasks = job.occurrences[key[1]][key[2]]
-    indexes = sorted(fleet.ready[key])[:max_tasks]
+    if max_tasks is None or step.gang:
+        indexes = sorted(fleet.ready[key])
+    else:
+        indexes = job_store.list_least_tried(tasks, fleet.ready[key], max_tasks)
     if step.gang and len(indexes) < len(tasks):
         return []
     if not step.gang:
@@ -77,6 +81,8 @@
             run.expected_millicores = expected_millicores
         worker_state.add_run(worker, run)
         chooser.update_rank(worker)
+        if not step.gang and exclusions.is_trial_due(worker, fleet.now):
+            chooser.leave_out(worker)
         placements.append((worker, run))
     if step.gang and len(placements) < len(tasks):
         for worker, run in placements:
@@ -137,11 +143,14 @@
                 fleet.wall_ms - job.submission.accepted_ms
             )
             first_start_fields["queue"] = job.submission.queue.name
+    trial_notes: list[effects.Effect] = []
     for worker, run in placements:
         fleet_state.mark_task_changed(fleet, run.name)
         lasting_turns.release(fleet, worker.info.name, key)
+        trial_notes += exclusions.record_placed(fleet, worker, run)
     fleet.runs_to_record += [run for _, run in placements]
     return [
+        *trial_notes,
         fleet_state.make_log_note(
             "placing",
             "placed",
@@ -154,5 +163,5 @@
             ],
             left=len(fleet.ready.get(key, ())),
             **first_start_fields,
-        )
+        ),
     ]
--- a/poplarspindle/fleet/worker_state.py
+++ b/poplarspindle/fleet/worker_state.py
@@ -162,9 +162,10 @@
         may_accept_more: Whether it may accept more than in the last placement
             round.
         failing_jobs: Jobs that had a run fail on it since it last completed a
-            run.
-        exclusion_s: How long it was last excluded from placement because runs
-            failed on it.
+            run; see `worker_failures`.
+        proven_jobs: Those of them that run well on other workers.
+        failed_after_s: The longest that a run lasted that failed since then.
+        exclusion_s: For how long it is excluded because of them, 0 if not.
         latency_critical_by_image: Millicores of latency-critical runs, by
             image.
         ended_best_effort: Best-effort runs that ended recently: when, image,
@@ -229,6 +230,8 @@
     probe_failed_at: float = float("-inf")
     may_accept_more: bool = True
     failing_jobs: set[str] = dataclasses.field(default_factory=set)
+    proven_jobs: set[str] = dataclasses.field(default_factory=set)
+    failed_after_s: float = 0.0
     exclusion_s: float = 0.0
     ended_best_effort: list[tuple[float, str, float]] = dataclasses.field(
         default_factory=list
