Log lines and a gauge name the room that failed runs exclude

Seen by operators: work waits with `refused_by` excluded, and nothing says how much room that covers, whose failures it rests on, or that a task went to an excluded worker to try it.

Change: `waits` and `load` have failing_workers and failing_room (millicores); the gauge poplarspindle_excluded_cores has the latter, in cores, once a second; `closed` names the job of the last failure and how many jobs are proven to run well elsewhere; `tried` tells of tries that waiting work gets there, at most eight workers a line.

Measured: test_operator_cannot_tell_how_much_room_is_excluded, which has no such fields to look at before.

--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -84,6 +84,7 @@
         fleet_state.make_log_note(
             "workers",
             "closed",
+            run.name.job,
             worker=worker.info.name,
             jobs=len(worker.failing_jobs),
             proven=len(worker.proven_jobs),
--- a/poplarspindle/fleet/failing_jobs.py
+++ b/poplarspindle/fleet/failing_jobs.py
@@ -40,6 +40,8 @@
         by_job: Failures of jobs; see `job_failures`.
         tried_at: When tasks of a job at fault were last placed, by step.
         trials: How many trials of excluded workers there were.
+        excluded_millicores: Free processors of excluded workers when the load
+            was last summarised.
     """
 
     failed_on: dict[work.TaskName, set[str]] = dataclasses.field(
@@ -51,6 +53,7 @@
     by_job: dict[str, Failures] = dataclasses.field(default_factory=dict)
     tried_at: dict[StepKey, float] = dataclasses.field(default_factory=dict)
     trials: int = 0
+    excluded_millicores: int = 0
 
 
 def record(failing: FailingJobs, task: work.TaskName, worker: str) -> None:
--- a/poplarspindle/fleet/placement_rounds.py
+++ b/poplarspindle/fleet/placement_rounds.py
@@ -33,6 +33,7 @@
 # from other workers.
 UNPLACEABLE_RESET_INTERVAL_S = 0.5
 MAX_STARVED_TRIES = 4
+MAX_WORKERS_LOGGED = 8  # In one line.
 MAX_TRIES_BESIDE_ROOM = 32  # Of lasting steps in a round, on all workers.
 # Service, whether best-effort, label and image.
 StepKind = tuple[str, bool, str, str]
@@ -238,10 +239,24 @@
         for key, workers, tasks in probes.list_probes(fleet):
             if step_placement.count_start_room(fleet) <= 0:
                 break
+            excluded = [worker.info.name for worker in workers]
             if exclusions.find_step(fleet, key).gang:
                 service = exclusions.find_service(fleet, key)
                 workers += self._list_accepting_workers(service, False)
-            effect_list += self._place_on(workers, key, tasks)
+            placed = self._place_on(workers, key, tasks)
+            if placed:
+                effect_list.append(
+                    fleet_state.make_log_note(
+                        "workers",
+                        "tried",
+                        key[0],
+                        time=key[1],
+                        step=key[2],
+                        workers=excluded[:MAX_WORKERS_LOGGED],
+                        of=len(excluded),
+                    )
+                )
+            effect_list += placed
         return effect_list
 
     def _place_one_anywhere(
--- a/poplarspindle/fleet/reducer.py
+++ b/poplarspindle/fleet/reducer.py
@@ -31,6 +31,7 @@
     waiting,
     withdrawals,
     work,
+    worker_failures,
     worker_selection,
     worker_state,
 )
@@ -277,6 +278,8 @@
     with_critical = [
         worker for worker in workers if worker.latency_critical_millicores
     ]
+    excluded = worker_failures.measure_excluded(workers, fleet.now)
+    fleet.failing.excluded_millicores = excluded.millicores
     return fleet_state.make_log_note(
         "fleet",
         "load",
@@ -311,6 +314,8 @@
         starts_per_s=round(fleet.start_statistics.starts_per_s, 1),
         ready_fills=ready_steps.count_best_effort_tasks(fleet),
         open_jobs=len(fleet.open_jobs),
+        failing_workers=excluded.workers,
+        failing_room=excluded.millicores,
         hot=sum(state.target_missed_since < float("inf") for state in workers),
     )
 
--- a/poplarspindle/fleet/waiting.py
+++ b/poplarspindle/fleet/waiting.py
@@ -7,6 +7,7 @@
     fleet_state,
     pacing,
     work,
+    worker_failures,
     worker_selection,
     worker_state,
 )
@@ -51,9 +52,12 @@
     predict = pacing.make_predictor(fleet, step, {})
     refusals: collections.Counter = collections.Counter()
     with_room = 0
-    for worker in fleet.workers.values():
-        if worker.info.service != service:
-            continue
+    workers = [
+        worker
+        for worker in fleet.workers.values()
+        if worker.info.service == service
+    ]
+    for worker in workers:
         refusal = find_refusal(fleet, worker, step, key)
         if not refusal and step.best_effort:
             headroom_use = predict(worker)
@@ -63,6 +67,7 @@
         with_room += _has_room(worker, step)
     if not with_room:
         return []
+    excluded = worker_failures.measure_excluded(workers, fleet.now)
     return [
         fleet_state.make_log_note(
             "placing",
@@ -78,6 +83,8 @@
             waits_ms=int((fleet.now - since) * 1000),
             with_room=with_room,
             refused_by=dict(sorted(refusals.items())),
+            failing_workers=excluded.workers,
+            failing_room=excluded.millicores,
         )
     ]
 
--- a/poplarspindle/fleet/worker_failures.py
+++ b/poplarspindle/fleet/worker_failures.py
@@ -6,7 +6,8 @@
 worker with several such jobs is excluded from new work; see `exclusions`.
 """
 
-from collections.abc import Container, Mapping
+import dataclasses
+from collections.abc import Container, Iterable, Mapping
 
 from poplarspindle.fleet import failing_jobs, worker_state
 
@@ -14,6 +15,19 @@
 MAX_ENDED_JOBS = MAX_FAILING_JOBS  # That a worker's failures are kept of.
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExcludedRoom:
+    """Room that new work doesn't get, as runs failed there.
+
+    Attributes:
+        workers: Number of the workers.
+        millicores: Their free processors, in thousandths.
+    """
+
+    workers: int = 0
+    millicores: int = 0
+
+
 def is_proven(worker: worker_state.WorkerState) -> bool:
     """Returns whether a worker fails tasks that run well on others."""
     return len(worker.proven_jobs) >= MAX_FAILING_JOBS
@@ -75,6 +89,25 @@
     worker.may_accept_more = True
 
 
+def measure_excluded(
+    workers: Iterable[worker_state.WorkerState], now: float
+) -> ExcludedRoom:
+    """Measures the room of workers that are excluded for failed runs.
+
+    Args:
+        workers: The workers.
+        now: Present time, on the owner's clock.
+    """
+    excluded = [worker for worker in workers if now < worker.excluded_until]
+    return ExcludedRoom(
+        len(excluded),
+        sum(
+            max(0, worker_state.get_available(worker).millicores)
+            for worker in excluded
+        ),
+    )
+
+
 def discount(
     failing: failing_jobs.FailingJobs,
     workers: Mapping[str, worker_state.WorkerState],
--- a/poplarspindle/metrics.py
+++ b/poplarspindle/metrics.py
@@ -37,6 +37,8 @@
     "poplarspindle_room_margin_seconds": "How long a lasting task that may not"
     " be away has been away beside room for it twice over, by reports: longest"
     " `now`, and the `worst` since this node owns the fleet.",
+    "poplarspindle_excluded_cores": "Free processors that new work doesn't get,"
+    " as runs were `failing` on their workers.",
 }
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
--- a/poplarspindle/node/decision_log.py
+++ b/poplarspindle/node/decision_log.py
@@ -24,9 +24,14 @@
 
 
 def set_gauges(
-    counters: metrics.Metrics, room: away_history.ReportedRoom
+    counters: metrics.Metrics,
+    room: away_history.ReportedRoom,
+    excluded_millicores: int = 0,
 ) -> None:
     """Sets the gauges of an owner; those of a node that owns nothing are 0."""
     name = "poplarspindle_room_margin_seconds"
     counters.set(name, "now", room.now_ms / 1000)
     counters.set(name, "worst", room.worst_ms / 1000)
+    counters.set(
+        "poplarspindle_excluded_cores", "failing", excluded_millicores / 1000
+    )
--- a/poplarspindle/node/node.py
+++ b/poplarspindle/node/node.py
@@ -277,7 +277,11 @@
         if caught_up_at - self._ticked_at >= TICK_S:
             self._ticked_at = caught_up_at
             self._reduce(events.Ticked(caught_up_at, wall_ms))
-            decision_log.set_gauges(self._counters, self._fleet.away.room)
+            decision_log.set_gauges(
+                self._counters,
+                self._fleet.away.room,
+                self._fleet.failing.excluded_millicores,
+            )
             self._ownership.update_pollers(self._fleet.workers)
         self._fleet.now, self._fleet.wall_ms = now, wall_ms
         self._fleet.order_room = self._ownership.compute_order_room()
--- a/poplarspindle/tests/test_failing_work.py
+++ b/poplarspindle/tests/test_failing_work.py
@@ -9,13 +9,15 @@
 
 import pytest
 
-from poplarspindle import resources
+from poplarspindle import metrics, resources
 from poplarspindle.fleet import (
     exclusions,
     job_failures,
+    waiting,
     work,
     worker_failures,
 )
+from poplarspindle.node import decision_log
 from poplarspindle.tools.fakes import fleets, idle_waits
 
 CAPACITY = resources.Resources(32000, 64000, 0)
@@ -321,3 +323,27 @@
     gaps = [later - look for look, later in itertools.pairwise(looks)]
     assert len(looks) >= 1
     assert min(gaps, default=1.0) >= job_failures.REVIEW_INTERVAL_S
+
+
+def test_operator_cannot_tell_how_much_room_is_excluded():
+    """Logs: the line `waits`, the line `load` and a gauge name it."""
+    world, watch = make_world(workers=2)
+    notes = {}
+    world.on_note = lambda note: notes.update({note.event: dict(note.fields)})
+    worker = world.fleet.workers["w1"]
+    worker.exclusion_s = worker.excluded_until = float("inf")
+    worker.proven_jobs = worker.failing_jobs = {"b", "c"}
+    worker.failed_at = float("inf")
+    submit_sound(world, watch, label="r1")
+    world.run(waiting.WAIT_LOGGED_S + 2.0)
+    for event in ("waits", "load"):
+        assert notes[event]["failing_workers"] == 1
+        assert notes[event]["failing_room"] == CAPACITY.millicores
+    counters = metrics.Metrics()
+    decision_log.set_gauges(
+        counters,
+        world.fleet.away.room,
+        world.fleet.failing.excluded_millicores,
+    )
+    line = 'poplarspindle_excluded_cores{reason="failing"} 32'
+    assert line in counters.render().decode()
