--- a/poplarspindle/fleet/away_history.py
+++ b/poplarspindle/fleet/away_history.py
@@ -97,8 +97,6 @@
             see `late_turns`.
         late_chosen_at: When these steps were last chosen.
         kept_at: When room was last kept in vain, by step.
-        tried_at: When a task was last tried on an excluded worker, by step;
-            see `exclusions`.
         room: For how long they have waited beside room; see `room_margin`.
     """
 
@@ -115,5 +113,4 @@
         default_factory=dict
     )
     kept_at: dict[StepKey, float] = dataclasses.field(default_factory=dict)
-    tried_at: dict[StepKey, float] = dataclasses.field(default_factory=dict)
     room: ReportedRoom = dataclasses.field(default_factory=ReportedRoom)
--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -97,12 +97,7 @@
     """Ends exclusions that rest on the failures of a job at fault."""
     reopened = worker_failures.discount(fleet.failing, fleet.workers, job)
     fleet.placement_needed |= bool(reopened)
-    return [
-        fleet_state.make_log_note(
-            "workers", "reopened", job, worker=worker.info.name
-        )
-        for worker in reopened
-    ]
+    return worker_failures.make_reopened_notes(reopened, job)
 
 
 def _record_done(
--- a/poplarspindle/fleet/failing_jobs.py
+++ b/poplarspindle/fleet/failing_jobs.py
@@ -39,6 +39,8 @@
         tasks: Tasks that `failed_on` has, by job.
         by_job: Failures of jobs; see `job_failures`.
         tried_at: When tasks of a job at fault were last placed, by step.
+        looked_at: When excluded workers were last considered for a step that
+            waits, by step; see `probes`.
         trials: How many trials of excluded workers there were.
         excluded_millicores: Free processors of excluded workers when the load
             was last summarised.
@@ -52,6 +54,7 @@
     )
     by_job: dict[str, Failures] = dataclasses.field(default_factory=dict)
     tried_at: dict[StepKey, float] = dataclasses.field(default_factory=dict)
+    looked_at: dict[StepKey, float] = dataclasses.field(default_factory=dict)
     trials: int = 0
     excluded_millicores: int = 0
 
--- a/poplarspindle/fleet/fleet_state.py
+++ b/poplarspindle/fleet/fleet_state.py
@@ -372,10 +372,7 @@
         fleet.remaining_work.pop((name, occurrence), None)
     effect_list = [make_log_note("jobs", "ended", name, state=state.value)]
     fleet.placement_needed |= bool(reopened)
-    effect_list += [
-        make_log_note("workers", "reopened", name, worker=worker.info.name)
-        for worker in reopened
-    ]
+    effect_list += worker_failures.make_reopened_notes(reopened, name)
     for worker in fleet.workers.values() if job.runs_by_worker else ():
         if worker.info.name in job.runs_by_worker:
             for run in [r for r in worker.runs.values() if r.name.job == name]:
--- a/poplarspindle/fleet/probes.py
+++ b/poplarspindle/fleet/probes.py
@@ -129,8 +129,10 @@
 
 def _list_needs(fleet: fleet_state.FleetState) -> list[_Need]:
     """Lists the steps whose turn it is, those of jobs at fault last."""
-    looked_at = fleet.away.tried_at = {
-        key: at for key, at in fleet.away.tried_at.items() if key in fleet.ready
+    looked_at = fleet.failing.looked_at = {
+        key: at
+        for key, at in fleet.failing.looked_at.items()
+        if key in fleet.ready
     }
     keys = heapq.nsmallest(
         MAX_STEPS,
--- a/poplarspindle/fleet/worker_failures.py
+++ b/poplarspindle/fleet/worker_failures.py
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Container, Iterable, Mapping
 
-from poplarspindle.fleet import failing_jobs, worker_state
+from poplarspindle.fleet import effects, failing_jobs, worker_state
 
 MAX_FAILING_JOBS = 2
 MAX_ENDED_JOBS = MAX_FAILING_JOBS  # That a worker's failures are kept of.
@@ -163,6 +163,18 @@
     return reopened
 
 
+def make_reopened_notes(
+    workers: Iterable[worker_state.WorkerState], job: str
+) -> list[effects.Effect]:
+    """Makes a log line for each worker that a job is no reason to exclude."""
+    return [
+        effects.Note(
+            "workers", "reopened", job, (("worker", worker.info.name),)
+        )
+        for worker in workers
+    ]
+
+
 def _withdraw(worker: worker_state.WorkerState, job: str) -> bool:
     """Drops a job's failures on a worker; returns whether it reopens."""
     worker.failing_jobs.discard(job)
