test_at_work: the tries that it switches off stand in fleet/probes.py now

The same is switched off and asserted as before. Measured: the 27 tests of test_at_work and test_exclusions pass.

The docstring of record_at_work no longer says that its proof lasts as long as the first exclusion.

--- a/poplarspindle/fleet/exclusions.py
+++ b/poplarspindle/fleet/exclusions.py
@@ -184,9 +184,8 @@
     workers on which these did.
 
     The run was placed after the last failure there, as a worker may go on with
-    what it runs and fail all that it starts. It has been at work for as long as
-    the first exclusion lasts. A failed try of a job that had failed there tells
-    nothing against it.
+    what it runs and fail all that it starts. A failed try of a job that had
+    failed there tells nothing against it.
     """
     if not run.step.until_cancelled or fleet.now - run.first_seen_at < PROOF_S:
         return []
--- a/poplarspindle/tests/test_at_work.py
+++ b/poplarspindle/tests/test_at_work.py
@@ -9,6 +9,7 @@
     absence,
     exclusions,
     lasting_turns,
+    probes,
     unreachable,
     withdrawals,
     work,
@@ -88,7 +89,7 @@
     monkeypatch.setattr(
         exclusions, "record_end", exclude_for_long(exclusions.record_end)
     )
-    monkeypatch.setattr(exclusions, "list_probes", lambda fleet: ())
+    monkeypatch.setattr(probes, "list_probes", lambda fleet: ())
     world = make_world()
     fail_runs_on_all_workers(world)
     failed_at = world.now
