--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -27,6 +27,7 @@
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 6000
 STOP_GRACE_S = 0.2
+GANG_TIMEOUT_S = 3.0
 KEEP_APPENDS = 5
 
 
@@ -131,8 +132,19 @@
         self._topics = collections.defaultdict(list)
         self._producers = {}
         self._groups = {}
-        self.server = Server(self._answer)
-        self.address = self.server.address
+        self.servers = []
+        self.on_conditional_write = lambda caller: None
+        self.address = self.listen("")
+
+    def listen(self, caller):
+        """Opens an address of its own for a caller, to know its calls."""
+        server = Server(
+            lambda method, path, headers, body: self._answer(
+                caller, method, path, body
+            )
+        )
+        self.servers.append(server)
+        return server.address
 
     def write(self, topic, key, value):
         """Writes as the operator or a minion does; returns when it is stored."""
@@ -148,10 +160,11 @@
                 if value
             }
 
-    def _answer(self, method, path, headers, body):
+    def _answer(self, caller, method, path, body):
         path, _, query = path.partition("?")
         query = dict(urllib.parse.parse_qsl(query))
         name = path.removeprefix("/api/log-")
+        query["caller"] = caller
         handle = {
             "append": self._append,
             "read": self._read,
@@ -189,6 +202,12 @@
                 kept.pop(seq - KEEP_APPENDS, None)
                 self._producers[who] = epoch, seq, kept
             self._changed.notify_all()
+        if "at" in query:
+            self._record.write(
+                f"store: {query['caller']} writes under a condition, "
+                f"epoch {query.get('epoch')}"
+            )
+            self.on_conditional_write(query["caller"])
         return 200, fields
 
     def _read(self, query, body):
@@ -348,11 +367,17 @@
         for key, run in list(self._running.items()):
             if run["stop_at"] is not None and now >= run["stop_at"]:
                 self._end(key, "stopped")
+            elif run["gang"] is not None:
+                how = run["gang"].find_end(self, key, run, now)
+                if how:
+                    self._end(key, how)
             elif run["takes_s"] is not None and now >= run["began"] + run["takes_s"]:
                 self._end(key, run["how"])
 
     def _end(self, key, how):
-        self._running.pop(key)
+        run = self._running.pop(key)
+        if run["gang"] is not None:
+            run["gang"].leave(key, how)
         self._number += 1
         self._highest[key[0]] = max(self._highest.get(key[0], 0), key[1])
         self._ends.append([self._number, *key, how, ""])
@@ -363,7 +388,9 @@
         """Crashes: everything that runs there is gone, nothing is sent."""
         with self._changed:
             self.alive = False
-            for key in list(self._running):
+            for key, run in self._running.items():
+                if run["gang"] is not None:
+                    run["gang"].leave(key, "lost")
                 self.world.note_end(self, key, "lost with the minion")
             self._running.clear()
         self.world.record.write(f"minion {self.name} at {self.address} is killed")
@@ -429,7 +456,10 @@
             "how": how,
             "stop_at": None,
             "need": need,
+            "gang": self.world.find_gang(key) if need.get("gang") else None,
         }
+        if self._running[key]["gang"] is not None:
+            self._running[key]["gang"].join(key)
         self.world.note_start(self, key, fields)
         return 200, {"clock_ms": self.clock_ms()}
 
@@ -464,6 +494,41 @@
         }
 
 
+class Gang:
+    """One run of a gang: its members work only while all are present."""
+
+    def __init__(self, size):
+        self._size = size
+        self._lock = threading.Lock()
+        self._present = set()
+        self._whole_at = None
+        self._how = None
+
+    def join(self, key):
+        with self._lock:
+            self._present.add(key)
+            if len(self._present) == self._size and self._whole_at is None:
+                self._whole_at = time.monotonic()
+
+    def leave(self, key, how):
+        with self._lock:
+            self._present.discard(key)
+            if self._how is None:
+                self._how = "done" if how == "done" else "broken"
+
+    def find_end(self, minion, key, run, now):
+        """Returns how a member ends now, None while it goes on."""
+        with self._lock:
+            if self._how is not None:
+                return self._how
+            if self._whole_at is None:
+                waited_s = now - run["began"]
+                return "alone" if waited_s >= GANG_TIMEOUT_S else None
+            if run["takes_s"] is None:
+                return None
+            return run["how"] if now >= self._whole_at + run["takes_s"] else None
+
+
 class World:
     """A small deployment: store, machines, minions and nodes.
 
@@ -481,6 +546,7 @@
         self.scratch = tempfile.mkdtemp(prefix="review3-")
         self.jobs, self.ends, self.starts = {}, [], []
         self.plans = {}
+        self._gangs = {}
         self._lock = threading.RLock()
         self.store = Store(self.record)
         self.cloud = Server(self._answer_cloud)
@@ -576,6 +642,15 @@
         job, _, step, _ = task.split(".")
         return self.jobs[job]["pipeline"][int(step)] if job in self.jobs else {}
 
+    def find_gang(self, key):
+        """Returns the run of the gang that a member belongs to."""
+        name, attempt = key
+        step = name.rpartition(".")[0]
+        with self._lock:
+            if (step, attempt) not in self._gangs:
+                self._gangs[step, attempt] = Gang(self.describe(name)["count"])
+            return self._gangs[step, attempt]
+
     def plan(self, task, attempt):
         """Returns how long a run takes and how it ends."""
         job, _, step, _ = task.split(".")
@@ -702,9 +777,9 @@
         )
         return status, fields
 
-    def submit(self, node, job, pipeline, prefix="/q/", run_s=None):
-        """Hands a job in, again after no answer; returns the last status."""
-        body = {"spec": "x", "pipeline": pipeline}
+    def submit(self, node, job, pipeline, prefix="/q/", run_s=None, **times):
+        """Hands a job in; returns the status, 0 for no answer."""
+        body = {"spec": "x", "pipeline": pipeline, **times}
         self.jobs[job] = body
         if run_s is not None:
             self.plans[job] = run_s
@@ -736,7 +811,8 @@
             if minion.alive:
                 minion.alive = False
                 minion.server.kill()
-        self.store.server.kill()
+        for server in self.store.servers:
+            server.kill()
         self.cloud.kill()
         self.record.close()
         if os.environ.get("KEEP"):
